Add HTTP adapters for targets and the platform

Cause: nothing spoke to a target or the platform yet. Change: HTTPDialer opens one net.Conn per Conn and runs one HTTP/1.1 exchange at a time on it, with CBOR lists as bodies. Exchange ids are salted per process, so that neither a crossed answer nor a cancellation of another host matches by accident. A reply list that is not exactly the list of answers is not used at all. HTTPClient reads the platform, one connection a call, with typed errors. Ruled out: fasthttp's HostClient, which retries and pools by itself and so cannot say whether a byte was written.

--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,116 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/model"
+)
+
+// Paths of the platform's service.
+const (
+	PathConfig = "/v1/config"
+	PathHosts  = "/v1/hosts"
+)
+
+const (
+	// MaxValueBytes bounds one value of a document.
+	MaxValueBytes = 1 << 20
+	// MaxResponseBytes bounds a whole response.
+	MaxResponseBytes = 64 << 20
+	// callTimeout is added to the wait that a call asks for.
+	callTimeout = 5 * time.Second
+)
+
+// HTTPClient reads the platform over HTTP, with one connection a call.
+type HTTPClient struct {
+	addr string
+	net  net.Dialer
+}
+
+var _ Client = (*HTTPClient)(nil)
+
+// NewHTTPClient returns a client of the platform at addr, a host and port.
+func NewHTTPClient(addr string) *HTTPClient { return &HTTPClient{addr: addr} }
+
+// Document implements Client. Its errors are *Error.
+func (c *HTTPClient) Document(ctx context.Context, after model.Revision, wait time.Duration) (*config.Document, error) {
+	doc := new(config.Document)
+	if err := c.get(ctx, PathConfig, after, wait, doc); err != nil {
+		return nil, err
+	}
+	for key, value := range doc.Keys {
+		if len(value) > MaxValueBytes {
+			return nil, &Error{Kind: TooLarge, Path: PathConfig, Key: key}
+		}
+	}
+	return doc, nil
+}
+
+// HostList implements Client. Its errors are *Error.
+func (c *HTTPClient) HostList(ctx context.Context, after model.Revision, wait time.Duration) (*model.HostList, error) {
+	list := new(model.HostList)
+	if err := c.get(ctx, PathHosts, after, wait, list); err != nil {
+		return nil, err
+	}
+	return list, nil
+}
+
+// get fetches path and decodes its JSON into v.
+func (c *HTTPClient) get(ctx context.Context, path string, after model.Revision, wait time.Duration, v any) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	uri := fmt.Sprintf("%s?after=%d&wait_ms=%d", path, after, wait.Milliseconds())
+	if err := c.fetch(ctx, uri, resp); err != nil {
+		kind := Unreachable
+		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+			kind = TooLarge
+		}
+		return &Error{Kind: kind, Path: path, Cause: err}
+	}
+	if status := resp.StatusCode(); status != fasthttp.StatusOK {
+		return &Error{Kind: BadStatus, Path: path, Status: status}
+	}
+	if err := json.Unmarshal(resp.Body(), v); err != nil {
+		return &Error{Kind: Malformed, Path: path, Cause: err}
+	}
+	return nil
+}
+
+// fetch runs one GET on a connection of its own, which the end of ctx closes.
+func (c *HTTPClient) fetch(ctx context.Context, uri string, resp *fasthttp.Response) error {
+	conn, err := c.net.DialContext(ctx, "tcp", c.addr)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetHost(c.addr)
+	req.SetRequestURI(uri)
+	req.SetConnectionClose()
+	writer := bufio.NewWriter(conn)
+	if err := req.Write(writer); err != nil {
+		return err
+	}
+	if err := writer.Flush(); err != nil {
+		return err
+	}
+	err = resp.ReadLimitBody(bufio.NewReader(conn), MaxResponseBytes)
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -4,6 +4,12 @@
 // The protocol is HTTP/1.1 with CBOR bodies. POST /v1/search carries a list of
 // sub-requests and gets a list of answers of the same length and order, each
 // echoing its exchange id. POST /v1/cancel names exchange ids to give up.
+// GET /v1/load returns the load report; a new connection asks for it first.
+//
+// A reply list that does not match the request, item by item, is not used at
+// all: each of its exchanges is Unknown with reason ReplyMismatch or
+// ReplyTruncated. A connection that ends while the target has the request gives
+// Unknown with reason TargetUnreachable.
 package target
 
 import (
--- /dev/null
+++ b/internal/target/dialer.go
@@ -0,0 +1,58 @@
+package target
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// UserTimeout bounds the time that sent bytes may stay unacknowledged before the
+// kernel closes a connection.
+const UserTimeout = 5 * time.Second
+
+// HTTPDialer opens connections that speak the target protocol over HTTP/1.1.
+type HTTPDialer struct {
+	// salt makes the exchange ids of this process differ from those of others, so
+	// that neither a crossed answer nor a cancellation can match by accident.
+	salt uint64
+	net  net.Dialer
+}
+
+var _ Dialer = (*HTTPDialer)(nil)
+
+// NewHTTPDialer returns a dialer. All its connections share one space of
+// exchange ids.
+func NewHTTPDialer() *HTTPDialer {
+	var seed [8]byte
+	_, _ = rand.Read(seed[:]) // never fails, by its documentation
+	return &HTTPDialer{
+		salt: binary.LittleEndian.Uint64(seed[:]),
+		net:  net.Dialer{Control: setUserTimeout},
+	}
+}
+
+// Dial implements Dialer. It waits for the first load report, so a connection
+// that it returns is set up at both ends. Its error is a *verdict.Error.
+func (d *HTTPDialer) Dial(ctx context.Context, t *model.Target, timeout time.Duration) (Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	raw, err := d.net.DialContext(ctx, "tcp", t.Addr)
+	if err != nil {
+		return nil, dialError(t, err)
+	}
+	conn := newHTTPConn(raw, t.Addr, d.salt)
+	if _, err := conn.Probe(ctx); err != nil {
+		_ = conn.Close()
+		return nil, dialError(t, err)
+	}
+	return conn, nil
+}
+
+func dialError(t *model.Target, err error) error {
+	return verdict.Refuse(verdict.TargetUnreachable, 0, "dial target %s at %s: %v", t.ID, t.Addr, err)
+}
--- /dev/null
+++ b/internal/target/wire.go
@@ -0,0 +1,81 @@
+package target
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// Paths of the target protocol.
+const (
+	PathSearch = "/v1/search"
+	PathCancel = "/v1/cancel"
+	PathLoad   = "/v1/load"
+	PathHealth = "/v1/health"
+)
+
+// ContentType is the media type of the protocol's bodies.
+const ContentType = "application/cbor"
+
+// MaxBatch bounds the exchanges of one request.
+const MaxBatch = 4096
+
+// SearchItem is one exchange in the body of a search.
+type SearchItem struct {
+	_ struct{} `cbor:",toarray"`
+	// ExchangeID is echoed by the answer. It is unique among all the hosts that
+	// talk to the target.
+	ExchangeID uint64
+	RequestID  string
+	Caller     model.CallerID
+	Workload   model.WorkloadName
+	Service    model.ServiceName
+	Shard      model.ShardID
+	Snapshot   model.SnapshotID
+	Body       []byte
+	Idempotent bool
+	// TimeLeftMicros is the time until the deadline, in microseconds. The target
+	// does not start an exchange once it has passed.
+	TimeLeftMicros int64
+}
+
+// AnswerItem is the answer to one SearchItem.
+type AnswerItem struct {
+	_          struct{} `cbor:",toarray"`
+	ExchangeID uint64
+	Status     Status
+	// Reason is empty for StatusOK.
+	Reason  verdict.Reason
+	Message string
+	// RetryAfterMS is the target's own hint, in milliseconds.
+	RetryAfterMS int64
+	// Snapshot is the one that the answer was computed from.
+	Snapshot model.SnapshotID
+	Body     []byte
+	Load     subquery.Load
+}
+
+// codec holds the limits that the protocol's bodies are decoded under.
+var codec = mustCodec()
+
+func mustCodec() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: MaxBatch,
+		MaxMapPairs:      64,
+		MaxNestedLevels:  8,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Decode decodes the body of a request or answer under the protocol's limits.
+func Decode(body []byte, into any) error { return codec.Unmarshal(body, into) }
+
+// Encode encodes the body of a request or answer.
+func Encode(v any) ([]byte, error) { return cbor.Marshal(v) }
