Add stand-ins for targets and the platform

Cause: the tier's tests need a target and a platform whose faults can be switched on while they run. Both are changed through a listener of their own, so that control takes none of a target's connections. Ruled out: fasthttp's worker pool, whose cleaner outlives its server by up to 10 s and fails goleak in every test that embeds a stand-in; each connection has a goroutine of its own instead. Shown by: go test -race -count=2 ./internal/standin/... passes.

--- /dev/null
+++ b/internal/standin/platform/admin.go
@@ -0,0 +1,104 @@
+package platform
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+)
+
+// Paths of the administration listener.
+const (
+	PathPublish = "/standin/config"
+	PathHosts   = "/standin/hosts"
+	PathFaults  = "/standin/faults"
+	PathCalls   = "/standin/calls"
+)
+
+// PublishRequest is the body of a change of the document.
+type PublishRequest struct {
+	Set    map[string]json.RawMessage `json:"set"`
+	Remove []string                   `json:"remove"`
+}
+
+// HostsRequest is the body of a change of the host list.
+type HostsRequest struct {
+	Hosts          []model.Host     `json:"hosts"`
+	LeavingTargets []model.TargetID `json:"leaving_targets"`
+}
+
+// RevisionResponse names the revision that a change made.
+type RevisionResponse struct {
+	Revision model.Revision `json:"revision"`
+}
+
+func (p *Platform) handleAdmin(ctx *fasthttp.RequestCtx) {
+	ctx.SetConnectionClose()
+	switch string(ctx.Path()) {
+	case PathPublish:
+		p.handlePublish(ctx)
+	case PathHosts:
+		p.handleHosts(ctx)
+	case PathFaults:
+		p.handleFaults(ctx)
+	case PathCalls:
+		writeJSON(ctx, p.Calls())
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (p *Platform) handlePublish(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPost() {
+		writeJSON(ctx, p.Document())
+		return
+	}
+	var req PublishRequest
+	if !readJSON(ctx, &req) {
+		return
+	}
+	writeJSON(ctx, RevisionResponse{Revision: p.Publish(req.Set, req.Remove...)})
+}
+
+func (p *Platform) handleHosts(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPost() {
+		writeJSON(ctx, p.visibleHosts())
+		return
+	}
+	var req HostsRequest
+	if !readJSON(ctx, &req) {
+		return
+	}
+	writeJSON(ctx, RevisionResponse{Revision: p.SetHosts(req.Hosts, req.LeavingTargets)})
+}
+
+// handleFaults shows the faults, or replaces them by the body's.
+func (p *Platform) handleFaults(ctx *fasthttp.RequestCtx) {
+	if ctx.IsPost() {
+		var faults Faults
+		if !readJSON(ctx, &faults) {
+			return
+		}
+		p.SetFaults(faults)
+	}
+	writeJSON(ctx, p.Faults())
+}
+
+func readJSON(ctx *fasthttp.RequestCtx, v any) bool {
+	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/internal/standin/target/admin.go
@@ -0,0 +1,66 @@
+package target
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/swiftvane/swiftvane/internal/standin/httpserve"
+)
+
+// Paths of the administration listener.
+const (
+	PathRuns    = "/standin/runs"
+	PathFaults  = "/standin/faults"
+	PathSilence = "/standin/silence"
+	PathCrash   = "/standin/crash"
+)
+
+// serveAdmin starts the administration listener.
+func (t *Target) serveAdmin() {
+	t.group.Go(func() { httpserve.Serve(t.admin, t.handleAdmin) })
+}
+
+func (t *Target) handleAdmin(ctx *fasthttp.RequestCtx) {
+	ctx.SetConnectionClose()
+	switch string(ctx.Path()) {
+	case PathRuns:
+		writeJSON(ctx, t.Runs(string(ctx.QueryArgs().Peek("request_id"))))
+	case PathFaults:
+		t.handleFaults(ctx)
+	case PathSilence:
+		t.SilenceConnections()
+	case PathCrash:
+		t.Crash()
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// handleFaults shows the faults, or merges the body's keys into them.
+func (t *Target) handleFaults(ctx *fasthttp.RequestCtx) {
+	faults := t.Faults()
+	faults.Snapshots = slices.Clone(faults.Snapshots)
+	if ctx.IsPost() {
+		if err := json.Unmarshal(ctx.PostBody(), &faults); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		if err := t.SetFaults(faults); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+	}
+	writeJSON(ctx, faults)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/internal/standin/target/check.go
@@ -0,0 +1,32 @@
+package target
+
+import "github.com/rotisserie/eris"
+
+// check fails on the first value that is out of range and names it.
+func (f *Faults) check() error {
+	shares := map[string]float64{
+		"straggler_share": f.StragglerShare,
+		"shed_share":      f.ShedShare,
+		"fail_share":      f.FailShare,
+		"reply_share":     f.ReplyShare,
+	}
+	for name, share := range shares {
+		if share < 0 || share > 1 {
+			return eris.Errorf("%s: %v is not between 0 and 1", name, share)
+		}
+	}
+	switch f.Reply {
+	case "", ReplySwapped, ReplyRepeated, ReplyShort, ReplyTruncated, ReplyCut, ReplyCrossed, ReplyDelayed:
+	default:
+		return eris.Errorf("reply: %q is not a known fault", f.Reply)
+	}
+	switch f.Health {
+	case "", AlwaysHealthy, AlwaysUnhealthy:
+	default:
+		return eris.Errorf("health: %q is not a known fault", f.Health)
+	}
+	if f.LatencyMedianUS < 0 || f.ColdMS < 0 || f.RestartMS < 0 || f.ReplyDelayMS < 0 {
+		return eris.New("latency_median_us, cold_ms, restart_ms, reply_delay_ms: must not be negative")
+	}
+	return nil
+}
