--- /dev/null
+++ b/internal/faultproxy/proxy_test.go
@@ -0,0 +1,161 @@
+package faultproxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+)
+
+const (
+	// quiet is how long a test looks for bytes that must not come.
+	quiet = 50 * time.Millisecond
+	limit = 20 * time.Second
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// startEcho runs a server that sends every line back.
+func startEcho(t *testing.T, classify func([]byte) string) *Proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	proxy, err := StartClassified(listener.Addr().String(), classify)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		proxy.Close()
+		_ = listener.Close()
+	})
+	return proxy
+}
+
+type line struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func connect(t *testing.T, proxy *Proxy) *line {
+	t.Helper()
+	conn, err := net.Dial("tcp", proxy.Addr())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return &line{conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func (l *line) send(t *testing.T, text string) {
+	t.Helper()
+	_, err := io.WriteString(l.conn, text+"\n")
+	require.NoError(t, err)
+}
+
+func (l *line) read(wait time.Duration) (string, error) {
+	_ = l.conn.SetReadDeadline(time.Now().Add(wait))
+	return l.reader.ReadString('\n')
+}
+
+func (l *line) echo(t *testing.T, text string) {
+	t.Helper()
+	l.send(t, text)
+	got, err := l.read(limit)
+	require.NoError(t, err)
+	require.Equal(t, text+"\n", got)
+}
+
+func TestForwardsBothWays(t *testing.T) {
+	connect(t, startEcho(t, nil)).echo(t, "hello")
+}
+
+func TestCutEndsOpenLinksOnly(t *testing.T) {
+	proxy := startEcho(t, nil)
+	old := connect(t, proxy)
+	old.echo(t, "a")
+	proxy.Cut()
+	_, err := old.read(limit)
+	require.Error(t, err)
+	connect(t, proxy).echo(t, "b")
+	require.Equal(t, 2, proxy.Accepted())
+}
+
+func TestHoldInOneDirectionPassesBytesOnceHealed(t *testing.T) {
+	for name, rule := range map[string]Rule{
+		"to server": {ToServer: Flow{Hold: true}},
+		"to client": {ToClient: Flow{Hold: true}},
+		"both":      Blackhole(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			proxy := startEcho(t, nil)
+			link := connect(t, proxy)
+			link.echo(t, "before")
+			proxy.SetRule(rule)
+			link.send(t, "held")
+			_, err := link.read(quiet)
+			require.Error(t, err, "nothing passes while it is held")
+			proxy.SetRule(Rule{})
+			got, err := link.read(limit)
+			require.NoError(t, err)
+			require.Equal(t, "held\n", got)
+		})
+	}
+}
+
+func TestRefuseResetsNewConnectionsOnly(t *testing.T) {
+	proxy := startEcho(t, nil)
+	old := connect(t, proxy)
+	old.echo(t, "a")
+	proxy.SetRule(Rule{Refuse: true})
+	_, err := connect(t, proxy).read(limit)
+	require.Error(t, err)
+	old.echo(t, "b")
+}
+
+func TestOneLinkSilentForGoodWhileNewOnesWork(t *testing.T) {
+	proxy := startEcho(t, nil)
+	old := connect(t, proxy)
+	old.echo(t, "a")
+	proxy.Links()[0].SetRule(Blackhole())
+	old.send(t, "b")
+	_, err := old.read(quiet)
+	require.Error(t, err)
+	connect(t, proxy).echo(t, "c")
+}
+
+func TestRulesByTag(t *testing.T) {
+	proxy := startEcho(t, func(first []byte) string { return string(first[:1]) })
+	one, two := connect(t, proxy), connect(t, proxy)
+	one.echo(t, "1")
+	two.echo(t, "2")
+	proxy.SetTagRule("1", Blackhole())
+	two.echo(t, "22")
+	one.send(t, "11")
+	_, err := one.read(quiet)
+	require.Error(t, err)
+	proxy.ClearTagRule("1")
+	got, err := one.read(limit)
+	require.NoError(t, err)
+	require.Equal(t, "11\n", got)
+}
+
+func TestDelayedBytesArriveWhole(t *testing.T) {
+	proxy := startEcho(t, nil)
+	proxy.SetRule(Delay(quiet))
+	link := connect(t, proxy)
+	start := time.Now()
+	link.echo(t, "late")
+	require.GreaterOrEqual(t, time.Since(start), 2*quiet)
+}
