Add the open-loop load generator

Cause: latency, coverage and extra load need one measure for all runs. Change: internal/load reads a run from TOML, offers its arrivals (constant or Poisson, fixed seed) without waiting for answers, and reports percentiles from the intended arrival, coverage, extra load, verdicts and reasons as JSON and as a picture. Queries in flight, their number and the time are bounded; addresses are loopback unless a flag says otherwise. Shown by: go test -race -count=2 ./internal/load passes.

--- /dev/null
+++ b/internal/load/http.go
@@ -0,0 +1,165 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+const (
+	// pathQuery is the path of the caller's interface.
+	pathQuery = "/v1/query"
+	// headerCaller names the caller.
+	headerCaller = "X-Caller-Id"
+	// answerGrace is waited for an answer past the query's deadline.
+	answerGrace = 5 * time.Second
+	// dialTimeout bounds a new connection to a host.
+	dialTimeout = 5 * time.Second
+	// idleTimeout closes unused connections.
+	idleTimeout = 10 * time.Second
+)
+
+// Reasons of outcomes that no host gave.
+const (
+	// NoResponse means that the host did not respond.
+	NoResponse verdict.Reason = "client_no_response"
+	// NoResponseInTime means that the response was not there when the grace after
+	// the deadline had passed.
+	NoResponseInTime verdict.Reason = "client_timeout"
+	// BadResponse means that the response could not be decoded.
+	BadResponse verdict.Reason = "client_bad_response"
+)
+
+// HTTPAsker sends queries to hosts, in turn.
+type HTTPAsker struct {
+	hosts []*fasthttp.HostClient
+}
+
+var _ Asker = (*HTTPAsker)(nil)
+
+// queryRequest is the body of a query.
+type queryRequest struct {
+	Workload   model.WorkloadName  `json:"workload"`
+	Body       json.RawMessage     `json:"body"`
+	DeadlineMS int64               `json:"deadline_ms"`
+	Services   []model.ServiceName `json:"services,omitempty"`
+	Idempotent *bool               `json:"idempotent,omitempty"`
+}
+
+// queryResponse is the part of an answer that is reported.
+type queryResponse struct {
+	Coverage struct {
+		Shards   int `json:"shards"`
+		Answered int `json:"answered"`
+		Missing  []struct {
+			Reason verdict.Reason `json:"reason"`
+		} `json:"missing"`
+	} `json:"coverage"`
+	Extra int `json:"extra_subrequests"`
+}
+
+// errorResponse is the part of an error that is reported.
+type errorResponse struct {
+	Verdict      verdict.Verdict `json:"verdict"`
+	Reason       verdict.Reason  `json:"reason"`
+	RetryAfterMS int64           `json:"retry_after_ms"`
+}
+
+// NewHTTPAsker returns an asker for hosts at urls that opens at most
+// maxConnections connections to each.
+func NewHTTPAsker(urls []string, maxConnections int) (*HTTPAsker, error) {
+	if len(urls) == 0 {
+		return nil, errors.New("urls: at least one is needed")
+	}
+	a := new(HTTPAsker)
+	for _, raw := range urls {
+		parsed, err := url.Parse(raw)
+		if err != nil {
+			return nil, err
+		}
+		a.hosts = append(a.hosts, &fasthttp.HostClient{
+			Addr:                      parsed.Host,
+			IsTLS:                     parsed.Scheme == "https",
+			MaxConns:                  maxConnections,
+			MaxIdleConnDuration:       idleTimeout,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			Dial:                      func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, dialTimeout) },
+		})
+	}
+	return a, nil
+}
+
+// Ask implements Asker.
+func (a *HTTPAsker) Ask(_ context.Context, q *Query) Outcome {
+	body, err := json.Marshal(queryRequest{
+		Workload: q.Workload, Body: q.Body, DeadlineMS: q.Deadline.Milliseconds(),
+		Services: q.Services, Idempotent: q.Idempotent,
+	})
+	if err != nil {
+		return Outcome{Reason: BadResponse}
+	}
+	host := a.hosts[q.Number%len(a.hosts)]
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + host.Addr + pathQuery)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.Header.Set(headerCaller, string(q.Caller))
+	req.SetBodyRaw(body)
+	if err := host.DoTimeout(req, resp, q.Deadline+answerGrace); err != nil {
+		if errors.Is(err, fasthttp.ErrTimeout) {
+			return Outcome{Reason: NoResponseInTime}
+		}
+		return Outcome{Reason: NoResponse}
+	}
+	if resp.StatusCode() == fasthttp.StatusOK {
+		return answerOutcome(resp.Body())
+	}
+	return errorOutcome(resp.Body())
+}
+
+func answerOutcome(body []byte) Outcome {
+	var answer queryResponse
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return Outcome{Reason: BadResponse}
+	}
+	outcome := Outcome{
+		Answered: true, Verdict: verdict.Ran,
+		Shards: answer.Coverage.Shards, Covered: answer.Coverage.Answered, Extra: answer.Extra,
+	}
+	if len(answer.Coverage.Missing) > 0 {
+		outcome.Missing = make(map[verdict.Reason]int)
+		for _, missing := range answer.Coverage.Missing {
+			outcome.Missing[missing.Reason]++
+		}
+	}
+	return outcome
+}
+
+func errorOutcome(body []byte) Outcome {
+	var failure errorResponse
+	if err := json.Unmarshal(body, &failure); err != nil || failure.Reason == "" {
+		return Outcome{Reason: BadResponse}
+	}
+	return Outcome{
+		Verdict: failure.Verdict, Reason: failure.Reason,
+		RetryAfter: time.Duration(failure.RetryAfterMS) * time.Millisecond,
+	}
+}
+
+// Close closes idle connections.
+func (a *HTTPAsker) Close() {
+	for _, host := range a.hosts {
+		host.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,235 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"github.com/swiftvane/swiftvane/internal/standin/httpserve"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+func TestMain(m *testing.M) {
+	// The HTTP client's cleaner goroutine ends up to 10 s after its last connection.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"))
+}
+
+const validRun = `
+name = "steady"
+urls = ["http://127.0.0.1:1"]
+rate = 200.0
+duration = "300ms"
+deadline_ms = 1000
+seed = 7
+[[mix]]
+workload = "diff-review"
+weight = 3
+caller = "desk"
+body = '{"sweep":true}'
+[[mix]]
+workload = "audit-archive"
+weight = 1
+caller = "clerk"
+body = '1'
+idempotent = false
+`
+
+func parse(t *testing.T) *Run {
+	t.Helper()
+	run, err := ParseRun([]byte(validRun))
+	require.NoError(t, err)
+	return run
+}
+
+func TestBadRunsNameTheField(t *testing.T) {
+	for field, edit := range map[string][2]string{
+		"unknown key": {"seed = 7", "speed = 7"},
+		"Rate":        {"rate = 200.0", "rate = -1.0"},
+		"Arrivals":    {"seed = 7", `arrivals = "sometimes"`},
+		"Duration":    {`duration = "300ms"`, ""},
+		"queries":     {`duration = "300ms"`, "duration = \"1h\"\nwarmup = \"1h\"\narrivals = \"constant\"\n"},
+		"Weight":      {"weight = 3", "weight = 0"},
+		"Body":        {"body = '1'", "body = '{'"},
+		"2h":          {`"300ms"`, `"2h"`},
+	} {
+		t.Run(field, func(t *testing.T) {
+			text := bytes.Replace([]byte(validRun), []byte(edit[0]), []byte(edit[1]), 1)
+			if field == "queries" {
+				text = bytes.Replace(text, []byte("rate = 200.0"), []byte("rate = 10000.0"), 1)
+			}
+			_, err := ParseRun(text)
+			require.ErrorContains(t, err, field)
+		})
+	}
+}
+
+func TestOnlyLoopbackUnlessAllowed(t *testing.T) {
+	run := parse(t)
+	require.NoError(t, run.CheckLoopback())
+	for _, url := range []string{"http://10.1.2.3:80", "http://example.org"} {
+		run.URLs = []string{url}
+		require.ErrorContains(t, run.CheckLoopback(), url)
+	}
+}
+
+func TestArrivalsRepeatForASeedAndKeepTheRate(t *testing.T) {
+	run := parse(t)
+	const n = 20_000
+	sequence := func() (last time.Duration, sweeps int) {
+		a := newArrivals(run)
+		for range n {
+			last = a.next()
+			if a.pick().Workload == "diff-review" {
+				sweeps++
+			}
+		}
+		return last, sweeps
+	}
+	last, sweeps := sequence()
+	again, sweepsAgain := sequence()
+	require.Equal(t, last, again)
+	require.Equal(t, sweeps, sweepsAgain)
+	require.InEpsilon(t, n/run.Rate, last.Seconds(), 0.05)
+	require.InEpsilon(t, 0.75, float64(sweeps)/n, 0.05)
+}
+
+// gate is an asker that holds all queries back until it is opened.
+type gate struct {
+	open  chan struct{}
+	mu    sync.Mutex
+	asked int
+	last  Query
+}
+
+func (g *gate) Ask(_ context.Context, q *Query) Outcome {
+	g.mu.Lock()
+	g.asked++
+	g.last = *q
+	g.mu.Unlock()
+	<-g.open
+	return Outcome{Answered: true, Verdict: verdict.Ran, Shards: 4, Covered: 3, Extra: 1, Missing: map[verdict.Reason]int{verdict.TargetSilent: 1}}
+}
+
+func TestArrivalsDoNotWaitForAnswers(t *testing.T) {
+	run := parse(t)
+	run.Arrivals = Constant
+	run.MaxInflight = 40
+	asker := &gate{open: make(chan struct{})}
+	time.AfterFunc(2*time.Second, func() { close(asker.open) })
+	report, err := Generate(t.Context(), run, asker, nil)
+	require.NoError(t, err)
+	require.Equal(t, 59, report.Offered, "one each 5 ms, before 300 ms")
+	require.Equal(t, 40, report.Sent)
+	require.Equal(t, 19, report.NotSent)
+	require.Equal(t, 40, report.Summary.Answers)
+	require.Greater(t, report.Summary.AnswerLatency.P50, 600.0, "waiting counts from the intended arrival")
+	require.InDelta(t, 0.75, report.Summary.Coverage.Mean, 1e-9)
+	require.InDelta(t, 0.25, report.Summary.ExtraLoad, 1e-9)
+	require.Zero(t, report.Summary.Coverage.FullShare)
+	require.Equal(t, map[verdict.Reason]int{verdict.TargetSilent: 40}, report.Summary.Missing)
+	require.Equal(t, 40, report.Workloads["diff-review"].Answers+report.Workloads["audit-archive"].Answers)
+}
+
+func TestWarmupIsNotReported(t *testing.T) {
+	run := parse(t)
+	run.Arrivals = Constant
+	run.Warmup = Duration(200 * time.Millisecond)
+	run.Duration = Duration(100 * time.Millisecond)
+	asker := &gate{open: make(chan struct{})}
+	close(asker.open)
+	report, err := Generate(t.Context(), run, asker, nil)
+	require.NoError(t, err)
+	require.Equal(t, 59, asker.asked)
+	require.Equal(t, 20, report.Offered)
+	require.Equal(t, 20, report.Summary.Answers)
+}
+
+// serve answers every query on a loopback port.
+func serve(t *testing.T, handler fasthttp.RequestHandler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		httpserve.Serve(listener, func(ctx *fasthttp.RequestCtx) {
+			ctx.SetConnectionClose()
+			handler(ctx)
+		})
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-done
+	})
+	return "http://" + listener.Addr().String()
+}
+
+func TestHTTPOutcomes(t *testing.T) {
+	for name, test := range map[string]struct {
+		status int
+		body   string
+		want   Outcome
+	}{
+		"answer": {200, `{"coverage":{"shards":3,"answered":2,"missing":[{"reason":"target_shed"}]},"extra_subrequests":4}`,
+			Outcome{Answered: true, Verdict: verdict.Ran, Shards: 3, Covered: 2, Extra: 4, Missing: map[verdict.Reason]int{verdict.TargetShed: 1}}},
+		"refusal": {429, `{"verdict":"not_run","reason":"caller_rate_limited","retry_after_ms":50}`,
+			Outcome{Verdict: verdict.NotRun, Reason: verdict.CallerRateLimited, RetryAfter: 50 * time.Millisecond}},
+		"nonsense":       {200, `[`, Outcome{Reason: BadResponse}},
+		"error nonsense": {500, `{}`, Outcome{Reason: BadResponse}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var got queryRequest
+			url := serve(t, func(ctx *fasthttp.RequestCtx) {
+				_ = json.Unmarshal(ctx.PostBody(), &got)
+				ctx.SetStatusCode(test.status)
+				ctx.SetBodyString(test.body)
+			})
+			asker, err := NewHTTPAsker([]string{url}, 1)
+			require.NoError(t, err)
+			defer asker.Close()
+			outcome := asker.Ask(t.Context(), &Query{Workload: "w", Body: json.RawMessage(`{"q":1}`), Deadline: time.Minute})
+			require.Equal(t, test.want, outcome)
+			require.Equal(t, queryRequest{Workload: "w", Body: json.RawMessage(`{"q":1}`), DeadlineMS: 60_000}, got)
+		})
+	}
+}
+
+func TestNoHostIsAnUnknownOutcome(t *testing.T) {
+	asker, err := NewHTTPAsker([]string{"http://127.0.0.1:1"}, 1)
+	require.NoError(t, err)
+	outcome := asker.Ask(t.Context(), &Query{Body: json.RawMessage(`1`), Deadline: time.Second})
+	require.Equal(t, Outcome{Reason: NoResponse}, outcome)
+}
+
+func TestCommandWritesReportAndPlot(t *testing.T) {
+	url := serve(t, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetBodyString(`{"coverage":{"shards":2,"answered":2}}`)
+	})
+	dir := t.TempDir()
+	runFile := filepath.Join(dir, "run.toml")
+	require.NoError(t, os.WriteFile(runFile, []byte(validRun), 0o600))
+	out, picture := filepath.Join(dir, "report.json"), filepath.Join(dir, "report.svg")
+	cmd := NewCommand()
+	cmd.SetErr(new(bytes.Buffer))
+	cmd.SetArgs([]string{runFile, "--url", url, "--out", out, "--plot", picture})
+	require.NoError(t, cmd.ExecuteContext(t.Context()))
+	raw, err := os.ReadFile(out)
+	require.NoError(t, err)
+	var report Report
+	require.NoError(t, json.Unmarshal(raw, &report))
+	require.Positive(t, report.Summary.Answers)
+	require.Equal(t, report.Offered, report.Summary.Answers)
+	svg, err := os.ReadFile(picture)
+	require.NoError(t, err)
+	require.Contains(t, string(svg), "<svg")
+}
