--- /dev/null
+++ b/internal/peer/envelope.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// messageType says what an envelope is.
+type messageType uint8
+
+const (
+	typeCall   messageType = 1
+	typeReply  messageType = 2
+	typeError  messageType = 3
+	typeCancel messageType = 4
+	typeOneWay messageType = 5
+	typePing   messageType = 6
+	typePong   messageType = 7
+)
+
+// envelope is one message in a frame. A frame is a sequence of envelopes.
+type envelope struct {
+	_    struct{} `cbor:",toarray"`
+	Type messageType
+	// ID ties a reply, error or cancel to its call. It is unique on its link.
+	ID   uint64
+	Kind Kind
+	// LeftMicros is the time left until the deadline, in microseconds. Zero
+	// means that there is none.
+	LeftMicros int64
+	Payload    cbor.RawMessage
+}
+
+var errBadFrame = eris.New("peer: malformed frame")
+
+// encMode and decMode are the codec of envelopes and payloads.
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+// Limits on what a decoded message may hold.
+const (
+	maxArrayElements = 1 << 20
+	maxMapPairs      = 1 << 20
+	maxNesting       = 32
+)
+
+func mustEncMode() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		MaxNestedLevels:  maxNesting,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// encodePayload returns v in CBOR.
+func encodePayload(v any) (cbor.RawMessage, error) {
+	if raw, ok := v.(cbor.RawMessage); ok {
+		return raw, nil
+	}
+	var buf bytes.Buffer
+	if err := encMode.MarshalToBuffer(v, &buf); err != nil {
+		return nil, eris.Wrap(err, "peer: encode payload")
+	}
+	return buf.Bytes(), nil
+}
+
+// Decode decodes the payload of a message or reply into v.
+func Decode(payload cbor.RawMessage, v any) error {
+	if err := decMode.Unmarshal(payload, v); err != nil {
+		return eris.Wrap(err, "peer: decode payload")
+	}
+	return nil
+}
+
+// appendEnvelope adds e to a frame.
+func appendEnvelope(frame *bytes.Buffer, e *envelope) error {
+	return encMode.MarshalToBuffer(e, frame)
+}
+
+// decodeFrame calls visit for each envelope of frame. Payloads share frame's
+// memory. It returns an error if the frame is malformed; envelopes before the
+// malformed one have been visited then.
+func decodeFrame(frame []byte, visit func(*envelope)) error {
+	for len(frame) > 0 {
+		var e envelope
+		rest, err := decMode.UnmarshalFirst(frame, &e)
+		if err != nil {
+			return eris.Wrap(errBadFrame, err.Error())
+		}
+		if e.Type < typeCall || e.Type > typePong || e.LeftMicros < 0 {
+			return errBadFrame
+		}
+		visit(&e)
+		frame = rest
+	}
+	return nil
+}
+
+// leftMicros returns the time left until deadline, at least one microsecond,
+// and zero for no deadline.
+func leftMicros(deadline, now time.Time) int64 {
+	if deadline.IsZero() {
+		return 0
+	}
+	return max(deadline.Sub(now).Microseconds(), 1)
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,147 @@
+package peer
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/rotisserie/eris"
+)
+
+// link is an authenticated connection to a peer with its writer. Frames are
+// read by one goroutine and written by another.
+type link struct {
+	conn     *websocket.Conn
+	opts     *Options
+	counters *counters
+	outbox   *outbox
+	// prepare is called by the writer for each message just before it is
+	// written; false drops the message.
+	prepare func(*outMessage, time.Time) bool
+
+	lastReceived atomic.Int64
+	// pingedAt is when a ping was sent that nothing has followed yet; else zero.
+	pingedAt  atomic.Int64
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+func newLink(conn *websocket.Conn, opts *Options, c *counters, out *outbox) *link {
+	l := &link{conn: conn, opts: opts, counters: c, outbox: out, closed: make(chan struct{})}
+	l.lastReceived.Store(time.Now().UnixNano())
+	conn.SetReadLimit(int64(opts.MaxFrameBytes))
+	return l
+}
+
+// close closes the connection; the reader and writer then return.
+func (l *link) close() {
+	l.closeOnce.Do(func() {
+		close(l.closed)
+		_ = l.conn.Close()
+	})
+}
+
+// read decodes frames and calls visit for each envelope until the link fails.
+func (l *link) read(visit func(*envelope)) error {
+	var scratch bytes.Buffer
+	for {
+		kind, r, err := l.conn.NextReader()
+		if err != nil {
+			return err
+		}
+		if kind != websocket.BinaryMessage {
+			return eris.Wrap(errBadFrame, "not a binary frame")
+		}
+		scratch.Reset()
+		if _, err := io.Copy(&scratch, r); err != nil {
+			return err
+		}
+		l.lastReceived.Store(time.Now().UnixNano())
+		l.pingedAt.Store(0)
+		l.counters.framesReceived.Inc(1)
+		l.counters.bytesReceived.Inc(int64(scratch.Len()))
+		// Payloads outlive the loop, so each frame gets memory of its own.
+		frame := bytes.Clone(scratch.Bytes())
+		if err := decodeFrame(frame, visit); err != nil {
+			return err
+		}
+		if scratch.Cap() > keepBufferBytes {
+			scratch = bytes.Buffer{}
+		}
+	}
+}
+
+// keepBufferBytes is the largest buffer that a link keeps between frames.
+const keepBufferBytes = 256 << 10
+
+// write sends what the outbox holds, many messages a frame, until the link is
+// closed or a write fails.
+func (l *link) write() error {
+	var frame bytes.Buffer
+	for {
+		select {
+		case <-l.closed:
+			return nil
+		case <-l.outbox.wake:
+		}
+		if err := l.flush(&frame); err != nil {
+			return err
+		}
+		if frame.Cap() > keepBufferBytes {
+			frame = bytes.Buffer{}
+		}
+	}
+}
+
+// flush writes all queued messages, in frames of about DefaultFlushBytes.
+func (l *link) flush(frame *bytes.Buffer) error {
+	batch := l.outbox.take()
+	frame.Reset()
+	now := time.Now()
+	messages := 0
+	for i := range batch {
+		m := &batch[i]
+		if l.prepare != nil && !l.prepare(m, now) {
+			continue
+		}
+		m.envelope.LeftMicros = leftMicros(m.deadline, now)
+		if err := appendEnvelope(frame, &m.envelope); err != nil {
+			return err
+		}
+		messages++
+		if frame.Len() < DefaultFlushBytes {
+			continue
+		}
+		if err := l.writeFrame(frame, messages); err != nil {
+			return err
+		}
+		messages = 0
+		now = time.Now()
+	}
+	if messages == 0 {
+		return nil
+	}
+	return l.writeFrame(frame, messages)
+}
+
+func (l *link) writeFrame(frame *bytes.Buffer, messages int) error {
+	if err := l.conn.SetWriteDeadline(time.Now().Add(l.opts.WriteTimeout)); err != nil {
+		return err
+	}
+	if err := l.conn.WriteMessage(websocket.BinaryMessage, frame.Bytes()); err != nil {
+		return err
+	}
+	l.counters.framesSent.Inc(1)
+	l.counters.messagesSent.Inc(int64(messages))
+	l.counters.bytesSent.Inc(int64(frame.Len()))
+	frame.Reset()
+	return nil
+}
+
+// quiet returns how long nothing was received.
+func (l *link) quiet(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - l.lastReceived.Load())
+}
--- /dev/null
+++ b/internal/peer/selfcall.go
@@ -0,0 +1,50 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// callSelf handles a call that this host makes to itself, without a link.
+func (m *Mesh) callSelf(kind Kind, payload cbor.RawMessage, deadline time.Time, done func(cbor.RawMessage, error)) (cancel func()) {
+	ctx := &inboundContext{deadline: deadline}
+	var once sync.Once
+	finish := func(reply cbor.RawMessage, err error) {
+		once.Do(func() {
+			ctx.end(context.Canceled)
+			done(reply, err)
+		})
+	}
+	if !deadline.IsZero() {
+		timer := time.AfterFunc(time.Until(deadline), func() {
+			finish(nil, lostError(true, verdict.DeadlinePassed, "the deadline passed before this host answered"))
+		})
+		next := done
+		done = func(reply cbor.RawMessage, err error) {
+			timer.Stop()
+			next(reply, err)
+		}
+	}
+	in := &Inbound{Ctx: ctx, From: m.opts.Self, Kind: kind, Deadline: deadline, Payload: payload}
+	in.Reply = func(v any) {
+		if refused, ok := v.(*verdict.Error); ok {
+			finish(nil, refused)
+			return
+		}
+		reply, err := encodePayload(v)
+		if err != nil {
+			finish(nil, lostError(true, verdict.Internal, err.Error()))
+			return
+		}
+		finish(reply, nil)
+	}
+	if !m.handle(in) {
+		finish(nil, lostError(false, verdict.Internal, "no handler for this kind of message"))
+	}
+	return func() { finish(nil, lostError(true, verdict.Cancelled, "the call was cancelled")) }
+}
