Answer queries: plan, scatter, gather, dispatch and admission, first whole path

Cause: nothing yet turned a caller's query into sub-requests on targets. Ruled out: a goroutine for each sub-request in the entry role (stack and wake-up cost at 1,400 shards); one event loop a query with a mailbox instead.

--- /dev/null
+++ b/internal/dispatch/fake_test.go
@@ -0,0 +1,194 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/target"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/view"
+)
+
+// fakeTargets is a target.Dialer to targets in memory. Fields are set before
+// use, except for those behind mu.
+type fakeTargets struct {
+	// serve answers one sub-request; nil echoes the shard.
+	serve func(ctx context.Context, req *subquery.Request) *subquery.Answer
+
+	mu        sync.Mutex
+	down      map[model.TargetID]bool
+	open      map[model.TargetID]int
+	peak      map[model.TargetID]int
+	cancelled map[uint64]bool
+	load      subquery.Load
+	conns     []*fakeConn
+	batches   []int
+}
+
+func newFakeTargets() *fakeTargets {
+	return &fakeTargets{
+		down: map[model.TargetID]bool{}, open: map[model.TargetID]int{}, peak: map[model.TargetID]int{},
+		cancelled: map[uint64]bool{},
+	}
+}
+
+func (f *fakeTargets) Dial(_ context.Context, t *model.Target, _ time.Duration) (target.Conn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down[t.ID] {
+		return nil, fmt.Errorf("dial %s: %w", t.ID, syscall.ECONNREFUSED)
+	}
+	f.open[t.ID]++
+	f.peak[t.ID] = max(f.peak[t.ID], f.open[t.ID])
+	c := &fakeConn{f: f, t: t.ID, died: make(chan struct{})}
+	f.conns = append(f.conns, c)
+	return c, nil
+}
+
+// kill ends the target's process: its connections die and new ones are refused.
+func (f *fakeTargets) kill(t model.TargetID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down[t] = true
+	for _, c := range f.conns {
+		if c.t == t {
+			c.cut()
+		}
+	}
+}
+
+func (f *fakeTargets) setLoad(l subquery.Load) {
+	f.mu.Lock()
+	f.load = l
+	f.mu.Unlock()
+}
+
+// fakeConn is one connection to a fake target.
+type fakeConn struct {
+	f      *fakeTargets
+	t      model.TargetID
+	died   chan struct{}
+	cutted atomic.Bool
+	broken atomic.Bool
+	closed atomic.Bool
+}
+
+// cut breaks the connection.
+func (c *fakeConn) cut() {
+	if c.cutted.CompareAndSwap(false, true) {
+		close(c.died)
+	}
+}
+
+func (c *fakeConn) Search(ctx context.Context, batch []target.Exchange) []*subquery.Answer {
+	c.f.mu.Lock()
+	c.f.batches = append(c.f.batches, len(batch))
+	c.f.mu.Unlock()
+	answers := make([]*subquery.Answer, len(batch))
+	for i := range batch {
+		answers[i] = c.one(ctx, batch[i].Request)
+	}
+	return answers
+}
+
+func (c *fakeConn) one(ctx context.Context, req *subquery.Request) *subquery.Answer {
+	if c.f.serve == nil {
+		return echo(req)
+	}
+	answered := make(chan *subquery.Answer, 1)
+	go func() { answered <- c.f.serve(ctx, req) }()
+	select {
+	case a := <-answered:
+		return a
+	case <-ctx.Done():
+	case <-c.died:
+	}
+	c.broken.Store(true)
+	return unknown(verdict.TargetUnreachable)
+}
+
+func echo(req *subquery.Request) *subquery.Answer {
+	return &subquery.Answer{Verdict: verdict.Ran, Snapshot: req.Snapshot, Body: []byte(req.Shard)}
+}
+
+func (c *fakeConn) Cancel(_ context.Context, ids []uint64) error {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	for _, id := range ids {
+		c.f.cancelled[id] = true
+	}
+	return nil
+}
+
+func (c *fakeConn) Probe(context.Context) (subquery.Load, error) {
+	if c.cutted.Load() {
+		return subquery.Load{}, syscall.ECONNRESET
+	}
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	return c.f.load, nil
+}
+
+func (c *fakeConn) Broken() bool { return c.broken.Load() || c.cutted.Load() }
+
+func (c *fakeConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.f.mu.Lock()
+		c.f.open[c.t]--
+		c.f.mu.Unlock()
+	}
+	return nil
+}
+
+// fixedView is a view.Source with a view that a test replaces.
+type fixedView struct{ v atomic.Pointer[view.View] }
+
+func (f *fixedView) Current() *view.View { return f.v.Load() }
+
+// ownView gives the targets t0 to tN-1 to host self.
+func ownView(self model.HostID, targets, slots, maxConnections int) *view.View {
+	v := &view.View{
+		Self:   model.Host{ID: self},
+		Fleet:  &config.Fleet{Targets: map[model.TargetID]*model.Target{}},
+		Owners: map[model.TargetID]view.Owners{},
+	}
+	for i := range targets {
+		id := model.TargetID(fmt.Sprintf("t%d", i))
+		v.Fleet.Targets[id] = &model.Target{ID: id, Addr: string(id), Slots: slots, MaxConnections: maxConnections}
+		v.Owners[id] = view.Owners{Owner: self}
+	}
+	return v
+}
+
+func newViews(v *view.View) *fixedView {
+	f := &fixedView{}
+	f.v.Store(v)
+	return f
+}
+
+func quietLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetLevel(logrus.FatalLevel)
+	return log
+}
+
+func newTestLocal(v view.Source, d target.Dialer) *Local {
+	return NewLocal(Options{Views: v, Dialer: d, Scope: tally.NoopScope, Log: quietLog()})
+}
+
+func subrequest(t model.TargetID, shard string, left time.Duration) *subquery.Request {
+	return &subquery.Request{
+		RequestID: "r", Target: t, Shard: model.ShardID(shard), Snapshot: 1, Idempotent: true,
+		Deadline: time.Now().Add(left),
+	}
+}
--- /dev/null
+++ b/internal/dispatch/observe.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// defaultShedPause applies to a shedding target that gave no hint.
+const defaultShedPause = 50 * time.Millisecond
+
+// absorb takes in what an answer says about the target's state.
+func (p *pool) absorb(a *subquery.Answer, now time.Time) {
+	if a.Load.Leaving || a.Reason == verdict.TargetLeaving {
+		p.setLeaving(true)
+	}
+	if a.Reason == verdict.TargetShed {
+		p.shed(a.RetryAfter, now)
+	}
+}
+
+// shed sends nothing until the target's hint has passed.
+func (p *pool) shed(hint time.Duration, now time.Time) {
+	if hint <= 0 {
+		hint = defaultShedPause
+	}
+	p.mu.Lock()
+	until := now.Add(hint)
+	if until.After(p.shedUntil) {
+		p.shedUntil = until
+	}
+	p.mu.Unlock()
+	p.refuseQueue(verdict.TargetShed, hint)
+}
+
+// probed takes in a probe's load report. Only a probe that says otherwise ends
+// a target's leaving.
+func (p *pool) probed(load *subquery.Load) { p.setLeaving(load.Leaving) }
+
+func (p *pool) setLeaving(leaving bool) {
+	p.mu.Lock()
+	changed := p.leaving != leaving
+	p.leaving = leaving
+	p.mu.Unlock()
+	if !changed {
+		return
+	}
+	if !leaving {
+		p.log().Info("target takes work again")
+		return
+	}
+	p.log().Info("target is leaving")
+	p.refuseQueue(verdict.TargetLeaving, 0)
+	if p.l.opts.OnLeaving != nil {
+		p.l.opts.OnLeaving(p.target.ID)
+	}
+}
+
+// died reports whether the target's process died, after a connection broke in
+// an exchange. A process that died refuses connections, or has lost the
+// connection for probes as well; one cut connection does neither.
+func (p *pool) died(now time.Time) bool {
+	if p.ctl.lost() {
+		return true
+	}
+	conn, err := p.dial()
+	if err != nil {
+		p.connectFailed(now, err)
+		return refused(err)
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithTimeout(p.ctx, p.l.limits.ProbeTimeout)
+	defer cancel()
+	_, err = conn.Probe(ctx)
+	return err != nil && refused(err)
+}
+
+// lost reports whether the connection for probes was open and is dead now.
+func (c *controlConn) lost() bool {
+	c.connMu.Lock()
+	defer c.connMu.Unlock()
+	if c.conn == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(c.p.ctx, c.p.l.limits.ProbeTimeout)
+	defer cancel()
+	if _, err := c.conn.Probe(ctx); err == nil || errors.Is(err, context.DeadlineExceeded) {
+		return false
+	}
+	c.drop()
+	return true
+}
+
+// refused reports whether the other end refused or reset the connection, which
+// a cut network does not do.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// reportCrash tells of each sub-request that ran when the target died.
+func (p *pool) reportCrash(items []*item) {
+	if len(items) == 0 {
+		return
+	}
+	p.log().WithField("subrequests", len(items)).Warn("target died while it ran sub-requests")
+	if p.l.opts.OnCrash == nil {
+		return
+	}
+	for _, it := range items {
+		p.l.opts.OnCrash(it.req)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/remote.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"errors"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// Remote hands sub-requests to the hosts that hold the targets.
+type Remote struct {
+	transport peer.Transport
+}
+
+// NewRemote returns a Remote over transport.
+func NewRemote(transport peer.Transport) *Remote { return &Remote{transport: transport} }
+
+// SubmitTo hands a sub-request to host. It keeps the rules of
+// subquery.Dispatcher.
+func (r *Remote) SubmitTo(host model.HostID, req *subquery.Request, done func(*subquery.Answer)) (cancel func()) {
+	return r.transport.Go(host, peer.KindSubquery, &wireRequest{Request: req}, req.Deadline,
+		func(reply cbor.RawMessage, err error) { done(decodeAnswer(reply, err)) })
+}
+
+// decodeAnswer turns the outcome of a call into an answer.
+func decodeAnswer(reply cbor.RawMessage, err error) *subquery.Answer {
+	if err != nil {
+		return transportFailure(err)
+	}
+	var w wireAnswer
+	if err := cbor.Unmarshal(reply, &w); err != nil || w.Answer == nil {
+		return unknown(verdict.ReplyTruncated)
+	}
+	return w.Answer
+}
+
+func transportFailure(err error) *subquery.Answer {
+	var failure *verdict.Error
+	if !errors.As(err, &failure) {
+		a := unknown(verdict.PeerLinkLost)
+		a.Message = err.Error()
+		return a
+	}
+	return &subquery.Answer{
+		Verdict:    failure.Verdict,
+		Reason:     failure.Reason,
+		Message:    failure.Message,
+		RetryAfter: failure.RetryAfter,
+	}
+}
--- /dev/null
+++ b/internal/dispatch/state_test.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// eventually waits for a condition with a limit far above what it takes.
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, 30*time.Second, time.Millisecond)
+}
+
+// ask submits a sub-request and waits for its answer.
+func ask(l *Local, req *subquery.Request) *subquery.Answer {
+	got := make(chan *subquery.Answer, 1)
+	l.Submit(req, func(a *subquery.Answer) { got <- a })
+	return <-got
+}
+
+// hang serves nothing until its context ends.
+func hang(ctx context.Context, _ *subquery.Request) *subquery.Answer {
+	<-ctx.Done()
+	return unknown(verdict.TargetUnreachable)
+}
+
+func TestTargetThatDiesWithARequestCountsAsCrashed(t *testing.T) {
+	targets := newFakeTargets()
+	started := make(chan struct{}, 1)
+	targets.serve = func(ctx context.Context, req *subquery.Request) *subquery.Answer {
+		started <- struct{}{}
+		return hang(ctx, req)
+	}
+	l := newTestLocal(newViews(ownView("h0", 1, 2, 25)), targets)
+	var crashes atomic.Int32
+	l.opts.OnCrash = func(*subquery.Request) { crashes.Add(1) }
+	l.Start()
+	defer stopLocal(l)
+	got := make(chan *subquery.Answer, 1)
+	l.Submit(subrequest("t0", "s0", time.Minute), func(a *subquery.Answer) { got <- a })
+	<-started
+	targets.kill("t0")
+	a := <-got
+	require.Equal(t, verdict.TargetCrashed, a.Reason)
+	require.Equal(t, verdict.Unknown, a.Verdict)
+	require.Equal(t, int32(1), crashes.Load())
+	require.Equal(t, verdict.TargetUnreachable, ask(l, subrequest("t0", "s0", time.Minute)).Reason)
+}
+
+func TestOneCutConnectionIsNoCrash(t *testing.T) {
+	targets := newFakeTargets()
+	started := make(chan struct{}, 1)
+	targets.serve = func(ctx context.Context, req *subquery.Request) *subquery.Answer {
+		started <- struct{}{}
+		return hang(ctx, req)
+	}
+	l := newTestLocal(newViews(ownView("h0", 1, 1, 25)), targets)
+	l.opts.OnCrash = func(*subquery.Request) { t.Error("a cut connection was taken for a crash") }
+	l.Start()
+	defer stopLocal(l)
+	got := make(chan *subquery.Answer, 1)
+	l.Submit(subrequest("t0", "s0", time.Minute), func(a *subquery.Answer) { got <- a })
+	<-started
+	targets.mu.Lock()
+	targets.conns[0].cut()
+	targets.mu.Unlock()
+	a := <-got
+	require.Equal(t, verdict.TargetUnreachable, a.Reason)
+	require.Equal(t, verdict.Unknown, a.Verdict)
+}
+
+func TestLeavingTargetGetsNoNewWorkUntilAProbeSaysOtherwise(t *testing.T) {
+	targets := newFakeTargets()
+	targets.serve = func(_ context.Context, req *subquery.Request) *subquery.Answer {
+		a := echo(req)
+		a.Load.Leaving = true
+		return a
+	}
+	targets.setLoad(subquery.Load{Leaving: true})
+	l := newTestLocal(newViews(ownView("h0", 1, 2, 25)), targets)
+	l.limits.IdleProbe = 5 * time.Millisecond
+	left := make(chan model.TargetID, 1)
+	l.opts.OnLeaving = func(id model.TargetID) { left <- id }
+	l.Start()
+	defer stopLocal(l)
+	ask(l, subrequest("t0", "s0", time.Minute))
+	require.Equal(t, model.TargetID("t0"), <-left)
+	a := ask(l, subrequest("t0", "s1", time.Minute))
+	require.Equal(t, verdict.TargetLeaving, a.Reason)
+	require.Equal(t, verdict.NotRun, a.Verdict)
+	targets.setLoad(subquery.Load{})
+	eventually(t, func() bool { return ask(l, subrequest("t0", "s2", time.Minute)).OK() })
+}
--- /dev/null
+++ b/internal/gather/counters.go
@@ -0,0 +1,28 @@
+package gather
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// Counters count the sub-answers that were discarded, by reason.
+type Counters struct {
+	late, duplicate, wrongSnapshot tally.Counter
+}
+
+// NewCounters returns the counters in scope.
+func NewCounters(scope metrics.Scope) *Counters {
+	counter := func(reason string) tally.Counter {
+		return scope.Tagged(map[string]string{"reason": reason}).Counter("subanswers_discarded")
+	}
+	return &Counters{
+		late:          counter("late"),
+		duplicate:     counter("duplicate"),
+		wrongSnapshot: counter(string(verdict.SnapshotMismatch)),
+	}
+}
+
+// Late counts a sub-answer that came after its query was over.
+func (c *Counters) Late() { c.late.Inc(1) }
--- /dev/null
+++ b/internal/gather/coverage.go
@@ -0,0 +1,41 @@
+package gather
+
+import (
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// Answered names a shard that the answer covers.
+type Answered struct {
+	Shard   model.ShardID     `json:"shard"`
+	Service model.ServiceName `json:"service"`
+}
+
+// Missing names a shard that the answer does not cover, and why.
+type Missing struct {
+	Shard   model.ShardID     `json:"shard"`
+	Service model.ServiceName `json:"service"`
+	Reason  verdict.Reason    `json:"reason"`
+}
+
+// Coverage states which shards of the pinned shard map an answer covers.
+type Coverage struct {
+	Total    int        `json:"total"`
+	Answered []Answered `json:"answered"`
+	Missing  []Missing  `json:"missing"`
+}
+
+// Share returns the share of shards answered, from 0 to 1.
+func (c *Coverage) Share() float64 {
+	if c.Total == 0 {
+		return 0
+	}
+	return float64(len(c.Answered)) / float64(c.Total)
+}
+
+// Result is one shard's whole result.
+type Result struct {
+	Shard   model.ShardID
+	Service model.ServiceName
+	Body    []byte
+}
--- /dev/null
+++ b/internal/plan/holdings.go
@@ -0,0 +1,80 @@
+package plan
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+)
+
+// Holdings tracks which snapshots of a workload each target last reported to
+// hold. Reads take no lock. It is safe for concurrent use.
+type Holdings struct {
+	// spans maps holdingKey to *holding.
+	spans   sync.Map
+	changes atomic.Uint64
+}
+
+type holdingKey struct {
+	workload model.WorkloadName
+	target   model.TargetID
+}
+
+// holding is the last reported span; its pointer is replaced only on change.
+type holding struct {
+	span atomic.Pointer[span]
+}
+
+// span bounds the snapshots held, both ends included.
+type span struct {
+	oldest, newest model.SnapshotID
+}
+
+// NewHoldings returns a tracker that knows nothing yet.
+func NewHoldings() *Holdings { return &Holdings{} }
+
+// Observe takes in the load report of an answer. A report that names no
+// snapshots changes nothing.
+func (h *Holdings) Observe(w model.WorkloadName, t model.TargetID, load *subquery.Load) {
+	if load.Newest == 0 {
+		return
+	}
+	key := holdingKey{workload: w, target: t}
+	entry, ok := h.spans.Load(key)
+	if !ok {
+		entry, _ = h.spans.LoadOrStore(key, &holding{})
+	}
+	held := entry.(*holding)
+	now := span{oldest: load.Oldest, newest: load.Newest}
+	if old := held.span.Load(); old != nil && *old == now {
+		return
+	}
+	held.span.Store(&now)
+	h.changes.Add(1)
+}
+
+// Holds reports whether target t may hold the snapshot. A target that has not
+// reported yet may hold any.
+func (h *Holdings) Holds(w model.WorkloadName, t model.TargetID, s model.SnapshotID) bool {
+	entry, ok := h.spans.Load(holdingKey{workload: w, target: t})
+	if !ok {
+		return true
+	}
+	held := entry.(*holding).span.Load()
+	return held == nil || (held.oldest <= s && s <= held.newest)
+}
+
+// Changes counts the changes taken in so far.
+func (h *Holdings) Changes() uint64 { return h.changes.Load() }
+
+// Forget drops what targets outside known reported, so that memory follows the
+// published targets.
+func (h *Holdings) Forget(known func(model.TargetID) bool) {
+	h.spans.Range(func(key, _ any) bool {
+		if !known(key.(holdingKey).target) {
+			h.spans.Delete(key)
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/plan/limits.go
@@ -0,0 +1,8 @@
+package plan
+
+import "time"
+
+const (
+	notReadyRetryAfter = time.Second
+	snapshotRetryAfter = time.Second
+)
--- /dev/null
+++ b/internal/plan/planner.go
@@ -0,0 +1,136 @@
+package plan
+
+import (
+	"slices"
+
+	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/view"
+)
+
+// PolicyFunc returns the policy in force for a workload, service and caller.
+type PolicyFunc func(f *config.Fleet, w model.WorkloadName, s model.ServiceName, c model.CallerID) config.Policy
+
+// Options configure a Planner.
+type Options struct {
+	// Holdings is what targets reported; required.
+	Holdings *Holdings
+	// Policy resolves policies; nil means the fleet's defaults.
+	Policy PolicyFunc
+}
+
+// Planner makes plans. It is safe for concurrent use.
+type Planner struct {
+	holdings *Holdings
+	policy   PolicyFunc
+}
+
+// NewPlanner returns a Planner.
+func NewPlanner(o Options) *Planner {
+	p := &Planner{holdings: o.Holdings, policy: o.Policy}
+	if p.policy == nil {
+		p.policy = func(f *config.Fleet, _ model.WorkloadName, _ model.ServiceName, _ model.CallerID) config.Policy {
+			return f.Defaults
+		}
+	}
+	return p
+}
+
+// Plan pins the newest snapshot that covers the shards asked. If none covers
+// them all, it pins the one that covers most.
+func (p *Planner) Plan(v *view.View, q Query) (*Plan, *verdict.Error) {
+	if v.Fleet == nil {
+		return nil, verdict.Refuse(verdict.HostNotReady, notReadyRetryAfter, "no configuration was accepted yet")
+	}
+	index, known := v.Fleet.Indexes[q.Workload]
+	if _, ok := v.Fleet.Workloads[q.Workload]; !ok || !known {
+		return nil, verdict.RefuseField(verdict.UnknownWorkload, "workload", "workload %q is not configured", q.Workload)
+	}
+	best, refusal := p.pin(v, q, index)
+	if refusal != nil {
+		return nil, refusal
+	}
+	best.Policy = p.policy(v.Fleet, q.Workload, soleService(q.Services), q.Caller)
+	return best, nil
+}
+
+// pin chooses among the published snapshots, newest first.
+func (p *Planner) pin(v *view.View, q Query, index *model.Index) (*Plan, *verdict.Error) {
+	var best *Plan
+	var refusal *verdict.Error
+	bestCovered := -1
+	for i := len(index.Snapshots) - 1; i >= 0; i-- {
+		m := &index.Snapshots[i]
+		if slices.Contains(q.Exclude, m.Snapshot) {
+			continue
+		}
+		shards, unknown := selectShards(m, q.Services)
+		if unknown != "" {
+			if refusal == nil {
+				refusal = verdict.RefuseField(verdict.UnknownService, "services", "workload %q has no service %q", q.Workload, unknown)
+			}
+			continue
+		}
+		covered := p.covered(v, q.Workload, m.Snapshot, shards)
+		if covered > bestCovered {
+			bestCovered = covered
+			best = &Plan{View: v, Workload: q.Workload, Snapshot: m.Snapshot, Shards: shards}
+		}
+		if covered == len(shards) {
+			break
+		}
+	}
+	if best != nil {
+		return best, nil
+	}
+	if refusal != nil {
+		return nil, refusal
+	}
+	return nil, verdict.Refuse(verdict.SnapshotUnavailable, snapshotRetryAfter, "no other snapshot of workload %q is published", q.Workload)
+}
+
+// covered counts the shards of which a target in service may hold the snapshot.
+func (p *Planner) covered(v *view.View, w model.WorkloadName, s model.SnapshotID, shards []model.Shard) int {
+	n := 0
+	for i := range shards {
+		for _, t := range shards[i].Replicas {
+			if _, leaving := v.LeavingTargets[t]; !leaving && p.holdings.Holds(w, t, s) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// selectShards returns the shards of the services, or the first unknown one.
+func selectShards(m *model.ShardMap, services []model.ServiceName) ([]model.Shard, model.ServiceName) {
+	if len(services) == 0 {
+		return m.Shards, ""
+	}
+	found := make(map[model.ServiceName]bool, len(services))
+	for _, s := range services {
+		found[s] = false
+	}
+	shards := make([]model.Shard, 0, len(services))
+	for i := range m.Shards {
+		if _, wanted := found[m.Shards[i].Service]; wanted {
+			found[m.Shards[i].Service] = true
+			shards = append(shards, m.Shards[i])
+		}
+	}
+	for _, s := range services {
+		if !found[s] {
+			return nil, s
+		}
+	}
+	return shards, ""
+}
+
+func soleService(services []model.ServiceName) model.ServiceName {
+	if len(services) == 1 {
+		return services[0]
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/query/answer.go
@@ -0,0 +1,21 @@
+package query
+
+import (
+	"github.com/swiftvane/swiftvane/internal/gather"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// Answer is the answer to one query. Every result comes from Snapshot.
+type Answer struct {
+	Snapshot model.SnapshotID
+	Coverage gather.Coverage
+	// Results are in the order of the shard map, one for each shard answered.
+	Results []gather.Result
+	// ExtraSubrequests counts hedges, retries and the sub-requests of plans that
+	// were discarded.
+	ExtraSubrequests int
+	// Verdict is Ran if every shard ran the query, and Unknown if one that is
+	// missing may have.
+	Verdict verdict.Verdict
+}
--- /dev/null
+++ b/internal/query/executor.go
@@ -0,0 +1,157 @@
+// Package query answers one query: it plans, scatters and gathers, and plans
+// the whole query again when its snapshot went away.
+//
+// Execute runs on the caller's goroutine; the package starts none.
+package query
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/gather"
+	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/plan"
+	"github.com/swiftvane/swiftvane/internal/scatter"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/view"
+)
+
+// Options configure an Executor.
+type Options struct {
+	// Views gives the fleet's current view; required.
+	Views view.Source
+	// Dispatcher runs sub-requests; required.
+	Dispatcher subquery.Dispatcher
+	// Policy resolves policies; nil means the fleet's defaults.
+	Policy plan.PolicyFunc
+	// Scope gets the counters; required.
+	Scope metrics.Scope
+	// Log gets one line for each plan that was discarded; required.
+	Log logrus.FieldLogger
+}
+
+// Executor answers queries. It is safe for concurrent use.
+type Executor struct {
+	views     view.Source
+	planner   *plan.Planner
+	scatterer *scatter.Scatterer
+	scope     metrics.Scope
+	log       logrus.FieldLogger
+}
+
+// New returns an Executor.
+func New(o Options) *Executor {
+	holdings := plan.NewHoldings()
+	return &Executor{
+		views:   o.Views,
+		planner: plan.NewPlanner(plan.Options{Holdings: holdings, Policy: o.Policy}),
+		scatterer: scatter.New(scatter.Options{
+			Dispatcher: o.Dispatcher,
+			Holdings:   holdings,
+			Gather:     gather.NewCounters(o.Scope),
+			Scope:      o.Scope,
+		}),
+		scope: o.Scope,
+		log:   o.Log,
+	}
+}
+
+// Execute answers the query, or says why it can't and whether it may have run.
+func (e *Executor) Execute(ctx context.Context, req *Request) (*Answer, *verdict.Error) {
+	x := &execution{e: e, req: req}
+	answer, err := x.run(ctx)
+	if err != nil {
+		metrics.Reason(e.scope, "queries_failed", err.Reason)
+	}
+	return answer, err
+}
+
+// execution is one query's way through its plans.
+type execution struct {
+	e        *Executor
+	req      *Request
+	excluded []model.SnapshotID
+	extra    int
+	ran      bool
+}
+
+func (x *execution) run(ctx context.Context) (*Answer, *verdict.Error) {
+	for {
+		if !time.Now().Before(x.req.Deadline) {
+			return nil, x.refuse(verdict.Refuse(verdict.DeadlinePassed, 0, "the deadline passed before the query was started"))
+		}
+		p, refusal := x.e.planner.Plan(x.e.views.Current(), plan.Query{
+			Caller:   x.req.Caller,
+			Workload: x.req.Workload,
+			Services: x.req.Services,
+			Exclude:  x.excluded,
+		})
+		if refusal != nil {
+			return nil, x.refuse(refusal)
+		}
+		out := x.scatter(ctx, p)
+		if out.Enough {
+			return x.answer(p, out), nil
+		}
+		if !x.mayReplan(out) {
+			return nil, x.failure(p, out)
+		}
+		x.discard(p, out)
+	}
+}
+
+func (x *execution) scatter(ctx context.Context, p *plan.Plan) *scatter.Outcome {
+	return x.e.scatterer.Run(ctx, &scatter.Request{
+		RequestID:  x.req.RequestID,
+		Caller:     x.req.Caller,
+		Body:       x.req.Body,
+		Deadline:   x.req.Deadline,
+		Idempotent: x.req.Idempotent,
+		Plan:       p,
+	})
+}
+
+// refuse adjusts a refusal to what earlier plans may have run.
+func (x *execution) refuse(err *verdict.Error) *verdict.Error {
+	if x.ran {
+		err.Verdict = verdict.Unknown
+	}
+	return err
+}
+
+func (x *execution) answer(p *plan.Plan, out *scatter.Outcome) *Answer {
+	return &Answer{
+		Snapshot:         p.Snapshot,
+		Coverage:         out.Gathered.Coverage(),
+		Results:          out.Gathered.Results(),
+		ExtraSubrequests: x.extra + out.Extra,
+		Verdict:          out.Gathered.Verdict(),
+	}
+}
+
+// mayReplan reports whether the whole query may be planned again: its snapshot
+// went away, and nothing of a query that must not repeat was sent.
+func (x *execution) mayReplan(out *scatter.Outcome) bool {
+	if !out.SnapshotLost || out.End == scatter.Abandoned || len(x.excluded) >= maxReplans {
+		return false
+	}
+	return x.req.Idempotent || out.Gathered.Verdict() == verdict.NotRun
+}
+
+// discard drops everything of a plan whose snapshot went away.
+func (x *execution) discard(p *plan.Plan, out *scatter.Outcome) {
+	x.excluded = append(x.excluded, p.Snapshot)
+	x.extra += out.Extra + len(p.Shards)
+	x.ran = x.ran || out.Gathered.Verdict() != verdict.NotRun
+	metrics.Reason(x.e.scope, "plans_discarded", verdict.SnapshotUnavailable)
+	x.e.log.WithFields(logrus.Fields{
+		"request_id": x.req.RequestID,
+		"workload":   x.req.Workload,
+		"snapshot":   p.Snapshot,
+		"merged":     out.Gathered.Merged(),
+	}).Info("plan discarded: its snapshot is no longer served")
+}
--- /dev/null
+++ b/internal/query/failure.go
@@ -0,0 +1,66 @@
+package query
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/gather"
+	"github.com/swiftvane/swiftvane/internal/plan"
+	"github.com/swiftvane/swiftvane/internal/scatter"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+const (
+	// maxReplans bounds how often a query is planned again.
+	maxReplans = 2
+	// defaultRetryAfter is told where no target gave a hint.
+	defaultRetryAfter = 500 * time.Millisecond
+)
+
+// failure returns the final error of a query whose coverage was too low.
+func (x *execution) failure(p *plan.Plan, out *scatter.Outcome) *verdict.Error {
+	coverage := out.Gathered.Coverage()
+	err := &verdict.Error{
+		Verdict:    out.Gathered.Verdict(),
+		Reason:     failureReason(out.End, &coverage),
+		RetryAfter: max(out.RetryAfter, defaultRetryAfter),
+		Message: fmt.Sprintf("%d of %d shards of snapshot %d answered, the policy asks for %.4g of them; first missing: %s",
+			len(coverage.Answered), coverage.Total, p.Snapshot, p.Policy.MinCoverage, firstMissing(&coverage)),
+	}
+	return x.refuse(err)
+}
+
+// failureReason names the sole reason of all missing shards if they agree.
+func failureReason(end scatter.End, c *gather.Coverage) verdict.Reason {
+	switch end {
+	case scatter.Expired:
+		return verdict.DeadlinePassed
+	case scatter.Abandoned:
+		return verdict.Cancelled
+	case scatter.Complete, scatter.Partial, scatter.Hopeless:
+	}
+	sole := verdict.Reason("")
+	for i := range c.Missing {
+		r := c.Missing[i].Reason
+		if r == verdict.CoverageTooLow {
+			continue
+		}
+		if sole != "" && sole != r {
+			return verdict.CoverageTooLow
+		}
+		sole = r
+	}
+	if sole == "" || c.Total > 1 && len(c.Answered) > 0 {
+		return verdict.CoverageTooLow
+	}
+	return sole
+}
+
+func firstMissing(c *gather.Coverage) string {
+	for _, m := range c.Missing {
+		if m.Reason != verdict.CoverageTooLow {
+			return fmt.Sprintf("%s of %s (%s)", m.Shard, m.Service, m.Reason)
+		}
+	}
+	return "none"
+}
--- /dev/null
+++ b/internal/scatter/scatterer.go
@@ -0,0 +1,107 @@
+// Package scatter sends the sub-requests of one query to replicas, hedges and
+// retries them within budgets, and decides when the query is over.
+//
+// Each query has one event loop, which runs on the goroutine that calls Run.
+// What is learned from answers is kept for each target and service in values
+// that all queries share without a lock. The package starts no goroutine.
+package scatter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/gather"
+	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/plan"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+)
+
+// Options configure a Scatterer.
+type Options struct {
+	// Dispatcher runs sub-requests; required.
+	Dispatcher subquery.Dispatcher
+	// Holdings is fed from answers; required.
+	Holdings *plan.Holdings
+	// Gather counts discarded sub-answers; required.
+	Gather *gather.Counters
+	// Scope gets the counters; required.
+	Scope metrics.Scope
+}
+
+// Request is one query with its plan.
+type Request struct {
+	RequestID  string
+	Caller     model.CallerID
+	Body       []byte
+	Deadline   time.Time
+	Idempotent bool
+	Plan       *plan.Plan
+}
+
+// Scatterer runs queries. It is safe for concurrent use.
+type Scatterer struct {
+	dispatcher subquery.Dispatcher
+	holdings   *plan.Holdings
+	discarded  *gather.Counters
+	counters   *counters
+	targets    *Table
+	// services maps serviceKey to *Latency.
+	services sync.Map
+	// budgets maps model.WorkloadName to *budgets.
+	budgets sync.Map
+}
+
+type serviceKey struct {
+	workload model.WorkloadName
+	service  model.ServiceName
+}
+
+// budgets are the extra sub-requests that one workload may send.
+type budgets struct {
+	hedge, retry *Budget
+}
+
+// New returns a Scatterer.
+func New(o Options) *Scatterer {
+	return &Scatterer{
+		dispatcher: o.Dispatcher,
+		holdings:   o.Holdings,
+		discarded:  o.Gather,
+		counters:   newCounters(o.Scope),
+		targets:    NewTable(),
+	}
+}
+
+// Run sends the query's sub-requests and returns once the query is over: all
+// shards are decided, the policy allows a partial answer, the coverage that the
+// policy asks for is out of reach, or the deadline or ctx ended. Sub-requests
+// that are still running then are cancelled.
+func (s *Scatterer) Run(ctx context.Context, req *Request) *Outcome {
+	r := newRun(s, req)
+	return r.loop(ctx)
+}
+
+// Retain drops what was learned about targets that known does not report.
+func (s *Scatterer) Retain(known func(model.TargetID) bool) {
+	s.targets.Retain(known)
+	s.holdings.Forget(known)
+}
+
+func (s *Scatterer) latency(w model.WorkloadName, svc model.ServiceName) *Latency {
+	key := serviceKey{workload: w, service: svc}
+	if l, ok := s.services.Load(key); ok {
+		return l.(*Latency)
+	}
+	l, _ := s.services.LoadOrStore(key, &Latency{})
+	return l.(*Latency)
+}
+
+func (s *Scatterer) budgetsOf(w model.WorkloadName) *budgets {
+	if b, ok := s.budgets.Load(w); ok {
+		return b.(*budgets)
+	}
+	b, _ := s.budgets.LoadOrStore(w, &budgets{hedge: NewBudget(), retry: NewBudget()})
+	return b.(*budgets)
+}
--- /dev/null
+++ b/internal/scatter/send.go
@@ -0,0 +1,82 @@
+package scatter
+
+import (
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// launch sends the first attempt for every shard.
+func (r *run) launch(now time.Time) {
+	r.s.targets.Ensure(r.plan.Shards)
+	requests := make([]subquery.Request, len(r.shards))
+	for i := range r.shards {
+		target, ok := r.choose(i, now)
+		if !ok {
+			r.fail(i, verdict.NoReplica)
+			continue
+		}
+		r.send(i, target, &requests[i], now)
+		if r.req.Idempotent {
+			r.alarms.push(alarm{at: now.Add(r.hedgeDelay(i, now)), shard: i})
+		}
+	}
+	r.budgets.hedge.Earn(len(r.shards), r.plan.Policy.HedgeBudget)
+	r.budgets.retry.Earn(len(r.shards), r.plan.Policy.RetryBudget)
+}
+
+// send hands one attempt to the dispatcher.
+func (r *run) send(shard int, target model.TargetID, req *subquery.Request, now time.Time) {
+	sh := &r.plan.Shards[shard]
+	st := &r.shards[shard]
+	*req = subquery.Request{
+		RequestID:  r.req.RequestID,
+		Caller:     r.req.Caller,
+		Workload:   r.plan.Workload,
+		Service:    sh.Service,
+		Shard:      sh.ID,
+		Target:     target,
+		Snapshot:   r.plan.Snapshot,
+		Body:       r.req.Body,
+		Idempotent: r.req.Idempotent,
+		Deadline:   r.req.Deadline,
+	}
+	index := len(r.attempts)
+	r.attempts = append(r.attempts, attempt{target: target, prev: st.last, sentAt: now})
+	st.last = int32(index)
+	st.attempts++
+	st.outstanding++
+	r.gathered.Sent(shard)
+	r.s.counters.sent.Inc(1)
+	stats := r.s.targets.Get(target)
+	latency := r.s.latency(r.plan.Workload, sh.Service)
+	stats.Begin()
+	cancel := r.s.dispatcher.Submit(req, func(a *subquery.Answer) {
+		r.learn(req, stats, latency, now, a)
+		r.post(reply{shard: shard, attempt: index, answer: a})
+	})
+	r.attempts[index].cancel = cancel
+}
+
+// sendExtra sends a hedge or a retry.
+func (r *run) sendExtra(shard int, target model.TargetID, now time.Time) {
+	r.extra++
+	r.send(shard, target, &subquery.Request{}, now)
+}
+
+// tried reports whether the shard was sent to target before.
+func (r *run) tried(shard int, target model.TargetID) bool {
+	for i := r.shards[shard].last; i != noAttempt; i = r.attempts[i].prev {
+		if r.attempts[i].target == target {
+			return true
+		}
+	}
+	return false
+}
+
+// fits reports whether an answer from target is expected before the deadline.
+func (r *run) fits(target model.TargetID, at time.Time) bool {
+	return at.Add(r.s.targets.Get(target).Expected()).Before(r.req.Deadline)
+}
