Add request ids and give the Claimer typed ids and Release

Cause: Claim took the id as a string, so the issue time that the witnesses decide by had no way in, and a host could not tell an id that it has just made from one that a caller sends again.

Ruled out: carrying the issue time inside the string. The witness would have to parse it again, and a caller could forge the form.

Change: package requestid mints UUIDv7 ids and checks callers' ids with errors that name the field.

--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -1,14 +1,17 @@
 // Package claim makes sure that a non-idempotent request runs at most once
 // across the fleet, with nothing kept on disk: a request id is claimed at a
 // majority of its witnesses before any byte goes to a target.
+//
+// The rules that decide are in the package rules, which has no clock, no
+// goroutine and no I/O. Service runs them: one goroutine owns the witness table
+// and the host lists; claims run on their callers' goroutines.
 package claim
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/requestid"
 )
 
 // Claimer claims request ids for this process.
@@ -17,28 +20,13 @@
 	// deadline. fingerprint is a hash of caller, workload and body: a known id
 	// with another fingerprint is refused. If the id was claimed before, the
 	// error is *Duplicate; any other is *verdict.Error, and its verdict is NotRun
-	// only if no witness may have granted the id to this or another attempt.
-	Claim(ctx context.Context, id string, fingerprint uint64, deadline time.Time) error
+	// only if no attempt under the id has run or will run without being sent anew.
+	Claim(ctx context.Context, id requestid.ID, fingerprint uint64, deadline time.Time) error
 	// Record keeps the outcome of a claimed id at its witnesses, so that a resend
-	// gets it. It does not block.
-	Record(id string, outcome Outcome)
+	// gets it. The id is used up. It does not block.
+	Record(id requestid.ID, outcome Outcome)
+	// Release gives up a claimed id whose request was certainly not run, so that
+	// a resend may run. Nothing may be sent to a target under this claim any
+	// more. It does not block.
+	Release(id requestid.ID)
 }
-
-// Outcome is what became of a claimed request.
-type Outcome struct {
-	Verdict verdict.Verdict `cbor:"1,keyasint"`
-	Reason  verdict.Reason  `cbor:"2,keyasint,omitempty"`
-	// Status and Answer are the HTTP status and body that the caller got. Answer
-	// is empty if it was too large to keep.
-	Status int             `cbor:"3,keyasint"`
-	Answer json.RawMessage `cbor:"4,keyasint,omitempty"`
-}
-
-// Duplicate is returned for an id that was claimed before. Outcome is nil while
-// no witness knows what became of it.
-type Duplicate struct {
-	Outcome *Outcome
-}
-
-// Error implements error.
-func (d *Duplicate) Error() string { return "claim: the request id was claimed before" }
--- /dev/null
+++ b/internal/requestid/id.go
@@ -0,0 +1,55 @@
+// Package requestid makes and checks request ids.
+//
+// An id is either a UUIDv7, which holds its issue time, or any short string
+// together with the time at which its caller issued it. The issue time is what
+// lets hosts that keep nothing on disk refuse ids that they may have forgotten.
+package requestid
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Limits of request ids, the same on every host.
+const (
+	// RetentionWindow is how long an id may be resent after its issue.
+	RetentionWindow = 10 * time.Minute
+	// ClockMargin bounds how far the clocks of callers and hosts are apart.
+	ClockMargin = 2 * time.Second
+	// MaxBytes bounds an id.
+	MaxBytes = 128
+)
+
+// ID is a checked request id.
+type ID struct {
+	// Value is the id as its caller wrote it.
+	Value string
+	// IssuedAt is when the id was issued, by its issuer's clock.
+	IssuedAt time.Time
+	// Minted is set for an id that this process has just made: no other attempt
+	// under it can exist before its caller has the first answer.
+	Minted bool
+}
+
+// String returns the id's value.
+func (id ID) String() string { return id.Value }
+
+// Mint makes a new id, issued now. It is a UUIDv7.
+func Mint() (ID, error) {
+	u, err := uuid.NewV7()
+	if err != nil {
+		return ID{}, err
+	}
+	return ID{Value: u.String(), IssuedAt: timeOf(u), Minted: true}, nil
+}
+
+// timeOf returns the issue time within a UUIDv7, whose first 48 bits are Unix
+// milliseconds.
+func timeOf(u uuid.UUID) time.Time {
+	var ms int64
+	for _, b := range u[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms)
+}
--- /dev/null
+++ b/internal/requestid/parse.go
@@ -0,0 +1,90 @@
+package requestid
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// Names of the inputs that Parse blames.
+const (
+	FieldID       = "request_id"
+	FieldIssuedAt = "X-Request-Issued-At"
+)
+
+const uuidv7 = 7
+
+// Parse checks a caller's id against this host's clock. issuedAt is RFC 3339 or
+// Unix milliseconds; a UUIDv7 needs none. An id with no time counts as issued a
+// full RetentionWindow ago, which is too old: the tier may have forgotten that it
+// ran. The error names the field and says how to do it right.
+func Parse(value, issuedAt string, now time.Time) (ID, *verdict.Error) {
+	if refusal := checkValue(value); refusal != nil {
+		return ID{}, refusal
+	}
+	issued, refusal := issueTime(value, issuedAt)
+	if refusal != nil {
+		return ID{}, refusal
+	}
+	id := ID{Value: value, IssuedAt: issued}
+	return id, CheckAge(issued, now)
+}
+
+// CheckAge refuses an id issued a RetentionWindow ago or earlier, or further in
+// the future than ClockMargin. An id that is too old may have run in its time,
+// so that its verdict is Unknown.
+func CheckAge(issued, now time.Time) *verdict.Error {
+	age := now.Sub(issued)
+	if age < -ClockMargin {
+		return verdict.RefuseField(verdict.RequestIDInvalid, FieldID,
+			"issued %s in the future by this host's clock, at most %s is allowed; set the issuing clock", -age, ClockMargin)
+	}
+	if age >= RetentionWindow {
+		return &verdict.Error{
+			Verdict: verdict.Unknown,
+			Reason:  verdict.RequestIDExpired,
+			Field:   FieldID,
+			Message: "issued " + age.Truncate(time.Second).String() + " ago, an id may be sent for " + RetentionWindow.String() +
+				"; look up what became of the request before you send it under a new id",
+		}
+	}
+	return nil
+}
+
+func checkValue(value string) *verdict.Error {
+	if value == "" {
+		return verdict.RefuseField(verdict.RequestIDInvalid, FieldID, "the id is empty; leave the field out to have one issued")
+	}
+	if len(value) > MaxBytes {
+		return verdict.RefuseField(verdict.RequestIDInvalid, FieldID, "%d bytes, at most %d are allowed", len(value), MaxBytes)
+	}
+	for i := range len(value) {
+		if value[i] <= ' ' || value[i] > '~' {
+			return verdict.RefuseField(verdict.RequestIDInvalid, FieldID, "byte %d is not a printable ASCII character", i)
+		}
+	}
+	return nil
+}
+
+// issueTime prefers the time inside a UUIDv7: a caller that stamps each resend
+// anew must not make an old id look young.
+func issueTime(value, issuedAt string) (time.Time, *verdict.Error) {
+	if u, err := uuid.Parse(value); err == nil && u.Version() == uuidv7 {
+		return timeOf(u), nil
+	}
+	if issuedAt == "" {
+		return time.Time{}, verdict.RefuseField(verdict.RequestIDExpired, FieldIssuedAt,
+			"an id without its issue time counts as issued %s ago, which is too old; use a UUIDv7 as the id, or send the time at which you made the id (not the time of each resend), like 2006-01-02T15:04:05.000Z", RetentionWindow)
+	}
+	if t, err := time.Parse(time.RFC3339Nano, issuedAt); err == nil {
+		return t, nil
+	}
+	if ms, err := strconv.ParseInt(issuedAt, 10, 64); err == nil && ms > 0 {
+		return time.UnixMilli(ms), nil
+	}
+	return time.Time{}, verdict.RefuseField(verdict.RequestIDInvalid, FieldIssuedAt,
+		"%q is neither RFC 3339, like 2006-01-02T15:04:05.000Z, nor Unix milliseconds", issuedAt)
+}
