Claim request ids at a majority of their witnesses

Cause: a resend of a non-idempotent request may arrive at any host, and no host keeps anything on disk.

Ruled out: one owner per id by hashing (two owners while host lists differ) and ids that only their minting process may run (a caller's own id is not served). Telling NotRun to a caller's own id where no grant was seen: an earlier attempt whose answer was lost may have run at witnesses out of reach.

Change: package rules has the witness, the claimant's tally and the history of host lists as pure state machines. Service runs them over peer.Transport: one goroutine owns witness table and lists, claims run on their callers' goroutines. A claim needs a majority of the witnesses by each host list that any host may still act by, and checks deadline and pauses after it. A failed attempt is given up at its witnesses, so that a resend may run.

--- /dev/null
+++ b/internal/claim/handle.go
@@ -0,0 +1,71 @@
+package claim
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/claim/rules"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// handleClaim passes a message of kind claim to the control goroutine.
+func (s *Service) handleClaim(in *peer.Inbound) {
+	var m claimMessage
+	if err := cbor.Unmarshal(in.Payload, &m); err != nil {
+		refuse(in, verdict.RefuseField(verdict.BadRequest, "claim", "not a claim message: %s", err))
+		return
+	}
+	if m.Operation != operationHistory && m.Claim == nil {
+		refuse(in, verdict.RefuseField(verdict.BadRequest, "claim", "the claim is missing"))
+		return
+	}
+	if !s.submit(func(c *control) { c.answer(in, &m) }) {
+		refuse(in, verdict.Refuse(verdict.HostOverloaded, retryAfterOverload, "too many claims are waiting"))
+	}
+}
+
+func (c *control) answer(in *peer.Inbound, m *claimMessage) {
+	switch m.Operation {
+	case operationVote:
+		vote := c.vote(in.From, m.Claim)
+		reply(in, &vote)
+	case operationRelease:
+		c.witness.Release(m.Claim, c.now())
+		reply(in, true)
+	case operationHistory:
+		reply(in, c.history.Share(c.now()))
+	default:
+		refuse(in, verdict.RefuseField(verdict.BadRequest, "operation", "unknown operation %d", m.Operation))
+	}
+}
+
+// vote answers a claim and catches up if the claimant knows more.
+func (c *control) vote(from model.HostID, claim *rules.Claim) rules.Vote {
+	now := c.now()
+	vote := c.witness.Vote(claim, c.history.Known(now), now)
+	c.s.counter.vote(vote.Answer)
+	if vote.Answer == rules.WitnessStale && from != c.s.opts.Self.ID {
+		c.s.fetchHistory(from, func() {})
+	}
+	return vote
+}
+
+// handleOutcome passes a recorded outcome to the control goroutine. If that is
+// overloaded the outcome is lost and resends get Unknown.
+func (s *Service) handleOutcome(in *peer.Inbound) {
+	var m outcomeMessage
+	if err := cbor.Unmarshal(in.Payload, &m); err != nil || m.Claim == nil {
+		s.opts.Log.WithError(err).WithField("from", in.From).Warn("dropped a malformed outcome")
+		return
+	}
+	s.submit(func(c *control) { c.witness.Record(m.Claim, m.Outcome, m.Brief, c.now()) })
+}
+
+func reply(in *peer.Inbound, v any) {
+	if in.Reply != nil {
+		in.Reply(v)
+	}
+}
+
+func refuse(in *peer.Inbound, e *verdict.Error) { reply(in, e) }
--- /dev/null
+++ b/internal/claim/memnet_test.go
@@ -0,0 +1,171 @@
+package claim
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// memnet carries messages between hosts of one process, with faults.
+type memnet struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	hosts    map[model.HostID]*memhost
+	cut      map[[2]model.HostID]bool
+	frozen   map[model.HostID]chan struct{}
+	loss     float64
+	maxDelay time.Duration
+	pending  sync.WaitGroup
+}
+
+// memhost is one process's end of a memnet.
+type memhost struct {
+	net      *memnet
+	id       model.HostID
+	handlers map[peer.Kind]peer.Handler
+	dead     chan struct{}
+}
+
+func newMemnet(seed uint64) *memnet {
+	return &memnet{
+		rng:    rand.New(rand.NewPCG(seed, seed)),
+		hosts:  make(map[model.HostID]*memhost),
+		cut:    make(map[[2]model.HostID]bool),
+		frozen: make(map[model.HostID]chan struct{}),
+	}
+}
+
+// start adds a process under a host's id, in place of one before.
+func (n *memnet) start(id model.HostID) *memhost {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := &memhost{net: n, id: id, handlers: make(map[peer.Kind]peer.Handler), dead: make(chan struct{})}
+	n.hosts[id] = h
+	return h
+}
+
+func (n *memnet) kill(id model.HostID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.hosts[id].dead)
+	delete(n.hosts, id)
+}
+
+// partition cuts or heals the links between two groups.
+func (n *memnet) partition(a, b []model.HostID, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, x := range a {
+		for _, y := range b {
+			n.cut[[2]model.HostID{x, y}] = cut
+			n.cut[[2]model.HostID{y, x}] = cut
+		}
+	}
+}
+
+// deliver runs f on the host to after a random delay, unless the message is lost
+// or the link cut, before or after the delay. Returns false if nothing left.
+func (n *memnet) deliver(from, to model.HostID, f func(*memhost)) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.hosts[to] == nil || n.cut[[2]model.HostID{from, to}] {
+		return false
+	}
+	if n.loss > 0 && n.rng.Float64() < n.loss {
+		return true
+	}
+	var delay time.Duration
+	if n.maxDelay > 0 {
+		delay = time.Duration(n.rng.Int64N(int64(n.maxDelay)))
+	}
+	n.pending.Add(1)
+	go func() {
+		defer n.pending.Done()
+		time.Sleep(delay)
+		n.mu.Lock()
+		target, frozen := n.hosts[to], n.frozen[to]
+		n.mu.Unlock()
+		if frozen != nil {
+			<-frozen
+		}
+		if target != nil {
+			f(target)
+		}
+	}()
+	return true
+}
+
+func (h *memhost) Handle(kind peer.Kind, handler peer.Handler) { h.handlers[kind] = handler }
+
+func (h *memhost) Call(ctx context.Context, to model.HostID, kind peer.Kind, req, reply any) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(time.Minute)
+	}
+	errs := make(chan error, 1)
+	h.Go(to, kind, req, deadline, func(raw cbor.RawMessage, err error) {
+		if err == nil {
+			err = cbor.Unmarshal(raw, reply)
+		}
+		errs <- err
+	})
+	return <-errs
+}
+
+func (h *memhost) Go(to model.HostID, kind peer.Kind, req any, deadline time.Time, done func(cbor.RawMessage, error)) func() {
+	payload, err := cbor.Marshal(req)
+	if err != nil {
+		panic(err)
+	}
+	var once sync.Once
+	finish := func(raw cbor.RawMessage, err error) { once.Do(func() { done(raw, err) }) }
+	unreachable := verdict.Refuse(verdict.OwnerUnreachable, time.Second, "cut")
+	timer := time.AfterFunc(time.Until(deadline), func() {
+		finish(nil, &verdict.Error{Verdict: verdict.Unknown, Reason: verdict.DeadlinePassed})
+	})
+	sent := h.net.deliver(h.id, to, func(target *memhost) {
+		target.handlers[kind](&peer.Inbound{
+			Ctx: context.Background(), From: h.id, Kind: kind, Deadline: deadline, Payload: payload,
+			Reply: func(v any) {
+				raw, err := cbor.Marshal(v)
+				if err != nil {
+					panic(err)
+				}
+				h.net.deliver(target.id, h.id, func(back *memhost) {
+					if back != h {
+						return // the process that asked is gone
+					}
+					timer.Stop()
+					if e, ok := v.(*verdict.Error); ok {
+						finish(nil, e)
+						return
+					}
+					finish(raw, nil)
+				})
+			},
+		})
+	})
+	if !sent {
+		timer.Stop()
+		finish(nil, unreachable)
+	}
+	return func() {}
+}
+
+func (h *memhost) Send(to model.HostID, kind peer.Kind, msg any) error {
+	payload, err := cbor.Marshal(msg)
+	if err != nil {
+		return err
+	}
+	h.net.deliver(h.id, to, func(target *memhost) {
+		target.handlers[kind](&peer.Inbound{Ctx: context.Background(), From: h.id, Kind: kind, Payload: payload})
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/claim/record.go
@@ -0,0 +1,74 @@
+package claim
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/requestid"
+)
+
+// Record implements Claimer.
+func (s *Service) Record(id requestid.ID, outcome Outcome) {
+	a := s.take(id)
+	if a == nil {
+		return
+	}
+	full, err := cbor.Marshal(&outcome)
+	if err != nil {
+		s.opts.Log.WithError(err).WithField("request_id", id.Value).Error("outcome cannot be encoded")
+		return
+	}
+	outcome.Answer = nil
+	brief, err := cbor.Marshal(&outcome)
+	if err != nil {
+		s.opts.Log.WithError(err).WithField("request_id", id.Value).Error("outcome cannot be encoded")
+		return
+	}
+	message := &outcomeMessage{Claim: &a.claim, Outcome: full, Brief: brief}
+	for _, host := range a.witnesses {
+		if host == s.opts.Self.ID {
+			s.submit(func(c *control) { c.witness.Record(&a.claim, full, brief, c.now()) })
+			continue
+		}
+		if err := s.opts.Transport.Send(host, peer.KindOutcome, message); err != nil {
+			s.opts.Log.WithError(err).WithField("host", host).Debug("outcome not sent")
+		}
+	}
+}
+
+// Release implements Claimer.
+func (s *Service) Release(id requestid.ID) {
+	if a := s.take(id); a != nil {
+		s.giveUp(a)
+	}
+}
+
+// take ends this host's hold on an id and returns its won attempt, nil if none.
+func (s *Service) take(id requestid.ID) *attempt {
+	held, ok := s.attempts.Load(id.Value)
+	if !ok {
+		return nil
+	}
+	a, _ := held.(*attempt)
+	if a == nil {
+		return nil
+	}
+	s.attempts.Delete(id.Value)
+	return a
+}
+
+// giveUp tells the witnesses that nothing is or was sent under the attempt. A
+// witness that does not hear of it holds the id until it forgets it.
+func (s *Service) giveUp(a *attempt) {
+	s.counter.released.Inc(1)
+	message := &claimMessage{Operation: operationRelease, Claim: &a.claim}
+	for _, host := range a.witnesses {
+		if host == s.opts.Self.ID {
+			s.submit(func(c *control) { c.witness.Release(&a.claim, c.now()) })
+			continue
+		}
+		if err := s.opts.Transport.Send(host, peer.KindClaim, message); err != nil {
+			s.opts.Log.WithError(err).WithField("host", host).Debug("release not sent")
+		}
+	}
+}
--- /dev/null
+++ b/internal/claim/rules/history.go
@@ -0,0 +1,166 @@
+package rules
+
+import (
+	"slices"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+)
+
+// List is one host list as the claim protocol needs it.
+type List struct {
+	Revision model.Revision `cbor:"1,keyasint"`
+	Hosts    []model.HostID `cbor:"2,keyasint"`
+	// SupersededAgo is how long ago, in milliseconds, a newer list was first
+	// known; zero for the newest.
+	SupersededAgo Time `cbor:"3,keyasint,omitempty"`
+}
+
+// Shared is a History as one host tells it to another.
+type Shared struct {
+	Lists []List `cbor:"1,keyasint"`
+	// Complete says that no list that any host may still act by is missing.
+	Complete bool `cbor:"2,keyasint,omitempty"`
+}
+
+// listed is a list in a History.
+type listed struct {
+	revision model.Revision
+	hosts    *HostSet
+	// supersededAt is when this process knew of a newer list; zero for the newest.
+	supersededAt Time
+}
+
+// History holds the host lists that any host may still act by. It belongs to one
+// goroutine.
+type History struct {
+	limits Limits
+	// since is when this process began, or began again after a pause, to follow
+	// the host list.
+	since    Time
+	complete bool
+	// confirmedAt is when the newest list was last known to be the newest.
+	confirmedAt Time
+	lists       []listed
+}
+
+// NewHistory returns an empty history of a process that started at now.
+func NewHistory(limits Limits, now Time) *History {
+	return &History{limits: limits, since: now}
+}
+
+// Paused tells the history that this process did not run for a while: lists may
+// have come and gone.
+func (h *History) Paused(now Time) {
+	h.since = now
+	h.complete = false
+}
+
+// Confirm says that at time at the platform named the newest list held, or an
+// older one, as its newest. After more than a lease without that, lists may have
+// come and gone.
+func (h *History) Confirm(at, now Time) {
+	if at <= h.confirmedAt {
+		return
+	}
+	if h.confirmedAt != 0 && at > h.confirmedAt.Add(h.limits.ListLease) {
+		h.Paused(now)
+	}
+	h.confirmedAt = at
+}
+
+// Confirmed reports whether the newest list was confirmed within the list lease.
+func (h *History) Confirmed(now Time) bool {
+	return len(h.lists) > 0 && h.confirmedAt.Add(h.limits.ListLease) > now
+}
+
+// Known returns what a vote at time now is given by.
+func (h *History) Known(now Time) Known {
+	return Known{Revisions: h.Revisions(), Complete: h.Complete(now), Confirmed: h.Confirmed(now)}
+}
+
+// Has reports whether the list is held.
+func (h *History) Has(revision model.Revision) bool {
+	for i := range h.lists {
+		if h.lists[i].revision == revision {
+			return true
+		}
+	}
+	return false
+}
+
+// Learn adds a published list. It reports whether the list was new.
+func (h *History) Learn(revision model.Revision, hosts []model.HostID, now Time) bool {
+	return h.insert(listed{revision: revision, hosts: NewHostSet(hosts), supersededAt: now}, now)
+}
+
+// Merge adds what another host told.
+func (h *History) Merge(shared *Shared, now Time) {
+	for i := range shared.Lists {
+		l := &shared.Lists[i]
+		h.insert(listed{revision: l.Revision, hosts: NewHostSet(l.Hosts), supersededAt: now - l.SupersededAgo}, now)
+	}
+	h.complete = h.complete || shared.Complete
+}
+
+// insert keeps the lists in rising order, the newest with no supersededAt.
+func (h *History) insert(l listed, now Time) bool {
+	at, found := slices.BinarySearchFunc(h.lists, l.revision, func(e listed, r model.Revision) int {
+		return int(min(max(int64(e.revision)-int64(r), -1), 1))
+	})
+	if found {
+		if known := &h.lists[at]; at < len(h.lists)-1 && l.supersededAt > known.supersededAt && l.supersededAt < now {
+			known.supersededAt = l.supersededAt
+		}
+		return false
+	}
+	if at == len(h.lists) {
+		l.supersededAt = 0
+		if at > 0 {
+			h.lists[at-1].supersededAt = now
+		}
+	}
+	h.lists = slices.Insert(h.lists, at, l)
+	return true
+}
+
+// Prune drops lists that were superseded longer than the list window ago.
+func (h *History) Prune(now Time) {
+	h.lists = slices.DeleteFunc(h.lists, func(l listed) bool {
+		return l.supersededAt != 0 && l.supersededAt.Add(h.limits.ListWindow()) <= now
+	})
+}
+
+// Complete reports whether no list that any host may still act by is missing.
+func (h *History) Complete(now Time) bool {
+	return len(h.lists) > 0 && (h.complete || h.since.Add(h.limits.HistoryWait) <= now)
+}
+
+// Revisions returns the revisions held, in rising order.
+func (h *History) Revisions() []model.Revision {
+	revisions := make([]model.Revision, len(h.lists))
+	for i := range h.lists {
+		revisions[i] = h.lists[i].revision
+	}
+	return revisions
+}
+
+// Hosts returns the hosts of each list held, in rising order of revision.
+func (h *History) Hosts() []*HostSet {
+	hosts := make([]*HostSet, len(h.lists))
+	for i := range h.lists {
+		hosts[i] = h.lists[i].hosts
+	}
+	return hosts
+}
+
+// Share returns the history as other hosts are told it.
+func (h *History) Share(now Time) *Shared {
+	shared := &Shared{Complete: h.Complete(now), Lists: make([]List, len(h.lists))}
+	for i, l := range h.lists {
+		shared.Lists[i] = List{Revision: l.revision, Hosts: l.hosts.hosts}
+		if l.supersededAt != 0 {
+			shared.Lists[i].SupersededAgo = max(now-l.supersededAt, 1)
+		}
+	}
+	return shared
+}
