Add checked settings, JSON-line logging, metrics root and exit codes

Cause: the daemon has no way to learn its addresses, keys and limits, nor to log and count. Ruled out: decoding straight into the struct. go-toml stops at the first value of a wrong type, so an operator would learn of bad keys one by one; the file is decoded to a tree and each key set and checked by itself. Change: internal/settings (Load, Parse, Check, Reference), internal/logging, internal/metrics (root scope with Prometheus and runtime metrics), internal/exitcode. Conclusion: every bad key is named at once with path, value and what is allowed; secrets are never shown.

--- /dev/null
+++ b/internal/logging/fields.go
@@ -0,0 +1,65 @@
+package logging
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// The names of the fields that log lines share.
+const (
+	FieldHost       = "host"
+	FieldComponent  = "component"
+	FieldRequestID  = "request_id"
+	FieldCaller     = "caller"
+	FieldWorkload   = "workload"
+	FieldService    = "service"
+	FieldTarget     = "target"
+	FieldVerdict    = "verdict"
+	FieldReason     = "reason"
+	FieldRetryAfter = "retry_after_ms"
+)
+
+// Request names the request that a log line is about. Empty values are left out.
+type Request struct {
+	RequestID string
+	Caller    model.CallerID
+	Workload  model.WorkloadName
+	Service   model.ServiceName
+	Target    model.TargetID
+}
+
+// Fields returns the request's log fields.
+func (r Request) Fields() logrus.Fields {
+	fields := logrus.Fields{}
+	for name, value := range map[string]string{
+		FieldRequestID: r.RequestID,
+		FieldCaller:    string(r.Caller),
+		FieldWorkload:  string(r.Workload),
+		FieldService:   string(r.Service),
+		FieldTarget:    string(r.Target),
+	} {
+		if value != "" {
+			fields[name] = value
+		}
+	}
+	return fields
+}
+
+// Failed writes the one line that a refused or failed request gets: a warning
+// where the request may have run, information where it did not.
+func Failed(log logrus.FieldLogger, r Request, err *verdict.Error) {
+	fields := r.Fields()
+	fields[FieldVerdict] = err.Verdict.String()
+	fields[FieldReason] = string(err.Reason)
+	if err.RetryAfter > 0 {
+		fields[FieldRetryAfter] = err.RetryAfter.Milliseconds()
+	}
+	entry := log.WithFields(fields)
+	if err.Verdict == verdict.NotRun {
+		entry.Info(err.Message)
+		return
+	}
+	entry.Warn(err.Message)
+}
--- /dev/null
+++ b/internal/metrics/root_test.go
@@ -0,0 +1,41 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+func TestReasonCounterShowsInTheScrape(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	scope, handler, closer := New(logrus.New())
+	Reason(scope, "refused", verdict.QueueFull)
+	Reason(scope, "refused", verdict.QueueFull)
+	Reason(scope, "refused", verdict.TargetShed)
+	require.NoError(t, closer.Close(), "closing reports what is left")
+
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	body := recorder.Body.String()
+	require.Contains(t, body, `swiftvane_refused{reason="queue_full"} 2`)
+	require.Contains(t, body, `swiftvane_refused{reason="target_shed"} 1`)
+	require.Contains(t, body, "go_goroutines")
+}
+
+func TestTwoTagSetsUnderOneNameDoNotPanic(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	scope, handler, closer := New(log)
+	Reason(scope, "mixed", verdict.QueueFull)
+	scope.Tagged(map[string]string{"other": "x"}).Counter("mixed").Inc(1)
+	require.NoError(t, closer.Close())
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	require.Equal(t, 200, recorder.Code)
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,86 @@
+package settings
+
+import (
+	"errors"
+	"io/fs"
+	"net/netip"
+	"regexp"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+var (
+	nameForm        = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+	placeholderForm = regexp.MustCompile(`(?i)^(<.*>|\$\{.*\}|\{\{.*\}\}|change[-_ ]?me.*|replace[-_ ]?me.*|your[-_ ].*|todo|tbd|fixme|x{3,}|placeholder)$`)
+)
+
+// newValidator returns the validator that knows the checks of this package.
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	for tag, check := range map[string]func(string) bool{
+		"name":       validName,
+		"listenaddr": validListenAddr,
+		"peeraddr":   validPeerAddr,
+	} {
+		must(v.RegisterValidation(tag, func(field validator.FieldLevel) bool {
+			return check(field.Field().String())
+		}))
+	}
+	return v
+}
+
+// must panics on an error that only a wrong constant can cause.
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func validName(name string) bool { return nameForm.MatchString(name) }
+
+// validListenAddr reports whether addr is an IP number and a port; port 0 lets
+// the system choose.
+func validListenAddr(addr string) bool {
+	_, err := netip.ParseAddrPort(addr)
+	return err == nil
+}
+
+// validPeerAddr reports whether addr can be dialled.
+func validPeerAddr(addr string) bool {
+	parsed, err := netip.ParseAddrPort(addr)
+	return err == nil && !parsed.Addr().IsUnspecified() && parsed.Port() != 0
+}
+
+func isPlaceholder(value string) bool { return placeholderForm.MatchString(strings.TrimSpace(value)) }
+
+// reasonOf returns what went wrong with a file, without its path.
+func reasonOf(err error) string {
+	if pathErr, ok := errors.AsType[*fs.PathError](err); ok {
+		return pathErr.Err.Error()
+	}
+	return err.Error()
+}
+
+// checkRelations returns the errors that concern two keys at once.
+func (s *Settings) checkRelations() Errors {
+	var errs Errors
+	differ := func(path, value, other, otherPath string) {
+		if value != "" && value == other && !strings.HasSuffix(value, ":0") {
+			errs = append(errs, &FieldError{Path: path, Value: quote(value), Allowed: "an address other than " + otherPath})
+		}
+	}
+	differ("listen.admin", s.Listen.Admin, s.Listen.Caller, "listen.caller")
+	differ("listen.peer", s.Listen.Peer, s.Listen.Caller, "listen.caller")
+	differ("listen.peer", s.Listen.Peer, s.Listen.Admin, "listen.admin")
+	if s.Listen.AdvertisedPeer == "" && validListenAddr(s.Listen.Peer) && !validPeerAddr(s.Listen.Peer) {
+		errs = append(errs, &FieldError{Path: "listen.advertised_peer", Value: missing,
+			Allowed: "IP:PORT; needed where listen.peer names no address that others reach"})
+	}
+	for _, seed := range s.Peers.Seeds {
+		if seed.ID == s.Host.ID {
+			errs = append(errs, &FieldError{Path: "peers.seeds", Value: quote(seed.String()), Allowed: "other hosts than host.id"})
+		}
+	}
+	return errs
+}
