Add the administration API

Cause: operators can neither see a host's picture of the fleet nor check a candidate document, release a quarantine or begin a planned stop. Ruled out: comparing tokens directly in constant time, since that shows their length; hashes are compared. A waiter source for config/wait: the status already says host by host which revision is in force, so it is polled. Change: internal/adminapi (messages shared with the tool), internal/admin (server over small interfaces, read and write tokens, counted refusals, bounded waits). Conclusion: liveness and readiness are open, the rest, metrics included, needs a token.

--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,128 @@
+// Package admin serves the administration API on a listener of its own.
+//
+// Liveness and readiness are open, since balancers carry no token; the rest
+// needs a bearer token. The package holds no state of the fleet: it serves what
+// its sources tell. Each request runs on a goroutine of the HTTP server; no call
+// to a source blocks.
+package admin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/adaptor"
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/adminapi"
+	"github.com/swiftvane/swiftvane/internal/metrics"
+)
+
+const (
+	// maxDocumentBytes bounds a candidate document.
+	maxDocumentBytes = 64 << 20
+	// readTimeout bounds the reading of one request.
+	readTimeout = 30 * time.Second
+	// idleTimeout closes connections that ask nothing.
+	idleTimeout = 2 * time.Minute
+	// maxConnections bounds the connections at once.
+	maxConnections = 1024
+)
+
+// Options are what a Server is made of.
+type Options struct {
+	Sources    Sources
+	ReadToken  []byte
+	WriteToken []byte
+	// Metrics serves scrapers.
+	Metrics http.Handler
+	Scope   metrics.Scope
+	Log     logrus.FieldLogger
+}
+
+// Server is the administration API.
+type Server struct {
+	sources Sources
+	tokens  tokens
+	scope   metrics.Scope
+	log     logrus.FieldLogger
+	app     *fiber.App
+	// stopping ends waiting requests.
+	stopping context.Context
+	stop     context.CancelFunc
+	waits    chan struct{}
+}
+
+// New returns a server that does not listen yet.
+func New(o Options) *Server {
+	stopping, stop := context.WithCancel(context.Background())
+	s := &Server{
+		sources:  o.Sources,
+		tokens:   newTokens(o.ReadToken, o.WriteToken),
+		scope:    o.Scope.SubScope("admin"),
+		log:      o.Log,
+		stopping: stopping,
+		stop:     stop,
+		waits:    make(chan struct{}, maxWaits),
+	}
+	s.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true,
+		Immutable:             true,
+		BodyLimit:             maxDocumentBytes,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		Concurrency:           maxConnections,
+		ErrorHandler:          s.onError,
+	})
+	s.routes(o.Metrics)
+	return s
+}
+
+func (s *Server) routes(metricsHandler http.Handler) {
+	read, write := s.require(scopeRead), s.require(scopeWrite)
+	s.app.Get(adminapi.PathHealth, s.getHealth)
+	s.app.Get(adminapi.PathReady, s.getReady)
+	s.app.Get(adminapi.PathMetrics, read, adaptor.HTTPHandler(metricsHandler))
+	s.app.Get(adminapi.PathStatus, read, s.getStatus)
+	s.app.Get(adminapi.PathConfig, read, s.getConfig)
+	s.app.Post(adminapi.PathConfigCheck, read, s.postConfigCheck)
+	s.app.Get(adminapi.PathConfigWait, read, s.getConfigWait)
+	s.app.Get(adminapi.PathTargets, read, s.getTargets)
+	s.app.Get(adminapi.PathQuarantine, read, s.getQuarantine)
+	s.app.Delete(adminapi.PathQuarantine+"/:fingerprint", write, s.deleteQuarantine)
+	s.app.Post(adminapi.PathDrain, write, s.postDrain)
+}
+
+// Serve accepts connections on ln until Shutdown. It returns nil after Shutdown.
+func (s *Server) Serve(ln net.Listener) error { return s.app.Listener(ln) }
+
+// Shutdown ends waiting requests, lets the others finish and stops listening.
+// The error is that of ctx if they did not finish in time.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stop()
+	return s.app.ShutdownWithContext(ctx)
+}
+
+// refuse answers with an error and counts it.
+func (s *Server) refuse(c *fiber.Ctx, status int, reason adminapi.Reason, field, message string) error {
+	s.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("refused").Inc(1)
+	s.log.WithFields(logrus.Fields{"reason": string(reason), "path": c.Path(), "remote": c.IP()}).Info("administration request refused")
+	return c.Status(status).JSON(&adminapi.Error{Reason: reason, Field: field, Message: message})
+}
+
+// onError answers for errors that no handler answered.
+func (s *Server) onError(c *fiber.Ctx, err error) error {
+	fiberErr, ok := errors.AsType[*fiber.Error](err)
+	switch {
+	case !ok:
+		s.log.WithError(err).Error("administration request failed")
+		return s.refuse(c, fiber.StatusInternalServerError, adminapi.Internal, "", "internal error")
+	case fiberErr.Code == fiber.StatusNotFound || fiberErr.Code == fiber.StatusMethodNotAllowed:
+		return s.refuse(c, fiberErr.Code, adminapi.NotFound, "", "no such path or method")
+	default:
+		return s.refuse(c, fiberErr.Code, adminapi.BadRequest, "", fiberErr.Message)
+	}
+}
--- /dev/null
+++ b/internal/admin/tokens.go
@@ -0,0 +1,58 @@
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"strings"
+
+	"github.com/gofiber/fiber/v2"
+
+	"github.com/swiftvane/swiftvane/internal/adminapi"
+)
+
+// scope is what a token allows.
+type scope int
+
+const (
+	scopeNone scope = iota
+	scopeRead
+	scopeWrite
+)
+
+// tokens compares bearer tokens in constant time: it compares hashes, so that
+// neither the content nor the length of a token shows in the time taken.
+type tokens struct {
+	read, write [sha256.Size]byte
+}
+
+func newTokens(read, write []byte) tokens {
+	return tokens{read: sha256.Sum256(read), write: sha256.Sum256(write)}
+}
+
+func (t *tokens) scopeOf(token string) scope {
+	sum := sha256.Sum256([]byte(token))
+	isRead := subtle.ConstantTimeCompare(sum[:], t.read[:])
+	isWrite := subtle.ConstantTimeCompare(sum[:], t.write[:])
+	return scope(max(isRead*int(scopeRead), isWrite*int(scopeWrite)))
+}
+
+const bearerPrefix = "Bearer "
+
+// require returns a handler that passes requests whose token allows need.
+func (s *Server) require(need scope) fiber.Handler {
+	return func(c *fiber.Ctx) error {
+		header := c.Get(fiber.HeaderAuthorization)
+		if len(header) < len(bearerPrefix) || !strings.EqualFold(header[:len(bearerPrefix)], bearerPrefix) {
+			c.Set(fiber.HeaderWWWAuthenticate, "Bearer")
+			return s.refuse(c, fiber.StatusUnauthorized, adminapi.TokenMissing, "", "a bearer token is needed")
+		}
+		switch have := s.tokens.scopeOf(header[len(bearerPrefix):]); {
+		case have == scopeNone:
+			c.Set(fiber.HeaderWWWAuthenticate, "Bearer")
+			return s.refuse(c, fiber.StatusUnauthorized, adminapi.TokenWrong, "", "the token is not known")
+		case have < need:
+			return s.refuse(c, fiber.StatusForbidden, adminapi.TokenReadOnly, "", "the token may only read")
+		}
+		return c.Next()
+	}
+}
--- /dev/null
+++ b/internal/adminapi/config.go
@@ -0,0 +1,45 @@
+package adminapi
+
+import (
+	"encoding/json"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+)
+
+// Config is the configuration in force on one host.
+type Config struct {
+	ConfigFact
+	// Keys are the document's keys with their values as published.
+	Keys map[string]json.RawMessage `json:"keys"`
+}
+
+// Problem is one error of a candidate document.
+type Problem struct {
+	// Path is the path of the bad key or value.
+	Path string `json:"path"`
+	// Message says what is wrong and what is allowed.
+	Message string `json:"message"`
+}
+
+// ConfigCheck is the outcome of checking a candidate document.
+type ConfigCheck struct {
+	Valid    bool      `json:"valid"`
+	Problems []Problem `json:"problems"`
+}
+
+// ConfigWait says host by host whether a revision is in force.
+type ConfigWait struct {
+	Revision model.Revision `json:"revision"`
+	// InForce says that each live host has the revision or a newer one.
+	InForce bool           `json:"in_force"`
+	Hosts   []HostRevision `json:"hosts"`
+}
+
+// HostRevision is the revision in force on one host.
+type HostRevision struct {
+	ID       model.HostID    `json:"id"`
+	State    model.HostState `json:"state"`
+	Revision model.Revision  `json:"revision"`
+	InForce  bool            `json:"in_force"`
+	AgeMS    int64           `json:"age_ms"`
+}
