Add swiftvanectl with its admin and caller clients

Cause: operators and callers have no tool; scripts copied from examples retry what may have run. Found while testing: cobra prints help and exits 0 for an unknown command under a command that only groups others; such commands now return a usage error. Ruled out: fasthttp's own retries for the clients, since it may send a request twice without the caller's knowledge; they are switched off. Change: internal/cli (query, status, targets, quarantine list|release, config check|diff|wait, drain, completion, version), internal/callerclient (retries only not_run with a retry-after, same id, bounded), internal/adminclient, internal/httpjson, internal/version, cmd/swiftvanectl.

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,120 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/adminapi"
+	"github.com/swiftvane/swiftvane/internal/exitcode"
+)
+
+const token = "token-token-token-token"
+
+// run executes a command against a host that answers each path with a fixed
+// body, and with 404 elsewhere.
+func run(t *testing.T, bodies map[string]string, stdin string, args ...string) (code exitcode.Code, stdout, stderr string) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, known := bodies[r.Method+" "+r.URL.Path]
+		if !known || r.Header.Get("Authorization") != "Bearer "+token {
+			w.WriteHeader(http.StatusNotFound)
+			body = `{"reason":"not_found","message":"no such path"}`
+		}
+		_, _ = w.Write([]byte(body))
+	}))
+	defer server.Close()
+	file := filepath.Join(t.TempDir(), "token")
+	require.NoError(t, os.WriteFile(file, []byte(token+"\n"), 0o600))
+	var out, errs bytes.Buffer
+	args = append(args, "--admin", server.URL, "--token-file", file)
+	code = Execute(args, Streams{In: strings.NewReader(stdin), Out: &out, Err: &errs})
+	return code, out.String(), errs.String()
+}
+
+func TestBadUsageHasItsExitCodeAndGoesToStandardError(t *testing.T) {
+	for _, args := range [][]string{
+		{"nonsense"}, {"config", "nonsense"}, {"quarantine", "nonsense"}, {"status", "extra"}, {"query"},
+		{"status", "--nonsense"}, {"status", "--output", "xml"}, {"query", "w", "--body", "{"},
+		{"query", "w", "--attempts", "0"}, {"config", "wait"}, {"config", "check", "/nonexistent"},
+		{"quarantine", "release"},
+	} {
+		code, stdout, stderr := run(t, nil, "", args...)
+		require.Equal(t, exitcode.Usage, code, "%v: %s", args, stderr)
+		require.Empty(t, stdout, args)
+		require.NotEmpty(t, stderr, args)
+	}
+}
+
+func TestRefusalByTheHostIsAFailureThatNamesTheReason(t *testing.T) {
+	code, stdout, stderr := run(t, nil, "", "status")
+	require.Equal(t, exitcode.Failure, code)
+	require.Empty(t, stdout)
+	require.Contains(t, stderr, "not_found")
+}
+
+func TestStatusAsJSONAndAsTable(t *testing.T) {
+	bodies := map[string]string{"GET " + adminapi.PathStatus: `{
+		"self":{"id":"h1","state":"live"},"config":{"revision":7,"digest":"00000000000000aa"},
+		"hosts":[{"id":"h2","state":"leaving","config":{"revision":6},"age_ms":1500}]}`}
+	code, stdout, _ := run(t, bodies, "", "status", "--output", "json")
+	require.Equal(t, exitcode.OK, code)
+	var status adminapi.Status
+	require.NoError(t, json.Unmarshal([]byte(stdout), &status))
+	require.EqualValues(t, 7, status.Config.Revision)
+
+	_, stdout, _ = run(t, bodies, "", "status")
+	require.Contains(t, stdout, "h2")
+	require.Contains(t, stdout, "leaving")
+	require.Contains(t, stdout, "1.5s")
+}
+
+func TestConfigDiffNamesTheKeysThatDiffer(t *testing.T) {
+	bodies := map[string]string{"GET " + adminapi.PathConfig: `{"revision":1,"keys":{"defaults":{"a":1,"b":2},"targets/t1":{},"targets/t2":{}}}`}
+	code, stdout, _ := run(t, bodies, `{"revision":2,"keys":{"defaults":{"b":2,"a":1},"targets/t2":{"x":1},"targets/t3":{}}}`,
+		"config", "diff", "-", "-o", "json")
+	require.Equal(t, exitcode.Invalid, code)
+	var diff difference
+	require.NoError(t, json.Unmarshal([]byte(stdout), &diff))
+	require.Len(t, diff.Keys, 3)
+	require.Equal(t, "targets/t1", diff.Keys[0].Key)
+
+	code, _, _ = run(t, bodies, bodies["GET "+adminapi.PathConfig], "config", "diff", "-")
+	require.Equal(t, exitcode.OK, code)
+}
+
+func TestConfigWaitThatRunsOutOfTimeHasItsExitCode(t *testing.T) {
+	path := "GET " + adminapi.PathConfigWait
+	code, stdout, _ := run(t, map[string]string{path: `{"revision":7,"in_force":false,"hosts":[{"id":"h2","revision":6}]}`},
+		"", "config", "wait", "--revision", "7", "--timeout", "1ms")
+	require.Equal(t, exitcode.Timeout, code)
+	require.Contains(t, stdout, "h2")
+	code, _, _ = run(t, map[string]string{path: `{"revision":7,"in_force":true}`}, "", "config", "wait", "--revision", "7")
+	require.Equal(t, exitcode.OK, code)
+}
+
+func TestQueryExitCodesTellNotRunFromUnknown(t *testing.T) {
+	for body, want := range map[string]exitcode.Code{
+		`{"verdict":"not_run","reason":"queue_full"}`:    exitcode.NotRun,
+		`{"verdict":"unknown","reason":"target_silent"}`: exitcode.Unknown,
+		`{"verdict":"ran","reason":"internal"}`:          exitcode.Ran,
+		`<html>bad gateway</html>`:                       exitcode.Unknown,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = w.Write([]byte(body))
+		}))
+		code, stdout, stderr := run(t, nil, "", "query", "w", "--caller-url", server.URL, "--request-id", "r-1")
+		server.Close()
+		require.Equal(t, want, code, body)
+		require.Empty(t, stdout)
+		require.Contains(t, stderr, "r-1")
+	}
+}
--- /dev/null
+++ b/internal/cli/options.go
@@ -0,0 +1,85 @@
+package cli
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"github.com/swiftvane/swiftvane/internal/adminclient"
+	"github.com/swiftvane/swiftvane/internal/httpjson"
+)
+
+// The environment variables that stand in for flags.
+const (
+	envAdmin     = "SWIFTVANE_ADMIN"
+	envCallerURL = "SWIFTVANE_CALLER_URL"
+	envTokenFile = "SWIFTVANE_TOKEN_FILE"
+	envOutput    = "SWIFTVANE_OUTPUT"
+)
+
+// The forms of output.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+const defaultAdmin = "http://127.0.0.1:8081"
+
+// options are the flags that commands share.
+type options struct {
+	streams    Streams
+	admin      string
+	callerURLs []string
+	tokenFile  string
+	output     string
+	quiet      bool
+}
+
+func (o *options) register(flags *pflag.FlagSet) {
+	flags.StringVar(&o.admin, "admin", fromEnv(envAdmin, defaultAdmin), "base URL of a host's administration API ($"+envAdmin+")")
+	flags.StringSliceVar(&o.callerURLs, "caller-url", strings.Split(fromEnv(envCallerURL, "http://127.0.0.1:8080"), ","),
+		"base URLs of hosts for queries; the next one is tried if a connection is refused ($"+envCallerURL+")")
+	flags.StringVar(&o.tokenFile, "token-file", os.Getenv(envTokenFile), "file with the administration token ($"+envTokenFile+")")
+	flags.StringVarP(&o.output, "output", "o", fromEnv(envOutput, outputTable), "form of the output, table or json ($"+envOutput+")")
+	flags.BoolVarP(&o.quiet, "quiet", "q", false, "show no progress")
+}
+
+func fromEnv(name, otherwise string) string {
+	if value := os.Getenv(name); value != "" {
+		return value
+	}
+	return otherwise
+}
+
+func (o *options) check() error {
+	if !slices.Contains([]string{outputTable, outputJSON}, o.output) {
+		return fmt.Errorf("--output = %q: allowed: %s, %s", o.output, outputTable, outputJSON)
+	}
+	return nil
+}
+
+// adminClient returns a client for the administration API. It fails if the token
+// can't be read.
+func (o *options) adminClient() (*adminclient.Client, error) {
+	if o.tokenFile == "" {
+		return nil, usagef("--token-file or $%s is needed", envTokenFile)
+	}
+	token, err := os.ReadFile(o.tokenFile)
+	if err != nil {
+		return nil, usagef("--token-file: %w", err)
+	}
+	return &adminclient.Client{BaseURL: o.admin, Token: string(bytes.TrimSpace(token)), HTTP: httpjson.New()}, nil
+}
+
+// ageOf returns an age in milliseconds as text.
+func ageOf(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return (time.Duration(ms) * time.Millisecond).String()
+}
--- /dev/null
+++ b/internal/cli/progress.go
@@ -0,0 +1,57 @@
+package cli
+
+import (
+	"sync"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+)
+
+const (
+	// progressAfter is the time after which a command shows that it works.
+	progressAfter = time.Second
+	// progressInterval is the time between two steps of the spinner.
+	progressInterval = 100 * time.Millisecond
+	// unknownLength makes the progress bar a spinner.
+	unknownLength = -1
+)
+
+// withProgress runs work and shows on standard error that it is under way once
+// it took over a second.
+func (o *options) withProgress(what string, work func() error) error {
+	if o.quiet {
+		return work()
+	}
+	finished := make(chan struct{})
+	var spinning sync.WaitGroup
+	spinning.Go(func() { o.spin(what, finished) })
+	err := work()
+	close(finished)
+	spinning.Wait()
+	return err
+}
+
+func (o *options) spin(what string, finished <-chan struct{}) {
+	select {
+	case <-finished:
+		return
+	case <-time.After(progressAfter):
+	}
+	bar := progressbar.NewOptions(unknownLength,
+		progressbar.OptionSetWriter(o.streams.Err),
+		progressbar.OptionSetDescription(what),
+		progressbar.OptionSetElapsedTime(true),
+		progressbar.OptionClearOnFinish(),
+	)
+	defer func() { _ = bar.Finish() }()
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		_ = bar.Add(1)
+		select {
+		case <-finished:
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,54 @@
+// Package cli holds the commands of swiftvanectl.
+//
+// A command writes its result to standard output, as a table or as JSON, and
+// progress and errors to standard error. Its exit code is one of package
+// exitcode.
+package cli
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"github.com/swiftvane/swiftvane/internal/exitcode"
+)
+
+// NewRoot returns the command swiftvanectl with all its commands.
+func NewRoot(streams Streams) *cobra.Command {
+	opts := &options{streams: streams}
+	root := &cobra.Command{
+		Use:           "swiftvanectl",
+		Short:         "Ask and operate a swiftvane query tier",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          cobra.ArbitraryArgs,
+		RunE:          needsCommand,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			return exitcode.With(exitcode.Usage, opts.check())
+		},
+	}
+	root.SetIn(streams.In)
+	root.SetOut(streams.Out)
+	root.SetErr(streams.Err)
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return exitcode.With(exitcode.Usage, err)
+	})
+	opts.register(root.PersistentFlags())
+	root.AddCommand(
+		newQuery(opts), newStatus(opts), newTargets(opts), newQuarantine(opts),
+		newConfig(opts), newDrain(opts), newVersion(opts),
+	)
+	return root
+}
+
+// Execute runs the command that args name and returns its exit code.
+func Execute(args []string, streams Streams) exitcode.Code {
+	root := NewRoot(streams)
+	root.SetArgs(args)
+	err := root.Execute()
+	if err == nil {
+		return exitcode.OK
+	}
+	_, _ = fmt.Fprintln(streams.Err, "swiftvanectl:", err)
+	return exitcode.Of(err)
+}
--- /dev/null
+++ b/internal/httpjson/client.go
@@ -0,0 +1,115 @@
+// Package httpjson sends one JSON request over HTTP and reads its answer, for
+// the command-line tool's clients. It never sends a request twice by itself.
+package httpjson
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// maxResponseBytes bounds an answer.
+	maxResponseBytes = 256 << 20
+	// maxConnsPerHost bounds the connections to one address.
+	maxConnsPerHost = 4096
+	// idleTimeout closes connections that are not used.
+	idleTimeout = 30 * time.Second
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 3 * time.Second
+)
+
+// Request is one request.
+type Request struct {
+	Method string
+	URL    string
+	Header map[string]string
+	// Body is encoded as JSON; json.RawMessage is sent as it is, and nil sends
+	// no body.
+	Body any
+	// Timeout bounds the exchange; zero means DefaultTimeout.
+	Timeout time.Duration
+}
+
+// DefaultTimeout bounds an exchange that names no timeout.
+const DefaultTimeout = 10 * time.Second
+
+// Response is the answer to one request, whatever its status.
+type Response struct {
+	Status     int
+	RetryAfter string
+	Body       []byte
+}
+
+// Client sends requests. It may be used by many goroutines.
+type Client struct {
+	http *fasthttp.Client
+}
+
+// New returns a client.
+func New() *Client {
+	return &Client{http: &fasthttp.Client{
+		Dial:                      dial,
+		MaxConnsPerHost:           maxConnsPerHost,
+		MaxIdleConnDuration:       idleTimeout,
+		MaxResponseBodySize:       maxResponseBytes,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		NoDefaultUserAgentHeader:  true,
+	}}
+}
+
+func dial(addr string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	if err != nil {
+		return nil, &NotSentError{Err: err}
+	}
+	return conn, nil
+}
+
+// Do sends r and returns the answer. The error is a *NotSentError if no byte of
+// the request left this process.
+func (c *Client) Do(r *Request) (*Response, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	if err := r.fill(req); err != nil {
+		return nil, &NotSentError{Err: err}
+	}
+	timeout := r.Timeout
+	if timeout <= 0 {
+		timeout = DefaultTimeout
+	}
+	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
+		return nil, fmt.Errorf("%s %s: %w", r.Method, r.URL, err)
+	}
+	return &Response{
+		Status:     resp.StatusCode(),
+		RetryAfter: string(resp.Header.Peek(fasthttp.HeaderRetryAfter)),
+		Body:       append([]byte(nil), resp.Body()...),
+	}, nil
+}
+
+// Close closes the connections that are idle.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (r *Request) fill(req *fasthttp.Request) error {
+	req.Header.SetMethod(r.Method)
+	req.SetRequestURI(r.URL)
+	for name, value := range r.Header {
+		req.Header.Set(name, value)
+	}
+	if r.Body == nil {
+		return nil
+	}
+	body, err := json.Marshal(r.Body)
+	if err != nil {
+		return err
+	}
+	req.Header.SetContentType("application/json")
+	req.SetBody(body)
+	return nil
+}
