--- /dev/null
+++ b/internal/config/delta.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"encoding/json"
+	"maps"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+)
+
+// Delta is the difference between two documents, as changed and removed keys.
+type Delta struct {
+	// From and FromDigest name the document that the delta applies to.
+	From       model.Revision `cbor:"1,keyasint" json:"from"`
+	FromDigest uint64         `cbor:"2,keyasint" json:"from_digest"`
+	// To and ToDigest name the document that results.
+	To       model.Revision             `cbor:"3,keyasint" json:"to"`
+	ToDigest uint64                     `cbor:"4,keyasint" json:"to_digest"`
+	Changed  map[string]json.RawMessage `cbor:"5,keyasint,omitempty" json:"changed,omitempty"`
+	Removed  []string                   `cbor:"6,keyasint,omitempty" json:"removed,omitempty"`
+}
+
+// Errors of Apply.
+var (
+	ErrOtherBase = eris.New("config: the delta applies to another document")
+	ErrDigest    = eris.New("config: the delta's result has another digest than named")
+)
+
+// Diff returns the delta that makes b of a.
+func Diff(a, b *Document) *Delta {
+	d := &Delta{
+		From: a.Revision, FromDigest: Digest(a.Keys), To: b.Revision, ToDigest: Digest(b.Keys),
+		Changed: make(map[string]json.RawMessage),
+	}
+	for key, value := range b.Keys {
+		old, ok := a.Keys[key]
+		if !ok || !sameValue(old, value) {
+			d.Changed[key] = value
+		}
+	}
+	for _, key := range sortedKeys(a.Keys) {
+		if _, ok := b.Keys[key]; !ok {
+			d.Removed = append(d.Removed, key)
+		}
+	}
+	return d
+}
+
+// Apply returns the document that the delta makes of a, which is not changed.
+// It fails with ErrOtherBase or ErrDigest.
+func (d *Delta) Apply(a *Document) (*Document, error) {
+	if a.Revision != d.From || Digest(a.Keys) != d.FromDigest {
+		return nil, ErrOtherBase
+	}
+	keys := maps.Clone(a.Keys)
+	if keys == nil {
+		keys = make(map[string]json.RawMessage)
+	}
+	maps.Copy(keys, d.Changed)
+	for _, key := range d.Removed {
+		delete(keys, key)
+	}
+	if Digest(keys) != d.ToDigest {
+		return nil, ErrDigest
+	}
+	return &Document{Revision: d.To, Keys: keys}, nil
+}
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/swiftvane/swiftvane/internal/model"
 )
@@ -32,11 +33,15 @@
 	// Service narrows the exception to one service; empty means all.
 	Service model.ServiceName `json:"service,omitempty"`
 	// Caller narrows the exception to one caller; empty means all.
-	Caller  model.CallerID `json:"caller,omitempty"`
-	Policy  PolicyPatch    `json:"policy"`
-	Reason  string         `json:"reason" validate:"required,min=10"`
-	Owner   string         `json:"owner" validate:"required"`
-	Expires string         `json:"expires" validate:"required,datetime=2006-01-02"`
+	Caller model.CallerID `json:"caller,omitempty"`
+	Policy PolicyPatch    `json:"policy"`
+	Reason string         `json:"reason" validate:"required,min=10"`
+	Owner  string         `json:"owner" validate:"required"`
+	// Expires is the last day, UTC, on which the exception holds.
+	Expires string `json:"expires" validate:"required,datetime=2006-01-02"`
+
+	// expiry is the moment from which the exception no longer applies.
+	expiry time.Time
 }
 
 // Fleet is a checked document. It is immutable.
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,128 @@
+package config
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+)
+
+// Names of document keys and their prefixes.
+const (
+	KeyDefaults     = "defaults"
+	PrefixWorkload  = "workloads/"
+	PrefixIndex     = "index/"
+	PrefixTarget    = "targets/"
+	PrefixException = "exceptions/"
+)
+
+// Limits of a document.
+const (
+	// MaxExceptions keeps the list of exceptions short.
+	MaxExceptions = 128
+	// MaxNameBytes bounds the names in keys.
+	MaxNameBytes = 128
+)
+
+// Parse checks a document whole. The error is *InvalidError and lists all that
+// is wrong.
+func Parse(doc *Document) (*Fleet, error) {
+	p := &parser{fleet: &Fleet{
+		Revision:  doc.Revision,
+		Workloads: make(map[model.WorkloadName]*Workload),
+		Indexes:   make(map[model.WorkloadName]*model.Index),
+		Targets:   make(map[model.TargetID]*model.Target),
+	}}
+	if doc.Revision == 0 {
+		p.add("revision", 0, "must be at least 1")
+	}
+	for _, key := range sortedKeys(doc.Keys) {
+		p.parseKey(key, doc.Keys[key])
+	}
+	if _, ok := doc.Keys[KeyDefaults]; !ok {
+		p.problems = append(p.problems, Problem{Path: KeyDefaults, Allowed: "must be given"})
+	}
+	p.crossCheck()
+	if len(p.problems) > 0 {
+		sort.SliceStable(p.problems, func(i, j int) bool { return p.problems[i].Path < p.problems[j].Path })
+		return nil, &InvalidError{Revision: doc.Revision, Problems: p.problems}
+	}
+	p.fleet.Digest = Digest(doc.Keys)
+	return p.fleet, nil
+}
+
+// parser collects the values and problems of one document.
+type parser struct {
+	fleet    *Fleet
+	problems []Problem
+}
+
+func (p *parser) add(path string, value any, allowed string) {
+	p.problems = append(p.problems, Problem{Path: path, Value: show(value), Allowed: allowed})
+}
+
+// decode decodes and validates one key's value and reports whether it is fit.
+func (p *parser) decode(key string, raw json.RawMessage, out any) bool {
+	found := decodeStrict(key, raw, out)
+	if len(found) == 0 {
+		found = validate(key, out)
+	}
+	p.problems = append(p.problems, found...)
+	return len(found) == 0
+}
+
+func (p *parser) parseKey(key string, raw json.RawMessage) {
+	if key == KeyDefaults {
+		p.decode(key, raw, &p.fleet.Defaults)
+		return
+	}
+	kind, name, _ := strings.Cut(key, "/")
+	if !validName(name) {
+		p.add(key, name, "the name after the slash must be 1 to 128 letters, digits, '.', '_', ':' or '-'")
+		return
+	}
+	switch kind + "/" {
+	case PrefixWorkload:
+		if w := new(Workload); p.decode(key, raw, w) {
+			p.fleet.Workloads[model.WorkloadName(name)] = w
+		}
+	case PrefixIndex:
+		if x := new(model.Index); p.decode(key, raw, x) {
+			p.fleet.Indexes[model.WorkloadName(name)] = x
+		}
+	case PrefixTarget:
+		if t := new(model.Target); p.decode(key, raw, t) {
+			p.fleet.Targets[model.TargetID(name)] = t
+		}
+	case PrefixException:
+		if x := (Exception{Name: name}); p.decode(key, raw, &x) {
+			x.expiry = expiry(x.Expires)
+			p.fleet.Exceptions = append(p.fleet.Exceptions, x)
+		}
+	default:
+		p.problems = append(p.problems, Problem{Path: key, Allowed: "unknown key, allowed are defaults, workloads/NAME, index/WORKLOAD, targets/ID and exceptions/NAME"})
+	}
+}
+
+func validName(name string) bool {
+	if name == "" || len(name) > MaxNameBytes {
+		return false
+	}
+	for _, r := range name {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		if !letter && (r < '0' || r > '9') && !strings.ContainsRune("._:-", r) {
+			return false
+		}
+	}
+	return true
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
