--- /dev/null
+++ b/internal/entry/once.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gofiber/fiber/v2"
+
+	"github.com/swiftvane/swiftvane/internal/claim"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// maxRecordedBytes bounds the answer that witnesses keep for a resend.
+const maxRecordedBytes = 4 << 10
+
+// runOnce claims the query's id before anything is sent to a target, and has
+// the outcome recorded for resends.
+func (s *Server) runOnce(ctx context.Context, c *fiber.Ctx, q *call) error {
+	err := s.opts.Claims.Claim(ctx, q.id, q.fingerprint(), q.deadline)
+	if duplicate, ok := errors.AsType[*claim.Duplicate](err); ok {
+		return s.writeDuplicate(c, q.id.Value, duplicate)
+	}
+	if err != nil {
+		return s.writeError(c, q.id.Value, asVerdict(err))
+	}
+	answer, failure := s.opts.Executor.Execute(ctx, q.request())
+	if failure != nil {
+		s.recordFailure(q, failure)
+		return s.writeError(c, q.id.Value, failure)
+	}
+	body, err := json.Marshal(answerBody(q.id.Value, answer))
+	if err != nil {
+		return s.writeError(c, q.id.Value, &verdict.Error{Verdict: verdict.Ran, Reason: verdict.Internal, Message: err.Error()})
+	}
+	outcome := claim.Outcome{Verdict: verdict.Ran, Status: fiber.StatusOK}
+	if len(body) <= maxRecordedBytes {
+		outcome.Answer = body
+	}
+	s.opts.Claims.Record(q.id, outcome)
+	return s.writeAnswer(c, q.id.Value, answer)
+}
+
+// recordFailure releases the id of a request that did not run, so that a resend
+// may run, and else keeps the outcome for resends.
+func (s *Server) recordFailure(q *call, failure *verdict.Error) {
+	if failure.Verdict == verdict.NotRun {
+		s.opts.Claims.Release(q.id)
+		return
+	}
+	body, err := json.Marshal(errorBody(q.id.Value, failure))
+	if err != nil {
+		return
+	}
+	s.opts.Claims.Record(q.id, claim.Outcome{
+		Verdict: failure.Verdict,
+		Reason:  failure.Reason,
+		Status:  StatusFor(failure),
+		Answer:  body,
+	})
+}
+
+// writeDuplicate answers a resend: the recorded answer if a witness has it, else
+// that the request may have run.
+func (s *Server) writeDuplicate(c *fiber.Ctx, id string, duplicate *claim.Duplicate) error {
+	s.counter.resends.Inc(1)
+	outcome := duplicate.Outcome
+	if outcome == nil {
+		return s.writeError(c, id, &verdict.Error{
+			Verdict: verdict.Unknown,
+			Reason:  verdict.RequestIDDuplicate,
+			Field:   "request_id",
+			Message: "the request was sent before and its outcome is not known; do not send it under another id",
+		})
+	}
+	if len(outcome.Answer) == 0 {
+		return s.writeError(c, id, &verdict.Error{
+			Verdict: outcome.Verdict,
+			Reason:  verdict.RequestIDDuplicate,
+			Field:   "request_id",
+			Message: "the request was sent before; its answer was too large to keep",
+		})
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Status(outcome.Status).Send(outcome.Answer)
+}
+
+// fingerprint is a hash of what a resend must not change.
+func (q *call) fingerprint() uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{string(q.caller), string(q.body.Workload)} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	for _, service := range q.body.Services {
+		_, _ = digest.WriteString(string(service))
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(q.body.Body)
+	return digest.Sum64()
+}
+
+func asVerdict(err error) *verdict.Error {
+	if e, ok := errors.AsType[*verdict.Error](err); ok {
+		return e
+	}
+	return &verdict.Error{Verdict: verdict.Unknown, Reason: verdict.Internal, Message: err.Error()}
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// stoppingRetryAfter is the time in which the balancer has surely noticed that
+// this host is not ready.
+const stoppingRetryAfter = time.Second
+
+const (
+	readTimeout = 30 * time.Second
+	idleTimeout = 2 * time.Minute
+)
+
+// Server serves callers.
+type Server struct {
+	opts     Options
+	app      *fiber.App
+	listener net.Listener
+	inflight atomic.Int64
+	// draining makes every answer close its connection, so that the balancer
+	// opens none of its next ones here.
+	draining atomic.Bool
+	// closed refuses whatever still arrives.
+	closed  atomic.Bool
+	counter counters
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(opts Options) *Server {
+	s := &Server{opts: opts, counter: newCounters(opts.Scope)}
+	s.app = fiber.New(fiber.Config{
+		AppName:               "swiftvane",
+		DisableStartupMessage: true,
+		// Sub-requests that were given up may outlive the handler, so nothing of
+		// the request may be reused under them.
+		Immutable:    true,
+		BodyLimit:    opts.MaxBodyBytes,
+		ReadTimeout:  readTimeout,
+		IdleTimeout:  idleTimeout,
+		ErrorHandler: s.handleError,
+	})
+	s.app.Get("/readyz", s.handleReady)
+	s.app.Post("/v1/query", s.handleQuery)
+	return s
+}
+
+// Listen opens the caller listener and serves it in the background. It fails if
+// the address cannot be opened.
+func (s *Server) Listen() error {
+	listener, err := net.Listen("tcp", s.opts.ListenAddr)
+	if err != nil {
+		return eris.Wrap(err, "caller listener")
+	}
+	s.listener = listener
+	go func() {
+		if err := s.app.Listener(listener); err != nil && !errors.Is(err, net.ErrClosed) {
+			s.opts.Log.WithError(err).Error("caller listener ended")
+		}
+	}()
+	return nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Inflight returns the number of queries being served.
+func (s *Server) Inflight() int64 { return s.inflight.Load() }
+
+// Drain makes the host not ready while it goes on serving.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Shutdown refuses new queries and returns once those in flight have their
+// answers, or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.draining.Store(true)
+	s.closed.Store(true)
+	return eris.Wrap(s.app.ShutdownWithContext(ctx), "caller listener")
+}
+
+func (s *Server) handleReady(c *fiber.Ctx) error {
+	if refusal := s.refuseUnready(); refusal != nil || s.draining.Load() {
+		return c.Status(fiber.StatusServiceUnavailable).SendString("not ready\n")
+	}
+	return c.SendString("ready\n")
+}
+
+func (s *Server) refuseUnready() *verdict.Error {
+	if s.closed.Load() {
+		return verdict.Refuse(verdict.HostStopping, stoppingRetryAfter, "this host is stopping")
+	}
+	return s.opts.Ready()
+}
+
+// handleError answers what the HTTP library refused before a handler ran.
+func (s *Server) handleError(c *fiber.Ctx, err error) error {
+	refusal := verdict.RefuseField(verdict.BadRequest, "body", "%s", err)
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, fiber.ErrRequestEntityTooLarge):
+		refusal = verdict.RefuseField(verdict.BodyTooLarge, "body", "at most %d bytes are allowed", s.opts.MaxBodyBytes)
+	case errors.Is(err, fiber.ErrNotFound):
+		refusal = verdict.RefuseField(verdict.BadRequest, "path", "no such path: %s", c.Path())
+	case errors.Is(err, fiber.ErrMethodNotAllowed):
+		refusal = verdict.RefuseField(verdict.BadRequest, "method", "%s is not allowed for %s", c.Method(), c.Path())
+	}
+	return s.writeError(c, "", refusal)
+}
