Bound connections by count, judge silent exchanges by asking the target

Cause: a progress timeout alone can't tell a slow sub-request from a connection that went silent, and a frozen target accepted new connections for ever. Ruled out: taking a failed probe alone for a dead target, since health endpoints mislead; an answer a moment ago outweighs it. Change: the guard compares what the target says it works on with what this host has there; a target that answers nowhere is put off and tried by one sub-request at a time; every connection counts against the quota; a worker uses its buffers, context and timer again.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -6,15 +6,15 @@
 	"github.com/swiftvane/swiftvane/internal/verdict"
 )
 
-// take returns the items of the next exchange and puts them in it, or nothing
-// if there is no work or no slot for it.
-func (p *pool) take(now time.Time) []*item {
+// take appends to batch the items of the next exchange, none if there is no work
+// or no slot for it.
+func (p *pool) take(now time.Time, batch []*item) []*item {
 	p.mu.Lock()
 	if p.closed || p.exchanges >= p.activeSlots(now) {
 		p.mu.Unlock()
-		return nil
+		return batch
 	}
-	batch, expired := p.collect(now)
+	batch, expired := p.collect(now, batch)
 	p.waiting -= len(batch) + len(expired)
 	p.running += len(batch)
 	if len(batch) > 0 {
@@ -31,7 +31,7 @@
 
 // collect takes the first item off the queue and, if more wait than slots are
 // free, those that may share its exchange.
-func (p *pool) collect(now time.Time) (batch, expired []*item) {
+func (p *pool) collect(now time.Time, batch []*item) (taken, expired []*item) {
 	size := 1
 	next := 0
 	for ; next < len(p.queue) && len(batch) < size; next++ {
@@ -48,7 +48,6 @@
 			break
 		}
 		it.taken = true
-		it.startedAt = now
 		if len(batch) == 0 && it.req.Idempotent {
 			size = p.batchSize()
 		}
@@ -78,14 +77,14 @@
 	return max(1, min(p.l.limits.MaxBatch, byTime, share))
 }
 
-// release takes the batch out of its exchange.
-func (p *pool) release(batch []*item, took time.Duration, succeeded bool, now time.Time) {
+// release ends an exchange of n items.
+func (p *pool) release(n int, took time.Duration, succeeded bool, now time.Time) {
 	p.mu.Lock()
-	p.running -= len(batch)
+	p.running -= n
 	p.exchanges--
 	p.lastBusy = now
 	if succeeded {
-		p.observe(took / time.Duration(len(batch)))
+		p.observe(took / time.Duration(n))
 	}
 	more := p.waiting > 0
 	p.mu.Unlock()
--- a/internal/dispatch/connect.go
+++ b/internal/dispatch/connect.go
@@ -14,7 +14,7 @@
 	if w.conn != nil && time.Since(w.lastUsed) < w.p.l.limits.MaxIdle {
 		return true
 	}
-	w.drop()
+	w.hangUp()
 	conn, err := w.p.dial()
 	if err == nil {
 		w.conn = conn
@@ -23,29 +23,47 @@
 	}
 	now := time.Now()
 	pause := w.p.connectFailed(now, err)
-	w.p.release(batch, 0, false, now)
+	w.p.release(len(batch), 0, false, now)
 	w.p.finishAll(batch, refusal(verdict.TargetUnreachable, pause))
-	w.p.refuseQueue(verdict.TargetUnreachable, pause)
 	return false
 }
 
-// dial opens one connection.
+// dial opens one connection within the quota.
 func (p *pool) dial() (target.Conn, error) {
+	p.mu.Lock()
+	if p.connections >= p.quota {
+		p.mu.Unlock()
+		return nil, errQuota
+	}
+	p.connections++
+	p.mu.Unlock()
 	p.l.counters.dials.Inc(1)
 	ctx, cancel := context.WithTimeout(p.ctx, p.l.limits.DialTimeout)
 	defer cancel()
 	conn, err := p.l.opts.Dialer.Dial(ctx, p.target, p.l.limits.DialTimeout)
 	if err != nil {
 		p.l.counters.dialFailures.Inc(1)
+		p.mu.Lock()
+		p.connections--
+		p.mu.Unlock()
 		return nil, err
 	}
-	p.connected(time.Now())
 	return conn, nil
 }
 
-// connected notes that the target accepts connections.
-func (p *pool) connected(now time.Time) {
+// hangUp closes a connection that dial opened.
+func (p *pool) hangUp(conn target.Conn) {
+	_ = conn.Close()
 	p.mu.Lock()
+	p.connections--
+	p.mu.Unlock()
+}
+
+// proved notes that the target answered. After a failure that starts the slow
+// start.
+func (p *pool) proved(now time.Time) {
+	p.mu.Lock()
+	p.answeredAt = now
 	back := p.failures > 0
 	if back {
 		p.failures = 0
@@ -54,77 +72,93 @@
 	}
 	p.mu.Unlock()
 	if back {
-		p.log().Info("target accepts connections again: starting slowly")
+		p.log().Info("target answers again: starting slowly")
 	}
 }
 
-// connectFailed notes a failed attempt to connect and returns the pause.
+// connectFailed notes that the target can't be reached, refuses what waits and
+// returns the pause until the next attempt.
 func (p *pool) connectFailed(now time.Time, err error) time.Duration {
 	p.mu.Lock()
+	if left := p.downUntil.Sub(now); left > 0 {
+		p.mu.Unlock()
+		return left
+	}
 	p.failures++
 	pause := min(p.l.limits.BackoffBase<<min(p.failures-1, maxBackoffDoublings), p.l.limits.BackoffMax)
 	p.downUntil = now.Add(pause)
 	first := p.failures == 1
 	p.mu.Unlock()
 	if first {
-		p.log().WithError(err).Warn("target refuses connections")
+		p.log().WithError(err).Warn("target can't be reached")
 	}
+	p.refuseQueue(verdict.TargetUnreachable, pause)
 	return pause
 }
 
 const maxBackoffDoublings = 16
 
 // maintain keeps an idle worker's connection warm.
-func (w *worker) maintain() {
-	if !w.p.wantsWarm(w.index) {
+func (w *worker) maintain(now time.Time) {
+	if !w.p.wantsWarm(w.index, now) {
 		return
 	}
-	now := time.Now()
 	if w.conn != nil && now.Sub(w.lastUsed) >= w.p.l.limits.MaxIdle {
-		w.drop()
+		w.hangUp()
 	}
-	if w.conn == nil {
-		w.warm(now)
-		return
-	}
-	if now.Sub(w.lastUsed) < w.p.l.limits.IdleProbe {
-		return
+	if w.conn != nil {
+		if now.Sub(w.lastUsed) < w.p.l.limits.IdleProbe || w.probe() == nil {
+			return
+		}
+		w.hangUp()
 	}
-	ctx, cancel := context.WithTimeout(w.p.ctx, w.p.l.limits.ProbeTimeout)
-	defer cancel()
-	load, err := w.conn.Probe(ctx)
-	if err != nil || w.conn.Broken() {
-		w.drop()
-		w.warm(now)
-		return
+	if err := w.warm(); err != nil {
+		w.hangUp()
+		w.p.connectFailed(time.Now(), err)
 	}
-	w.p.probed(&load)
 }
 
-// warm opens a connection ahead of need unless the target is backed off.
-func (w *worker) warm(now time.Time) {
-	if w.p.backedOff(now) {
-		return
-	}
+// warm opens a connection ahead of need and proves it by a probe.
+func (w *worker) warm() error {
 	conn, err := w.p.dial()
 	if err != nil {
-		w.p.connectFailed(time.Now(), err)
-		return
+		return err
 	}
 	w.conn = conn
 	w.lastUsed = time.Now()
+	return w.probe()
 }
 
-func (p *pool) backedOff(now time.Time) bool {
+// probe asks the target for its load over the worker's own connection.
+func (w *worker) probe() error {
+	ctx, cancel := context.WithTimeout(w.p.ctx, w.p.l.limits.ProbeTimeout)
+	defer cancel()
+	load, err := w.conn.Probe(ctx)
+	if err != nil {
+		return err
+	}
+	w.p.probed(&load)
+	return nil
+}
+
+// wantsWarm reports whether the slot keeps a connection while it is idle: all
+// slots of an owner do, and one of a host that stands by. While the target is
+// down, one slot looks whether it is back.
+func (p *pool) wantsWarm(index int, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now.Before(p.downUntil)
+	if p.yielded || p.closed || now.Before(p.downUntil) {
+		return false
+	}
+	return index == 0 || (p.owner && p.failures == 0)
 }
 
-// wantsWarm reports whether the slot keeps a connection while it is idle: all
-// slots of an owner do, and one of a host that stands by.
-func (p *pool) wantsWarm(index int) bool {
+// nextMaintenance returns the time to the next look at an idle connection.
+func (p *pool) nextMaintenance(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.yielded && !p.closed && (p.owner || index == 0)
+	if left := p.downUntil.Sub(now); left > 0 {
+		return min(left, p.l.limits.IdleProbe)
+	}
+	return p.l.limits.IdleProbe
 }
--- a/internal/dispatch/controlconn.go
+++ b/internal/dispatch/controlconn.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 
 	"github.com/swiftvane/swiftvane/internal/subquery"
 	"github.com/swiftvane/swiftvane/internal/target"
 )
 
-// errNoControlConn is returned where the quota leaves no connection for probes.
-var errNoControlConn = errors.New("dispatch: the connection quota leaves none for probes")
-
 // controlConn is the connection on which a pool cancels and probes while its
 // slots are busy.
 type controlConn struct {
@@ -117,7 +113,7 @@
 // drop closes the connection. connMu must be held.
 func (c *controlConn) drop() {
 	if c.conn != nil {
-		_ = c.conn.Close()
+		c.p.hangUp(c.conn)
 		c.conn = nil
 	}
 }
--- a/internal/dispatch/item.go
+++ b/internal/dispatch/item.go
@@ -18,6 +18,8 @@
 	// taken is set, under the pool's lock, once the item left the queue.
 	taken    bool
 	finished atomic.Bool
+	// answer is set by the worker before it reports it.
+	answer *subquery.Answer
 }
 
 // finish reports the answer unless the item has one. It must not be called with
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -53,6 +53,9 @@
 	connectionShare = 4
 	// ewmaDivisor is the inverse of the weight of a new sample.
 	ewmaDivisor = 8
+	// deadlineSlack is how long past its deadline an exchange may take before its
+	// connection is closed: the target is told the deadline and answers by it.
+	deadlineSlack = 50 * time.Millisecond
 	// pausedAfter is a gap of the reconcile ticker, in its periods, that means
 	// that the process was paused.
 	pausedAfter = 10
--- a/internal/dispatch/local.go
+++ b/internal/dispatch/local.go
@@ -114,7 +114,7 @@
 // Submit implements subquery.Dispatcher.
 func (l *Local) Submit(req *subquery.Request, done func(*subquery.Answer)) (cancel func()) {
 	if l.stopping.Load() {
-		return l.refuse(done, refusal(verdict.NotOwner, 0))
+		return l.refuse(done, refusal(verdict.HostStopping, 0))
 	}
 	p := (*l.pools.Load())[req.Target]
 	if p == nil {
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -15,6 +15,9 @@
 
 // absorb takes in what an answer says about the target's state.
 func (p *pool) absorb(a *subquery.Answer, now time.Time) {
+	if a.OK() {
+		p.proved(now)
+	}
 	if a.Load.Leaving || a.Reason == verdict.TargetLeaving {
 		p.setLeaving(true)
 	}
@@ -37,9 +40,14 @@
 	p.refuseQueue(verdict.TargetShed, hint)
 }
 
-// probed takes in a probe's load report. Only a probe that says otherwise ends
-// a target's leaving.
-func (p *pool) probed(load *subquery.Load) { p.setLeaving(load.Leaving) }
+// probed takes in a probe's load report. Health endpoints mislead: a probe ends
+// a target's leaving, but only an answer begins it.
+func (p *pool) probed(load *subquery.Load) {
+	p.proved(time.Now())
+	if !load.Leaving {
+		p.setLeaving(false)
+	}
+}
 
 func (p *pool) setLeaving(leaving bool) {
 	p.mu.Lock()
@@ -72,7 +80,7 @@
 		p.connectFailed(now, err)
 		return refused(err)
 	}
-	defer func() { _ = conn.Close() }()
+	defer p.hangUp(conn)
 	ctx, cancel := context.WithTimeout(p.ctx, p.l.limits.ProbeTimeout)
 	defer cancel()
 	_, err = conn.Probe(ctx)
--- /dev/null
+++ b/internal/dispatch/queue.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// cancel gives an item up: from the queue at once, from the target by asking it.
+func (p *pool) cancel(it *item) {
+	p.mu.Lock()
+	taken := it.taken
+	if !taken {
+		p.waiting--
+		it.taken = true
+	}
+	p.mu.Unlock()
+	if !taken {
+		it.finish(refusal(verdict.Cancelled, 0))
+		return
+	}
+	if it.finish(unknown(verdict.Cancelled)) {
+		p.ctl.cancel(it.id)
+	}
+}
+
+// dropExpired finishes queued items whose deadline passed.
+func (p *pool) dropExpired() {
+	now := time.Now()
+	p.mu.Lock()
+	var expired []*item
+	kept := p.queue[:0]
+	for _, it := range p.queue {
+		if !now.Before(it.req.Deadline) && !it.taken {
+			p.waiting--
+			it.taken = true
+			expired = append(expired, it)
+			continue
+		}
+		kept = append(kept, it)
+	}
+	p.queue = kept
+	p.mu.Unlock()
+	p.finishAll(expired, refusal(verdict.DeadlinePassed, 0))
+}
+
+// refuseQueue refuses everything that waits.
+func (p *pool) refuseQueue(r verdict.Reason, retryAfter time.Duration) {
+	p.mu.Lock()
+	var refused []*item
+	for _, it := range p.queue {
+		if !it.taken {
+			it.taken = true
+			refused = append(refused, it)
+		}
+	}
+	p.queue = p.queue[:0]
+	p.waiting = 0
+	p.mu.Unlock()
+	p.finishAll(refused, refusal(r, retryAfter))
+}
+
+func (p *pool) finishAll(items []*item, a *subquery.Answer) {
+	for _, it := range items {
+		p.l.counters.refused(a.Reason)
+		answer := *a
+		it.finish(&answer)
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/subquery"
@@ -10,26 +10,54 @@
 	"github.com/swiftvane/swiftvane/internal/verdict"
 )
 
-// Causes that end an exchange.
-var errSilent = errors.New("dispatch: the exchange makes no progress")
-
 // worker runs the exchanges of one slot, one after the other, on one
-// connection.
+// connection. Its fields belong to its goroutine, except for the atomic ones.
 type worker struct {
 	p        *pool
 	index    int
 	conn     target.Conn
 	lastUsed time.Time
+	guard    *guard
+	// ctx is the context of exchanges; it is replaced once it was cancelled.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// batch and exchanges are buffers that every exchange uses again.
+	batch     []*item
+	exchanges []target.Exchange
+	// busySince is the Unix time in nanoseconds at which the running exchange
+	// began, zero while there is none.
+	busySince atomic.Int64
+	// asked counts the sub-requests of the running exchange.
+	asked atomic.Int64
+}
+
+func newWorker(p *pool, index int) *worker {
+	w := &worker{p: p, index: index}
+	w.guard = newGuard(w)
+	w.renewContext()
+	return w
+}
+
+// renewContext replaces a context that was cancelled.
+func (w *worker) renewContext() {
+	if w.cancel != nil {
+		w.cancel(nil)
+	}
+	w.ctx, w.cancel = context.WithCancelCause(w.p.ctx)
 }
 
 // loop serves the pool's queue until the pool closes.
 func (w *worker) loop() {
 	idle := time.NewTimer(0)
 	defer idle.Stop()
-	defer w.drop()
+	defer w.hangUp()
+	defer w.guard.stop()
+	defer w.cancel(nil)
 	for {
-		if batch := w.p.take(time.Now()); len(batch) > 0 {
-			w.serve(batch)
+		w.batch = w.p.take(time.Now(), w.batch[:0])
+		if len(w.batch) > 0 {
+			w.serve(w.batch)
+			clear(w.batch)
 			continue
 		}
 		select {
@@ -37,8 +65,8 @@
 			return
 		case <-w.p.wake:
 		case <-idle.C:
-			w.maintain()
-			idle.Reset(w.p.l.limits.IdleProbe)
+			w.maintain(time.Now())
+			idle.Reset(w.p.nextMaintenance(time.Now()))
 		}
 	}
 }
@@ -49,33 +77,34 @@
 		return
 	}
 	started := time.Now()
-	exchanges := make([]target.Exchange, len(batch))
 	latest := started
-	for i, it := range batch {
-		exchanges[i] = target.Exchange{ID: it.id, Request: it.req}
+	w.exchanges = w.exchanges[:0]
+	for _, it := range batch {
+		it.startedAt = started
+		w.exchanges = append(w.exchanges, target.Exchange{ID: it.id, Request: it.req})
 		if it.req.Deadline.After(latest) {
 			latest = it.req.Deadline
 		}
 	}
 	w.p.l.counters.exchanges.Inc(1)
 	w.p.l.counters.batched.Inc(int64(len(batch)))
-	ctx, cancel := context.WithCancelCause(w.p.ctx)
-	guard := newGuard(w.p, cancel, latest)
-	answers := w.conn.Search(ctx, exchanges)
-	guard.stop()
-	cause := context.Cause(ctx)
-	cancel(nil)
+	w.asked.Store(int64(len(batch)))
+	w.busySince.Store(started.UnixNano())
+	w.guard.begin(batch, latest)
+	answers := w.conn.Search(w.ctx, w.exchanges)
+	w.guard.end()
+	w.busySince.Store(0)
 	now := time.Now()
 	w.lastUsed = now
-	w.deliver(batch, answers, cause, now)
+	clear(w.exchanges)
+	w.deliver(batch, answers, now)
 }
 
 // deliver hands each item its answer and settles the connection.
-func (w *worker) deliver(batch []*item, answers []*subquery.Answer, cause error, now time.Time) {
+func (w *worker) deliver(batch []*item, answers []*subquery.Answer, now time.Time) {
 	broken := w.conn.Broken() || len(answers) != len(batch)
-	reason := w.settle(broken, cause, now)
+	reason := w.settle(broken, now)
 	succeeded := false
-	var crashed []*item
 	for i, it := range batch {
 		a := answerOf(answers, i, len(batch))
 		if reason != "" && a.Verdict == verdict.Unknown && !a.OK() {
@@ -84,19 +113,18 @@
 		a.Waited = it.startedAt.Sub(it.queuedAt)
 		a.Took = now.Sub(it.startedAt)
 		succeeded = succeeded || a.OK()
-		if a.Reason == verdict.TargetCrashed {
-			crashed = append(crashed, it)
-		}
 		w.p.absorb(a, now)
+		it.answer = a
 	}
-	w.p.release(batch, now.Sub(batch[0].startedAt), succeeded, now)
-	w.p.reportCrash(crashed)
-	for i, it := range batch {
-		a := answerOf(answers, i, len(batch))
-		if !a.OK() {
-			w.p.l.counters.failed(a.Reason)
+	w.p.release(len(batch), now.Sub(batch[0].startedAt), succeeded, now)
+	if reason == verdict.TargetCrashed {
+		w.p.reportCrash(batch)
+	}
+	for _, it := range batch {
+		if !it.answer.OK() {
+			w.p.l.counters.failed(it.answer.Reason)
 		}
-		if !it.finish(a) {
+		if !it.finish(it.answer) {
 			w.p.l.counters.late.Inc(1)
 		}
 	}
@@ -113,18 +141,17 @@
 
 // settle closes a broken connection and returns why it broke, empty if the
 // answers say so themselves.
-func (w *worker) settle(broken bool, cause error, now time.Time) verdict.Reason {
+func (w *worker) settle(broken bool, now time.Time) verdict.Reason {
+	cause := context.Cause(w.ctx)
+	if cause != nil {
+		w.renewContext()
+	}
 	if !broken {
 		return ""
 	}
-	w.drop()
-	switch {
-	case errors.Is(cause, errSilent):
-		return verdict.TargetSilent
-	case errors.Is(cause, context.DeadlineExceeded):
-		return verdict.DeadlinePassed
-	case cause != nil:
-		return verdict.Cancelled
+	w.hangUp()
+	if cause != nil {
+		return reasonOf(cause)
 	}
 	if w.p.died(now) {
 		return verdict.TargetCrashed
@@ -132,10 +159,10 @@
 	return ""
 }
 
-// drop closes the worker's connection.
-func (w *worker) drop() {
+// hangUp closes the worker's connection.
+func (w *worker) hangUp() {
 	if w.conn != nil {
-		_ = w.conn.Close()
+		w.p.hangUp(w.conn)
 		w.conn = nil
 	}
 }
--- a/internal/scatter/shardstate.go
+++ b/internal/scatter/shardstate.go
@@ -42,7 +42,7 @@
 func retryable(r verdict.Reason) bool {
 	switch r {
 	case verdict.Cancelled, verdict.DeadlinePassed, verdict.Quarantined, verdict.BadRequest,
-		verdict.BodyTooLarge, verdict.HostStopping:
+		verdict.BodyTooLarge:
 		return false
 	default:
 		return true
