Decide a query by the policy of each service; test hedges, retries and ends

Ruled out: one coverage over all shards where a service has a policy of its own, since the lower of two policies would then hide the other. Change: shards are grouped by policy, and a query is over by its groups; retries keep their own time; a batch of which nothing was sent moves to a fresh connection; only a connection lost in an exchange is looked at for a crash.

--- a/internal/dispatch/causes.go
+++ b/internal/dispatch/causes.go
@@ -18,6 +18,8 @@
 	errUnwanted = errors.New("dispatch: the exchange was cancelled")
 	// errNoControlConn is returned where the quota leaves no connection for probes.
 	errNoControlConn = errors.New("dispatch: the connection quota leaves none for probes")
+	// errRefused means that a connection was refused at once.
+	errRefused = errors.New("dispatch: connection refused")
 	// errQuota is returned where this host's share of connections is open.
 	errQuota = errors.New("dispatch: this host's connections to the target are all open")
 )
--- a/internal/dispatch/connect.go
+++ b/internal/dispatch/connect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/target"
@@ -15,7 +16,7 @@
 		return true
 	}
 	w.hangUp()
-	conn, err := w.p.dial()
+	conn, err := w.p.dial(w.p.l.limits.DialTimeout)
 	if err == nil {
 		w.conn = conn
 		w.lastUsed = time.Now()
@@ -28,8 +29,9 @@
 	return false
 }
 
-// dial opens one connection within the quota.
-func (p *pool) dial() (target.Conn, error) {
+// dial opens one connection within the quota. The error is errRefused if the
+// other end, or the network, answered in time.
+func (p *pool) dial(timeout time.Duration) (target.Conn, error) {
 	p.mu.Lock()
 	if p.connections >= p.quota {
 		p.mu.Unlock()
@@ -38,14 +40,17 @@
 	p.connections++
 	p.mu.Unlock()
 	p.l.counters.dials.Inc(1)
-	ctx, cancel := context.WithTimeout(p.ctx, p.l.limits.DialTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
-	conn, err := p.l.opts.Dialer.Dial(ctx, p.target, p.l.limits.DialTimeout)
+	conn, err := p.l.opts.Dialer.Dial(ctx, p.target, timeout)
 	if err != nil {
 		p.l.counters.dialFailures.Inc(1)
 		p.mu.Lock()
 		p.connections--
 		p.mu.Unlock()
+		if ctx.Err() == nil {
+			err = fmt.Errorf("%w: %w", errRefused, err)
+		}
 		return nil, err
 	}
 	return conn, nil
@@ -120,7 +125,7 @@
 
 // warm opens a connection ahead of need and proves it by a probe.
 func (w *worker) warm() error {
-	conn, err := w.p.dial()
+	conn, err := w.p.dial(w.p.l.limits.DialTimeout)
 	if err != nil {
 		return err
 	}
--- a/internal/dispatch/controlconn.go
+++ b/internal/dispatch/controlconn.go
@@ -95,7 +95,7 @@
 		return c.p.ctx.Err()
 	}
 	if c.conn == nil {
-		conn, err := c.p.dial()
+		conn, err := c.p.dial(c.p.l.limits.ProbeTimeout)
 		if err != nil {
 			return err
 		}
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"syscall"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/subquery"
@@ -75,16 +74,13 @@
 	if p.ctl.lost() {
 		return true
 	}
-	conn, err := p.dial()
+	conn, err := p.dial(p.l.limits.ProbeTimeout)
 	if err != nil {
 		p.connectFailed(now, err)
-		return refused(err)
+		return errors.Is(err, errRefused)
 	}
-	defer p.hangUp(conn)
-	ctx, cancel := context.WithTimeout(p.ctx, p.l.limits.ProbeTimeout)
-	defer cancel()
-	_, err = conn.Probe(ctx)
-	return err != nil && refused(err)
+	p.hangUp(conn)
+	return false
 }
 
 // lost reports whether the connection for probes was open and is dead now.
@@ -103,12 +99,6 @@
 	return true
 }
 
-// refused reports whether the other end refused or reset the connection, which
-// a cut network does not do.
-func refused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-}
-
 // reportCrash tells of each sub-request that ran when the target died.
 func (p *pool) reportCrash(items []*item) {
 	if len(items) == 0 {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -76,6 +76,30 @@
 	if !w.connect(batch) {
 		return
 	}
+	answers := w.exchange(batch)
+	if w.conn.Broken() && neverSent(answers) {
+		// The connection was stale: nothing was sent, so a fresh one may be used.
+		w.hangUp()
+		if !w.connect(batch) {
+			return
+		}
+		answers = w.exchange(batch)
+	}
+	w.deliver(batch, answers, time.Now())
+}
+
+// neverSent reports whether the connection broke before a byte was written.
+func neverSent(answers []*subquery.Answer) bool {
+	for _, a := range answers {
+		if a == nil || a.Verdict != verdict.NotRun || a.Reason != verdict.TargetUnreachable {
+			return false
+		}
+	}
+	return len(answers) > 0
+}
+
+// exchange sends the batch and returns the target's answers.
+func (w *worker) exchange(batch []*item) []*subquery.Answer {
 	started := time.Now()
 	latest := started
 	w.exchanges = w.exchanges[:0]
@@ -94,16 +118,15 @@
 	answers := w.conn.Search(w.ctx, w.exchanges)
 	w.guard.end()
 	w.busySince.Store(0)
-	now := time.Now()
-	w.lastUsed = now
+	w.lastUsed = time.Now()
 	clear(w.exchanges)
-	w.deliver(batch, answers, now)
+	return answers
 }
 
 // deliver hands each item its answer and settles the connection.
 func (w *worker) deliver(batch []*item, answers []*subquery.Answer, now time.Time) {
 	broken := w.conn.Broken() || len(answers) != len(batch)
-	reason := w.settle(broken, now)
+	reason := w.settle(broken, lostIn(answers), now)
 	succeeded := false
 	for i, it := range batch {
 		a := answerOf(answers, i, len(batch))
@@ -141,7 +164,7 @@
 
 // settle closes a broken connection and returns why it broke, empty if the
 // answers say so themselves.
-func (w *worker) settle(broken bool, now time.Time) verdict.Reason {
+func (w *worker) settle(broken, lost bool, now time.Time) verdict.Reason {
 	cause := context.Cause(w.ctx)
 	if cause != nil {
 		w.renewContext()
@@ -153,12 +176,22 @@
 	if cause != nil {
 		return reasonOf(cause)
 	}
-	if w.p.died(now) {
+	if lost && w.p.died(now) {
 		return verdict.TargetCrashed
 	}
 	return ""
 }
 
+// lostIn reports whether a connection ended in the midst of the exchange.
+func lostIn(answers []*subquery.Answer) bool {
+	for _, a := range answers {
+		if a != nil && a.Verdict == verdict.Unknown && (a.Reason == verdict.TargetUnreachable || a.Reason == verdict.ReplyTruncated) {
+			return true
+		}
+	}
+	return false
+}
+
 // hangUp closes the worker's connection.
 func (w *worker) hangUp() {
 	if w.conn != nil {
--- a/internal/gather/gatherer.go
+++ b/internal/gather/gatherer.go
@@ -86,11 +86,13 @@
 	return Merged
 }
 
-// note keeps a failed attempt.
+// note keeps a failed attempt. That it was cancelled does not hide why.
 func (s *slot) note(v verdict.Verdict, r verdict.Reason) {
 	s.ran = s.ran || v == verdict.Ran
 	s.unknown = s.unknown || v == verdict.Unknown
-	s.reason = r
+	if s.reason == "" || r != verdict.Cancelled {
+		s.reason = r
+	}
 }
 
 // GiveUp marks the shard as missing for the reason unless it was merged or has
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -29,4 +29,15 @@
 	Shards []model.Shard
 	// Policy is the workload's policy for the caller.
 	Policy config.Policy
+	// Services are the policies of services that an exception names; the others
+	// go by Policy.
+	Services map[model.ServiceName]*config.Policy
+}
+
+// PolicyOf returns the policy of a service.
+func (p *Plan) PolicyOf(s model.ServiceName) *config.Policy {
+	if own, ok := p.Services[s]; ok {
+		return own
+	}
+	return &p.Policy
 }
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/swiftvane/swiftvane/internal/config"
 	"github.com/swiftvane/swiftvane/internal/model"
@@ -9,33 +10,19 @@
 	"github.com/swiftvane/swiftvane/internal/view"
 )
 
-// PolicyFunc returns the policy in force for a workload, service and caller.
-type PolicyFunc func(f *config.Fleet, w model.WorkloadName, s model.ServiceName, c model.CallerID) config.Policy
-
 // Options configure a Planner.
 type Options struct {
 	// Holdings is what targets reported; required.
 	Holdings *Holdings
-	// Policy resolves policies; nil means the fleet's defaults.
-	Policy PolicyFunc
 }
 
 // Planner makes plans. It is safe for concurrent use.
 type Planner struct {
 	holdings *Holdings
-	policy   PolicyFunc
 }
 
 // NewPlanner returns a Planner.
-func NewPlanner(o Options) *Planner {
-	p := &Planner{holdings: o.Holdings, policy: o.Policy}
-	if p.policy == nil {
-		p.policy = func(f *config.Fleet, _ model.WorkloadName, _ model.ServiceName, _ model.CallerID) config.Policy {
-			return f.Defaults
-		}
-	}
-	return p
-}
+func NewPlanner(o Options) *Planner { return &Planner{holdings: o.Holdings} }
 
 // Plan pins the newest snapshot that covers the shards asked. If none covers
 // them all, it pins the one that covers most.
@@ -51,10 +38,27 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	best.Policy = p.policy(v.Fleet, q.Workload, soleService(q.Services), q.Caller)
+	resolvePolicies(best, q.Caller, time.Now())
 	return best, nil
 }
 
+// resolvePolicies sets the policies in force for the plan.
+func resolvePolicies(p *Plan, caller model.CallerID, now time.Time) {
+	f := p.View.Fleet
+	p.Policy = f.Policy(p.Workload, "", caller, now)
+	for i := range f.Exceptions {
+		x := &f.Exceptions[i]
+		if x.Workload != p.Workload || x.Service == "" {
+			continue
+		}
+		if p.Services == nil {
+			p.Services = make(map[model.ServiceName]*config.Policy)
+		}
+		own := f.Policy(p.Workload, x.Service, caller, now)
+		p.Services[x.Service] = &own
+	}
+}
+
 // pin chooses among the published snapshots, newest first.
 func (p *Planner) pin(v *view.View, q Query, index *model.Index) (*Plan, *verdict.Error) {
 	var best *Plan
@@ -127,10 +131,3 @@
 	}
 	return shards, ""
 }
-
-func soleService(services []model.ServiceName) model.ServiceName {
-	if len(services) == 1 {
-		return services[0]
-	}
-	return ""
-}
--- a/internal/query/executor.go
+++ b/internal/query/executor.go
@@ -26,8 +26,6 @@
 	Views view.Source
 	// Dispatcher runs sub-requests; required.
 	Dispatcher subquery.Dispatcher
-	// Policy resolves policies; nil means the fleet's defaults.
-	Policy plan.PolicyFunc
 	// Scope gets the counters; required.
 	Scope metrics.Scope
 	// Log gets one line for each plan that was discarded; required.
@@ -48,7 +46,7 @@
 	holdings := plan.NewHoldings()
 	return &Executor{
 		views:   o.Views,
-		planner: plan.NewPlanner(plan.Options{Holdings: holdings, Policy: o.Policy}),
+		planner: plan.NewPlanner(plan.Options{Holdings: holdings}),
 		scatterer: scatter.New(scatter.Options{
 			Dispatcher: o.Dispatcher,
 			Holdings:   holdings,
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -16,7 +16,8 @@
 	st.outstanding--
 	switch r.gathered.Add(rep.shard, rep.answer) {
 	case gather.Merged:
-		r.decide(st)
+		r.groupOf[rep.shard].merged++
+		r.decide(rep.shard)
 		r.cancelOthers(rep.shard)
 	case gather.Failed:
 		st.snapshotLost = rep.answer.Reason == verdict.SnapshotUnavailable
@@ -29,17 +30,17 @@
 }
 
 // decide marks the shard as merged or failed for good.
-func (r *run) decide(st *shardState) {
-	if !st.decided {
+func (r *run) decide(shard int) {
+	if st := &r.shards[shard]; !st.decided {
 		st.decided = true
-		r.open--
+		r.groupOf[shard].open--
 	}
 }
 
 // fail marks the shard as missing.
 func (r *run) fail(shard int, reason verdict.Reason) {
 	r.gathered.GiveUp(shard, reason)
-	r.decide(&r.shards[shard])
+	r.decide(shard)
 }
 
 // cancelOthers cancels the attempts that lost against a merged one.
@@ -87,7 +88,7 @@
 		r.fail(shard, reason)
 		return
 	}
-	if !r.budgets.retry.Spend(r.plan.Policy.RetryBudget) {
+	if !r.budgets.retry.Spend(r.groupOf[shard].policy.RetryBudget) {
 		r.s.counters.inc("retries_refused", verdict.RetryBudgetSpent)
 		r.fail(shard, reason)
 		return
@@ -106,6 +107,7 @@
 		return
 	}
 	st.retryPending = true
+	st.retryAt = at
 	r.alarms.push(alarm{at: at, shard: shard})
 }
 
@@ -117,7 +119,9 @@
 		switch {
 		case st.decided:
 		case st.retryPending:
-			r.retryNow(shard, now)
+			if !now.Before(st.retryAt) {
+				r.retryNow(shard, now)
+			}
 		case st.outstanding > 0:
 			r.hedge(shard, now)
 		}
@@ -145,7 +149,7 @@
 		return
 	}
 	next := alarm{at: now.Add(r.hedgeDelay(shard, now)), shard: shard}
-	if !r.budgets.hedge.Spend(r.plan.Policy.HedgeBudget) {
+	if !r.budgets.hedge.Spend(r.groupOf[shard].policy.HedgeBudget) {
 		if !st.hedgeDenied {
 			st.hedgeDenied = true
 			r.s.counters.inc("hedges_refused", verdict.HedgeBudgetSpent)
@@ -160,7 +164,7 @@
 
 // hedgeDelay returns how long an attempt for the shard may run alone.
 func (r *run) hedgeDelay(shard int, now time.Time) time.Duration {
-	p := &r.plan.Policy
+	p := r.groupOf[shard].policy
 	q := max(p.HedgeQuantile, 1-p.HedgeBudget*hedgeBudgetShare)
 	d, ok := r.s.latency(r.plan.Workload, r.service(shard)).Quantile(q, now)
 	if !ok {
--- /dev/null
+++ b/internal/scatter/fake_test.go
@@ -0,0 +1,121 @@
+package scatter
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+
+	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/gather"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/plan"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/view"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// scripted is a subquery.Dispatcher whose behaviour is a function that gives
+// the answer to a sub-request and the time that it takes.
+type scripted struct {
+	script func(req *subquery.Request) (*subquery.Answer, time.Duration)
+
+	mu        sync.Mutex
+	sent      []*subquery.Request
+	sentAt    []time.Time
+	cancelled []model.TargetID
+}
+
+func (s *scripted) Submit(req *subquery.Request, done func(*subquery.Answer)) func() {
+	s.mu.Lock()
+	s.sent = append(s.sent, req)
+	s.sentAt = append(s.sentAt, time.Now())
+	s.mu.Unlock()
+	a, delay := s.script(req)
+	var once sync.Once
+	timer := time.AfterFunc(delay, func() { once.Do(func() { done(a) }) })
+	return func() {
+		timer.Stop()
+		once.Do(func() {
+			s.mu.Lock()
+			s.cancelled = append(s.cancelled, req.Target)
+			s.mu.Unlock()
+			done(&subquery.Answer{Verdict: verdict.Unknown, Reason: verdict.Cancelled})
+		})
+	}
+}
+
+// submitFunc makes a function a subquery.Dispatcher.
+type submitFunc func(req *subquery.Request, done func(*subquery.Answer)) func()
+
+func (f submitFunc) Submit(req *subquery.Request, done func(*subquery.Answer)) func() {
+	return f(req, done)
+}
+
+func (s *scripted) sentTo(t model.TargetID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, req := range s.sent {
+		if req.Target == t {
+			n++
+		}
+	}
+	return n
+}
+
+// never is a delay that ends after every deadline of these tests.
+const never = time.Hour
+
+func ok(req *subquery.Request) *subquery.Answer {
+	return &subquery.Answer{Verdict: verdict.Ran, Snapshot: req.Snapshot, Body: []byte(req.Shard)}
+}
+
+func failed(v verdict.Verdict, r verdict.Reason) *subquery.Answer {
+	return &subquery.Answer{Verdict: v, Reason: r}
+}
+
+// replica returns the id of a target of testPlan.
+func replica(shard, n int) model.TargetID {
+	return model.TargetID(fmt.Sprintf("t%d-%d", shard, n))
+}
+
+// testPlan pins snapshot 1 of shards with replicas targets each.
+func testPlan(shards, replicas int, policy config.Policy) *plan.Plan {
+	p := &plan.Plan{View: &view.View{}, Workload: "w", Snapshot: 1, Policy: policy}
+	for i := range shards {
+		sh := model.Shard{ID: model.ShardID(fmt.Sprintf("s%d", i)), Service: model.ServiceName(fmt.Sprintf("svc%d", i))}
+		for n := range replicas {
+			sh.Replicas = append(sh.Replicas, replica(i, n))
+		}
+		p.Shards = append(p.Shards, sh)
+	}
+	return p
+}
+
+func testPolicy() config.Policy {
+	return config.Policy{
+		StragglerWaitMS: 60000, MinCoverage: 1, HedgeQuantile: 0.95, HedgeBudget: 0.05, RetryBudget: 0.1,
+	}
+}
+
+func newScripted(script func(req *subquery.Request) (*subquery.Answer, time.Duration)) (*Scatterer, *scripted, tally.TestScope) {
+	d := &scripted{script: script}
+	scope := tally.NewTestScope("", nil)
+	s := New(Options{
+		Dispatcher: d, Holdings: plan.NewHoldings(), Gather: gather.NewCounters(scope), Scope: scope,
+	})
+	return s, d, scope
+}
+
+func runQuery(s *Scatterer, p *plan.Plan, idempotent bool, left time.Duration) *Outcome {
+	return s.Run(context.Background(), &Request{
+		RequestID: "r", Body: []byte("q"), Deadline: time.Now().Add(left), Idempotent: idempotent, Plan: p,
+	})
+}
--- /dev/null
+++ b/internal/scatter/retry_test.go
@@ -0,0 +1,169 @@
+package scatter
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/view"
+)
+
+// counterOf returns the value of a counter with a reason tag.
+func counterOf(scope tally.TestScope, name, reason string) int64 {
+	for _, c := range scope.Snapshot().Counters() {
+		if c.Name() == name && c.Tags()["reason"] == reason {
+			return c.Value()
+		}
+	}
+	return 0
+}
+
+func TestFailureIsRetriedOnTheOtherReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, d, scope := newScripted(func(req *subquery.Request) (*subquery.Answer, time.Duration) {
+			if req.Target == replica(0, 0) {
+				return failed(verdict.Unknown, verdict.TargetFailed), time.Millisecond
+			}
+			return ok(req), time.Millisecond
+		})
+		for range 20 {
+			out := runQuery(s, testPlan(1, 2, testPolicy()), true, time.Minute)
+			require.True(t, out.Enough)
+		}
+		require.Equal(t, int64(d.sentTo(replica(0, 0))), counterOf(scope, "retries_sent", "target_failed"))
+	})
+}
+
+func TestRetriesStayWithinTheirBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, d, scope := newScripted(func(*subquery.Request) (*subquery.Answer, time.Duration) {
+			return failed(verdict.Unknown, verdict.TargetFailed), time.Millisecond
+		})
+		const queries = 100
+		for range queries {
+			out := runQuery(s, testPlan(10, 2, testPolicy()), true, time.Minute)
+			require.False(t, out.Enough)
+			require.Equal(t, Hopeless, out.End)
+		}
+		require.LessOrEqual(t, len(d.sent)-queries*10, budgetReserve+queries)
+		require.Positive(t, counterOf(scope, "retries_refused", "retry_budget_spent"))
+	})
+}
+
+func TestNoRetryThatTheDeadlineCannotHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		broken := false
+		s, d, scope := newScripted(func(req *subquery.Request) (*subquery.Answer, time.Duration) {
+			if broken {
+				return failed(verdict.Unknown, verdict.TargetFailed), 50 * time.Millisecond
+			}
+			return ok(req), 100 * time.Millisecond
+		})
+		for range 20 {
+			runQuery(s, testPlan(1, 2, testPolicy()), true, time.Minute)
+		}
+		broken = true
+		before := len(d.sent)
+		out := runQuery(s, testPlan(1, 2, testPolicy()), true, 120*time.Millisecond)
+		require.False(t, out.Enough)
+		require.Len(t, d.sent, before+1)
+		require.Equal(t, int64(1), counterOf(scope, "retries_refused", "deadline_passed"))
+	})
+}
+
+func TestNonIdempotentIsSentOnceUnlessItDidNotRun(t *testing.T) {
+	for _, c := range []struct {
+		verdict verdict.Verdict
+		sent    int
+		final   verdict.Verdict
+	}{
+		{verdict.Unknown, 1, verdict.Unknown},
+		{verdict.Ran, 1, verdict.Ran},
+		{verdict.NotRun, 2, verdict.Ran},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			first := true
+			s, d, _ := newScripted(func(req *subquery.Request) (*subquery.Answer, time.Duration) {
+				if first {
+					first = false
+					return failed(c.verdict, verdict.TargetFailed), time.Millisecond
+				}
+				return ok(req), time.Millisecond
+			})
+			out := runQuery(s, testPlan(1, 2, testPolicy()), false, time.Minute)
+			require.Len(t, d.sent, c.sent)
+			require.Equal(t, c.final, out.Gathered.Verdict())
+		})
+	}
+}
+
+func TestVerdictIsUnknownWhileASecondAttemptIsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := true
+		s, _, _ := newScripted(func(req *subquery.Request) (*subquery.Answer, time.Duration) {
+			if first {
+				first = false
+				return failed(verdict.NotRun, verdict.TargetShed), time.Millisecond
+			}
+			return ok(req), never
+		})
+		out := runQuery(s, testPlan(1, 2, testPolicy()), false, time.Second)
+		require.Equal(t, Expired, out.End)
+		require.Equal(t, verdict.Unknown, out.Gathered.Verdict())
+	})
+}
+
+func TestLeavingTargetsAreNotAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, d, _ := newScripted(func(req *subquery.Request) (*subquery.Answer, time.Duration) {
+			return ok(req), time.Millisecond
+		})
+		p := testPlan(3, 2, testPolicy())
+		p.View = &view.View{LeavingTargets: map[model.TargetID]struct{}{replica(0, 1): {}, replica(2, 0): {}}}
+		for range 20 {
+			require.True(t, runQuery(s, p, true, time.Minute).Enough)
+		}
+		require.Zero(t, d.sentTo(replica(0, 1)))
+		require.Zero(t, d.sentTo(replica(2, 0)))
+		p.View.LeavingTargets[replica(0, 0)] = struct{}{}
+		out := runQuery(s, p, true, time.Minute)
+		require.Equal(t, Hopeless, out.End)
+		require.Equal(t, verdict.NoReplica, out.Gathered.Reason(0))
+	})
+}
+
+func TestShedTargetIsAskedAgainOnlyAfterItsHint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := true
+		s, d, _ := newScripted(func(req *subquery.Request) (*subquery.Answer, time.Duration) {
+			if first {
+				first = false
+				a := failed(verdict.NotRun, verdict.TargetShed)
+				a.RetryAfter = 300 * time.Millisecond
+				return a, time.Millisecond
+			}
+			return ok(req), time.Millisecond
+		})
+		out := runQuery(s, testPlan(1, 1, testPolicy()), true, time.Minute)
+		require.True(t, out.Enough)
+		require.Len(t, d.sentAt, 2)
+		require.GreaterOrEqual(t, d.sentAt[1].Sub(d.sentAt[0]), 300*time.Millisecond)
+	})
+}
+
+func TestRequestThatCrashesTargetsIsSentToTwoAtMost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, d, _ := newScripted(func(*subquery.Request) (*subquery.Answer, time.Duration) {
+			return failed(verdict.Unknown, verdict.TargetCrashed), time.Millisecond
+		})
+		out := runQuery(s, testPlan(1, 4, testPolicy()), true, time.Minute)
+		require.False(t, out.Enough)
+		require.Len(t, d.sent, maxCrashes)
+	})
+}
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/gather"
@@ -22,17 +21,16 @@
 	attempts []attempt
 	mail     *mailbox
 	alarms   alarms
-	// open counts the shards not decided yet.
-	open   int
-	needed int
-	extra  int
-	// stragglersAt is when a partial answer becomes acceptable.
-	stragglersAt time.Time
-	retryAfter   time.Duration
+	groups   []group
+	// groupOf is the group of each shard.
+	groupOf    []*group
+	extra      int
+	retryAfter time.Duration
 }
 
-func newRun(s *Scatterer, req *Request) *run {
+func newRun(s *Scatterer, req *Request, now time.Time) *run {
 	n := len(req.Plan.Shards)
+	groups, groupOf := newGroups(req.Plan, now)
 	r := &run{
 		s:        s,
 		req:      req,
@@ -42,8 +40,8 @@
 		shards:   make([]shardState, n),
 		attempts: make([]attempt, 0, n+n/8+1),
 		mail:     newMailbox(),
-		open:     n,
-		needed:   max(1, int(math.Ceil(req.Plan.Policy.MinCoverage*float64(n)-coverageSlack))),
+		groups:   groups,
+		groupOf:  groupOf,
 	}
 	for i := range r.shards {
 		r.shards[i].last = noAttempt
@@ -54,7 +52,6 @@
 // loop runs the query to its end.
 func (r *run) loop(ctx context.Context) *Outcome {
 	now := time.Now()
-	r.stragglersAt = now.Add(time.Duration(r.plan.Policy.StragglerWaitMS) * time.Millisecond)
 	r.launch(now)
 	wakeAt := r.nextWake(now)
 	timer := time.NewTimer(wakeAt.Sub(now))
@@ -88,26 +85,45 @@
 
 // over reports whether the query is decided at time now.
 func (r *run) over(now time.Time) (End, bool) {
-	merged := r.gathered.Merged()
+	hopeless, open, satisfied := false, 0, true
+	for i := range r.groups {
+		g := &r.groups[i]
+		hopeless = hopeless || g.hopeless()
+		open += g.open
+		satisfied = satisfied && g.satisfied(now)
+	}
 	switch {
-	case merged+r.open < r.needed:
+	case hopeless:
 		return Hopeless, true
-	case r.open == 0:
+	case open == 0:
 		return Complete, true
 	case !now.Before(r.req.Deadline):
 		return Expired, true
-	case r.req.Idempotent && merged >= r.needed && !now.Before(r.stragglersAt):
+	case satisfied && r.req.Idempotent && r.gathered.Merged() > 0:
 		return Partial, true
 	default:
 		return Complete, false
 	}
 }
 
+// enough reports whether the answer covers what the policies ask for, and at
+// least one shard.
+func (r *run) enough() bool {
+	for i := range r.groups {
+		if !r.groups[i].enough() {
+			return false
+		}
+	}
+	return r.gathered.Merged() > 0
+}
+
 // nextWake returns the next time at which something is due without a reply.
 func (r *run) nextWake(now time.Time) time.Time {
 	next := r.req.Deadline
-	if r.stragglersAt.After(now) && r.stragglersAt.Before(next) {
-		next = r.stragglersAt
+	for i := range r.groups {
+		if at := r.groups[i].stragglersAt; at.After(now) && at.Before(next) {
+			next = at
+		}
 	}
 	if len(r.alarms) > 0 && r.alarms[0].at.Before(next) {
 		next = r.alarms[0].at
@@ -117,31 +133,41 @@
 
 // finish cancels what still runs and takes in the answers that this yields.
 func (r *run) finish(end End) *Outcome {
+	for i := range r.shards {
+		r.giveUp(i, end)
+	}
 	for i := range r.attempts {
 		if a := &r.attempts[i]; !a.answered && a.cancel != nil {
 			a.cancel()
 		}
 	}
 	for _, rep := range r.mail.close() {
-		r.attempts[rep.attempt].answered = true
-		r.gathered.Add(rep.shard, rep.answer)
-	}
-	lost := false
-	for i := range r.shards {
-		lost = lost || (r.shards[i].snapshotLost && !r.gathered.IsMerged(i))
-		r.giveUp(i, end)
+		if r.gathered.Add(rep.shard, rep.answer) == gather.Merged {
+			r.groupOf[rep.shard].merged++
+		}
 	}
 	r.gathered.Close()
 	return &Outcome{
 		End:          end,
 		Gathered:     r.gathered,
-		Enough:       r.gathered.Merged() >= r.needed,
+		Enough:       r.enough(),
 		Extra:        r.extra,
-		SnapshotLost: lost,
+		SnapshotLost: r.snapshotLost(),
 		RetryAfter:   r.retryAfter,
 	}
 }
 
+// snapshotLost reports whether a shard is missing since no replica serves the
+// pinned snapshot.
+func (r *run) snapshotLost() bool {
+	for i := range r.shards {
+		if r.shards[i].snapshotLost && !r.gathered.IsMerged(i) {
+			return true
+		}
+	}
+	return false
+}
+
 // post is called by the dispatcher from any goroutine.
 func (r *run) post(rep reply) {
 	if !r.mail.post(rep) {
--- a/internal/scatter/scatterer.go
+++ b/internal/scatter/scatterer.go
@@ -79,8 +79,7 @@
 // policy asks for is out of reach, or the deadline or ctx ended. Sub-requests
 // that are still running then are cancelled.
 func (s *Scatterer) Run(ctx context.Context, req *Request) *Outcome {
-	r := newRun(s, req)
-	return r.loop(ctx)
+	return newRun(s, req, time.Now()).loop(ctx)
 }
 
 // Retain drops what was learned about targets that known does not report.
--- a/internal/scatter/send.go
+++ b/internal/scatter/send.go
@@ -23,8 +23,11 @@
 			r.alarms.push(alarm{at: now.Add(r.hedgeDelay(i, now)), shard: i})
 		}
 	}
-	r.budgets.hedge.Earn(len(r.shards), r.plan.Policy.HedgeBudget)
-	r.budgets.retry.Earn(len(r.shards), r.plan.Policy.RetryBudget)
+	for i := range r.groups {
+		g := &r.groups[i]
+		r.budgets.hedge.Earn(g.open, g.policy.HedgeBudget)
+		r.budgets.retry.Earn(g.open, g.policy.RetryBudget)
+	}
 }
 
 // send hands one attempt to the dispatcher.
--- a/internal/scatter/shardstate.go
+++ b/internal/scatter/shardstate.go
@@ -20,8 +20,9 @@
 	crashes     int8
 	// decided is set once the shard was merged or has failed for good.
 	decided bool
-	// retryPending is set while a retry waits for its time.
+	// retryPending is set while a retry waits for retryAt.
 	retryPending bool
+	retryAt      time.Time
 	// hedgeDenied is set once a hedge was refused for lack of budget.
 	hedgeDenied bool
 	// snapshotLost is set if the last failure was a missing snapshot.
