Quarantine requests that crash targets, fleet-wide

Cause: a request that crashes each target that runs it is sent again by its caller, to any host, and would take down replica after replica.

Change: records of crash notes that merge in any order; two notes that count quarantine the request. After one, its shard runs on one target at a time, with a permit from an arbiter by rendezvous, and a later success clears it. Guard, a dispatcher in front of a host's own targets, gives a crashed sub-request's answer once other hosts have the note or 100 ms have passed. Release spreads and voids notes up to then, with the clock margin.

Found by test: a crash within 500 ms after a success had cleared an earlier one on the same target was taken for that one; it now counts.

--- /dev/null
+++ b/internal/quarantine/fleet_test.go
@@ -0,0 +1,104 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/view"
+)
+
+// testNet hands messages from one service to another at once, unless the sender
+// or receiver is cut off.
+type testNet struct {
+	mu       sync.Mutex
+	handlers map[model.HostID]peer.Handler
+	cut      map[model.HostID]bool
+}
+
+// testEnd is one host's end of a testNet. Unused methods are left to the nil
+// Transport.
+type testEnd struct {
+	peer.Transport
+	net *testNet
+	id  model.HostID
+}
+
+func (e *testEnd) Handle(_ peer.Kind, h peer.Handler) {
+	e.net.mu.Lock()
+	defer e.net.mu.Unlock()
+	e.net.handlers[e.id] = h
+}
+
+func (e *testEnd) handler(to model.HostID) peer.Handler {
+	e.net.mu.Lock()
+	defer e.net.mu.Unlock()
+	if e.net.cut[e.id] || e.net.cut[to] {
+		return nil
+	}
+	return e.net.handlers[to]
+}
+
+func (e *testEnd) Go(to model.HostID, kind peer.Kind, req any, _ time.Time, done func(cbor.RawMessage, error)) func() {
+	h := e.handler(to)
+	if h == nil {
+		done(nil, verdict.Refuse(verdict.PeerLinkLost, 0, "cut"))
+		return func() {}
+	}
+	payload, err := cbor.Marshal(req)
+	if err != nil {
+		panic(err)
+	}
+	h(&peer.Inbound{Ctx: context.Background(), From: e.id, Kind: kind, Payload: payload, Reply: func(v any) {
+		raw, err := cbor.Marshal(v)
+		done(raw, err)
+	}})
+	return func() {}
+}
+
+func (e *testEnd) Send(to model.HostID, kind peer.Kind, msg any) error {
+	e.Go(to, kind, msg, time.Time{}, func(cbor.RawMessage, error) {})
+	return nil
+}
+
+type testViews struct{ hosts *model.HostList }
+
+func (v testViews) Current() *view.View { return &view.View{Hosts: v.hosts} }
+
+// newTestFleet starts n services.
+func newTestFleet(t *testing.T, n int) ([]*Service, *testNet) {
+	net := &testNet{handlers: make(map[model.HostID]peer.Handler), cut: make(map[model.HostID]bool)}
+	list := &model.HostList{Revision: 1}
+	for i := range n {
+		list.Hosts = append(list.Hosts, model.Host{ID: testHostID(i), State: model.Live})
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	services := make([]*Service, n)
+	for i := range services {
+		end := &testEnd{net: net, id: testHostID(i)}
+		services[i] = New(Options{
+			Self: list.Hosts[i], Incarnation: 1, Views: testViews{list}, Transport: end, Registrar: end, Scope: tally.NoopScope, Log: log,
+		})
+		running.Go(func() { _ = services[i].Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return services, net
+}
+
+func testHostID(i int) model.HostID { return model.HostID(fmt.Sprintf("host-%d", i)) }
--- /dev/null
+++ b/internal/quarantine/guard_test.go
@@ -0,0 +1,161 @@
+package quarantine
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeTargets answers sub-requests, dies of those whose body starts with
+// "crash", and keeps those that start with "hold" until told.
+type fakeTargets struct {
+	mu      sync.Mutex
+	crashes int
+	running int
+	most    int
+	held    []func()
+}
+
+func (f *fakeTargets) Submit(req *subquery.Request, done func(*subquery.Answer)) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch body := string(req.Body); {
+	case strings.HasPrefix(body, "crash"):
+		f.crashes++
+		go done(&subquery.Answer{Verdict: verdict.Unknown, Reason: verdict.TargetCrashed})
+	case strings.HasPrefix(body, "hold"):
+		f.running++
+		f.most = max(f.most, f.running)
+		f.held = append(f.held, func() { done(&subquery.Answer{Verdict: verdict.Ran}) })
+	default:
+		go done(&subquery.Answer{Verdict: verdict.Ran})
+	}
+	return func() {}
+}
+
+func request(body string, shard int) *subquery.Request {
+	return &subquery.Request{
+		Caller: "desk", Workload: "archive", Service: "s", Body: []byte(body),
+		Shard:    model.ShardID(rune('a' + shard)),
+		Target:   model.TargetID(rune('A' + shard)),
+		Deadline: time.Now().Add(20 * time.Second),
+	}
+}
+
+func ask(g *Guard, req *subquery.Request) *subquery.Answer {
+	answers := make(chan *subquery.Answer, 1)
+	g.Submit(req, func(a *subquery.Answer) { answers <- a })
+	return <-answers
+}
+
+func guards(services []*Service, targets subquery.Dispatcher) []*Guard {
+	all := make([]*Guard, len(services))
+	for i, s := range services {
+		all[i] = NewGuard(s, targets)
+	}
+	return all
+}
+
+func TestCrashRequestKillsAtMostTwoTargets(t *testing.T) {
+	services, _ := newTestFleet(t, 7)
+	targets := &fakeTargets{}
+	all := guards(services, targets)
+	for i := range 70 {
+		ask(all[i*3%7], request("crash", i%5))
+	}
+	require.Equal(t, 2, targets.crashes)
+	for i, s := range services {
+		refusal := s.CheckQuery("desk", "archive", []byte("crash"))
+		require.NotNil(t, refusal, "host %d", i)
+		require.Equal(t, verdict.Quarantined, refusal.Reason)
+		require.Positive(t, refusal.RetryAfter)
+		require.Len(t, s.Entries(), 1)
+		require.Len(t, s.Entries()[0].Targets, 2)
+		require.Nil(t, s.CheckQuery("other", "archive", []byte("crash")))
+	}
+}
+
+func TestReleaseSpreadsAndLetsTheRequestRunAgain(t *testing.T) {
+	services, net := newTestFleet(t, 3)
+	all := guards(services, &fakeTargets{})
+	net.mu.Lock()
+	net.cut[testHostID(2)] = true
+	net.mu.Unlock()
+	ask(all[0], request("crash", 0))
+	ask(all[1], request("crash", 1))
+	fingerprint := FingerprintOf("desk", "archive", []byte("crash"))
+	require.NotNil(t, services[1].Check(fingerprint))
+	require.Nil(t, services[2].Check(fingerprint), "cut off")
+
+	require.True(t, services[0].Release(uint64(fingerprint)))
+	require.Eventually(t, func() bool { return services[1].Check(fingerprint) == nil }, 20*time.Second, time.Millisecond)
+	require.False(t, services[1].Release(uint64(fingerprint)), "nothing to release any more")
+}
+
+func TestInnocentSuspectIsClearedByItsNextSuccess(t *testing.T) {
+	services, _ := newTestFleet(t, 3)
+	all := guards(services, &fakeTargets{})
+	innocent := request("fine", 0)
+	services[0].OnCrash(innocent)
+	fingerprint := FingerprintOf(innocent.Caller, innocent.Workload, innocent.Body)
+	suspect := func() bool { return services[2].suspectIn(fingerprint, innocent.Shard) }
+	require.Eventually(t, suspect, 20*time.Second, time.Millisecond)
+	// The clock's milliseconds must have moved on for the run to count as later.
+	time.Sleep(2 * time.Millisecond)
+	require.True(t, ask(all[1], innocent).OK())
+	require.Eventually(t, func() bool { return !suspect() }, 20*time.Second, time.Millisecond)
+	services[1].OnCrash(innocent)
+	require.Eventually(t, suspect, 20*time.Second, time.Millisecond)
+	require.Nil(t, services[2].Check(fingerprint), "the cleared crash does not count")
+}
+
+func TestSuspectRunsOnOneTargetAtATime(t *testing.T) {
+	services, _ := newTestFleet(t, 3)
+	targets := &fakeTargets{}
+	all := guards(services, targets)
+	suspect := request("hold", 0)
+	services[0].OnCrash(suspect)
+	fingerprint := FingerprintOf(suspect.Caller, suspect.Workload, suspect.Body)
+	for _, s := range services {
+		require.Eventually(t, func() bool { return s.suspectIn(fingerprint, suspect.Shard) }, 20*time.Second, time.Millisecond)
+	}
+	answers := make(chan *subquery.Answer, 3)
+	for _, g := range all {
+		g.Submit(suspect, func(a *subquery.Answer) { answers <- a })
+	}
+	for range 2 {
+		a := <-answers
+		require.Equal(t, verdict.Quarantined, a.Reason)
+		require.Equal(t, verdict.NotRun, a.Verdict)
+	}
+	targets.held[0]()
+	require.True(t, (<-answers).OK())
+	require.Equal(t, 1, targets.most)
+}
+
+func TestHostThatMissedANoteLearnsItLater(t *testing.T) {
+	services, net := newTestFleet(t, 2)
+	net.mu.Lock()
+	net.cut[testHostID(1)] = true
+	net.mu.Unlock()
+	all := guards(services, &fakeTargets{})
+	ask(all[0], request("crash", 0))
+	ask(all[0], request("crash", 1))
+	net.mu.Lock()
+	net.cut[testHostID(1)] = false
+	net.mu.Unlock()
+	services[1].syncWithOne(0)
+	require.Eventually(t, func() bool {
+		return services[1].CheckQuery("desk", "archive", []byte("crash")) != nil
+	}, 20*time.Second, time.Millisecond)
+}
--- /dev/null
+++ b/internal/quarantine/options.go
@@ -0,0 +1,25 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/view"
+)
+
+// Options are what a Service is made of. All but Clock are required.
+type Options struct {
+	Self        model.Host
+	Incarnation model.Incarnation
+	Views       view.Source
+	Transport   peer.Transport
+	Registrar   peer.Registrar
+	// Clock returns the current time; nil is time.Now.
+	Clock func() time.Time
+	Scope metrics.Scope
+	Log   logrus.FieldLogger
+}
--- /dev/null
+++ b/internal/quarantine/pending.go
@@ -0,0 +1,65 @@
+package quarantine
+
+import (
+	"sync"
+
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// pending is a suspect's sub-request that waits for its permit or runs.
+type pending struct {
+	mu        sync.Mutex
+	done      func(*subquery.Answer)
+	finished  bool
+	cancelled bool
+	started   bool
+	abort     func()
+}
+
+// start runs the sub-request unless it was cancelled; run returns its cancel.
+func (p *pending) start(run func() func()) bool {
+	p.mu.Lock()
+	if p.finished {
+		p.mu.Unlock()
+		return false
+	}
+	p.started = true
+	p.mu.Unlock()
+
+	abort := run()
+	p.mu.Lock()
+	p.abort = abort
+	cancelled := p.cancelled
+	p.mu.Unlock()
+	if cancelled {
+		abort()
+	}
+	return true
+}
+
+// finish gives the answer, once.
+func (p *pending) finish(a *subquery.Answer) {
+	p.mu.Lock()
+	again := p.finished
+	p.finished = true
+	p.mu.Unlock()
+	if !again {
+		p.done(a)
+	}
+}
+
+// cancel gives up: at once while no permit was given, else by the dispatcher.
+func (p *pending) cancel() {
+	p.mu.Lock()
+	p.cancelled = true
+	started, abort := p.started, p.abort
+	p.mu.Unlock()
+	if abort != nil {
+		abort()
+		return
+	}
+	if !started {
+		p.finish(&subquery.Answer{Verdict: verdict.NotRun, Reason: verdict.Cancelled})
+	}
+}
--- /dev/null
+++ b/internal/quarantine/spread.go
@@ -0,0 +1,79 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+)
+
+const (
+	// spreadTimeout bounds the wait until other hosts know of a note.
+	spreadTimeout = 100 * time.Millisecond
+	// directHosts is the fleet size up to which a note goes to every host at
+	// once. In a larger fleet it goes to spreadFanOut random hosts, and each host
+	// passes on what is new to it.
+	directHosts  = 64
+	spreadFanOut = 6
+	syncTimeout  = 2 * time.Second
+)
+
+// others returns the other hosts of the newest list.
+func (s *Service) others() []model.HostID {
+	list := s.opts.Views.Current().Hosts
+	if list == nil {
+		return nil
+	}
+	ids := make([]model.HostID, 0, len(list.Hosts))
+	for i := range list.Hosts {
+		if id := list.Hosts[i].ID; id != s.opts.Self.ID {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// spread tells other hosts. done runs once each has answered or failed to.
+func (s *Service) spread(learned []*Record, done func()) {
+	hosts := s.others()
+	if len(hosts) > directHosts {
+		rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+		hosts = hosts[:spreadFanOut]
+	}
+	if len(hosts) == 0 {
+		done()
+		return
+	}
+	var left atomic.Int64
+	left.Store(int64(len(hosts)))
+	m := &message{Operation: operationNotes, Records: learned}
+	deadline := time.Now().Add(spreadTimeout)
+	for _, host := range hosts {
+		s.opts.Transport.Go(host, peer.KindQuarantineNote, m, deadline, func(cbor.RawMessage, error) {
+			if left.Add(-1) == 0 {
+				done()
+			}
+		})
+	}
+}
+
+// syncWithOne asks a random host for what this one missed.
+func (s *Service) syncWithOne(digest uint64) {
+	hosts := s.others()
+	if len(hosts) == 0 {
+		return
+	}
+	m := &message{Operation: operationSync, Digest: digest}
+	host := hosts[rand.IntN(len(hosts))]
+	s.opts.Transport.Go(host, peer.KindQuarantineNote, m, time.Now().Add(syncTimeout), func(reply cbor.RawMessage, err error) {
+		var a answer
+		if err != nil || cbor.Unmarshal(reply, &a) != nil || len(a.Records) == 0 {
+			return
+		}
+		s.submit(func(c *control) { c.learn(a.Records, func() {}) })
+	})
+}
