Check candidate documents by the same code offline and on hosts

Problems are config.Problem. settings: platform.base_url is http://IP:PORT, as the platform client needs, with Platform.Addr(). Conclusion: a test compares the daemon's answer with the offline one.

--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -7,6 +7,8 @@
 	"github.com/gofiber/fiber/v2"
 
 	"github.com/swiftvane/swiftvane/internal/adminapi"
+	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/configcheck"
 )
 
 func (s *Server) getHealth(c *fiber.Ctx) error {
@@ -34,9 +36,9 @@
 }
 
 func (s *Server) postConfigCheck(c *fiber.Ctx) error {
-	problems := s.sources.Config.Check(c.Body())
+	problems := configcheck.Check(c.Body())
 	if problems == nil {
-		problems = []adminapi.Problem{}
+		problems = []config.Problem{}
 	}
 	return c.JSON(adminapi.ConfigCheck{Valid: len(problems) == 0, Problems: problems})
 }
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/swiftvane/swiftvane/internal/adminapi"
+	"github.com/swiftvane/swiftvane/internal/configcheck"
 	"github.com/swiftvane/swiftvane/internal/model"
 )
 
@@ -32,14 +33,8 @@
 	drains   atomic.Int32
 }
 
-func (f *fakeHost) Status() adminapi.Status   { return *f.status.Load() }
-func (f *fakeHost) InForce() *adminapi.Config { return nil }
-func (f *fakeHost) Check(document []byte) []adminapi.Problem {
-	if json.Valid(document) {
-		return nil
-	}
-	return []adminapi.Problem{{Path: "keys", Message: "not JSON"}}
-}
+func (f *fakeHost) Status() adminapi.Status             { return *f.status.Load() }
+func (f *fakeHost) InForce() *adminapi.Config           { return nil }
 func (f *fakeHost) Targets() []adminapi.Target          { return []adminapi.Target{{Owner: "h1"}} }
 func (f *fakeHost) Entries() []adminapi.QuarantineEntry { return nil }
 func (f *fakeHost) Release(fingerprint uint64) (was bool) {
@@ -150,10 +145,10 @@
 func TestConfigCheckReturnsAllProblems(t *testing.T) {
 	_, _, _, url := start(t)
 	var check adminapi.ConfigCheck
-	require.Equal(t, 200, ask(t, "POST", url+adminapi.PathConfigCheck, readToken, "{}", &check))
-	require.True(t, check.Valid)
-	require.Equal(t, 200, ask(t, "POST", url+adminapi.PathConfigCheck, readToken, "{", &check))
-	require.Equal(t, adminapi.ConfigCheck{Problems: []adminapi.Problem{{Path: "keys", Message: "not JSON"}}}, check)
+	require.Equal(t, 200, ask(t, "POST", url+adminapi.PathConfigCheck, readToken, `{"revision":0,"keys":{}}`, &check))
+	require.False(t, check.Valid)
+	require.Equal(t, configcheck.Check([]byte(`{"revision":0,"keys":{}}`)), check.Problems)
+	require.Len(t, check.Problems, 2)
 }
 
 func TestConfigWaitAnswersHostByHost(t *testing.T) {
--- a/internal/admin/sources.go
+++ b/internal/admin/sources.go
@@ -7,12 +7,10 @@
 	Status() adminapi.Status
 }
 
-// ConfigSource tells the configuration in force and checks candidates.
+// ConfigSource tells the configuration in force.
 type ConfigSource interface {
 	// InForce returns nil until a configuration was accepted.
 	InForce() *adminapi.Config
-	// Check returns every problem of a candidate document in JSON.
-	Check(document []byte) []adminapi.Problem
 }
 
 // TargetLister lists the targets.
--- a/internal/adminapi/config.go
+++ b/internal/adminapi/config.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"github.com/swiftvane/swiftvane/internal/config"
 	"github.com/swiftvane/swiftvane/internal/model"
 )
 
@@ -13,18 +14,10 @@
 	Keys map[string]json.RawMessage `json:"keys"`
 }
 
-// Problem is one error of a candidate document.
-type Problem struct {
-	// Path is the path of the bad key or value.
-	Path string `json:"path"`
-	// Message says what is wrong and what is allowed.
-	Message string `json:"message"`
-}
-
 // ConfigCheck is the outcome of checking a candidate document.
 type ConfigCheck struct {
-	Valid    bool      `json:"valid"`
-	Problems []Problem `json:"problems"`
+	Valid    bool             `json:"valid"`
+	Problems []config.Problem `json:"problems"`
 }
 
 // ConfigWait says host by host whether a revision is in force.
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -46,8 +46,9 @@
 	return config, c.do(http.MethodGet, adminapi.PathConfig, nil, 0, config)
 }
 
-// CheckConfig returns the host's verdict on a candidate document in JSON.
-func (c *Client) CheckConfig(document json.RawMessage) (*adminapi.ConfigCheck, error) {
+// CheckConfig returns the host's verdict on a candidate document, which is sent
+// as it is.
+func (c *Client) CheckConfig(document []byte) (*adminapi.ConfigCheck, error) {
 	check := &adminapi.ConfigCheck{}
 	return check, c.do(http.MethodPost, adminapi.PathConfigCheck, document, 0, check)
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -90,6 +90,17 @@
 	require.Equal(t, exitcode.OK, code)
 }
 
+func TestConfigCheckGivesTheSameVerdictOfflineAndByTheHost(t *testing.T) {
+	const document = `{"revision":1,"keys":{"nonsense":1}}`
+	code, offline, _ := run(t, nil, document, "config", "check", "-", "-o", "json")
+	require.Equal(t, exitcode.Invalid, code)
+	require.Contains(t, offline, "nonsense")
+	bodies := map[string]string{"POST " + adminapi.PathConfigCheck: offline}
+	code, asked, _ := run(t, bodies, document, "config", "check", "-", "--ask-host", "-o", "json")
+	require.Equal(t, exitcode.Invalid, code)
+	require.Equal(t, offline, asked)
+}
+
 func TestConfigWaitThatRunsOutOfTimeHasItsExitCode(t *testing.T) {
 	path := "GET " + adminapi.PathConfigWait
 	code, stdout, _ := run(t, map[string]string{path: `{"revision":7,"in_force":false,"hosts":[{"id":"h2","revision":6}]}`},
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"encoding/json"
 	"io"
 	"os"
 
@@ -23,7 +22,7 @@
 }
 
 // readDocument returns the content of the file name, or of standard input.
-func (o *options) readDocument(name string) (json.RawMessage, error) {
+func (o *options) readDocument(name string) ([]byte, error) {
 	if name == stdinName {
 		content, err := io.ReadAll(o.streams.In)
 		return content, err
--- a/internal/cli/config_check.go
+++ b/internal/cli/config_check.go
@@ -7,30 +7,31 @@
 	"github.com/spf13/cobra"
 
 	"github.com/swiftvane/swiftvane/internal/adminapi"
+	"github.com/swiftvane/swiftvane/internal/configcheck"
 	"github.com/swiftvane/swiftvane/internal/exitcode"
 )
 
 func newConfigCheck(o *options) *cobra.Command {
-	return &cobra.Command{
+	var ask bool
+	cmd := &cobra.Command{
 		Use:   "check FILE",
-		Short: "Check a candidate document; - reads standard input",
+		Short: "Check a candidate document; exit code 7 if hosts would refuse it",
+		Long:  "Checks a candidate document with the code that hosts check it with. - reads standard input.",
 		Args:  exactArgs("FILE"),
 		RunE: func(_ *cobra.Command, args []string) error {
-			return runConfigCheck(o, args[0])
+			return runConfigCheck(o, args[0], ask)
 		},
 	}
+	cmd.Flags().BoolVar(&ask, "ask-host", false, "have the host that --admin names check it")
+	return cmd
 }
 
-func runConfigCheck(o *options, file string) error {
+func runConfigCheck(o *options, file string, ask bool) error {
 	document, err := o.readDocument(file)
 	if err != nil {
 		return err
 	}
-	client, err := o.adminClient()
-	if err != nil {
-		return err
-	}
-	check, err := client.CheckConfig(document)
+	check, err := o.checkDocument(document, ask)
 	if err != nil {
 		return err
 	}
@@ -43,13 +44,25 @@
 	return nil
 }
 
+func (o *options) checkDocument(document []byte, ask bool) (*adminapi.ConfigCheck, error) {
+	if !ask {
+		problems := configcheck.Check(document)
+		return &adminapi.ConfigCheck{Valid: len(problems) == 0, Problems: problems}, nil
+	}
+	client, err := o.adminClient()
+	if err != nil {
+		return nil, err
+	}
+	return client.CheckConfig(document)
+}
+
 func drawCheck(t table.Writer, check *adminapi.ConfigCheck) {
 	if check.Valid {
 		t.AppendRow(table.Row{"valid"})
 		return
 	}
-	t.AppendHeader(table.Row{"path", "problem"})
+	t.AppendHeader(table.Row{"path", "value", "allowed"})
 	for _, problem := range check.Problems {
-		t.AppendRow(table.Row{problem.Path, problem.Message})
+		t.AppendRow(table.Row{problem.Path, problem.Value, problem.Allowed})
 	}
 }
--- a/internal/cli/config_diff.go
+++ b/internal/cli/config_diff.go
@@ -10,7 +10,7 @@
 	"github.com/samber/lo"
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/configcheck"
 	"github.com/swiftvane/swiftvane/internal/exitcode"
 	"github.com/swiftvane/swiftvane/internal/model"
 )
@@ -46,8 +46,8 @@
 	if err != nil {
 		return err
 	}
-	var candidate config.Document
-	if err := json.Unmarshal(content, &candidate); err != nil {
+	candidate, err := configcheck.Decode(content)
+	if err != nil {
 		return exitcode.With(exitcode.Invalid, fmt.Errorf("%s: %w", file, err))
 	}
 	client, err := o.adminClient()
--- a/internal/httpjson/client.go
+++ b/internal/httpjson/client.go
@@ -27,8 +27,7 @@
 	Method string
 	URL    string
 	Header map[string]string
-	// Body is encoded as JSON; json.RawMessage is sent as it is, and nil sends
-	// no body.
+	// Body is encoded as JSON; a []byte is sent as it is, and nil sends no body.
 	Body any
 	// Timeout bounds the exchange; zero means DefaultTimeout.
 	Timeout time.Duration
@@ -105,11 +104,12 @@
 	if r.Body == nil {
 		return nil
 	}
-	body, err := json.Marshal(r.Body)
-	if err != nil {
-		return err
-	}
 	req.Header.SetContentType("application/json")
+	if raw, ok := r.Body.([]byte); ok {
+		req.SetBody(raw)
+		return nil
+	}
+	body, err := json.Marshal(r.Body)
 	req.SetBody(body)
-	return nil
+	return err
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -15,6 +15,9 @@
 	placeholderForm = regexp.MustCompile(`(?i)^(<.*>|\$\{.*\}|\{\{.*\}\}|change[-_ ]?me.*|replace[-_ ]?me.*|your[-_ ].*|todo|tbd|fixme|x{3,}|placeholder)$`)
 )
 
+// platformScheme begins the platform's URL.
+const platformScheme = "http://"
+
 // newValidator returns the validator that knows the checks of this package.
 func newValidator() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
@@ -22,6 +25,10 @@
 		"name":       validName,
 		"listenaddr": validListenAddr,
 		"peeraddr":   validPeerAddr,
+		"platformurl": func(url string) bool {
+			addr, found := strings.CutPrefix(url, platformScheme)
+			return found && validPeerAddr(addr)
+		},
 	} {
 		must(v.RegisterValidation(tag, func(field validator.FieldLevel) bool {
 			return check(field.Field().String())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,8 @@
 package settings
 
 import (
+	"strings"
+
 	"github.com/swiftvane/swiftvane/internal/logging"
 	"github.com/swiftvane/swiftvane/internal/model"
 )
@@ -43,9 +45,12 @@
 
 // Platform says where the platform is.
 type Platform struct {
-	BaseURL string `toml:"base_url" validate:"required,http_url" allowed:"an http:// or https:// URL" doc:"Base URL of the configuration service and host list."`
+	BaseURL string `toml:"base_url" validate:"required,platformurl" allowed:"http://IP:PORT" doc:"Base URL of the configuration service and host list."`
 }
 
+// Addr returns the address part of BaseURL.
+func (p *Platform) Addr() string { return strings.TrimPrefix(p.BaseURL, platformScheme) }
+
 // Peers holds what links to other hosts need.
 type Peers struct {
 	KeyFiles []string `toml:"key_files" validate:"required,min=1,max=2,unique,dive,required" allowed:"one or two different readable files, each with a key of at least 32 bytes" doc:"Files with the keys that authenticate hosts to each other. The first signs; both are accepted, so that a key can be changed without a stop."`
