--- a/internal/version/version.go
+++ b/internal/version/version.go
@@ -26,3 +26,6 @@
 	}
 	return info
 }
+
+// String returns the version alone.
+func String() string { return Read().Version }
