Publish views of configuration, hosts and owners, spread between peers

Cause: traffic needs one picture of the fleet that no request waits for, within a platform call budget that does not grow with hosts. Change: one control goroutine owns the state and publishes views. Two watchers a failure domain read the platform; hosts swap digests with a random partner and push a change to a few as changed keys. Only rising, valid revisions are taken; rejected ones are remembered; one revision with two documents is counted and the lower digest holds everywhere. Leaving marks, pause detection, host list history and status are in. view.View gains LeavingHosts (additive).

--- /dev/null
+++ b/internal/fleet/deltas.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"github.com/swiftvane/swiftvane/internal/config"
+)
+
+const (
+	// maxDeltas bounds the changes that a host can hand on as deltas.
+	maxDeltas = 64
+	// maxDeltaBytes bounds their values together.
+	maxDeltaBytes = 1 << 20
+	// maxPushBytes bounds a delta that travels with an announcement.
+	maxPushBytes = 16 << 10
+)
+
+// appendDelta returns log with d added and the oldest dropped where the bounds
+// ask for it. It does not change log, which handlers may be reading.
+func appendDelta(log []*config.Delta, d *config.Delta) []*config.Delta {
+	log = append(slices.Clone(log), d)
+	total := 0
+	for i, entry := range slices.Backward(log) {
+		total += deltaBytes(entry)
+		if total > maxDeltaBytes || len(log)-i > maxDeltas {
+			return log[i+1:]
+		}
+	}
+	return log
+}
+
+func deltaBytes(d *config.Delta) int {
+	total := 0
+	for key, value := range d.Changed {
+		total += len(key) + len(value)
+	}
+	for _, key := range d.Removed {
+		total += len(key)
+	}
+	return total
+}
+
+// deltaSince returns the delta from the version that a peer has to the newest,
+// or nil if the log does not reach back to it.
+func deltaSince(log []*config.Delta, have version) *config.Delta {
+	for i, d := range log {
+		if d.From == have.Revision && d.FromDigest == have.Digest {
+			return mergeDeltas(log[i:])
+		}
+	}
+	return nil
+}
+
+// mergeDeltas returns one delta with the effect of all in turn.
+func mergeDeltas(log []*config.Delta) *config.Delta {
+	first, last := log[0], log[len(log)-1]
+	changed := make(map[string]json.RawMessage)
+	removed := make(map[string]struct{})
+	for _, d := range log {
+		maps.Copy(changed, d.Changed)
+		for key := range d.Changed {
+			delete(removed, key)
+		}
+		for _, key := range d.Removed {
+			delete(changed, key)
+			removed[key] = struct{}{}
+		}
+	}
+	return &config.Delta{
+		From: first.From, FromDigest: first.FromDigest, To: last.To, ToDigest: last.ToDigest,
+		Changed: changed, Removed: slices.Sorted(maps.Keys(removed)),
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+)
+
+// generous bounds waits for a condition; it is no assertion on speed.
+const generous = 30 * time.Second
+
+func TestMain(m *testing.M) {
+	// fasthttp keeps these for the life of the process or some seconds longer
+	// than a server.
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+// freeAddrs returns n loopback addresses that are free now.
+func freeAddrs(t testing.TB, n int) []string {
+	t.Helper()
+	addrs := make([]string, n)
+	for i := range addrs {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = l.Close() }()
+		addrs[i] = l.Addr().String()
+	}
+	return addrs
+}
+
+// newTestFleet starts n members on one platform with configuration revision 10
+// and host list revision 1.
+func newTestFleet(t testing.TB, n int, change func(*Options, *peer.Options)) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, platform: newFakePlatform(), change: change}
+	list := &model.HostList{Revision: 1}
+	for i, addr := range freeAddrs(t, n) {
+		list.Hosts = append(list.Hosts, hostOf(i, addr))
+	}
+	f.platform.publish(testConfig(10, 1, 20))
+	f.platform.publishList(list)
+	for _, h := range list.Hosts {
+		f.members = append(f.members, f.start(h, nil))
+	}
+	t.Cleanup(func() {
+		for _, m := range f.members {
+			m.stop()
+		}
+	})
+	f.eventually("all are ready", func(m *member) bool { return m.fleet.Ready() })
+	return f
+}
+
+// eventually waits until fits holds for all members.
+func (f *testFleet) eventually(what string, fits func(*member) bool) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool {
+		for _, m := range f.members {
+			if !fits(m) {
+				return false
+			}
+		}
+		return true
+	}, generous, 5*time.Millisecond, what)
+}
+
+func TestAnAcceptedRevisionIsInForceOnAllHosts(t *testing.T) {
+	f := newTestFleet(t, 7, nil)
+	for _, m := range f.members {
+		require.Len(t, m.fleet.Current().Owners, 20)
+		require.Equal(t, f.members[0].fleet.Current().Owners, m.fleet.Current().Owners)
+	}
+	f.platform.publish(testConfig(11, 2, 20))
+	f.eventually("revision 11", func(m *member) bool { return m.revision() == 11 && m.burst() == 2 })
+}
--- /dev/null
+++ b/internal/fleet/options.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/platform"
+)
+
+// Defaults of Options.
+const (
+	DefaultGossipInterval = time.Second
+	DefaultWatchWait      = 30 * time.Second
+	DefaultPollInterval   = 30 * time.Second
+	DefaultJoinTimeout    = 3 * time.Second
+	DefaultCallTimeout    = 2 * time.Second
+	DefaultPauseGap       = time.Second
+	DefaultLeavingHold    = 10 * time.Second
+	DefaultRetention      = 10 * time.Minute
+	DefaultFanout         = 4
+	DefaultPartners       = 16
+)
+
+// Options configures a Fleet. Zero values of optional fields mean the defaults.
+type Options struct {
+	// Self is this host, as its settings describe it.
+	Self      model.Host
+	Platform  platform.Client
+	Transport peer.Transport
+	Registrar peer.Registrar
+	// Directory is what the transport looks addresses up in. It must not be nil.
+	Directory *Directory
+	Scope     metrics.Scope
+	Log       logrus.FieldLogger
+	// Clock gives the time; nil means time.Now.
+	Clock func() time.Time
+
+	// GossipInterval is the time between digest swaps with one peer.
+	GossipInterval time.Duration
+	// WatchWait is how long one watch waits at the platform.
+	WatchWait time.Duration
+	// PollInterval is the shortest time between reads by a host that does not
+	// watch. It grows with the fleet, so that the total rate does not.
+	PollInterval time.Duration
+	// JoinTimeout bounds asking peers for their revisions before Ready.
+	JoinTimeout time.Duration
+	// CallTimeout bounds one call to a peer or one read of the platform.
+	CallTimeout time.Duration
+	// PauseGap is the silence of the ticker that counts as a pause.
+	PauseGap time.Duration
+	// LeavingHold is how long a target or host stays out of use after word that
+	// it leaves, whatever newer host lists say: the list lags.
+	LeavingHold time.Duration
+	// Retention is how long old host lists are kept.
+	Retention time.Duration
+	// Fanout is the number of peers that a change is pushed to.
+	Fanout int
+	// Partners is the number of peers that this host swaps digests with.
+	Partners int
+}
+
+func (o *Options) check() error {
+	switch {
+	case o.Self.ID == "":
+		return eris.New("fleet: self.id: must not be empty")
+	case o.Platform == nil:
+		return eris.New("fleet: platform: must not be nil")
+	case o.Transport == nil || o.Registrar == nil:
+		return eris.New("fleet: transport, registrar: must not be nil")
+	case o.Directory == nil:
+		return eris.New("fleet: directory: must not be nil")
+	}
+	return nil
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.GossipInterval, DefaultGossipInterval)
+	setDefault(&o.WatchWait, DefaultWatchWait)
+	setDefault(&o.PollInterval, DefaultPollInterval)
+	setDefault(&o.JoinTimeout, DefaultJoinTimeout)
+	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	setDefault(&o.PauseGap, DefaultPauseGap)
+	setDefault(&o.LeavingHold, DefaultLeavingHold)
+	setDefault(&o.Retention, DefaultRetention)
+	setDefault(&o.Fanout, DefaultFanout)
+	setDefault(&o.Partners, DefaultPartners)
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Log == nil {
+		o.Log = logrus.StandardLogger()
+	}
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/fleet/status.go
@@ -0,0 +1,146 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+)
+
+// Status is the state of a host, each fact with its source and age.
+type Status struct {
+	Self   model.Host `cbor:"1,keyasint" json:"self"`
+	Ready  bool       `cbor:"2,keyasint" json:"ready"`
+	Paused bool       `cbor:"3,keyasint" json:"paused"`
+	// Watching says that this host holds watches at the platform.
+	Watching bool           `cbor:"4,keyasint" json:"watching"`
+	Config   DocumentStatus `cbor:"5,keyasint" json:"config"`
+	HostList DocumentStatus `cbor:"6,keyasint" json:"host_list"`
+	// LeavingTargets and LeavingHosts get no new work.
+	LeavingTargets []model.TargetID `cbor:"7,keyasint" json:"leaving_targets"`
+	LeavingHosts   []model.HostID   `cbor:"8,keyasint" json:"leaving_hosts"`
+	// Peers is what peers last said, for those heard from of late.
+	Peers []PeerStatus `cbor:"9,keyasint" json:"peers"`
+}
+
+// DocumentStatus is the state of the configuration or the host list on a host.
+type DocumentStatus struct {
+	Revision model.Revision `cbor:"1,keyasint" json:"revision"`
+	Digest   uint64         `cbor:"2,keyasint" json:"digest"`
+	// Source is "platform" or the peer that it came from; empty if there is none.
+	Source string `cbor:"3,keyasint" json:"source"`
+	// AgeMS is the time since the document came into force.
+	AgeMS int64 `cbor:"4,keyasint" json:"age_ms"`
+	// PlatformAgeMS is the time since the platform was last read, and -1 if this
+	// process never read it.
+	PlatformAgeMS int64 `cbor:"5,keyasint" json:"platform_age_ms"`
+	// Rejected is the newest document that was not accepted.
+	Rejected *RejectedStatus `cbor:"6,keyasint,omitempty" json:"rejected,omitempty"`
+}
+
+// RejectedStatus is a document that failed its check.
+type RejectedStatus struct {
+	Revision model.Revision `cbor:"1,keyasint" json:"revision"`
+	Reason   string         `cbor:"2,keyasint" json:"reason"`
+	Source   string         `cbor:"3,keyasint" json:"source"`
+	AgeMS    int64          `cbor:"4,keyasint" json:"age_ms"`
+}
+
+// PeerStatus is what a peer last said about itself.
+type PeerStatus struct {
+	Host     model.HostID   `cbor:"1,keyasint" json:"host"`
+	Config   model.Revision `cbor:"2,keyasint" json:"config_revision"`
+	HostList model.Revision `cbor:"3,keyasint" json:"host_list_revision"`
+	AgeMS    int64          `cbor:"4,keyasint" json:"age_ms"`
+}
+
+// HostStatus is one host's status, or why it could not be had.
+type HostStatus struct {
+	Host   model.HostID `json:"host"`
+	Status *Status      `json:"status,omitempty"`
+	Error  string       `json:"error,omitempty"`
+}
+
+// statusCalls is how many hosts are asked for their status at one time.
+const statusCalls = 32
+
+// Status returns the state of this host.
+func (f *Fleet) Status(ctx context.Context) (*Status, error) {
+	answers := make(chan *Status, 1)
+	f.post(statusAsked{answer: func(s *Status) { answers <- s }})
+	select {
+	case s := <-answers:
+		return s, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// FleetStatus asks every host of the list for its status, in order of the list.
+// A host that does not answer in time has an error.
+func (f *Fleet) FleetStatus(ctx context.Context) []HostStatus {
+	list := f.Current().Hosts
+	if list == nil {
+		return nil
+	}
+	result := make([]HostStatus, len(list.Hosts))
+	slots := make(chan struct{}, statusCalls)
+	var wg sync.WaitGroup
+	for i, h := range list.Hosts {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			result[i] = f.hostStatus(ctx, h.ID)
+		})
+	}
+	wg.Wait()
+	return result
+}
+
+func (f *Fleet) hostStatus(ctx context.Context, id model.HostID) HostStatus {
+	ctx, cancel := context.WithTimeout(ctx, f.opts.CallTimeout)
+	defer cancel()
+	var s Status
+	if err := f.opts.Transport.Call(ctx, id, peer.KindStatus, &pullRequest{}, &s); err != nil {
+		return HostStatus{Host: id, Error: err.Error()}
+	}
+	return HostStatus{Host: id, Status: &s}
+}
+
+// status builds the status from the control goroutine's state.
+func (c *control) status() *Status {
+	now := c.now()
+	p := c.fleet.current.Load()
+	s := &Status{
+		Self: c.fleet.opts.Self, Ready: p.ready, Paused: c.fleet.Paused(), Watching: p.watching,
+		Config: c.documentStatus(configDocument, now), HostList: c.documentStatus(hostListDocument, now),
+		LeavingTargets: []model.TargetID{}, LeavingHosts: []model.HostID{}, Peers: []PeerStatus{},
+	}
+	for id := range p.view.LeavingTargets {
+		s.LeavingTargets = append(s.LeavingTargets, id)
+	}
+	for id := range p.view.LeavingHosts {
+		s.LeavingHosts = append(s.LeavingHosts, id)
+	}
+	for id, state := range c.peers {
+		s.Peers = append(s.Peers, PeerStatus{Host: id, Config: state.config.Revision, HostList: state.hosts.Revision, AgeMS: now.Sub(state.at).Milliseconds()})
+	}
+	return s
+}
+
+func (c *control) documentStatus(kind documentKind, now time.Time) DocumentStatus {
+	r := c.replica(kind)
+	s := DocumentStatus{Revision: r.version.Revision, Digest: r.version.Digest, Source: r.source, PlatformAgeMS: -1}
+	if r.doc != nil {
+		s.AgeMS = now.Sub(r.at).Milliseconds()
+	}
+	if at, ok := c.platformAt[kind]; ok {
+		s.PlatformAgeMS = now.Sub(at).Milliseconds()
+	}
+	if refused, ok := r.refused.newest(); ok {
+		s.Rejected = &RejectedStatus{Revision: refused.version.Revision, Reason: refused.reason, Source: refused.source, AgeMS: now.Sub(refused.at).Milliseconds()}
+	}
+	return s
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -23,6 +23,8 @@
 	Owners map[model.TargetID]Owners
 	// LeavingTargets are targets that get no new work, whatever told so.
 	LeavingTargets map[model.TargetID]struct{}
+	// LeavingHosts are hosts that own no target, whatever told so.
+	LeavingHosts map[model.HostID]struct{}
 	// BuiltAt is when the view was built, on this host's clock.
 	BuiltAt time.Time
 }
