--- /dev/null
+++ b/internal/daemon/configsource.go
@@ -0,0 +1,23 @@
+package daemon
+
+import (
+	"fmt"
+
+	"github.com/swiftvane/swiftvane/internal/adminapi"
+	"github.com/swiftvane/swiftvane/internal/fleet"
+)
+
+// configSource tells the configuration in force.
+type configSource struct{ fleet *fleet.Fleet }
+
+// InForce implements admin.ConfigSource.
+func (s configSource) InForce() *adminapi.Config {
+	view, doc := s.fleet.Current(), s.fleet.Document()
+	if view.Fleet == nil || doc == nil {
+		return nil
+	}
+	return &adminapi.Config{
+		ConfigFact: adminapi.ConfigFact{Revision: doc.Revision, Digest: fmt.Sprintf("%016x", view.Fleet.Digest)},
+		Keys:       doc.Keys,
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,132 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/samber/do/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/admin"
+	"github.com/swiftvane/swiftvane/internal/claim"
+	"github.com/swiftvane/swiftvane/internal/dispatch"
+	"github.com/swiftvane/swiftvane/internal/entry"
+	"github.com/swiftvane/swiftvane/internal/fleet"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/quarantine"
+	"github.com/swiftvane/swiftvane/internal/query"
+	"github.com/swiftvane/swiftvane/internal/settings"
+)
+
+// Daemon is one host of the tier.
+type Daemon struct {
+	settings    *settings.Settings
+	incarnation model.Incarnation
+	startedAt   time.Time
+	tools       *instruments
+	mesh        *peer.Mesh
+	fleet       *fleet.Fleet
+	claims      *claim.Service
+	quarantine  *quarantine.Service
+	local       *dispatch.Local
+	entry       *entry.Server
+	admin       *admin.Server
+	adminListen net.Listener
+
+	// background runs the control loops; cancel ends them.
+	background sync.WaitGroup
+	ctx        context.Context
+	cancel     context.CancelFunc
+	draining   atomic.Bool
+	// drainAsked is closed when an operator asks for a planned stop.
+	drainAsked chan struct{}
+}
+
+// New builds a daemon that has not started. It fails if a component refuses its
+// settings.
+func New(s *settings.Settings, log logrus.FieldLogger) (*Daemon, error) {
+	startedAt := time.Now()
+	d := &Daemon{
+		settings:    s,
+		incarnation: model.Incarnation(startedAt.UnixMilli()),
+		startedAt:   startedAt,
+		drainAsked:  make(chan struct{}),
+	}
+	injector := newInjector(s, log, d.incarnation)
+	if _, err := do.Invoke[*query.Executor](injector); err != nil {
+		return nil, eris.Wrap(err, "daemon")
+	}
+	server, err := do.Invoke[*entry.Server](injector)
+	if err != nil {
+		return nil, eris.Wrap(err, "daemon")
+	}
+	d.entry = server
+	d.tools = do.MustInvoke[*instruments](injector)
+	d.mesh = do.MustInvoke[*peer.Mesh](injector)
+	d.fleet = do.MustInvoke[*fleet.Fleet](injector)
+	d.claims = do.MustInvoke[*claim.Service](injector)
+	d.quarantine = do.MustInvoke[*quarantine.Service](injector)
+	d.local = do.MustInvoke[*dispatch.Local](injector)
+	d.admin = admin.New(d.adminOptions())
+	return d, nil
+}
+
+// CallerAddr returns the address that callers reach.
+func (d *Daemon) CallerAddr() string { return d.entry.Addr() }
+
+// AdminAddr returns the address of the administration API.
+func (d *Daemon) AdminAddr() string { return d.adminListen.Addr().String() }
+
+// Ready reports whether the host serves queries.
+func (d *Daemon) Ready() bool { return d.fleet.Ready() && !d.draining.Load() }
+
+// DrainAsked is closed once an operator asked for a planned stop.
+func (d *Daemon) DrainAsked() <-chan struct{} { return d.drainAsked }
+
+// Start opens the listeners and starts the control loops. On an error nothing is
+// left running.
+func (d *Daemon) Start(ctx context.Context) error {
+	d.ctx, d.cancel = context.WithCancel(ctx)
+	if err := d.start(d.ctx); err != nil {
+		d.abort()
+		return err
+	}
+	return nil
+}
+
+func (d *Daemon) start(ctx context.Context) error {
+	listener, err := net.Listen("tcp", d.settings.Listen.Admin)
+	if err != nil {
+		return eris.Wrap(err, "administration listener")
+	}
+	d.adminListen = listener
+	d.background.Go(func() { d.logEnd("administration listener", d.admin.Serve(listener)) })
+	if err := d.mesh.Start(ctx); err != nil {
+		return err
+	}
+	d.background.Go(func() { d.logEnd("fleet", d.fleet.Run(ctx)) })
+	d.background.Go(func() { d.logEnd("claims", d.claims.Run(ctx)) })
+	d.background.Go(func() { d.logEnd("quarantine", d.quarantine.Run(ctx)) })
+	d.local.Start()
+	return d.entry.Listen()
+}
+
+func (d *Daemon) logEnd(what string, err error) {
+	if err != nil && !errors.Is(err, context.Canceled) {
+		d.tools.log.WithError(err).Errorf("%s ended", what)
+	}
+}
+
+// abort ends what a failed start has begun.
+func (d *Daemon) abort() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	d.local.Stop(ctx)
+	d.close()
+}
--- /dev/null
+++ b/internal/daemon/providers.go
@@ -0,0 +1,180 @@
+package daemon
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/admission"
+	"github.com/swiftvane/swiftvane/internal/claim"
+	"github.com/swiftvane/swiftvane/internal/dispatch"
+	"github.com/swiftvane/swiftvane/internal/entry"
+	"github.com/swiftvane/swiftvane/internal/fleet"
+	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/platform"
+	"github.com/swiftvane/swiftvane/internal/quarantine"
+	"github.com/swiftvane/swiftvane/internal/query"
+	"github.com/swiftvane/swiftvane/internal/settings"
+	"github.com/swiftvane/swiftvane/internal/target"
+)
+
+// instruments are what every component reports to.
+type instruments struct {
+	scope   metrics.Scope
+	handler http.Handler
+	closer  io.Closer
+	log     logrus.FieldLogger
+}
+
+// newInjector registers how each component is built. Nothing is built yet.
+func newInjector(s *settings.Settings, log logrus.FieldLogger, incarnation model.Incarnation) do.Injector {
+	injector := do.New()
+	do.ProvideValue(injector, s)
+	do.ProvideValue(injector, incarnation)
+	do.ProvideValue(injector, selfOf(s))
+	do.Provide(injector, func(do.Injector) (*instruments, error) {
+		scope, handler, closer := metrics.New(log)
+		return &instruments{scope: scope, handler: handler, closer: closer, log: log}, nil
+	})
+	do.Provide(injector, provideDirectory)
+	do.Provide(injector, provideMesh)
+	do.Provide(injector, provideFleet)
+	do.Provide(injector, provideQuarantine)
+	do.Provide(injector, provideLocal)
+	do.Provide(injector, provideExecutor)
+	do.Provide(injector, provideClaims)
+	do.Provide(injector, provideEntry)
+	return injector
+}
+
+func selfOf(s *settings.Settings) model.Host {
+	return model.Host{
+		ID:            s.Host.ID,
+		PeerAddr:      s.Listen.AdvertisedPeer,
+		Region:        s.Host.Region,
+		FailureDomain: s.Host.FailureDomain,
+		State:         model.Live,
+	}
+}
+
+func provideDirectory(i do.Injector) (*fleet.Directory, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	return fleet.NewDirectory(lo.Map(s.Peers.Seeds, func(seed settings.Seed, _ int) model.Host {
+		return model.Host{ID: seed.ID, PeerAddr: seed.Addr, State: model.Live}
+	})), nil
+}
+
+func provideMesh(i do.Injector) (*peer.Mesh, error) {
+	s, in := do.MustInvoke[*settings.Settings](i), do.MustInvoke[*instruments](i)
+	return peer.NewMesh(peer.Options{
+		Self:       s.Host.ID,
+		ListenAddr: s.Listen.Peer,
+		Keys:       s.Secrets.PeerKeys,
+		Lookup:     do.MustInvoke[*fleet.Directory](i).Lookup,
+		Scope:      in.scope.SubScope("peer"),
+		Log:        in.log,
+	})
+}
+
+func provideFleet(i do.Injector) (*fleet.Fleet, error) {
+	s, in, mesh := do.MustInvoke[*settings.Settings](i), do.MustInvoke[*instruments](i), do.MustInvoke[*peer.Mesh](i)
+	client, err := platform.NewHTTPClientFromURL(s.Platform.BaseURL)
+	if err != nil {
+		return nil, err
+	}
+	return fleet.New(fleet.Options{
+		Self:      do.MustInvoke[model.Host](i),
+		Platform:  client,
+		Transport: mesh,
+		Registrar: mesh,
+		Directory: do.MustInvoke[*fleet.Directory](i),
+		Scope:     in.scope.SubScope("fleet"),
+		Log:       in.log,
+	})
+}
+
+func provideQuarantine(i do.Injector) (*quarantine.Service, error) {
+	in, mesh := do.MustInvoke[*instruments](i), do.MustInvoke[*peer.Mesh](i)
+	return quarantine.New(quarantine.Options{
+		Self:        do.MustInvoke[model.Host](i),
+		Incarnation: do.MustInvoke[model.Incarnation](i),
+		Views:       do.MustInvoke[*fleet.Fleet](i),
+		Transport:   mesh,
+		Registrar:   mesh,
+		Scope:       in.scope.SubScope("quarantine"),
+		Log:         in.log,
+	}), nil
+}
+
+func provideLocal(i do.Injector) (*dispatch.Local, error) {
+	in, views := do.MustInvoke[*instruments](i), do.MustInvoke[*fleet.Fleet](i)
+	return dispatch.NewLocal(dispatch.Options{
+		Views:     views,
+		Dialer:    target.NewHTTPDialer(),
+		Scope:     in.scope.SubScope("dispatch"),
+		Log:       in.log,
+		OnLeaving: views.MarkTargetLeaving,
+	}), nil
+}
+
+// provideExecutor puts the quarantine's guard in front of this host's targets,
+// for its own queries and for those of other hosts alike.
+func provideExecutor(i do.Injector) (*query.Executor, error) {
+	in, mesh, views := do.MustInvoke[*instruments](i), do.MustInvoke[*peer.Mesh](i), do.MustInvoke[*fleet.Fleet](i)
+	guard := quarantine.NewGuard(do.MustInvoke[*quarantine.Service](i), do.MustInvoke[*dispatch.Local](i))
+	dispatch.Receive(mesh, guard)
+	router := dispatch.NewRouter(dispatch.RouterOptions{
+		Views:  views,
+		Local:  guard,
+		Remote: dispatch.NewRemote(mesh),
+		Scope:  in.scope.SubScope("router"),
+	})
+	return query.New(query.Options{
+		Views:      views,
+		Dispatcher: router,
+		Scope:      in.scope.SubScope("query"),
+		Log:        in.log,
+	}), nil
+}
+
+func provideClaims(i do.Injector) (*claim.Service, error) {
+	s, in, mesh, views := do.MustInvoke[*settings.Settings](i), do.MustInvoke[*instruments](i), do.MustInvoke[*peer.Mesh](i), do.MustInvoke[*fleet.Fleet](i)
+	return claim.New(claim.Options{
+		Self:        do.MustInvoke[model.Host](i),
+		Incarnation: do.MustInvoke[model.Incarnation](i),
+		Views:       views,
+		HostLists:   hostLists(views),
+		Transport:   mesh,
+		Registrar:   mesh,
+		HistoryWait: historyWait(s),
+		MaxEntries:  s.Limits.ClaimEntries,
+		Scope:       in.scope.SubScope("claim"),
+		Log:         in.log,
+	}), nil
+}
+
+func provideEntry(i do.Injector) (*entry.Server, error) {
+	s, in, views := do.MustInvoke[*settings.Settings](i), do.MustInvoke[*instruments](i), do.MustInvoke[*fleet.Fleet](i)
+	return entry.NewServer(entry.Options{
+		ListenAddr: s.Listen.Caller,
+		Views:      views,
+		Executor:   do.MustInvoke[*query.Executor](i),
+		Admission: admission.New(admission.Options{
+			MaxInflight: s.Limits.MaxInflightQueries,
+			Scope:       in.scope.SubScope("admission"),
+		}),
+		Quarantine:   do.MustInvoke[*quarantine.Service](i),
+		Claims:       do.MustInvoke[*claim.Service](i),
+		Ready:        readiness(views),
+		MaxBodyBytes: s.Limits.MaxBodyBytes,
+		MaxDeadline:  time.Duration(s.Limits.DeadlineMaxMS) * time.Millisecond,
+		Scope:        in.scope.SubScope("entry"),
+		Log:          in.log,
+	}), nil
+}
--- /dev/null
+++ b/internal/daemon/statussource.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/adminapi"
+	"github.com/swiftvane/swiftvane/internal/fleet"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/version"
+)
+
+const (
+	// statusTimeout bounds the wait for this host's own control goroutine.
+	statusTimeout = 500 * time.Millisecond
+	// surveyInterval is the least time between two rounds of asking every host.
+	surveyInterval = 500 * time.Millisecond
+	// surveyTimeout bounds one round.
+	surveyTimeout = 3 * time.Second
+	// neverHeard is the age of a fact that there is none of.
+	neverHeard = -1
+)
+
+// statusSource tells the fleet as this host sees it. What gossip with its
+// partners does not tell, it asks the hosts themselves, in the background and
+// only while somebody reads the status.
+type statusSource struct {
+	d        *Daemon
+	surveyed atomic.Pointer[survey]
+	mu       sync.Mutex
+	running  bool
+}
+
+// survey is the answer of every host to one round.
+type survey struct {
+	at    time.Time
+	hosts map[model.HostID]*fleet.Status
+}
+
+func newStatusSource(d *Daemon) *statusSource {
+	s := &statusSource{d: d}
+	s.surveyed.Store(&survey{hosts: map[model.HostID]*fleet.Status{}})
+	return s
+}
+
+// Status implements admin.StatusSource.
+func (s *statusSource) Status() adminapi.Status {
+	d := s.d
+	status := adminapi.Status{
+		Self:            d.fleet.Current().Self,
+		Incarnation:     d.incarnation,
+		Version:         version.String(),
+		Ready:           d.Ready(),
+		Draining:        d.draining.Load(),
+		InflightQueries: int(d.entry.Inflight()),
+		UptimeMS:        time.Since(d.startedAt).Milliseconds(),
+	}
+	if status.Draining {
+		status.Self.State = model.Leaving
+		status.NotReadyBecause = "the host is leaving"
+	} else if refusal := readiness(d.fleet)(); refusal != nil {
+		status.NotReadyBecause = refusal.Message
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	own, err := d.fleet.Status(ctx)
+	if err != nil {
+		status.Platform.LastError = "the control goroutine did not answer"
+		return status
+	}
+	status.Config = configFact(&own.Config)
+	status.HostList = adminapi.HostListFact{Revision: own.HostList.Revision, AgeMS: own.HostList.AgeMS}
+	status.Platform = adminapi.PlatformFact{
+		Watching:  own.Watching,
+		Reachable: own.Config.PlatformAgeMS >= 0 && own.Config.PlatformAgeMS < (2*fleet.DefaultWatchWait).Milliseconds(),
+		AgeMS:     own.Config.PlatformAgeMS,
+	}
+	if r := own.Config.Rejected; r != nil {
+		status.Platform.LastError = fmt.Sprintf("revision %d from %s was not accepted: %s", r.Revision, r.Source, r.Reason)
+	}
+	status.Hosts = s.hosts(own)
+	return status
+}
+
+// hosts lists every host of the list with the newest that is known of it.
+func (s *statusSource) hosts(own *fleet.Status) []adminapi.HostFact {
+	list := s.d.fleet.Current().Hosts
+	if list == nil {
+		return nil
+	}
+	heard := make(map[model.HostID]fleet.PeerStatus, len(own.Peers))
+	for _, p := range own.Peers {
+		heard[p.Host] = p
+	}
+	asked := s.surveyed.Load()
+	s.refresh()
+	facts := make([]adminapi.HostFact, 0, len(list.Hosts))
+	for _, host := range list.Hosts {
+		fact := adminapi.HostFact{Host: host, AgeMS: neverHeard}
+		if p, ok := heard[host.ID]; ok {
+			fact.Config.Revision, fact.HostListSeen, fact.AgeMS, fact.Linked = p.Config, p.HostList, p.AgeMS, true
+		}
+		if st := asked.hosts[host.ID]; st != nil && st.Config.Revision >= fact.Config.Revision {
+			fact.Config, fact.HostListSeen, fact.Linked = configFact(&st.Config), st.HostList.Revision, true
+			fact.AgeMS = time.Since(asked.at).Milliseconds()
+		}
+		if host.ID == s.d.settings.Host.ID {
+			fact.Config, fact.HostListSeen, fact.AgeMS = configFact(&own.Config), own.HostList.Revision, 0
+		}
+		facts = append(facts, fact)
+	}
+	return facts
+}
+
+// refresh asks every host once, unless that was done just now.
+func (s *statusSource) refresh() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running || time.Since(s.surveyed.Load().at) < surveyInterval {
+		return
+	}
+	s.running = true
+	s.d.background.Go(func() {
+		ctx, cancel := context.WithTimeout(s.d.ctx, surveyTimeout)
+		defer cancel()
+		next := &survey{hosts: map[model.HostID]*fleet.Status{}}
+		for _, h := range s.d.fleet.FleetStatus(ctx) {
+			next.hosts[h.Host] = h.Status
+		}
+		next.at = time.Now()
+		s.surveyed.Store(next)
+		s.mu.Lock()
+		s.running = false
+		s.mu.Unlock()
+	})
+}
+
+func configFact(s *fleet.DocumentStatus) adminapi.ConfigFact {
+	if s.Revision == 0 {
+		return adminapi.ConfigFact{}
+	}
+	return adminapi.ConfigFact{Revision: s.Revision, Digest: fmt.Sprintf("%016x", s.Digest), AgeMS: s.AgeMS}
+}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -33,13 +33,17 @@
 // HTTPClient reads the platform over HTTP, with one connection a call.
 type HTTPClient struct {
 	addr string
-	net  net.Dialer
+	// prefix goes before each path; empty or without a slash at its end.
+	prefix string
+	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 var _ Client = (*HTTPClient)(nil)
 
 // NewHTTPClient returns a client of the platform at addr, a host and port.
-func NewHTTPClient(addr string) *HTTPClient { return &HTTPClient{addr: addr} }
+func NewHTTPClient(addr string) *HTTPClient {
+	return &HTTPClient{addr: addr, dial: new(net.Dialer).DialContext}
+}
 
 // Document implements Client. Its errors are *Error.
 func (c *HTTPClient) Document(ctx context.Context, after model.Revision, wait time.Duration) (*config.Document, error) {
@@ -89,7 +93,7 @@
 
 // fetch runs one GET on a connection of its own, which the end of ctx closes.
 func (c *HTTPClient) fetch(ctx context.Context, uri string, resp *fasthttp.Response) error {
-	conn, err := c.net.DialContext(ctx, "tcp", c.addr)
+	conn, err := c.dial(ctx, "tcp", c.addr)
 	if err != nil {
 		return err
 	}
@@ -99,7 +103,7 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetHost(c.addr)
-	req.SetRequestURI(uri)
+	req.SetRequestURI(c.prefix + uri)
 	req.SetConnectionClose()
 	writer := bufio.NewWriter(conn)
 	if err := req.Write(writer); err != nil {
