--- /dev/null
+++ b/internal/dispatch/connection_test.go
@@ -0,0 +1,239 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/view"
+)
+
+func TestSilentConnectionIsFoundAndReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := newFakeTargets()
+		targets.serve = takes(time.Millisecond)
+		l := startLocal(t, targets, func(l *Local) { l.limits.IdleProbe = time.Hour })
+		for _, c := range targets.conns {
+			c.silent.Store(true)
+		}
+		a := ask(l, subrequest("t0", "s", time.Minute))
+		require.Equal(t, verdict.TargetSilent, a.Reason)
+		require.Equal(t, verdict.Unknown, a.Verdict)
+		eventuallyServed(l, t)
+	})
+}
+
+// eventuallyServed asks until the target serves again.
+func eventuallyServed(l *Local, t *testing.T) {
+	t.Helper()
+	for range 100 {
+		if ask(l, subrequest("t0", "again", time.Minute)).OK() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatal("the target never served again")
+}
+
+func TestIdleSilentConnectionIsReplacedByItsProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := newFakeTargets()
+		targets.serve = takes(time.Millisecond)
+		l := startLocal(t, targets)
+		for _, c := range targets.conns {
+			c.silent.Store(true)
+		}
+		time.Sleep(2 * (defaultIdleProbe + defaultProbeTimeout))
+		require.True(t, ask(l, subrequest("t0", "s", time.Minute)).OK())
+	})
+}
+
+func TestFrozenTargetIsRefusedAtOnceAndTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := newFakeTargets()
+		targets.serve = takes(time.Millisecond)
+		l := startLocal(t, targets)
+		targets.freeze("t0", true)
+		require.Equal(t, verdict.TargetSilent, ask(l, subrequest("t0", "s", time.Minute)).Reason)
+		a := ask(l, subrequest("t0", "s", time.Minute))
+		require.Equal(t, verdict.TargetUnreachable, a.Reason)
+		require.Equal(t, verdict.NotRun, a.Verdict)
+		time.Sleep(10 * time.Second)
+		targets.freeze("t0", false)
+		eventuallyServed(l, t)
+		_, peak := targets.connections("t0")
+		require.LessOrEqual(t, peak, 3)
+	})
+}
+
+func TestSlowWorkIsNotTakenForASilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := newFakeTargets()
+		targets.serve = takes(20 * time.Second)
+		l := startLocal(t, targets)
+		require.True(t, ask(l, subrequest("t0", "s", time.Minute)).OK())
+	})
+}
+
+func TestWorkIsNotCutByAHealthEndpointThatFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := newFakeTargets()
+		targets.serve = takes(150 * time.Millisecond)
+		l := startLocal(t, targets)
+		go func() {
+			for range 20 {
+				ask(l, subrequest("t0", "other", time.Minute))
+			}
+		}()
+		synctest.Wait()
+		targets.serve = takes(600 * time.Millisecond)
+		targets.mu.Lock()
+		targets.load = subquery.Load{}
+		targets.mu.Unlock()
+		a := ask(l, subrequest("t0", "s", time.Minute))
+		require.True(t, a.OK(), a.Reason)
+	})
+}
+
+func TestTargetThatCameBackStartsSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := newFakeTargets()
+		targets.serve = takes(50 * time.Millisecond)
+		l := startLocal(t, targets)
+		targets.kill("t0")
+		require.Equal(t, verdict.TargetUnreachable, ask(l, subrequest("t0", "s", time.Minute)).Reason)
+		targets.mu.Lock()
+		targets.down["t0"] = false
+		targets.mu.Unlock()
+		eventuallyServed(l, t)
+		p := (*l.pools.Load())["t0"]
+		p.mu.Lock()
+		require.Equal(t, 1, p.activeSlots(time.Now()))
+		p.mu.Unlock()
+		time.Sleep(defaultSlowStart)
+		p.mu.Lock()
+		require.Equal(t, 2, p.activeSlots(time.Now()))
+		p.mu.Unlock()
+	})
+}
+
+func TestConnectionsStayWarmAndAgedOnesAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := newFakeTargets()
+		startLocal(t, targets)
+		open, _ := targets.connections("t0")
+		require.Equal(t, 2, open)
+		time.Sleep(defaultMaxIdle + 2*defaultIdleProbe)
+		open, peak := targets.connections("t0")
+		require.Equal(t, 2, open)
+		require.Equal(t, 2, peak)
+		targets.mu.Lock()
+		defer targets.mu.Unlock()
+		require.Greater(t, len(targets.conns), 2)
+	})
+}
+
+func TestQuotaHoldsWhileSeveralHostsOwnATarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 8
+		targets := newFakeTargets()
+		targets.serve = takes(5 * time.Millisecond)
+		var locals []*Local
+		for i := range 4 {
+			l := newTestLocal(newViews(ownView(model.HostID(fmt.Sprintf("h%d", i)), 1, 4, limit)), targets)
+			l.Start()
+			t.Cleanup(func() { stopLocal(l) })
+			locals = append(locals, l)
+		}
+		answers := make(chan *subquery.Answer, 400)
+		for i := range 400 {
+			req := subrequest("t0", fmt.Sprint(i), time.Second)
+			cancel := locals[i%4].Submit(req, func(a *subquery.Answer) { answers <- a })
+			if i%7 == 0 {
+				cancel()
+			}
+			if i == 200 {
+				for _, c := range targets.conns {
+					c.cut()
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+		for range 400 {
+			<-answers
+		}
+		_, peak := targets.connections("t0")
+		require.LessOrEqual(t, peak, limit)
+		require.Positive(t, peak)
+	})
+}
+
+func TestLostOwnershipFinishesWhatItHasAndCloses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := newFakeTargets()
+		targets.serve = takes(time.Second)
+		views := newViews(ownView("h0", 1, 2, 25))
+		l := newTestLocal(views, targets)
+		l.Start()
+		defer stopLocal(l)
+		got := make(chan *subquery.Answer, 4)
+		for range 4 {
+			l.Submit(subrequest("t0", "s", time.Minute), func(a *subquery.Answer) { got <- a })
+		}
+		synctest.Wait()
+		moved := ownView("h0", 1, 2, 25)
+		moved.Owners["t0"] = view.Owners{Owner: "h1"}
+		views.v.Store(moved)
+		time.Sleep(2 * defaultReconcile)
+		require.Equal(t, verdict.NotOwner, ask(l, subrequest("t0", "new", time.Minute)).Reason)
+		for range 4 {
+			require.True(t, (<-got).OK())
+		}
+		time.Sleep(defaultGrace + 2*defaultReconcile)
+		synctest.Wait()
+		open, _ := targets.connections("t0")
+		require.Zero(t, open)
+	})
+}
+
+func TestStopCutsNoRequestInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := newFakeTargets()
+		targets.serve = takes(time.Second)
+		l := newTestLocal(newViews(ownView("h0", 1, 2, 25)), targets)
+		l.Start()
+		got := make(chan *subquery.Answer, 6)
+		for range 6 {
+			l.Submit(subrequest("t0", "s", time.Minute), func(a *subquery.Answer) { got <- a })
+		}
+		synctest.Wait()
+		stopLocal(l)
+		for range 6 {
+			require.True(t, (<-got).OK())
+		}
+		require.Equal(t, verdict.HostStopping, ask(l, subrequest("t0", "s", time.Minute)).Reason)
+		open, _ := targets.connections("t0")
+		require.Zero(t, open)
+	})
+}
+
+func TestStaleConnectionMovesItsWorkAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := newFakeTargets()
+		targets.serve = func(_ context.Context, req *subquery.Request) *subquery.Answer { return echo(req) }
+		l := startLocal(t, targets)
+		for _, c := range targets.conns {
+			c.stale.Store(true)
+		}
+		req := subrequest("t0", "s", time.Minute)
+		req.Idempotent = false
+		require.True(t, ask(l, req).OK())
+	})
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -31,14 +31,17 @@
 	peak      map[model.TargetID]int
 	cancelled map[uint64]bool
 	load      subquery.Load
-	conns     []*fakeConn
-	batches   []int
+	running   map[model.TargetID]int
+	// frozen targets accept connections and answer nothing.
+	frozen  map[model.TargetID]bool
+	conns   []*fakeConn
+	batches []int
 }
 
 func newFakeTargets() *fakeTargets {
 	return &fakeTargets{
 		down: map[model.TargetID]bool{}, open: map[model.TargetID]int{}, peak: map[model.TargetID]int{},
-		cancelled: map[uint64]bool{},
+		cancelled: map[uint64]bool{}, running: map[model.TargetID]int{}, frozen: map[model.TargetID]bool{},
 	}
 }
 
@@ -73,6 +76,32 @@
 	f.mu.Unlock()
 }
 
+// connections returns the open connections to a target and their peak.
+func (f *fakeTargets) connections(t model.TargetID) (open, peak int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open[t], f.peak[t]
+}
+
+// run counts a sub-request that the target works on, in or out.
+func (f *fakeTargets) run(t model.TargetID, n int) {
+	f.mu.Lock()
+	f.running[t] += n
+	f.mu.Unlock()
+}
+
+func (f *fakeTargets) freeze(t model.TargetID, frozen bool) {
+	f.mu.Lock()
+	f.frozen[t] = frozen
+	f.mu.Unlock()
+}
+
+func (f *fakeTargets) isFrozen(t model.TargetID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.frozen[t]
+}
+
 // fakeConn is one connection to a fake target.
 type fakeConn struct {
 	f      *fakeTargets
@@ -80,6 +109,10 @@
 	died   chan struct{}
 	cutted atomic.Bool
 	broken atomic.Bool
+	// silent connections lose what is sent on them.
+	silent atomic.Bool
+	// stale connections were closed by the target while they were idle.
+	stale  atomic.Bool
 	closed atomic.Bool
 }
 
@@ -102,11 +135,19 @@
 }
 
 func (c *fakeConn) one(ctx context.Context, req *subquery.Request) *subquery.Answer {
+	if c.stale.Load() || c.cutted.Load() {
+		c.broken.Store(true)
+		return refusal(verdict.TargetUnreachable, 0)
+	}
 	if c.f.serve == nil {
 		return echo(req)
 	}
 	answered := make(chan *subquery.Answer, 1)
-	go func() { answered <- c.f.serve(ctx, req) }()
+	if !c.f.isFrozen(c.t) && !c.silent.Load() {
+		c.f.run(c.t, 1)
+		defer c.f.run(c.t, -1)
+		go func() { answered <- c.f.serve(ctx, req) }()
+	}
 	select {
 	case a := <-answered:
 		return a
@@ -130,13 +171,19 @@
 	return nil
 }
 
-func (c *fakeConn) Probe(context.Context) (subquery.Load, error) {
+func (c *fakeConn) Probe(ctx context.Context) (subquery.Load, error) {
 	if c.cutted.Load() {
 		return subquery.Load{}, syscall.ECONNRESET
 	}
+	if c.silent.Load() || c.f.isFrozen(c.t) {
+		<-ctx.Done()
+		return subquery.Load{}, ctx.Err()
+	}
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
-	return c.f.load, nil
+	load := c.f.load
+	load.Inflight += c.f.running[c.t]
+	return load, nil
 }
 
 func (c *fakeConn) Broken() bool { return c.broken.Load() || c.cutted.Load() }
