Ask each host what it has in force; show rejected documents

What a host last heard of its peers lags by the gossip, so config/wait would be late; and an operator must see that a published document was rejected.

--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -16,11 +16,10 @@
 }
 
 func (s *Server) getReady(c *fiber.Ctx) error {
-	status := s.sources.Status.Status()
-	if status.Ready {
-		return c.JSON(adminapi.Health{OK: true})
+	if ok, because := s.sources.Status.Ready(); !ok {
+		return c.Status(fiber.StatusServiceUnavailable).JSON(adminapi.Health{Because: because})
 	}
-	return c.Status(fiber.StatusServiceUnavailable).JSON(adminapi.Health{Because: status.NotReadyBecause})
+	return c.JSON(adminapi.Health{OK: true})
 }
 
 func (s *Server) getStatus(c *fiber.Ctx) error {
--- a/internal/adminapi/config.go
+++ b/internal/adminapi/config.go
@@ -9,7 +9,7 @@
 
 // Config is the configuration in force on one host.
 type Config struct {
-	ConfigFact
+	DocumentFact
 	// Keys are the document's keys with their values as published.
 	Keys map[string]json.RawMessage `json:"keys"`
 }
@@ -34,5 +34,6 @@
 	State    model.HostState `json:"state"`
 	Revision model.Revision  `json:"revision"`
 	InForce  bool            `json:"in_force"`
-	AgeMS    int64           `json:"age_ms"`
+	// Error says why the host could not be asked.
+	Error string `json:"error,omitempty"`
 }
