Revert "Ask each host what it has in force; show rejected documents"

Reverts a change of the administration API's interfaces that had not landed. Cause: the daemon's adapters were being written against the interfaces as they had landed, and ask each host themselves in the background, which meets the same need. Conclusion: the interfaces stay as landed.

--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -16,10 +16,11 @@
 }
 
 func (s *Server) getReady(c *fiber.Ctx) error {
-	if ok, because := s.sources.Status.Ready(); !ok {
-		return c.Status(fiber.StatusServiceUnavailable).JSON(adminapi.Health{Because: because})
+	status := s.sources.Status.Status()
+	if status.Ready {
+		return c.JSON(adminapi.Health{OK: true})
 	}
-	return c.JSON(adminapi.Health{OK: true})
+	return c.Status(fiber.StatusServiceUnavailable).JSON(adminapi.Health{Because: status.NotReadyBecause})
 }
 
 func (s *Server) getStatus(c *fiber.Ctx) error {
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -29,12 +28,12 @@
 
 // fakeHost is every source of the API.
 type fakeHost struct {
-	ready    atomic.Bool
-	hosts    atomic.Pointer[[]adminapi.HostRevision]
+	status   atomic.Pointer[adminapi.Status]
 	released atomic.Uint64
 	drains   atomic.Int32
 }
 
+func (f *fakeHost) Status() adminapi.Status             { return *f.status.Load() }
 func (f *fakeHost) InForce() *adminapi.Config           { return nil }
 func (f *fakeHost) Targets() []adminapi.Target          { return []adminapi.Target{{Owner: "h1"}} }
 func (f *fakeHost) Entries() []adminapi.QuarantineEntry { return nil }
@@ -44,20 +43,16 @@
 }
 func (f *fakeHost) Drain() (began bool) { return f.drains.Add(1) == 1 }
 
-func (f *fakeHost) Ready() (bool, string) { return f.ready.Load(), "no configuration" }
-func (f *fakeHost) Status() adminapi.Status {
-	return adminapi.Status{Self: model.Host{ID: "h1"}}
-}
-
-func (f *fakeHost) AskHosts(context.Context) []adminapi.HostRevision {
-	return slices.Clone(*f.hosts.Load())
-}
-
-// hostsAt has h1 and h2 live, h3 leaving and behind.
-func hostsAt(own, other model.Revision) *[]adminapi.HostRevision {
-	return &[]adminapi.HostRevision{
-		{ID: "h1", State: model.Live, Revision: own}, {ID: "h2", State: model.Live, Revision: other},
-		{ID: "h3", State: model.Leaving, Revision: 1, Error: "not reached"},
+// fleetAt is the status of host h1 that knows h2 live and h3 leaving.
+func fleetAt(own, other model.Revision) *adminapi.Status {
+	host := func(id model.HostID, state model.HostState, revision model.Revision) adminapi.HostFact {
+		return adminapi.HostFact{Host: model.Host{ID: id, State: state}, Config: adminapi.ConfigFact{Revision: revision}}
+	}
+	return &adminapi.Status{
+		Self:            model.Host{ID: "h1", State: model.Live},
+		NotReadyBecause: "no configuration",
+		Config:          adminapi.ConfigFact{Revision: own},
+		Hosts:           []adminapi.HostFact{host("h1", model.Live, own), host("h2", model.Live, other), host("h3", model.Leaving, 1)},
 	}
 }
 
@@ -65,12 +60,12 @@
 func start(t *testing.T) (*fakeHost, tally.TestScope, *Server, string) {
 	t.Helper()
 	fake := &fakeHost{}
-	fake.hosts.Store(hostsAt(7, 6))
+	fake.status.Store(fleetAt(7, 6))
 	scope := tally.NewTestScope("", nil)
 	log := logrus.New()
 	log.SetOutput(t.Output())
 	server := New(Options{
-		Sources:   Sources{Status: fake, Hosts: fake, Config: fake, Targets: fake, Quarantine: fake, Drainer: fake},
+		Sources:   Sources{Status: fake, Config: fake, Targets: fake, Quarantine: fake, Drainer: fake},
 		ReadToken: []byte(readToken), WriteToken: []byte(writeToken),
 		Metrics: http.NotFoundHandler(), Scope: scope, Log: log,
 	})
@@ -143,7 +138,7 @@
 	require.Equal(t, 200, ask(t, "GET", url+adminapi.PathHealth, "", "", &health))
 	require.Equal(t, 503, ask(t, "GET", url+adminapi.PathReady, "", "", &health))
 	require.Equal(t, "no configuration", health.Because)
-	fake.ready.Store(true)
+	fake.status.Store(&adminapi.Status{Ready: true})
 	require.Equal(t, 200, ask(t, "GET", url+adminapi.PathReady, "", "", &health))
 }
 
@@ -170,7 +165,7 @@
 		ask(t, "GET", url+adminapi.PathConfigWait+"?revision=7&timeout_ms=60000", readToken, "", &later)
 		answered <- later
 	}()
-	fake.hosts.Store(hostsAt(8, 7))
+	fake.status.Store(fleetAt(8, 7))
 	require.True(t, (<-answered).InForce, "the leaving host is not waited for")
 
 	var refused adminapi.Error
--- a/internal/admin/sources.go
+++ b/internal/admin/sources.go
@@ -1,25 +1,12 @@
 package admin
 
-import (
-	"context"
-
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-)
+import "github.com/swiftvane/swiftvane/internal/adminapi"
 
 // StatusSource tells the fleet as this host sees it.
 type StatusSource interface {
-	// Ready reports whether the host takes queries, and why not.
-	Ready() (ok bool, because string)
 	Status() adminapi.Status
 }
 
-// HostAsker asks each listed host, this one included, which configuration
-// revision it has in force. It may take as long as ctx allows; a host that does
-// not answer in time has an error. InForce is left to the caller.
-type HostAsker interface {
-	AskHosts(ctx context.Context) []adminapi.HostRevision
-}
-
 // ConfigSource tells the configuration in force.
 type ConfigSource interface {
 	// InForce returns nil until a configuration was accepted.
@@ -45,11 +32,10 @@
 	Drain() bool
 }
 
-// Sources are what the API serves from. They may be called from any goroutine
-// and, but for HostAsker, don't block.
+// Sources are what the API serves from. Implementations don't block and may be
+// called from any goroutine.
 type Sources struct {
 	Status     StatusSource
-	Hosts      HostAsker
 	Config     ConfigSource
 	Targets    TargetLister
 	Quarantine QuarantineStore
--- a/internal/admin/wait.go
+++ b/internal/admin/wait.go
@@ -1,7 +1,6 @@
 package admin
 
 import (
-	"context"
 	"fmt"
 	"strconv"
 	"time"
@@ -18,8 +17,8 @@
 	maxWaits = 64
 	// maxWait bounds one wait.
 	maxWait = time.Minute
-	// waitInterval is the time between two rounds of asking the hosts.
-	waitInterval = 200 * time.Millisecond
+	// waitInterval is the time between two looks at the status.
+	waitInterval = 50 * time.Millisecond
 )
 
 // getConfigWait answers once each live host has the revision or a newer one, or
@@ -43,18 +42,20 @@
 }
 
 func (s *Server) waitFor(revision model.Revision, limit time.Duration) adminapi.ConfigWait {
-	ctx, cancel := context.WithTimeout(s.stopping, limit)
-	defer cancel()
+	deadline := time.NewTimer(limit)
+	defer deadline.Stop()
 	ticker := time.NewTicker(waitInterval)
 	defer ticker.Stop()
 	for {
-		outcome := inForceOn(s.sources.Hosts.AskHosts(s.stopping), revision)
+		outcome := inForceOn(s.sources.Status.Status(), revision)
 		if outcome.InForce {
 			return outcome
 		}
 		select {
 		case <-ticker.C:
-		case <-ctx.Done():
+		case <-deadline.C:
+			return inForceOn(s.sources.Status.Status(), revision)
+		case <-s.stopping.Done():
 			return outcome
 		}
 	}
@@ -62,14 +63,24 @@
 
 // inForceOn says host by host whether revision is in force. Hosts that are
 // leaving are listed and not waited for.
-func inForceOn(hosts []adminapi.HostRevision, revision model.Revision) adminapi.ConfigWait {
+func inForceOn(status adminapi.Status, revision model.Revision) adminapi.ConfigWait {
+	hosts := []adminapi.HostRevision{{
+		ID: status.Self.ID, State: status.Self.State, Revision: status.Config.Revision,
+	}}
+	for _, host := range status.Hosts {
+		if host.ID != status.Self.ID {
+			hosts = append(hosts, adminapi.HostRevision{
+				ID: host.ID, State: host.State, Revision: host.Config.Revision, AgeMS: host.AgeMS,
+			})
+		}
+	}
 	for i := range hosts {
-		hosts[i].InForce = hosts[i].Error == "" && hosts[i].Revision >= revision
+		hosts[i].InForce = hosts[i].Revision >= revision
 	}
 	return adminapi.ConfigWait{
 		Revision: revision,
 		Hosts:    hosts,
-		InForce: len(hosts) > 0 && lo.EveryBy(hosts, func(h adminapi.HostRevision) bool {
+		InForce: lo.EveryBy(hosts, func(h adminapi.HostRevision) bool {
 			return h.InForce || h.State == model.Leaving
 		}),
 	}
--- a/internal/adminapi/config.go
+++ b/internal/adminapi/config.go
@@ -9,7 +9,7 @@
 
 // Config is the configuration in force on one host.
 type Config struct {
-	DocumentFact
+	ConfigFact
 	// Keys are the document's keys with their values as published.
 	Keys map[string]json.RawMessage `json:"keys"`
 }
@@ -34,6 +34,5 @@
 	State    model.HostState `json:"state"`
 	Revision model.Revision  `json:"revision"`
 	InForce  bool            `json:"in_force"`
-	// Error says why the host could not be asked.
-	Error string `json:"error,omitempty"`
+	AgeMS    int64           `json:"age_ms"`
 }
--- a/internal/adminapi/status.go
+++ b/internal/adminapi/status.go
@@ -28,53 +28,50 @@
 	Ready           bool   `json:"ready"`
 	NotReadyBecause string `json:"not_ready_because,omitempty"`
 	// Draining says that the host has begun its planned stop.
-	Draining bool `json:"draining"`
-	// Paused says that the process did not run for a while and refreshes its
-	// views before it acts.
-	Paused          bool         `json:"paused"`
+	Draining        bool         `json:"draining"`
 	InflightQueries int          `json:"inflight_queries"`
 	UptimeMS        int64        `json:"uptime_ms"`
-	Config          DocumentFact `json:"config"`
-	HostList        DocumentFact `json:"host_list"`
-	// Watching says that this host reads the platform itself rather than
-	// learning from other hosts alone.
-	Watching bool `json:"watching"`
-	// LeavingTargets and LeavingHosts get no new work.
-	LeavingTargets []model.TargetID `json:"leaving_targets"`
-	LeavingHosts   []model.HostID   `json:"leaving_hosts"`
-	Hosts          []HostFact       `json:"hosts"`
+	Config          ConfigFact   `json:"config"`
+	HostList        HostListFact `json:"host_list"`
+	Platform        PlatformFact `json:"platform"`
+	Hosts           []HostFact   `json:"hosts"`
 }
 
-// DocumentFact says which configuration or host list is in force.
-type DocumentFact struct {
+// ConfigFact says which configuration is in force.
+type ConfigFact struct {
 	Revision model.Revision `json:"revision"`
-	// Digest is the hash of the document as 16 hexadecimal digits; empty if none
-	// is in force.
+	// Digest is the hash of the document as 16 hexadecimal digits; empty if no
+	// configuration is in force.
 	Digest string `json:"digest,omitempty"`
-	// Source is "platform" or the host that it came from.
-	Source string `json:"source,omitempty"`
-	// AgeMS is the time since it came into force.
-	AgeMS int64 `json:"age_ms"`
-	// PlatformAgeMS is the time since this process last read it from the
-	// platform; -1 if it never did.
-	PlatformAgeMS int64 `json:"platform_age_ms"`
-	// Rejected is the newest document that was not accepted, nil for none.
-	Rejected *RejectedDocument `json:"rejected,omitempty"`
+	AgeMS  int64  `json:"age_ms"`
 }
 
-// RejectedDocument is a published document that was not accepted.
-type RejectedDocument struct {
+// HostListFact says which host list is in use.
+type HostListFact struct {
 	Revision model.Revision `json:"revision"`
-	Reason   string         `json:"reason"`
-	Source   string         `json:"source"`
 	AgeMS    int64          `json:"age_ms"`
 }
 
-// HostFact is what a host was last heard to say.
+// PlatformFact says how the platform's service answered last.
+type PlatformFact struct {
+	// Watching says that this host reads the platform itself rather than
+	// learning from other hosts alone.
+	Watching bool `json:"watching"`
+	// Reachable says that the last call was answered.
+	Reachable bool `json:"reachable"`
+	// AgeMS is the time since the last answer; -1 if there was none.
+	AgeMS     int64  `json:"age_ms"`
+	LastError string `json:"last_error,omitempty"`
+}
+
+// HostFact is what is known of one host.
 type HostFact struct {
 	model.Host
-	ConfigRevision   model.Revision `json:"config_revision"`
-	HostListRevision model.Revision `json:"host_list_revision"`
-	// AgeMS is the time since the host was heard; -1 if it was not of late.
+	Incarnation  model.Incarnation `json:"incarnation,omitempty"`
+	Config       ConfigFact        `json:"config"`
+	HostListSeen model.Revision    `json:"host_list_revision"`
+	// Linked says that a link to the host is up.
+	Linked bool `json:"linked"`
+	// AgeMS is the time since the host itself was heard; -1 if it never was.
 	AgeMS int64 `json:"age_ms"`
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -63,7 +63,7 @@
 func TestStatusAsJSONAndAsTable(t *testing.T) {
 	bodies := map[string]string{"GET " + adminapi.PathStatus: `{
 		"self":{"id":"h1","state":"live"},"config":{"revision":7,"digest":"00000000000000aa"},
-		"hosts":[{"id":"h2","state":"leaving","config_revision":6,"age_ms":1500}]}`}
+		"hosts":[{"id":"h2","state":"leaving","config":{"revision":6},"age_ms":1500}]}`}
 	code, stdout, _ := run(t, bodies, "", "status", "--output", "json")
 	require.Equal(t, exitcode.OK, code)
 	var status adminapi.Status
--- a/internal/cli/config_wait.go
+++ b/internal/cli/config_wait.go
@@ -66,8 +66,8 @@
 }
 
 func drawWait(t table.Writer, wait *adminapi.ConfigWait) {
-	t.AppendHeader(table.Row{"host", "state", "revision", "in force", "error"})
+	t.AppendHeader(table.Row{"host", "state", "revision", "in force", "heard"})
 	for _, host := range wait.Hosts {
-		t.AppendRow(table.Row{host.ID, host.State, host.Revision, host.InForce, host.Error})
+		t.AppendRow(table.Row{host.ID, host.State, host.Revision, host.InForce, ageOf(host.AgeMS)})
 	}
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
@@ -31,31 +30,22 @@
 
 func drawStatus(t table.Writer, s *adminapi.Status) {
 	t.SetTitle("%s in %s (%s): %s", s.Self.ID, s.Self.FailureDomain, s.Self.Region, readiness(s))
-	t.AppendHeader(table.Row{"host", "failure domain", "state", "configuration", "host list", "heard"})
+	t.AppendHeader(table.Row{"host", "failure domain", "state", "linked", "revision", "digest", "host list", "heard"})
 	t.AppendRow(table.Row{
-		s.Self.ID, s.Self.FailureDomain, s.Self.State, s.Config.Revision, s.HostList.Revision, "this host",
+		s.Self.ID, s.Self.FailureDomain, s.Self.State, "self",
+		s.Config.Revision, s.Config.Digest, s.HostList.Revision, "now",
 	})
 	for _, h := range s.Hosts {
 		if h.ID == s.Self.ID {
 			continue
 		}
 		t.AppendRow(table.Row{
-			h.ID, h.FailureDomain, h.State, h.ConfigRevision, h.HostListRevision, ageOf(h.AgeMS),
+			h.ID, h.FailureDomain, h.State, h.Linked,
+			h.Config.Revision, h.Config.Digest, h.HostListSeen, ageOf(h.AgeMS),
 		})
 	}
-	t.SetCaption("%s", strings.Join([]string{
-		documentText("configuration", &s.Config), documentText("host list", &s.HostList),
-		fmt.Sprintf("%d queries in flight, up %s, leaving targets: %v", s.InflightQueries, ageOf(s.UptimeMS), s.LeavingTargets),
-	}, "\n"))
-}
-
-func documentText(what string, d *adminapi.DocumentFact) string {
-	text := fmt.Sprintf("%s %d (%s) from %s, in force for %s, platform read %s ago",
-		what, d.Revision, d.Digest, d.Source, ageOf(d.AgeMS), ageOf(d.PlatformAgeMS))
-	if r := d.Rejected; r != nil {
-		text += fmt.Sprintf("\n%s %d was REJECTED %s ago: %s", what, r.Revision, ageOf(r.AgeMS), r.Reason)
-	}
-	return text
+	t.SetCaption("platform: %s; configuration learned %s ago, host list %s ago; %d queries in flight; up %s",
+		platformText(s.Platform), ageOf(s.Config.AgeMS), ageOf(s.HostList.AgeMS), s.InflightQueries, ageOf(s.UptimeMS))
 }
 
 func readiness(s *adminapi.Status) string {
@@ -68,3 +58,10 @@
 		return "not ready: " + s.NotReadyBecause
 	}
 }
+
+func platformText(p adminapi.PlatformFact) string {
+	if p.Reachable {
+		return fmt.Sprintf("answered %s ago", ageOf(p.AgeMS))
+	}
+	return fmt.Sprintf("not reachable (%s), last answer %s ago", p.LastError, ageOf(p.AgeMS))
+}
