Show a rejected document in the status table also while the platform answers

Cause: the daemon reports a rejected document in the platform's last error; the table showed that only for a platform that does not answer. Change: the table always shows it. Conclusion: tests of cli pass.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -60,8 +60,12 @@
 }
 
 func platformText(p adminapi.PlatformFact) string {
+	text := fmt.Sprintf("not reachable, last answer %s ago", ageOf(p.AgeMS))
 	if p.Reachable {
-		return fmt.Sprintf("answered %s ago", ageOf(p.AgeMS))
+		text = fmt.Sprintf("answered %s ago", ageOf(p.AgeMS))
 	}
-	return fmt.Sprintf("not reachable (%s), last answer %s ago", p.LastError, ageOf(p.AgeMS))
+	if p.LastError != "" {
+		text += " (" + p.LastError + ")"
+	}
+	return text
 }
