--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -10,7 +10,9 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/swiftvane/swiftvane/internal/demo"
 	"github.com/swiftvane/swiftvane/internal/exitcode"
+	"github.com/swiftvane/swiftvane/internal/load"
 )
 
 // NewRoot returns the command swiftvanectl with all its commands.
@@ -37,6 +39,7 @@
 	root.AddCommand(
 		newQuery(opts), newStatus(opts), newTargets(opts), newQuarantine(opts),
 		newConfig(opts), newDrain(opts), newVersion(opts),
+		demo.NewCommand(), load.NewCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/demo/command.go
@@ -0,0 +1,77 @@
+// Package demo shows the whole path in one process on embedded stand-ins.
+package demo
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"github.com/swiftvane/swiftvane/internal/embedded"
+	"github.com/swiftvane/swiftvane/internal/standin/cluster"
+	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/internal/standin/target"
+)
+
+const (
+	demoHosts    = 3
+	startTimeout = 20 * time.Second
+	demoSeed     = 1
+	// Each target answers in about 4 ms, and one reply in 100 takes 20 times as
+	// long.
+	latencyMedianUS = 4000
+	latencySigma    = 0.25
+	stragglerShare  = 0.01
+	stragglerFactor = 20
+)
+
+// NewCommand returns the demo command.
+func NewCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "demo",
+		Short: "Run the whole path in one process on embedded stand-ins",
+		Long: "demo starts a stand-in platform, the 40 targets of a diff review, 4 targets of\n" +
+			"an archive and 3 hosts of the tier in this process. It asks a sweep, a quick\n" +
+			"check and a filing that must not repeat, and prints what came of them.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return run(cmd.Context(), cmd.OutOrStdout(), cmd.ErrOrStderr())
+		},
+	}
+}
+
+func run(ctx context.Context, out, progress io.Writer) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	say(progress, "starting a platform, 44 targets and %d hosts in this process", demoHosts)
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	tier, err := embedded.Start(starting, embedded.Options{
+		Hosts: demoHosts,
+		Cluster: cluster.Options{
+			Shapes: []fixture.Shape{fixture.DiffReview(), fixture.AuditArchive()},
+			Faults: target.Faults{
+				LatencyMedianUS: latencyMedianUS,
+				LatencySigma:    latencySigma,
+				StragglerShare:  stragglerShare,
+				StragglerFactor: stragglerFactor,
+			},
+			Seed: demoSeed,
+		},
+		Log: silent(),
+	})
+	if err != nil {
+		return err
+	}
+	defer tier.Close()
+	return newTour(tier, out, progress).run(ctx)
+}
+
+func silent() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,18 @@
+package demo
+
+import (
+	"bytes"
+	"io"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestDemoCoversEveryShardAndRunsAFilingOnce runs what the README shows first.
+func TestDemoCoversEveryShardAndRunsAFilingOnce(t *testing.T) {
+	var out bytes.Buffer
+	require.NoError(t, run(t.Context(), &out, io.Discard))
+	require.Regexp(t, regexp.MustCompile(`baseline sweep .*\| 20 of 20 \|`), out.String())
+	require.Regexp(t, regexp.MustCompile(`filing, sent twice .*\| 1 of 1 .*\| 1 +\|\n`), out.String())
+}
--- /dev/null
+++ b/internal/demo/step.go
@@ -0,0 +1,36 @@
+package demo
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"github.com/swiftvane/swiftvane/internal/callerclient"
+)
+
+// step is one kind of query, asked count times.
+type step struct {
+	name  string
+	count int
+	// sameID sends every query under one request id.
+	sameID bool
+	query  callerclient.Query
+}
+
+func (s *step) row(last *callerclient.Answer, latencies []time.Duration, extra, asked int, runs string) table.Row {
+	slices.Sort(latencies)
+	return table.Row{
+		s.name,
+		len(latencies),
+		last.Snapshot,
+		fmt.Sprintf("%d of %d", last.Coverage.Answered, last.Coverage.Shards),
+		milliseconds(latencies[len(latencies)/2]),
+		milliseconds(latencies[len(latencies)-1]),
+		percentOf(extra, asked),
+		runs,
+	}
+}
+
+func milliseconds(d time.Duration) string { return fmt.Sprintf("%.1f", d.Seconds()*1000) }
--- /dev/null
+++ b/internal/demo/tour.go
@@ -0,0 +1,119 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
+
+	"github.com/swiftvane/swiftvane/internal/callerclient"
+	"github.com/swiftvane/swiftvane/internal/embedded"
+	"github.com/swiftvane/swiftvane/internal/httpjson"
+	"github.com/swiftvane/swiftvane/internal/model"
+)
+
+const (
+	// sweeps is enough for hedges to learn the services' latency.
+	sweeps      = 200
+	deadlineMS  = 2000
+	maxAttempts = 3
+)
+
+// tour asks one query of each kind and prints the outcomes.
+type tour struct {
+	tier *embedded.Tier
+	// clients has one for each host, used in turn as a balancer would.
+	clients  []*callerclient.Client
+	out      table.Writer
+	progress io.Writer
+}
+
+func newTour(tier *embedded.Tier, out, progress io.Writer) *tour {
+	t := &tour{
+		tier:     tier,
+		out:      table.NewWriter(),
+		progress: progress,
+	}
+	for _, url := range tier.CallerURLs() {
+		t.clients = append(t.clients, &callerclient.Client{
+			URLs: []string{url}, Caller: "demo", MaxAttempts: maxAttempts, HTTP: httpjson.New(),
+		})
+	}
+	t.out.SetOutputMirror(out)
+	t.out.AppendHeader(table.Row{"query", "answers", "snapshot", "coverage", "p50 ms", "worst ms", "extra load", "runs at targets"})
+	return t
+}
+
+func (t *tour) run(ctx context.Context) error {
+	steps := []step{
+		{name: "baseline sweep", count: sweeps, query: callerclient.Query{
+			Workload: "diff-review", Body: json.RawMessage(`{"sweep":"all forms"}`), DeadlineMS: deadlineMS,
+		}},
+		{name: "drift check", count: sweeps, query: callerclient.Query{
+			Workload: "diff-review", Body: json.RawMessage(`{"form":"FJ-112"}`), DeadlineMS: deadlineMS,
+			Services: []model.ServiceName{"diff-review-03", "diff-review-11"},
+		}},
+		{name: "filing, sent twice", count: 2, sameID: true, query: callerclient.Query{
+			Workload: "audit-archive", Body: json.RawMessage(`{"file":"evidence 4711"}`), DeadlineMS: deadlineMS,
+		}},
+	}
+	for i := range steps {
+		say(t.progress, "%s", steps[i].name)
+		if err := t.take(ctx, &steps[i]); err != nil {
+			return eris.Wrap(err, steps[i].name)
+		}
+	}
+	t.out.Render()
+	return nil
+}
+
+// take asks a step's query and adds a row. It fails if any answer is missing or
+// does not cover every shard.
+func (t *tour) take(ctx context.Context, s *step) error {
+	var last *callerclient.Answer
+	var latencies []time.Duration
+	extra, asked := 0, 0
+	if s.sameID {
+		id, err := callerclient.NewRequestID()
+		if err != nil {
+			return err
+		}
+		s.query.RequestID = id
+	}
+	for i := range s.count {
+		began := time.Now()
+		answer, err := t.clients[i%len(t.clients)].Ask(ctx, s.query)
+		if err != nil {
+			return err
+		}
+		latencies = append(latencies, time.Since(began))
+		if c := answer.Coverage; c.Answered != c.Shards {
+			return eris.Errorf("the answer covers %d of %d shards", c.Answered, c.Shards)
+		}
+		last = answer
+		extra += answer.ExtraSubrequests
+		asked += answer.Coverage.Shards
+	}
+	t.out.AppendRow(s.row(last, latencies, extra, asked, t.runs(s)))
+	return nil
+}
+
+// runs returns what the targets recorded of a step with one id.
+func (t *tour) runs(s *step) string {
+	if !s.sameID {
+		return "-"
+	}
+	return fmt.Sprint(len(t.tier.Cluster.Runs(s.query.RequestID).Runs))
+}
+
+func say(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
+
+// percentOf returns part of whole in per cent, with one decimal.
+func percentOf(part, whole int) string {
+	return fmt.Sprintf("%.1f%%", 100*float64(part)/float64(lo.Ternary(whole == 0, 1, whole)))
+}
--- /dev/null
+++ b/internal/embedded/tier.go
@@ -0,0 +1,156 @@
+// Package embedded runs the whole path in one process: stand-ins of the
+// platform and of targets, and several hosts of the tier. Demonstrations,
+// experiments and benchmarks use it; the product does not.
+package embedded
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/daemon"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/settings"
+	"github.com/swiftvane/swiftvane/internal/standin/cluster"
+	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+)
+
+const (
+	loopback = "127.0.0.1:0"
+	// readyPoll is the time between two looks at a starting host.
+	readyPoll = 10 * time.Millisecond
+	secretLen = 48
+)
+
+// Options describe a tier.
+type Options struct {
+	// Hosts is the number of the tier's hosts; zero means one.
+	Hosts int
+	// Cluster describes the stand-ins; its Hosts are filled in.
+	Cluster cluster.Options
+	// Adjust changes a host's settings before it starts; it may be nil.
+	Adjust func(*settings.Settings)
+	Log    logrus.FieldLogger
+}
+
+// Tier is a running tier with its stand-ins.
+type Tier struct {
+	Cluster *cluster.Cluster
+	Hosts   []*daemon.Daemon
+}
+
+// Start starts the stand-ins and the hosts and returns once every host is ready.
+// On an error, or when ctx ends first, nothing is left running.
+func Start(ctx context.Context, o Options) (*Tier, error) {
+	t := &Tier{}
+	if err := t.start(ctx, &o); err != nil {
+		t.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *Tier) start(ctx context.Context, o *Options) error {
+	peerAddrs, err := freeAddrs(max(1, o.Hosts))
+	if err != nil {
+		return err
+	}
+	list := fixture.Hosts(peerAddrs...)
+	o.Cluster.Hosts = list
+	if t.Cluster, err = cluster.Start(o.Cluster); err != nil {
+		return err
+	}
+	secrets := settings.Secrets{
+		PeerKeys:   [][]byte{secret()},
+		ReadToken:  secret(),
+		WriteToken: secret(),
+	}
+	for i := range list.Hosts {
+		s := t.hostSettings(&list.Hosts[i], secrets)
+		if o.Adjust != nil {
+			o.Adjust(s)
+		}
+		host, err := daemon.New(s, o.Log)
+		if err != nil {
+			return err
+		}
+		if err := host.Start(context.Background()); err != nil {
+			return err
+		}
+		t.Hosts = append(t.Hosts, host)
+	}
+	return t.awaitReady(ctx)
+}
+
+// hostSettings returns the settings of a host without a lame-duck time, since
+// there is no balancer, and without a wait for claims of an earlier fleet, since
+// there was none.
+func (t *Tier) hostSettings(host *model.Host, secrets settings.Secrets) *settings.Settings {
+	s := settings.Defaults()
+	s.Host = settings.Host{ID: host.ID, Region: host.Region, FailureDomain: host.FailureDomain}
+	s.Listen = settings.Listen{Caller: loopback, Admin: loopback, Peer: host.PeerAddr, AdvertisedPeer: host.PeerAddr}
+	s.Platform.BaseURL = "http://" + t.Cluster.Platform.Addr()
+	s.Limits.LameDuckMS = 0
+	s.Limits.ClaimHistoryWaitMS = 0
+	s.Secrets = secrets
+	return s
+}
+
+func (t *Tier) awaitReady(ctx context.Context) error {
+	for _, host := range t.Hosts {
+		for !host.Ready() {
+			select {
+			case <-ctx.Done():
+				return eris.Wrap(ctx.Err(), "embedded tier: a host did not become ready")
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// CallerURLs returns the base URLs at which the hosts serve callers.
+func (t *Tier) CallerURLs() []string {
+	urls := make([]string, len(t.Hosts))
+	for i, host := range t.Hosts {
+		urls[i] = "http://" + host.CallerAddr()
+	}
+	return urls
+}
+
+// Close stops the hosts and the stand-ins. Requests in flight are cut.
+func (t *Tier) Close() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, host := range t.Hosts {
+		_ = host.Stop(ctx)
+	}
+	if t.Cluster != nil {
+		t.Cluster.Close()
+	}
+}
+
+// freeAddrs returns loopback addresses that nobody listens on.
+func freeAddrs(n int) ([]string, error) {
+	addrs := make([]string, 0, n)
+	for range n {
+		listener, err := net.Listen("tcp", loopback)
+		if err != nil {
+			return nil, fmt.Errorf("embedded tier: %w", err)
+		}
+		addrs = append(addrs, listener.Addr().String())
+		defer func() { _ = listener.Close() }()
+	}
+	return addrs, nil
+}
+
+func secret() []byte {
+	value := make([]byte, secretLen)
+	_, _ = rand.Read(value) // never fails
+	return value
+}
