Add open-loop scenarios against stand-in targets

Cause: the design's targets had no measurement. Change: BenchmarkScenario compares with the naive scatter in the same run.

--- /dev/null
+++ b/internal/query/cluster_test.go
@@ -0,0 +1,99 @@
+package query
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/dispatch"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/standin/cluster"
+	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/internal/target"
+	"github.com/swiftvane/swiftvane/internal/view"
+)
+
+// tier is one host on stand-in targets, without HTTP and peers.
+type tier struct {
+	cluster  *cluster.Cluster
+	shape    fixture.Shape
+	views    *fixedView
+	local    *dispatch.Local
+	executor *Executor
+	scope    tally.TestScope
+}
+
+// startTier starts targets of the shape and a host that owns them all.
+func startTier(tb testing.TB, shape fixture.Shape, policy func(*config.Policy)) *tier {
+	tb.Helper()
+	c, err := cluster.Start(cluster.Options{Shapes: []fixture.Shape{shape}, Seed: 1})
+	require.NoError(tb, err)
+	t := &tier{cluster: c, shape: shape, views: &fixedView{}, scope: tally.NewTestScope("", nil)}
+	t.views.v.Store(t.view(policy, shape.ShardMap(fixture.FirstSnapshot)))
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	t.local = dispatch.NewLocal(dispatch.Options{Views: t.views, Dialer: target.NewHTTPDialer(), Scope: t.scope, Log: log})
+	t.local.Start()
+	router := dispatch.NewRouter(dispatch.RouterOptions{Views: t.views, Local: t.local, Scope: t.scope})
+	t.executor = New(Options{Views: t.views, Dispatcher: router, Scope: t.scope, Log: log})
+	tb.Cleanup(t.stop)
+	return t
+}
+
+func (t *tier) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	t.local.Stop(ctx)
+	t.cluster.Close()
+}
+
+// view publishes the shard maps with one host as the owner of every target.
+func (t *tier) view(policy func(*config.Policy), maps ...model.ShardMap) *view.View {
+	defaults := fixture.Defaults()
+	if policy != nil {
+		policy(&defaults)
+	}
+	v := &view.View{
+		Self: model.Host{ID: "h0"},
+		Fleet: &config.Fleet{
+			Defaults:  defaults,
+			Workloads: map[model.WorkloadName]*config.Workload{t.shape.Workload: {Idempotent: true}},
+			Indexes:   map[model.WorkloadName]*model.Index{t.shape.Workload: {Snapshots: maps}},
+			Targets:   map[model.TargetID]*model.Target{},
+		},
+		Owners: map[model.TargetID]view.Owners{},
+	}
+	for _, running := range t.cluster.Targets {
+		id := running.ID()
+		v.Fleet.Targets[id] = &model.Target{ID: id, Addr: running.Addr(), Slots: t.shape.Slots, MaxConnections: t.shape.MaxConnections}
+		v.Owners[id] = view.Owners{Owner: "h0"}
+	}
+	return v
+}
+
+// query returns a sweep over the tier's workload.
+func (t *tier) query(id string, left time.Duration) *Request {
+	return &Request{
+		RequestID: id, Caller: "c", Workload: t.shape.Workload, Body: []byte(`{"q":"` + id + `"}`),
+		Deadline: time.Now().Add(left), Idempotent: true,
+	}
+}
+
+// counters sums the tier's counters by name and reason tag.
+func (t *tier) counters() map[string]int64 {
+	sums := map[string]int64{}
+	for _, c := range t.scope.Snapshot().Counters() {
+		name := c.Name()
+		if reason := c.Tags()["reason"]; reason != "" {
+			name += "{" + reason + "}"
+		}
+		sums[name] += c.Value()
+	}
+	return sums
+}
--- /dev/null
+++ b/internal/query/scenario_test.go
@@ -0,0 +1,181 @@
+package query
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/naive"
+	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	standin "github.com/swiftvane/swiftvane/internal/standin/target"
+	"github.com/swiftvane/swiftvane/internal/target"
+)
+
+const (
+	// scenarioTime is how long each open-loop run lasts.
+	scenarioTime = 5 * time.Second
+	// scenarioMedianUS is the median time of an exchange, in microseconds.
+	scenarioMedianUS = 4000
+)
+
+// report is what an open-loop run measured.
+type report struct {
+	latency  *hdrhistogram.Histogram
+	ok       atomic.Int64
+	failed   atomic.Int64
+	refusals *hdrhistogram.Histogram
+	mu       sync.Mutex
+}
+
+func (r *report) record(started time.Time, ok bool) {
+	took := time.Since(started).Microseconds()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ok {
+		r.ok.Add(1)
+		_ = r.latency.RecordValue(took)
+		return
+	}
+	r.failed.Add(1)
+	_ = r.refusals.RecordValue(took)
+}
+
+func (r *report) quantile(q float64) float64 {
+	return float64(r.latency.ValueAtQuantile(q*100)) / 1000
+}
+
+// openLoop starts queries at the rate whatever becomes of the earlier ones.
+func openLoop(rate float64, length time.Duration, run func(i int) bool) *report {
+	r := &report{
+		latency:  hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
+		refusals: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
+	}
+	var running sync.WaitGroup
+	begin := time.Now()
+	for i := 0; ; i++ {
+		due := begin.Add(time.Duration(float64(i) / rate * float64(time.Second)))
+		if due.Sub(begin) >= length {
+			break
+		}
+		time.Sleep(time.Until(due))
+		running.Go(func() { r.record(due, run(i)) })
+	}
+	running.Wait()
+	return r
+}
+
+func (t *tier) runs(b *testing.B, deadline time.Duration) func(int) bool {
+	return func(i int) bool {
+		answer, err := t.executor.Execute(context.Background(), t.query(fmt.Sprint(i), deadline))
+		return err == nil && answer != nil
+	}
+}
+
+// naiveScatter asks all shards at once with no hedge, on the same targets.
+func (t *tier) naiveScatter(b *testing.B, deadline time.Duration) (func(int) bool, func()) {
+	shardMap := t.shape.ShardMap(fixture.FirstSnapshot)
+	index := &naive.Index{ShardMap: &shardMap, Targets: map[model.TargetID]*model.Target{}}
+	for id, tg := range t.views.Current().Fleet.Targets {
+		index.Targets[id] = tg
+	}
+	s := naive.NewScatter(target.NewHTTPDialer(), index, 3)
+	return func(i int) bool {
+		results := s.Query(context.Background(), &naive.Query{
+			RequestID: fmt.Sprint("n", i), Workload: t.shape.Workload, Body: []byte(fmt.Sprintf(`{"q":"%d"}`, i)),
+			Deadline: time.Now().Add(deadline), Idempotent: true,
+		})
+		for _, r := range results {
+			if r.Reason != "" {
+				return false
+			}
+		}
+		return true
+	}, s.Close
+}
+
+func fullCoverage(p *config.Policy) { p.MinCoverage = 1 }
+
+// BenchmarkScenario runs the cases that the design is judged by. Each compares
+// with the naive scatter on the same targets in the same run.
+func BenchmarkScenario(b *testing.B) {
+	shape := fixture.DiffReview()
+	b.Run("stragglers", func(b *testing.B) {
+		compare(b, shape, standin.Faults{LatencyMedianUS: scenarioMedianUS, LatencySigma: 0.1, StragglerShare: 0.01, StragglerFactor: 20}, 100)
+	})
+	b.Run("healthy", func(b *testing.B) {
+		compare(b, shape, standin.Faults{LatencyMedianUS: scenarioMedianUS, LatencySigma: 0.1}, 50)
+	})
+	b.Run("frozen", func(b *testing.B) { frozen(b, shape) })
+	b.Run("overload", func(b *testing.B) { overload(b, shape) })
+}
+
+func compare(b *testing.B, shape fixture.Shape, faults standin.Faults, rate float64) {
+	for range b.N {
+		t := startTier(b, shape, fullCoverage)
+		require.NoError(b, t.cluster.SetFaults(faults))
+		naiveRun, closeNaive := t.naiveScatter(b, 5*time.Second)
+		openLoop(rate, time.Second, naiveRun)
+		n := openLoop(rate, scenarioTime, naiveRun)
+		closeNaive()
+		openLoop(rate, time.Second, t.runs(b, 5*time.Second))
+		before := t.counters()
+		r := openLoop(rate, scenarioTime, t.runs(b, 5*time.Second))
+		after := t.counters()
+		sent := after["subrequests_sent"] - before["subrequests_sent"]
+		regular := (r.ok.Load() + r.failed.Load()) * int64(shape.Services)
+		b.ReportMetric(n.quantile(0.5), "naive-p50-ms")
+		b.ReportMetric(n.quantile(0.99), "naive-p99-ms")
+		b.ReportMetric(r.quantile(0.5), "p50-ms")
+		b.ReportMetric(r.quantile(0.99), "p99-ms")
+		b.ReportMetric(r.quantile(0.999), "p99.9-ms")
+		b.ReportMetric(r.quantile(0.99)/n.quantile(0.99), "p99-ratio")
+		b.ReportMetric(r.quantile(0.5)/n.quantile(0.5), "p50-ratio")
+		b.ReportMetric(100*float64(sent-regular)/float64(regular), "extra-%")
+		b.ReportMetric(float64(r.failed.Load()), "failed")
+	}
+}
+
+func frozen(b *testing.B, shape fixture.Shape) {
+	for range b.N {
+		t := startTier(b, shape, fullCoverage)
+		require.NoError(b, t.cluster.SetFaults(standin.Faults{LatencyMedianUS: scenarioMedianUS, LatencySigma: 0.1}))
+		openLoop(100, time.Second, t.runs(b, 5*time.Second))
+		calm := openLoop(100, scenarioTime, t.runs(b, 5*time.Second))
+		require.NoError(b, t.cluster.Targets[0].SetFaults(standin.Faults{Frozen: true}))
+		first := openLoop(100, time.Second, t.runs(b, 5*time.Second))
+		r := openLoop(100, scenarioTime, t.runs(b, 5*time.Second))
+		b.ReportMetric(calm.quantile(0.999), "calm-p99.9-ms")
+		b.ReportMetric(first.quantile(0.999), "first-second-p99.9-ms")
+		b.ReportMetric(r.quantile(0.99), "p99-ms")
+		b.ReportMetric(r.quantile(0.999), "p99.9-ms")
+		b.ReportMetric(r.quantile(0.999)/calm.quantile(0.999), "p99.9-ratio")
+		b.ReportMetric(float64(first.failed.Load()+r.failed.Load()), "failed")
+		b.Log(t.counters())
+	}
+}
+
+// overload offers shares of what the slots hold. Each shard has two targets of
+// two slots.
+func overload(b *testing.B, shape fixture.Shape) {
+	capacity := float64(shape.Replicas*shape.Slots) / (scenarioMedianUS / 1e6)
+	for range b.N {
+		for _, share := range []float64{0.5, 0.8, 0.9, 1, 1.5, 2} {
+			t := startTier(b, shape, fullCoverage)
+			require.NoError(b, t.cluster.SetFaults(standin.Faults{LatencyMedianUS: scenarioMedianUS, LatencySigma: 0.1}))
+			openLoop(capacity*share/2, time.Second, t.runs(b, time.Second))
+			r := openLoop(capacity*share, scenarioTime, t.runs(b, time.Second))
+			b.Logf("offered %.0f/s (%.1f of %.0f): goodput %.0f/s p50 %.1f ms p99 %.1f ms, refused p50 %.2f ms p99 %.2f ms, %v", capacity*share, share, capacity,
+				float64(r.ok.Load())/scenarioTime.Seconds(), r.quantile(0.5), r.quantile(0.99),
+				float64(r.refusals.ValueAtQuantile(50))/1000, float64(r.refusals.ValueAtQuantile(99))/1000, t.counters())
+			t.stop()
+		}
+	}
+}
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/gather"
@@ -78,6 +79,9 @@
 			wakeAt = time.Time{}
 			r.onAlarms(time.Now())
 		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				return r.finish(Expired)
+			}
 			return r.finish(Abandoned)
 		}
 	}
