Test the caller face; name a field in every refusal

Cause: FuzzDecode found refusals that named no field: a JSON array or null in place of the request, and an unknown field with an empty name. The unknown field's own name was only in the message.

--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -2,14 +2,22 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"io"
+	"strings"
 
 	"github.com/swiftvane/swiftvane/internal/requestid"
 	"github.com/swiftvane/swiftvane/internal/verdict"
 )
 
+// wholeRequest is the field named by errors that no single field is to blame for.
+const wholeRequest = "request"
+
+// unknownField begins the JSON library's message for a field that no type has.
+const unknownField = "json: unknown field "
+
 // Decode reads a query from body. Unknown fields are errors, so that a
 // misspelt "idempotent" is never taken for its default.
 func Decode(body []byte) (*QueryRequest, *verdict.Error) {
@@ -20,19 +28,22 @@
 		return nil, decodeError(err)
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, verdict.RefuseField(verdict.BadRequest, "body", "the request holds more than one JSON value")
+		return nil, verdict.RefuseField(verdict.BadRequest, wholeRequest, "the request holds more than one JSON value")
 	}
 	return req, req.check()
 }
 
 func decodeError(err error) *verdict.Error {
 	if typeErr, ok := errors.AsType[*json.UnmarshalTypeError](err); ok {
-		return verdict.RefuseField(verdict.BadRequest, typeErr.Field, "a JSON %s is not allowed here", typeErr.Value)
+		return verdict.RefuseField(verdict.BadRequest, cmp.Or(typeErr.Field, wholeRequest), "a JSON %s is not allowed here", typeErr.Value)
 	}
 	if syntaxErr, ok := errors.AsType[*json.SyntaxError](err); ok {
-		return verdict.RefuseField(verdict.BadRequest, "body", "malformed JSON at byte %d: %s", syntaxErr.Offset, syntaxErr)
+		return verdict.RefuseField(verdict.BadRequest, wholeRequest, "malformed JSON at byte %d: %s", syntaxErr.Offset, syntaxErr)
+	}
+	if name, ok := strings.CutPrefix(err.Error(), unknownField); ok {
+		return verdict.RefuseField(verdict.BadRequest, cmp.Or(strings.Trim(name, `"`), wholeRequest), "no such field")
 	}
-	return verdict.RefuseField(verdict.BadRequest, "body", "malformed JSON: %s", err)
+	return verdict.RefuseField(verdict.BadRequest, wholeRequest, "malformed JSON: %s", err)
 }
 
 func (r *QueryRequest) check() *verdict.Error {
--- /dev/null
+++ b/internal/entry/once_test.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/claim"
+	"github.com/swiftvane/swiftvane/internal/requestid"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+func orderWithID(t *testing.T) (id, body string) {
+	t.Helper()
+	minted, err := requestid.Mint()
+	require.NoError(t, err)
+	return minted.Value, fmt.Sprintf(`{"workload":"orders","body":1,"request_id":%q}`, minted.Value)
+}
+
+func TestAtMostOnceUnclaimedRequestIsNotExecuted(t *testing.T) {
+	f := &fakes{claimErr: verdict.Refuse(verdict.ClaimNoMajority, time.Second, "2 of 5 witnesses")}
+	_, body := orderWithID(t)
+	status, _, raw := post(t, newTestServer(f), body)
+	require.Equal(t, 503, status)
+	require.Equal(t, verdict.NotRun, decodeFailure(t, raw).Verdict)
+	require.Empty(t, f.executed)
+}
+
+func TestAtMostOnceResendGetsTheRecordedAnswer(t *testing.T) {
+	f := &fakes{}
+	s := newTestServer(f)
+	id, body := orderWithID(t)
+	status, _, first := post(t, s, body)
+	require.Equal(t, 200, status)
+	outcome := f.recorded[id]
+	require.Equal(t, verdict.Ran, outcome.Verdict)
+
+	f.claimErr = &claim.Duplicate{Outcome: &outcome}
+	status, _, second := post(t, s, body)
+	require.Equal(t, 200, status)
+	require.JSONEq(t, string(first), string(second))
+	require.Len(t, f.executed, 1)
+}
+
+func TestAtMostOnceResendOfAnOpenRequestIsUnknown(t *testing.T) {
+	f := &fakes{claimErr: &claim.Duplicate{}}
+	_, body := orderWithID(t)
+	status, _, raw := post(t, newTestServer(f), body)
+	require.Equal(t, 409, status)
+	require.Equal(t, verdict.Unknown, decodeFailure(t, raw).Verdict)
+	require.Empty(t, f.executed)
+}
+
+func TestAtMostOnceOnlyARequestThatDidNotRunReleasesItsID(t *testing.T) {
+	f := &fakes{failure: verdict.Refuse(verdict.TargetUnreachable, time.Second, "refused")}
+	s := newTestServer(f)
+	id, body := orderWithID(t)
+	_, _, _ = post(t, s, body)
+	require.Equal(t, []string{id}, f.released)
+	require.Empty(t, f.recorded)
+
+	f.failure = &verdict.Error{Verdict: verdict.Unknown, Reason: verdict.TargetSilent, Message: "no answer"}
+	id, body = orderWithID(t)
+	_, _, _ = post(t, s, body)
+	require.Len(t, f.released, 1)
+	require.Equal(t, verdict.Unknown, f.recorded[id].Verdict)
+}
+
+// TestAtMostOnceFingerprintChangesWithEveryPart guards against one caller's id
+// giving it another request's recorded answer.
+func TestAtMostOnceFingerprintChangesWithEveryPart(t *testing.T) {
+	base := call{caller: "a", body: &QueryRequest{Workload: "w", Body: json.RawMessage(`1`)}}
+	other := base
+	other.caller = "b"
+	require.NotEqual(t, base.fingerprint(), other.fingerprint())
+	changed := *base.body
+	changed.Body = json.RawMessage(`2`)
+	require.NotEqual(t, base.fingerprint(), (&call{caller: "a", body: &changed}).fingerprint())
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -105,10 +105,10 @@
 
 // handleError answers what the HTTP library refused before a handler ran.
 func (s *Server) handleError(c *fiber.Ctx, err error) error {
-	refusal := verdict.RefuseField(verdict.BadRequest, "body", "%s", err)
+	refusal := verdict.RefuseField(verdict.BadRequest, wholeRequest, "%s", err)
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, fiber.ErrRequestEntityTooLarge):
-		refusal = verdict.RefuseField(verdict.BodyTooLarge, "body", "at most %d bytes are allowed", s.opts.MaxBodyBytes)
+		refusal = verdict.RefuseField(verdict.BodyTooLarge, wholeRequest, "at most %d bytes are allowed", s.opts.MaxBodyBytes)
 	case errors.Is(err, fiber.ErrNotFound):
 		refusal = verdict.RefuseField(verdict.BadRequest, "path", "no such path: %s", c.Path())
 	case errors.Is(err, fiber.ErrMethodNotAllowed):
