Confirm the host list through peers and tie claims to it

Cause: claims hold a host list only for a lease after the platform last named it, but nothing told them when that was: the list counted as confirmed always, so a host cut off with an old list could go on claiming. Ruled out: reading the platform from each host for it, since platform calls would then grow with the fleet. Change: digests carry how long ago the sender's list was confirmed; a receiver with the same list takes it over; the daemon hands the time to the claims. Seen: TestHostListIsConfirmedThroughPeers and TestOnlyTheSameListIsConfirmedByAPeer fail with the take-over removed (condition never satisfied in 30 s) and pass with it.

--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -146,16 +146,17 @@
 func provideClaims(i do.Injector) (*claim.Service, error) {
 	s, in, mesh, views := do.MustInvoke[*settings.Settings](i), do.MustInvoke[*instruments](i), do.MustInvoke[*peer.Mesh](i), do.MustInvoke[*fleet.Fleet](i)
 	return claim.New(claim.Options{
-		Self:        do.MustInvoke[model.Host](i),
-		Incarnation: do.MustInvoke[model.Incarnation](i),
-		Views:       views,
-		HostLists:   hostLists(views),
-		Transport:   mesh,
-		Registrar:   mesh,
-		HistoryWait: historyWait(s),
-		MaxEntries:  s.Limits.ClaimEntries,
-		Scope:       in.scope.SubScope("claim"),
-		Log:         in.log,
+		Self:            do.MustInvoke[model.Host](i),
+		Incarnation:     do.MustInvoke[model.Incarnation](i),
+		Views:           views,
+		HostLists:       hostLists(views),
+		ListConfirmedAt: views.ListConfirmedAt,
+		Transport:       mesh,
+		Registrar:       mesh,
+		HistoryWait:     historyWait(s),
+		MaxEntries:      s.Limits.ClaimEntries,
+		Scope:           in.scope.SubScope("claim"),
+		Log:             in.log,
 	}), nil
 }
 
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -19,6 +19,9 @@
 func (e documentRead) apply(c *control) {
 	c.platformAt[e.kind] = c.now()
 	c.offer(e.kind, e.doc, sourcePlatform)
+	if e.kind == hostListDocument && e.doc.Revision == c.hosts.version.Revision {
+		c.fleet.confirmList(c.now())
+	}
 }
 
 // sourcePlatform is the source of documents that came from the platform.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,8 @@
 	current  atomic.Pointer[published]
 	ready    chan struct{}
 	pause    *pauseDetector
+	// listConfirmed is ListConfirmedAt in Unix nanoseconds.
+	listConfirmed atomic.Int64
 	// pulls bounds the documents being encoded for peers at one time.
 	pulls chan struct{}
 	// roleChanged wakes the readers.
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -41,6 +41,7 @@
 	f := c.fleet
 	f.counters.swaps.Inc(1)
 	msg := f.current.Load().digest()
+	msg.ListConfirmedAgoMS = f.listConfirmedAgo()
 	f.opts.Transport.Go(to, peer.KindDigest, &msg, c.deadline(f.opts.CallTimeout), func(raw cbor.RawMessage, err error) {
 		e := digestSwapped{peer: to, err: err}
 		if err == nil {
@@ -55,6 +56,7 @@
 // heard notes what a peer has.
 func (c *control) heard(from model.HostID, msg *digestMessage) {
 	c.peers[from] = peerState{config: msg.Config, hosts: msg.Hosts, at: c.now()}
+	c.confirmListFrom(msg)
 }
 
 // reconcile brings this host and a peer to the same state. The host that began
--- a/internal/fleet/handlers.go
+++ b/internal/fleet/handlers.go
@@ -35,6 +35,7 @@
 	}
 	if in.Reply != nil {
 		reply := f.current.Load().digest()
+		reply.ListConfirmedAgoMS = f.listConfirmedAgo()
 		in.Reply(&reply)
 	}
 	f.post(e)
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -39,6 +39,9 @@
 	Delta  *config.Delta `cbor:"4,keyasint,omitempty"`
 	// DeltaOf says which document Delta is of.
 	DeltaOf documentKind `cbor:"5,keyasint,omitempty"`
+	// ListConfirmedAgoMS is how long ago the platform named Hosts as the newest
+	// list, plus one; zero if it never did.
+	ListConfirmedAgoMS int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // documentKind names a replicated document.
