--- /dev/null
+++ b/internal/load/experiment/naive.go
@@ -0,0 +1,67 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/load"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/naive"
+	"github.com/swiftvane/swiftvane/internal/standin/cluster"
+	"github.com/swiftvane/swiftvane/internal/target"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// naiveSubject is a number of hosts that scatter directly.
+type naiveSubject struct {
+	hosts []*naive.Scatter
+	next  atomic.Uint64
+}
+
+func startNaive(standins *cluster.Cluster, arm *Arm) (subject, error) {
+	fleet, err := readFleet(standins)
+	if err != nil {
+		return nil, err
+	}
+	index := &naive.Index{ShardMap: fleet.Indexes["sweep"].Newest(), Targets: make(map[model.TargetID]*model.Target)}
+	for id, t := range fleet.Targets {
+		index.Targets[id] = t
+	}
+	s := new(naiveSubject)
+	for range arm.Hosts {
+		s.hosts = append(s.hosts, naive.NewScatter(target.NewHTTPDialer(), index, arm.Hosts))
+	}
+	return s, nil
+}
+
+// Ask implements load.Asker.
+func (s *naiveSubject) Ask(ctx context.Context, q *load.Query) load.Outcome {
+	number := s.next.Add(1)
+	host := s.hosts[number%uint64(len(s.hosts))]
+	results := host.Query(ctx, &naive.Query{
+		RequestID: fmt.Sprint(number), Caller: q.Caller, Workload: q.Workload, Body: q.Body,
+		Deadline: time.Now().Add(q.Deadline), Idempotent: true,
+	})
+	outcome := load.Outcome{Verdict: verdict.Ran, Shards: len(results), Missing: make(map[verdict.Reason]int)}
+	for _, result := range results {
+		if result.Reason == "" {
+			outcome.Covered++
+		} else {
+			outcome.Missing[result.Reason]++
+		}
+	}
+	outcome.Answered = outcome.Covered == outcome.Shards
+	if !outcome.Answered {
+		outcome.Verdict, outcome.Reason = verdict.Unknown, verdict.CoverageTooLow
+	}
+	return outcome
+}
+
+// Close implements subject.
+func (s *naiveSubject) Close() {
+	for _, host := range s.hosts {
+		host.Close()
+	}
+}
--- /dev/null
+++ b/internal/load/experiment/runner.go
@@ -0,0 +1,163 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/swiftvane/swiftvane/internal/load"
+	"github.com/swiftvane/swiftvane/internal/standin/cluster"
+	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/internal/standin/target"
+)
+
+// subject is a running arm.
+type subject interface {
+	load.Asker
+	Close()
+}
+
+// Run runs the experiment. tell gets a line before each arm.
+func Run(ctx context.Context, plan *Plan, tell func(line string)) (*Report, error) {
+	report := &Report{
+		Name: plan.Name, Description: plan.Description, Started: time.Now().UTC(),
+		Machine: Machine{Cores: runtime.NumCPU(), LoadAverageBefore: loadAverage()},
+	}
+	for round := range plan.Rounds {
+		var arms []*ArmReport
+		for i := range plan.Arms {
+			arm := &plan.Arms[i]
+			tell(fmt.Sprintf("%s: round %d of %d, %s", plan.Name, round+1, plan.Rounds, arm.Name))
+			armReport, err := runArm(ctx, plan, arm)
+			if err != nil {
+				return nil, fmt.Errorf("arm %s: %w", arm.Name, err)
+			}
+			arms = append(arms, armReport)
+		}
+		report.Rounds = append(report.Rounds, arms)
+	}
+	for i := range plan.Compares {
+		report.Verdicts = append(report.Verdicts, compare(&plan.Compares[i], report.Rounds))
+	}
+	report.Machine.LoadAverageAfter = loadAverage()
+	return report, ctx.Err()
+}
+
+// runArm runs one arm on stand-ins of its own.
+func runArm(ctx context.Context, plan *Plan, arm *Arm) (*ArmReport, error) {
+	standins, err := cluster.Start(cluster.Options{
+		Shapes:     []fixture.Shape{plan.shape()},
+		Faults:     plan.Workload.Faults.Faults,
+		QueueLimit: plan.Workload.QueueLimit,
+		Seed:       plan.Load.Seed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer standins.Close()
+	if err := publishPolicy(standins, plan.Policy); err != nil {
+		return nil, err
+	}
+	running, err := startSubject(ctx, plan, arm, standins)
+	if err != nil {
+		return nil, err
+	}
+	defer running.Close()
+	cancelFaults := scheduleFaults(arm, standins.Targets)
+	defer cancelFaults()
+	before := processorTime()
+	measured, err := load.Generate(ctx, plan.run(arm), running, nil)
+	if err != nil {
+		return nil, err
+	}
+	used := processorTime() - before
+	report := reportArm(arm, measured, standins.Runs(""), used)
+	if wanted := measured.TotalSent * plan.Workload.Services; wanted > 0 {
+		report.TargetExtra = float64(report.TargetStarted+report.TargetRefused)/float64(wanted) - 1
+	}
+	return report, nil
+}
+
+func startSubject(ctx context.Context, plan *Plan, arm *Arm, standins *cluster.Cluster) (subject, error) {
+	switch arm.Kind {
+	case Naive:
+		return startNaive(standins, arm)
+	case Core:
+		return startCore(standins, arm)
+	default:
+		return startTier(ctx, plan, standins, arm)
+	}
+}
+
+// publishPolicy merges the plan's policy into the published defaults.
+func publishPolicy(standins *cluster.Cluster, policy string) error {
+	defaults := fixture.Defaults()
+	if policy != "" {
+		if err := json.Unmarshal([]byte(policy), &defaults); err != nil {
+			return fmt.Errorf("policy: %w", err)
+		}
+	}
+	raw, err := json.Marshal(defaults)
+	if err != nil {
+		return err
+	}
+	standins.Platform.Publish(map[string]json.RawMessage{"defaults": raw})
+	return nil
+}
+
+// scheduleFaults sets the arm's faults when they are due.
+func scheduleFaults(arm *Arm, targets []*target.Target) (cancel func()) {
+	if arm.FaultTargets == 0 {
+		return func() {}
+	}
+	timer := time.AfterFunc(time.Duration(arm.FaultAt), func() {
+		for _, t := range targets[:min(arm.FaultTargets, len(targets))] {
+			_ = t.SetFaults(arm.Faults.Faults) // checked when the plan was read
+		}
+	})
+	return func() { timer.Stop() }
+}
+
+func reportArm(arm *Arm, measured *load.Report, runs target.RunReport, used time.Duration) *ArmReport {
+	report := &ArmReport{
+		Name: arm.Name, Kind: arm.Kind,
+		Goodput:            measured.Summary.AnswersPerSecond,
+		ExtraLoad:          measured.Summary.ExtraLoad,
+		PeakConnections:    runs.PeakConnections,
+		RefusedConnections: runs.RefusedConnections,
+		TargetStarted:      runs.Started,
+		TargetFinished:     runs.Finished,
+		TargetCancelled:    runs.Cancelled,
+		TargetRefused:      runs.Refused,
+		Load:               measured,
+	}
+	if runs.Started > 0 {
+		report.CPUMicrosPerSubRequest = float64(used.Microseconds()) / float64(runs.Started)
+	}
+	return report
+}
+
+// processorTime returns what this process used so far.
+func processorTime() time.Duration {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// loadAverage returns the machine's load average over one minute, or nothing.
+func loadAverage() string {
+	raw, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return ""
+	}
+	first, _, _ := strings.Cut(string(raw), " ")
+	return first
+}
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -55,6 +55,8 @@
 	offered  int
 	sent     int
 	notSent  int
+	// total is sent with the warm-up.
+	total int
 	// latest is the longest time that a query was sent after its arrival.
 	latest time.Duration
 }
@@ -79,7 +81,7 @@
 		}
 		if elapsed := time.Since(started); progress != nil && elapsed-reported >= progressInterval {
 			reported = elapsed
-			progress(elapsed, total, g.sent)
+			progress(elapsed, total, g.total)
 		}
 		g.send(ctx, number, arrivals.pick(), started.Add(at), at >= time.Duration(g.run.Warmup))
 	}
@@ -98,6 +100,7 @@
 		}
 		return
 	}
+	g.total++
 	if counted {
 		g.sent++
 		g.latest = max(g.latest, time.Since(intended))
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -112,6 +112,7 @@
 		Offered:   g.offered,
 		Sent:      g.sent,
 		NotSent:   g.notSent,
+		TotalSent: g.total,
 		LateMS:    milliseconds(g.latest.Microseconds()),
 		Summary:   r.all.summary(counted),
 		Workloads: make(map[model.WorkloadName]Summary, len(r.byName)),
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -21,6 +21,8 @@
 	Offered int `json:"offered"`
 	Sent    int `json:"sent"`
 	NotSent int `json:"not_sent"`
+	// TotalSent is Sent with the warm-up.
+	TotalSent int `json:"total_sent"`
 	// LateMS is the longest time that a query was sent after its arrival, in
 	// milliseconds.
 	LateMS    float64                        `json:"late_ms"`
