--- a/internal/dispatch/controlconn.go
+++ b/internal/dispatch/controlconn.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 
 	"github.com/swiftvane/swiftvane/internal/subquery"
 	"github.com/swiftvane/swiftvane/internal/target"
 )
 
-// errNoControlConn is returned where the quota leaves no connection for probes.
-var errNoControlConn = errors.New("dispatch: the connection quota leaves none for probes")
-
 // controlConn is the connection on which a pool cancels and probes while its
 // slots are busy.
 type controlConn struct {
@@ -99,7 +97,10 @@
 		return c.p.ctx.Err()
 	}
 	if c.conn == nil {
-		conn, err := c.p.dial()
+		conn, err := c.p.dial(c.p.l.limits.ProbeTimeout)
+		if err != nil && !errors.Is(err, errRefused) {
+			return fmt.Errorf("%w: %w", errNoAnswer, err)
+		}
 		if err != nil {
 			return err
 		}
@@ -108,6 +109,9 @@
 	ctx, cancel := context.WithTimeout(c.p.ctx, c.p.l.limits.ProbeTimeout)
 	defer cancel()
 	err := f(ctx, c.conn)
+	if err != nil && ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", errNoAnswer, err)
+	}
 	if err != nil || c.conn.Broken() {
 		c.drop()
 	}
@@ -117,7 +121,7 @@
 // drop closes the connection. connMu must be held.
 func (c *controlConn) drop() {
 	if c.conn != nil {
-		_ = c.conn.Close()
+		c.p.hangUp(c.conn)
 		c.conn = nil
 	}
 }
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"syscall"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/subquery"
@@ -15,6 +14,9 @@
 
 // absorb takes in what an answer says about the target's state.
 func (p *pool) absorb(a *subquery.Answer, now time.Time) {
+	if a.OK() {
+		p.proved(now)
+	}
 	if a.Load.Leaving || a.Reason == verdict.TargetLeaving {
 		p.setLeaving(true)
 	}
@@ -37,9 +39,14 @@
 	p.refuseQueue(verdict.TargetShed, hint)
 }
 
-// probed takes in a probe's load report. Only a probe that says otherwise ends
-// a target's leaving.
-func (p *pool) probed(load *subquery.Load) { p.setLeaving(load.Leaving) }
+// probed takes in a probe's load report. Health endpoints mislead: a probe ends
+// a target's leaving, but only an answer begins it.
+func (p *pool) probed(load *subquery.Load) {
+	p.proved(time.Now())
+	if !load.Leaving {
+		p.setLeaving(false)
+	}
+}
 
 func (p *pool) setLeaving(leaving bool) {
 	p.mu.Lock()
@@ -67,16 +74,13 @@
 	if p.ctl.lost() {
 		return true
 	}
-	conn, err := p.dial()
+	conn, err := p.dial(p.l.limits.ProbeTimeout)
 	if err != nil {
 		p.connectFailed(now, err)
-		return refused(err)
+		return errors.Is(err, errRefused)
 	}
-	defer func() { _ = conn.Close() }()
-	ctx, cancel := context.WithTimeout(p.ctx, p.l.limits.ProbeTimeout)
-	defer cancel()
-	_, err = conn.Probe(ctx)
-	return err != nil && refused(err)
+	p.hangUp(conn)
+	return false
 }
 
 // lost reports whether the connection for probes was open and is dead now.
@@ -95,12 +99,6 @@
 	return true
 }
 
-// refused reports whether the other end refused or reset the connection, which
-// a cut network does not do.
-func refused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-}
-
 // reportCrash tells of each sub-request that ran when the target died.
 func (p *pool) reportCrash(items []*item) {
 	if len(items) == 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,8 @@
 package settings
 
 import (
+	"strings"
+
 	"github.com/swiftvane/swiftvane/internal/logging"
 	"github.com/swiftvane/swiftvane/internal/model"
 )
@@ -43,9 +45,12 @@
 
 // Platform says where the platform is.
 type Platform struct {
-	BaseURL string `toml:"base_url" validate:"required,http_url" allowed:"an http:// or https:// URL" doc:"Base URL of the configuration service and host list."`
+	BaseURL string `toml:"base_url" validate:"required,platformurl" allowed:"http://IP:PORT" doc:"Base URL of the configuration service and host list."`
 }
 
+// Addr returns the address part of BaseURL.
+func (p *Platform) Addr() string { return strings.TrimPrefix(p.BaseURL, platformScheme) }
+
 // Peers holds what links to other hosts need.
 type Peers struct {
 	KeyFiles []string `toml:"key_files" validate:"required,min=1,max=2,unique,dive,required" allowed:"one or two different readable files, each with a key of at least 32 bytes" doc:"Files with the keys that authenticate hosts to each other. The first signs; both are accepted, so that a key can be changed without a stop."`
@@ -66,6 +71,7 @@
 	DeadlineMaxMS      int `toml:"deadline_max_ms" validate:"min=1,max=600000" allowed:"1 to 600000 ms" doc:"Longest deadline that a caller may name; policy may allow less."`
 	LameDuckMS         int `toml:"lame_duck_ms" validate:"min=0,max=600000" allowed:"0 to 600000 ms" doc:"Time between reporting not ready and refusing new queries, for the balancer to notice."`
 	DrainMS            int `toml:"drain_ms" validate:"min=1,max=3600000" allowed:"1 to 3600000 ms" doc:"Longest wait for requests in flight after that."`
+	ClaimHistoryWaitMS int `toml:"claim_history_wait_ms" validate:"min=0,max=86400000" allowed:"0 to 86400000 ms; 0 only for the first start of a fleet" doc:"How long a host that finds no other with a complete history of host lists refuses requests that must not repeat: until no forgotten claim can be open any more."`
 	ClaimEntries       int `toml:"claim_entries" validate:"min=1024,max=100000000" allowed:"1024 to 100000000" doc:"Request ids that this host remembers as a witness; new ones are refused at the bound."`
 }
 
@@ -83,6 +89,7 @@
 	defaultLameDuckMS         = 3_000
 	defaultDrainMS            = 30_000
 	defaultClaimEntries       = 1 << 18
+	defaultClaimHistoryWaitMS = 1_204_000
 )
 
 // Defaults returns settings with each default set and the rest empty.
@@ -96,6 +103,7 @@
 			LameDuckMS:         defaultLameDuckMS,
 			DrainMS:            defaultDrainMS,
 			ClaimEntries:       defaultClaimEntries,
+			ClaimHistoryWaitMS: defaultClaimHistoryWaitMS,
 		},
 		Log: Log{Level: logging.DefaultLevel},
 	}
