--- a/internal/load/experiment/naive.go
+++ b/internal/load/experiment/naive.go
@@ -16,20 +16,26 @@
 
 // naiveSubject is a number of hosts that scatter directly.
 type naiveSubject struct {
-	hosts []*naive.Scatter
-	next  atomic.Uint64
+	standins *cluster.Cluster
+	hosts    []*naive.Scatter
+	next     atomic.Uint64
 }
 
-func startNaive(standins *cluster.Cluster, arm *Arm) (subject, error) {
+func startNaive(plan *Plan, arm *Arm) (subject, error) {
+	standins, err := startStandins(plan)
+	if err != nil {
+		return nil, err
+	}
 	fleet, err := readFleet(standins)
 	if err != nil {
+		standins.Close()
 		return nil, err
 	}
 	index := &naive.Index{ShardMap: fleet.Indexes["sweep"].Newest(), Targets: make(map[model.TargetID]*model.Target)}
 	for id, t := range fleet.Targets {
 		index.Targets[id] = t
 	}
-	s := new(naiveSubject)
+	s := &naiveSubject{standins: standins}
 	for range arm.Hosts {
 		s.hosts = append(s.hosts, naive.NewScatter(target.NewHTTPDialer(), index, arm.Hosts))
 	}
@@ -59,9 +65,13 @@
 	return outcome
 }
 
+// Standins implements subject.
+func (s *naiveSubject) Standins() *cluster.Cluster { return s.standins }
+
 // Close implements subject.
 func (s *naiveSubject) Close() {
 	for _, host := range s.hosts {
 		host.Close()
 	}
+	s.standins.Close()
 }
--- a/internal/load/experiment/plan.go
+++ b/internal/load/experiment/plan.go
@@ -17,6 +17,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/swiftvane/swiftvane/internal/load"
+	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/internal/standin/target"
 )
@@ -166,6 +167,16 @@
 	return shape
 }
 
+// standins returns the options of an arm's stand-ins.
+func (p *Plan) standins() cluster.Options {
+	return cluster.Options{
+		Shapes:     []fixture.Shape{p.shape()},
+		Faults:     p.Workload.Faults.Faults,
+		QueueLimit: p.Workload.QueueLimit,
+		Seed:       p.Load.Seed,
+	}
+}
+
 // run returns the load run of an arm.
 func (p *Plan) run(arm *Arm) *load.Run {
 	rate := p.Load.Rate
--- a/internal/load/experiment/runner.go
+++ b/internal/load/experiment/runner.go
@@ -20,6 +20,8 @@
 // subject is a running arm.
 type subject interface {
 	load.Asker
+	Standins() *cluster.Cluster
+	// Close stops the arm and its stand-ins.
 	Close()
 }
 
@@ -51,24 +53,12 @@
 
 // runArm runs one arm on stand-ins of its own.
 func runArm(ctx context.Context, plan *Plan, arm *Arm) (*ArmReport, error) {
-	standins, err := cluster.Start(cluster.Options{
-		Shapes:     []fixture.Shape{plan.shape()},
-		Faults:     plan.Workload.Faults.Faults,
-		QueueLimit: plan.Workload.QueueLimit,
-		Seed:       plan.Load.Seed,
-	})
-	if err != nil {
-		return nil, err
-	}
-	defer standins.Close()
-	if err := publishPolicy(standins, plan.Policy); err != nil {
-		return nil, err
-	}
-	running, err := startSubject(ctx, plan, arm, standins)
+	running, err := startSubject(ctx, plan, arm)
 	if err != nil {
 		return nil, err
 	}
 	defer running.Close()
+	standins := running.Standins()
 	cancelFaults := scheduleFaults(arm, standins.Targets)
 	defer cancelFaults()
 	before := processorTime()
@@ -84,15 +74,28 @@
 	return report, nil
 }
 
-func startSubject(ctx context.Context, plan *Plan, arm *Arm, standins *cluster.Cluster) (subject, error) {
+func startSubject(ctx context.Context, plan *Plan, arm *Arm) (subject, error) {
 	switch arm.Kind {
 	case Naive:
-		return startNaive(standins, arm)
+		return startNaive(plan, arm)
 	case Core:
-		return startCore(standins, arm)
+		return startCore(ctx, plan, arm)
 	default:
-		return startTier(ctx, plan, standins, arm)
+		return startTier(ctx, plan, arm)
+	}
+}
+
+// startStandins starts an arm's stand-ins with the plan's policy published.
+func startStandins(plan *Plan) (*cluster.Cluster, error) {
+	standins, err := cluster.Start(plan.standins())
+	if err != nil {
+		return nil, err
+	}
+	if err := publishPolicy(standins, plan.Policy); err != nil {
+		standins.Close()
+		return nil, err
 	}
+	return standins, nil
 }
 
 // publishPolicy merges the plan's policy into the published defaults.
