--- /dev/null
+++ b/internal/load/experiment/core.go
@@ -0,0 +1,95 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/load"
+	"github.com/swiftvane/swiftvane/internal/query"
+	"github.com/swiftvane/swiftvane/internal/standin/cluster"
+	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// coreSubject is the entry and dispatch roles of hosts, without the callers'
+// HTTP. The hosts reach each other over peer links.
+type coreSubject struct {
+	standins *cluster.Cluster
+	hosts    []*coreHost
+	next     atomic.Uint64
+}
+
+// readFleet checks the published document.
+func readFleet(standins *cluster.Cluster) (*config.Fleet, error) {
+	return config.Parse(standins.Platform.Document())
+}
+
+func startCore(ctx context.Context, plan *Plan, arm *Arm) (subject, error) {
+	standins, err := startStandins(plan)
+	if err != nil {
+		return nil, err
+	}
+	s := &coreSubject{standins: standins}
+	if err := s.start(ctx, arm); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *coreSubject) start(ctx context.Context, arm *Arm) error {
+	fleet, err := readFleet(s.standins)
+	if err != nil {
+		return err
+	}
+	addrs, err := freeAddrs(arm.Hosts)
+	if err != nil {
+		return err
+	}
+	hosts := fixture.Hosts(addrs...)
+	for i := range hosts.Hosts {
+		host, err := startCoreHost(ctx, fleet, hosts, &hosts.Hosts[i], arm.Direct)
+		if err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, host)
+	}
+	return nil
+}
+
+// Ask implements load.Asker.
+func (s *coreSubject) Ask(ctx context.Context, q *load.Query) load.Outcome {
+	number := s.next.Add(1)
+	host := s.hosts[number%uint64(len(s.hosts))]
+	answer, failure := host.executor.Execute(ctx, &query.Request{
+		RequestID: fmt.Sprint(number), Caller: q.Caller, Workload: q.Workload, Body: q.Body,
+		Deadline: time.Now().Add(q.Deadline), Idempotent: true,
+	})
+	if failure != nil {
+		return load.Outcome{Verdict: failure.Verdict, Reason: failure.Reason, RetryAfter: failure.RetryAfter}
+	}
+	outcome := load.Outcome{
+		Answered: true, Verdict: verdict.Ran, Extra: answer.ExtraSubrequests,
+		Covered: len(answer.Coverage.Answered),
+		Shards:  len(answer.Coverage.Answered) + len(answer.Coverage.Missing),
+		Missing: make(map[verdict.Reason]int),
+	}
+	for _, missing := range answer.Coverage.Missing {
+		outcome.Missing[missing.Reason]++
+	}
+	return outcome
+}
+
+// Standins implements subject.
+func (s *coreSubject) Standins() *cluster.Cluster { return s.standins }
+
+// Close implements subject.
+func (s *coreSubject) Close() {
+	for _, host := range s.hosts {
+		host.close()
+	}
+	s.standins.Close()
+}
