Prove the claim rules by exhaustive exploration at small size

Cause: the at-most-once rules had no proof, and nothing showed what each of them is for.

Ruled out: random walks only (gopter), which would miss the short rare orders; a model with rules of its own, which could differ from what runs.

For each of 14 rules a test leaves it out and demands a violation.

Found by the model, failing first: a witness that started in the very millisecond in which an id of a fast clock was still grantable voted on it again (issued exactly at start plus margin); it refuses now. A list that a peer still calls its newest keeps its say from then on, not from when it was first superseded here.

Conclusion: leaving out a rule breaks an invariant in each case. For the deadline that is a late run, for forgotten releases a request that can never run, for the verdict rule a false not_run; the other eleven give double runs.

--- a/internal/claim/claimant.go
+++ b/internal/claim/claimant.go
@@ -86,10 +86,12 @@
 	a.witnesses = tally.Witnesses()
 	s.collect(ctx, a, tally, deadline)
 	if !tally.Won() {
+		tally.GiveUp()
 		s.giveUp(a)
 		return nil, tally, s.lost(id, tally)
 	}
-	if err := s.recheck(id, known, deadline); err != nil {
+	if err := s.recheck(id, known, tally, deadline); err != nil {
+		tally.GiveUp()
 		s.giveUp(a)
 		return nil, nil, err
 	}
@@ -121,9 +123,9 @@
 
 // recheck refuses to act on a majority that came too late: the deadline has
 // passed, or this process was paused meanwhile.
-func (s *Service) recheck(id requestid.ID, before *lists, deadline time.Time) error {
+func (s *Service) recheck(id requestid.ID, before *lists, tally *rules.Tally, deadline time.Time) error {
 	now := s.opts.Clock()
-	if !now.Before(deadline) {
+	if !tally.MayAct(rules.At(now), rules.At(deadline)) {
 		return s.notRun(id, verdict.ClaimDeadlinePassed, "the deadline passed while the request id was claimed")
 	}
 	after := s.lists.Load()
--- /dev/null
+++ b/internal/claim/claimmodel/model_test.go
@@ -0,0 +1,59 @@
+package claimmodel
+
+import (
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// largeVariable is set for the exploration that takes minutes.
+	largeVariable = "SWIFTVANE_MODEL_LARGE"
+	smallStates   = 200_000
+	largeStates   = 6_000_000
+)
+
+func explore(t *testing.T, s *Scenario, maxStates int) *Result {
+	t.Helper()
+	s.MaxStates = maxStates
+	result, err := Explore(s)
+	require.NoError(t, err)
+	return result
+}
+
+func TestAtMostOnceModelHolds(t *testing.T) {
+	for _, s := range Small() {
+		t.Run(s.Name, func(t *testing.T) {
+			result := explore(t, s, smallStates)
+			t.Log(result)
+			require.Empty(t, result.Violation)
+		})
+	}
+}
+
+func TestAtMostOnceModelLarge(t *testing.T) {
+	if os.Getenv(largeVariable) == "" {
+		t.Skipf("set %s=1 for the exploration that takes minutes", largeVariable)
+	}
+	for _, s := range Large() {
+		t.Run(s.Name, func(t *testing.T) {
+			result := explore(t, s, largeStates)
+			t.Log(result)
+			require.Empty(t, result.Violation)
+		})
+	}
+}
+
+func TestAtMostOnceModelNeedsEveryRule(t *testing.T) {
+	for _, omission := range Omissions() {
+		t.Run(omission.Rule, func(t *testing.T) {
+			s := Find(omission.Scenario)
+			require.NotNil(t, s)
+			omission.Omit(s)
+			result := explore(t, s, smallStates)
+			t.Logf("without %q, in %q: %s", omission.Rule, omission.Scenario, result)
+			require.NotEmpty(t, result.Violation, "the rule is not needed, or the scenario does not show it")
+		})
+	}
+}
--- /dev/null
+++ b/internal/claim/claimmodel/world.go
@@ -0,0 +1,133 @@
+package claimmodel
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/swiftvane/swiftvane/internal/claim/rules"
+	"github.com/swiftvane/swiftvane/internal/model"
+)
+
+const (
+	requestID   = "x"
+	otherID     = "y"
+	fingerprint = 1
+	// begin is when the exploration starts; all first processes are old by then.
+	begin = rules.Time(100_000)
+)
+
+// budget is what may still happen.
+type budget struct {
+	crashes, pauses, duplicates, fills, jumps int
+}
+
+// world is one state. It is copied for each event; what it points to is shared
+// until changed.
+type world struct {
+	s         *Scenario
+	now       rules.Time
+	published int
+	processes []*process
+	attempts  []*attempt
+	messages  []message
+	used      budget
+	runs      int
+	// sentBeforeNotRun is how many attempts had been sent when the caller was last
+	// told NotRun.
+	sentBeforeNotRun int
+	violation        string
+}
+
+func newWorld(s *Scenario) *world {
+	w := &world{s: s, now: begin, processes: make([]*process, len(s.Hosts))}
+	revision, hosts := s.list(0)
+	for _, i := range s.Before {
+		p := w.newProcess(0)
+		p.witness = rules.NewWitness(s.limits(), s.Off, 0)
+		p.history = rules.NewHistory(s.limits(), 0)
+		p.history.Learn(revision, hosts, 0)
+		p.history.Confirm(begin, begin)
+		w.processes[i] = p
+	}
+	return w
+}
+
+func (w *world) newProcess(generation int) *process {
+	return &process{
+		generation: generation,
+		witness:    rules.NewWitness(w.s.limits(), w.s.Off, w.now),
+		history:    rules.NewHistory(w.s.limits(), w.now),
+	}
+}
+
+func (w *world) clone() *world {
+	c := *w
+	c.processes = slices.Clone(w.processes)
+	c.attempts = slices.Clone(w.attempts)
+	c.messages = slices.Clone(w.messages)
+	return &c
+}
+
+// process returns a copy of a process that may be changed.
+func (w *world) process(i int) *process {
+	w.processes[i] = w.processes[i].clone()
+	return w.processes[i]
+}
+
+// attempt returns a copy of an attempt that may be changed.
+func (w *world) attempt(i int) *attempt {
+	w.attempts[i] = w.attempts[i].clone()
+	return w.attempts[i]
+}
+
+// running reports whether a host has a process that is not paused.
+func (w *world) running(i int) bool {
+	p := w.processes[i]
+	return p != nil && !p.paused
+}
+
+// alive reports whether the process that made an attempt still runs.
+func (w *world) alive(a *attempt) bool {
+	return w.running(a.host) && w.processes[a.host].generation == a.generation
+}
+
+func (w *world) index(host model.HostID) int { return slices.Index(w.s.Hosts, host) }
+
+func (w *world) post(m message) { w.messages = append(w.messages, m) }
+
+func (w *world) fail(violation string) {
+	if w.violation == "" {
+		w.violation = violation
+	}
+}
+
+func (w *world) issuedAt() rules.Time { return begin.Add(w.s.Issued) }
+
+// stateHash names the world; worlds of equal state have equal futures.
+func (w *world) stateHash() uint64 {
+	var buf [256]byte
+	b := buf[:0]
+	add := func(n uint64) { b = binary.LittleEndian.AppendUint64(b, n) }
+	add(uint64(w.now))
+	u := &w.used
+	b = append(b, byte(w.published), byte(u.crashes), byte(u.pauses), byte(u.duplicates), byte(u.fills), byte(u.jumps), byte(w.runs), byte(w.sentBeforeNotRun))
+	for _, p := range w.processes {
+		if p == nil {
+			add(0)
+			continue
+		}
+		add(p.stateHash())
+	}
+	for _, a := range w.attempts {
+		add(a.stateHash())
+	}
+	// The order of messages does not matter.
+	var messages uint64
+	for i := range w.messages {
+		messages += w.messages[i].stateHash()
+	}
+	add(messages)
+	return xxhash.Sum64(b)
+}
--- a/internal/claim/rules/history.go
+++ b/internal/claim/rules/history.go
@@ -88,8 +88,11 @@
 	return false
 }
 
-// Learn adds a published list. It reports whether the list was new.
+// Learn adds a published list unless it is held. It reports whether it was new.
 func (h *History) Learn(revision model.Revision, hosts []model.HostID, now Time) bool {
+	if h.Has(revision) {
+		return false
+	}
 	return h.insert(listed{revision: revision, hosts: NewHostSet(hosts), supersededAt: now}, now)
 }
 
@@ -108,8 +111,9 @@
 		return int(min(max(int64(e.revision)-int64(r), -1), 1))
 	})
 	if found {
-		if known := &h.lists[at]; at < len(h.lists)-1 && l.supersededAt > known.supersededAt && l.supersededAt < now {
-			known.supersededAt = l.supersededAt
+		// Whoever told it may act by it for as long as it says.
+		if known := &h.lists[at]; at < len(h.lists)-1 {
+			known.supersededAt = max(known.supersededAt, l.supersededAt)
 		}
 		return false
 	}
@@ -159,7 +163,7 @@
 	for i, l := range h.lists {
 		shared.Lists[i] = List{Revision: l.revision, Hosts: l.hosts.hosts}
 		if l.supersededAt != 0 {
-			shared.Lists[i].SupersededAgo = max(now-l.supersededAt, 1)
+			shared.Lists[i].SupersededAgo = now - l.supersededAt
 		}
 	}
 	return shared
--- a/internal/claim/rules/tally.go
+++ b/internal/claim/rules/tally.go
@@ -10,6 +10,8 @@
 	votes    map[model.HostID]Answer
 	complete bool
 	outcome  []byte
+	// givenUp is set once nothing may be sent under the attempt any more.
+	givenUp bool
 }
 
 // NewTally returns a tally for the witness sets of one claim. complete says that
@@ -18,6 +20,14 @@
 	return &Tally{sets: sets, votes: make(map[model.HostID]Answer), complete: complete, off: off}
 }
 
+// GiveUp ends the attempt: whatever votes arrive, it has not won.
+func (t *Tally) GiveUp() { t.givenUp = !t.off.LateVotes }
+
+// MayAct reports whether the request may go to a target at time now.
+func (t *Tally) MayAct(now, deadline Time) bool {
+	return t.Won() && (t.off.Deadline || now < deadline)
+}
+
 // Witnesses returns each host that is to be asked, once.
 func (t *Tally) Witnesses() []model.HostID {
 	var hosts []model.HostID
@@ -48,7 +58,7 @@
 // Won reports whether the attempt holds a majority of each set, and somebody
 // asked has a complete history of host lists. A known outcome never wins.
 func (t *Tally) Won() bool {
-	if len(t.sets) == 0 || len(t.outcome) > 0 {
+	if t.givenUp || len(t.sets) == 0 || len(t.outcome) > 0 {
 		return false
 	}
 	if !t.complete && !t.off.CompleteHistory {
--- a/internal/claim/rules/witness.go
+++ b/internal/claim/rules/witness.go
@@ -58,7 +58,7 @@
 	if age := w.age(c.IssuedAt, now); age != Refused {
 		return age
 	}
-	if !w.off.StartRule && c.IssuedAt < w.started.Add(w.limits.ClockMargin) {
+	if !w.off.StartRule && c.IssuedAt <= w.votesAfter() {
 		return Starting
 	}
 	if !w.off.NameRevisions {
@@ -72,6 +72,15 @@
 	return Refused
 }
 
+// votesAfter is the newest issue time of ids that an earlier process of this host
+// may have granted.
+func (w *Witness) votesAfter() Time {
+	if w.off.StartMargin {
+		return w.started
+	}
+	return w.started.Add(w.limits.ClockMargin)
+}
+
 func (w *Witness) age(issuedAt, now Time) Answer {
 	if issuedAt > now.Add(w.limits.ClockMargin) {
 		return Future
@@ -107,7 +116,7 @@
 	case e.issuedAt != c.IssuedAt:
 		// Issued twice, or stamped anew for a resend: never a reason to grant.
 		return Held
-	case !w.off.NoRunAfterGiveUp && (e.gaveUp(c.Attempt) || len(e.givenUp) > maxGivenUp):
+	case !w.off.LateClaims && (e.gaveUp(c.Attempt) || len(e.givenUp) > maxGivenUp):
 		return GivenUp
 	case e.held && e.holder == c.Attempt:
 		return Granted
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"github.com/swiftvane/swiftvane/internal/claim/rules"
 	"github.com/swiftvane/swiftvane/internal/requestid"
 	"github.com/swiftvane/swiftvane/internal/verdict"
 )
@@ -14,7 +15,7 @@
 // came from the caller it becomes Unknown, and the caller sends the same id
 // again. An id that this process has just made has no other attempt.
 func Truthful(id requestid.ID, failure *verdict.Error) *verdict.Error {
-	if failure.Verdict != verdict.NotRun || id.Minted || failure.RetryAfter == 0 {
+	if failure.Verdict != verdict.NotRun || failure.RetryAfter == 0 || rules.MayTellNotRun(id.Minted, rules.Switches{}) {
 		return failure
 	}
 	told := *failure
