Test the programs as real processes: kills, planned stops, faults of targets

Cause: nothing ran the programs together. Seen while writing: with the first balancer, TestPlannedStopsCutNoRequest failed with 4 queries of connection_lost (unknown). Cause: the test's client reused idle connections that the stopping host had closed; the errors named hosts that had been restarted, and none was in flight at a stop. Change: test/harness (programs built once per test binary, the daemon with the race detector if the test has it; processes that end with the test; fault proxies; a balancer; every answer compared with the computed content) and test/integration: 40 targets and 3 hosts through kills; a rolling restart of 7 under load with no failed and no partial answer; drain by an operator; silent connections, a frozen process, a leaving target; configuration in force everywhere, a bad document, a wrong token.

--- /dev/null
+++ b/test/harness/balancer.go
@@ -0,0 +1,156 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/swiftvane/swiftvane/internal/callerclient"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// balancerInterval is the time between two readiness checks.
+const balancerInterval = 100 * time.Millisecond
+
+// Balancer sends queries to hosts that were ready at its last look, in turn. A
+// query whose connection is refused goes to the next host; nothing else is sent
+// again.
+type Balancer struct {
+	fleet *Fleet
+	next  atomic.Uint64
+	ready atomic.Pointer[[]string]
+}
+
+// NewBalancer returns a balancer that looks after the fleet's hosts until the
+// test ends.
+func NewBalancer(tb testing.TB, f *Fleet) *Balancer {
+	tb.Helper()
+	b := &Balancer{fleet: f}
+	b.look()
+	ctx, cancel := context.WithCancel(context.Background())
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		ticker := time.NewTicker(balancerInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				b.look()
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	tb.Cleanup(func() {
+		cancel()
+		watch.Wait()
+	})
+	return b
+}
+
+// look finds the hosts that are ready. When they change it closes the idle
+// connections, as balancers do: one that its host closed must not be used.
+func (b *Balancer) look() {
+	urls := lo.FilterMap(b.fleet.Hosts, func(h *Host, _ int) (string, bool) { return h.URL(), h.Ready() })
+	before := b.ready.Swap(&urls)
+	if before != nil && !slices.Equal(*before, urls) {
+		b.fleet.HTTP.Close()
+	}
+}
+
+// Ask sends one query. The error is a *verdict.Error, or what Verify found wrong
+// with the answer.
+func (b *Balancer) Ask(ctx context.Context, body json.RawMessage) (*callerclient.Answer, error) {
+	urls := *b.ready.Load()
+	if len(urls) == 0 {
+		return nil, verdict.Refuse(verdict.HostNotReady, 0, "no host is ready")
+	}
+	first := int(b.next.Add(1) % uint64(len(urls)))
+	client := &callerclient.Client{
+		URLs: append(append([]string{}, urls[first:]...), urls[:first]...), Caller: "integration", HTTP: b.fleet.HTTP,
+	}
+	answer, err := client.Ask(ctx, callerclient.Query{Workload: b.fleet.Shape.Workload, Body: body})
+	if err != nil {
+		return nil, err
+	}
+	return answer, b.fleet.Verify(body, answer)
+}
+
+// Body returns a query's body that differs for each n.
+func Body(n int) json.RawMessage { return fmt.Appendf(nil, `{"form":%d}`, n) }
+
+// Load is queries sent one after another by a number of callers.
+type Load struct {
+	mu       sync.Mutex
+	answered int
+	partial  int
+	failures []error
+	stop     context.CancelFunc
+	callers  sync.WaitGroup
+}
+
+// StartLoad begins to send queries. Each caller waits for its answer, and for
+// pause, before it sends the next. Stop or the test's end ends it.
+func (b *Balancer) StartLoad(tb testing.TB, callers int, pause time.Duration) *Load {
+	tb.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Load{stop: cancel}
+	for range callers {
+		l.callers.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				l.count(b.Ask(ctx, Body(n)))
+				time.Sleep(pause)
+			}
+		})
+	}
+	tb.Cleanup(l.Stop)
+	return l
+}
+
+func (l *Load) count(answer *callerclient.Answer, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err != nil:
+		l.failures = append(l.failures, err)
+	case answer.Coverage.Answered < answer.Coverage.Shards:
+		l.partial++
+	default:
+		l.answered++
+	}
+}
+
+// Stop ends the load and waits for the answers.
+func (l *Load) Stop() {
+	l.stop()
+	l.callers.Wait()
+}
+
+// Answered returns the number of whole answers.
+func (l *Load) Answered() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answered
+}
+
+// Partial returns the number of answers that miss a shard.
+func (l *Load) Partial() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.partial
+}
+
+// Failure returns every failed query as one error, and nil for none.
+func (l *Load) Failure() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return errors.Join(l.failures...)
+}
--- /dev/null
+++ b/test/harness/fleet.go
@@ -0,0 +1,139 @@
+package harness
+
+import (
+	"testing"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/faultproxy"
+	"github.com/swiftvane/swiftvane/internal/httpjson"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+)
+
+// defaultLameDuckMS is the time in which the tests' balancer notices a host that
+// is not ready.
+const defaultLameDuckMS = 1000
+
+// Options describe a fleet.
+type Options struct {
+	Shape fixture.Shape
+	Hosts int
+	// TargetProxies and PeerProxies put a fault proxy before each target and
+	// before each host's peer listener.
+	TargetProxies bool
+	PeerProxies   bool
+	// LameDuckMS is each host's; zero means a default.
+	LameDuckMS int
+	// Policy changes the fleet's defaults; nil leaves them.
+	Policy func(*config.Policy)
+}
+
+// Fleet is a running platform with targets and hosts.
+type Fleet struct {
+	Platform *Platform
+	Targets  []*Target
+	Hosts    []*Host
+	Shape    fixture.Shape
+	HTTP     *httpjson.Client
+}
+
+// Start starts a fleet and waits until each host is ready. It is ended with the
+// test.
+func Start(tb testing.TB, o Options) *Fleet {
+	tb.Helper()
+	f := &Fleet{Shape: o.Shape, HTTP: httpjson.New()}
+	tb.Cleanup(f.HTTP.Close)
+	for i := range o.Shape.TargetIDs() {
+		target := startTarget(tb, f.HTTP, string(o.Shape.Workload), i)
+		if o.TargetProxies {
+			target.Proxy = startProxy(tb, target.addr)
+		}
+		f.Targets = append(f.Targets, target)
+	}
+	f.makeHosts(tb, &o)
+	f.Platform = startPlatform(tb, f.HTTP, f.document(tb, o.Policy), f.hostList())
+	lameDuck := lo.CoalesceOrEmpty(o.LameDuckMS, defaultLameDuckMS)
+	for _, host := range f.Hosts {
+		host.writeSettings(tb, f.Platform.Addr, lameDuck, f.Hosts)
+		host.Restart(tb)
+	}
+	f.AwaitReady(tb)
+	return f
+}
+
+func startProxy(tb testing.TB, server string) *faultproxy.Proxy {
+	tb.Helper()
+	proxy, err := faultproxy.Start(server)
+	require.NoError(tb, err)
+	tb.Cleanup(proxy.Close)
+	return proxy
+}
+
+// makeHosts chooses the hosts' ids and addresses.
+func (f *Fleet) makeHosts(tb testing.TB, o *Options) {
+	tb.Helper()
+	addrs := freeAddrs(tb, 3*o.Hosts)
+	peers := addrs[:o.Hosts]
+	for i, published := range fixture.Hosts(peers...).Hosts {
+		host := &Host{
+			Host: published, caller: addrs[o.Hosts+i], admin: addrs[2*o.Hosts+i], peer: peers[i], http: f.HTTP,
+		}
+		if o.PeerProxies {
+			host.Proxy = startProxy(tb, host.peer)
+			host.PeerAddr = host.Proxy.Addr()
+		}
+		f.Hosts = append(f.Hosts, host)
+	}
+}
+
+func (f *Fleet) document(tb testing.TB, change func(*config.Policy)) *config.Document {
+	tb.Helper()
+	addrs := lo.Map(f.Targets, func(t *Target, _ int) string { return t.Addr() })
+	document, err := fixture.Document(addrs, f.Shape)
+	require.NoError(tb, err)
+	if change != nil {
+		policy := fixture.Defaults()
+		change(&policy)
+		document.Keys[config.KeyDefaults] = marshal(tb, policy)
+	}
+	return document
+}
+
+func (f *Fleet) hostList() *model.HostList {
+	return &model.HostList{Revision: 1, Hosts: f.published()}
+}
+
+// published returns the hosts as the platform lists them.
+func (f *Fleet) published() []model.Host {
+	return lo.Map(f.Hosts, func(h *Host, _ int) model.Host { return h.Host })
+}
+
+// SetLeaving publishes a host list in which these targets are leaving.
+func (f *Fleet) SetLeaving(tb testing.TB, targets ...model.TargetID) {
+	tb.Helper()
+	f.Platform.SetHosts(tb, f.published(), targets...)
+}
+
+// AwaitReady waits until each host is ready.
+func (f *Fleet) AwaitReady(tb testing.TB) {
+	tb.Helper()
+	for _, host := range f.Hosts {
+		Eventually(tb, string(host.ID)+" is ready", func() bool {
+			if host.Exited() {
+				tb.Fatalf("%s ended", host.ID)
+			}
+			return host.Ready()
+		})
+	}
+}
+
+// Target returns the target with this id.
+func (f *Fleet) Target(tb testing.TB, id model.TargetID) *Target {
+	tb.Helper()
+	target, found := lo.Find(f.Targets, func(t *Target) bool { return t.ID == id })
+	require.True(tb, found, "no target %s", id)
+	return target
+}
--- /dev/null
+++ b/test/harness/host.go
@@ -0,0 +1,127 @@
+package harness
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/adminclient"
+	"github.com/swiftvane/swiftvane/internal/callerclient"
+	"github.com/swiftvane/swiftvane/internal/faultproxy"
+	"github.com/swiftvane/swiftvane/internal/httpjson"
+	"github.com/swiftvane/swiftvane/internal/model"
+)
+
+// The secrets of every fleet that tests start.
+const (
+	peerKey    = "integration-test-peer-key-of-32-bytes-or-more"
+	readToken  = "integration-test-read-token"
+	writeToken = "integration-test-write-token"
+)
+
+// settingsForm is a host's settings file.
+const settingsForm = `
+[host]
+id = %q
+region = %q
+failure_domain = %q
+[listen]
+caller = %q
+admin = %q
+peer = %q
+advertised_peer = %q
+[platform]
+base_url = "http://%s"
+[peers]
+key_files = [%q]
+seeds = [%s]
+[admin]
+read_token_file = %q
+write_token_file = %q
+[limits]
+lame_duck_ms = %d
+claim_history_wait_ms = 0
+`
+
+// Host is a daemon process.
+type Host struct {
+	*Process
+	model.Host
+	// Proxy is between other hosts and this one's peer listener; nil if the test
+	// asked for none.
+	Proxy *faultproxy.Proxy
+
+	caller, admin, peer string
+	settings            string
+	http                *httpjson.Client
+}
+
+// URL is where callers ask the host.
+func (h *Host) URL() string { return "http://" + h.caller }
+
+// Admin returns a client of the host's administration API that may write.
+func (h *Host) Admin() *adminclient.Client {
+	return &adminclient.Client{BaseURL: "http://" + h.admin, Token: writeToken, HTTP: h.http}
+}
+
+// Ask sends one query of all services to this host. The error is a
+// *verdict.Error.
+func (h *Host) Ask(tb testing.TB, workload model.WorkloadName, body json.RawMessage) (*callerclient.Answer, error) {
+	tb.Helper()
+	client := &callerclient.Client{URLs: []string{h.URL()}, Caller: "integration", HTTP: h.http}
+	return client.Ask(tb.Context(), callerclient.Query{Workload: workload, Body: body})
+}
+
+// Ready reports whether the host says that it takes queries.
+func (h *Host) Ready() bool {
+	health, err := h.Admin().Ready()
+	return err == nil && health.OK
+}
+
+// Restart starts the host's process after its end.
+func (h *Host) Restart(tb testing.TB) {
+	tb.Helper()
+	h.Process, _ = start(tb, string(h.ID), "swiftvaned", "--settings", h.settings)
+	h.watch()
+}
+
+// Metrics returns what a scraper of the host gets.
+func (h *Host) Metrics(tb testing.TB) string {
+	tb.Helper()
+	response, err := h.http.Do(&httpjson.Request{
+		Method: http.MethodGet, URL: "http://" + h.admin + "/metrics",
+		Header: map[string]string{"Authorization": "Bearer " + readToken},
+	})
+	require.NoError(tb, err)
+	require.Equal(tb, http.StatusOK, response.Status)
+	return string(response.Body)
+}
+
+// writeSettings writes the host's settings with the files that they name.
+func (h *Host) writeSettings(tb testing.TB, platformAddr string, lameDuckMS int, others []*Host) {
+	tb.Helper()
+	dir := tb.TempDir()
+	secret := func(name, content string) string {
+		path := filepath.Join(dir, name)
+		require.NoError(tb, os.WriteFile(path, []byte(content), 0o600))
+		return path
+	}
+	var seeds []string
+	for _, other := range others {
+		if other.ID != h.ID {
+			seeds = append(seeds, fmt.Sprintf("%q", string(other.ID)+"="+other.PeerAddr))
+		}
+	}
+	content := fmt.Sprintf(settingsForm, h.ID, h.Region, h.FailureDomain,
+		h.caller, h.admin, h.peer, h.PeerAddr, platformAddr,
+		secret("peer.key", peerKey), strings.Join(seeds, ", "),
+		secret("read", readToken), secret("write", writeToken), lameDuckMS)
+	h.settings = filepath.Join(dir, "settings.toml")
+	require.NoError(tb, os.WriteFile(h.settings, []byte(content), 0o600))
+}
--- /dev/null
+++ b/test/harness/race_off.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package harness
+
+// raceEnabled says that the test has the race detector.
+const raceEnabled = false
--- /dev/null
+++ b/test/integration/path_test.go
@@ -0,0 +1,64 @@
+package integration
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/test/harness"
+)
+
+// whole asks host until an answer covers all shards. Each answer on the way
+// must be truthful.
+func whole(t *testing.T, f *harness.Fleet, host *harness.Host) {
+	t.Helper()
+	body := harness.Body(1)
+	harness.Eventually(t, string(host.ID)+" gives a whole answer", func() bool {
+		answer, err := host.Ask(t, f.Shape.Workload, body)
+		if err != nil {
+			return false
+		}
+		require.NoError(t, f.Verify(body, answer))
+		return answer.Coverage.Answered == answer.Coverage.Shards
+	})
+}
+
+// TestWholePathThroughKills starts a platform, 40 targets and 3 hosts, asks,
+// kills a host and targets, and asks again.
+func TestWholePathThroughKills(t *testing.T) {
+	f := harness.Start(t, harness.Options{Shape: fixture.DiffReview(), Hosts: 3})
+	require.Len(t, f.Targets, 40)
+	for _, host := range f.Hosts {
+		whole(t, f, host)
+	}
+
+	f.Hosts[0].Kill(t)
+	whole(t, f, f.Hosts[1])
+	whole(t, f, f.Hosts[2])
+
+	const killedServices = 5
+	for i := range killedServices {
+		f.Target(t, f.Shape.Target(i, 0)).Kill(t)
+	}
+	whole(t, f, f.Hosts[1])
+	whole(t, f, f.Hosts[2])
+
+	f.Target(t, f.Shape.Target(0, 1)).Kill(t)
+	body := harness.Body(2)
+	harness.Eventually(t, "the answer names the shard that no target holds any more", func() bool {
+		answer, err := f.Hosts[1].Ask(t, f.Shape.Workload, body)
+		if err != nil {
+			return false
+		}
+		require.NoError(t, f.Verify(body, answer))
+		missing := answer.Coverage.Missing
+		return len(missing) == 1 && missing[0].Shard == f.Shape.Shard(0)
+	})
+
+	f.Target(t, f.Shape.Target(0, 0)).Restart(t)
+	whole(t, f, f.Hosts[1])
+	f.Hosts[0].Restart(t)
+	f.AwaitReady(t)
+	whole(t, f, f.Hosts[0])
+}
