Give argument errors of load and demo the usage exit code

Cause: cobra's own argument check carries no exit code, so a missing run file ended with 1. Change: mounted commands' argument errors are usage errors (2); the table of bad usage has both.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -44,7 +44,7 @@
 		{"nonsense"}, {"config", "nonsense"}, {"quarantine", "nonsense"}, {"status", "extra"}, {"query"},
 		{"status", "--nonsense"}, {"status", "--output", "xml"}, {"query", "w", "--body", "{"},
 		{"query", "w", "--attempts", "0"}, {"config", "wait"}, {"config", "check", "/nonexistent"},
-		{"quarantine", "release"},
+		{"quarantine", "release"}, {"load"}, {"demo", "extra"},
 	} {
 		code, stdout, stderr := run(t, nil, "", args...)
 		require.Equal(t, exitcode.Usage, code, "%v: %s", args, stderr)
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -39,7 +39,7 @@
 	root.AddCommand(
 		newQuery(opts), newStatus(opts), newTargets(opts), newQuarantine(opts),
 		newConfig(opts), newDrain(opts), newVersion(opts),
-		demo.NewCommand(), load.NewCommand(),
+		mounted(demo.NewCommand()), mounted(load.NewCommand()),
 	)
 	return root
 }
--- a/internal/cli/usage.go
+++ b/internal/cli/usage.go
@@ -32,3 +32,13 @@
 		return nil
 	}
 }
+
+// mounted gives the argument errors of a command of another package their exit
+// code.
+func mounted(cmd *cobra.Command) *cobra.Command {
+	check := cmd.Args
+	cmd.Args = func(cmd *cobra.Command, args []string) error {
+		return exitcode.With(exitcode.Usage, check(cmd, args))
+	}
+	return cmd
+}
