--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -61,4 +61,5 @@
 	f.Hosts[0].Restart(t)
 	f.AwaitReady(t)
 	whole(t, f, f.Hosts[0])
+	requireExplained(t, f.Hosts[1])
 }
