Give listeners addresses that nothing else can take

Four copies of freeAddrs found a port on 127.0.0.1 free, closed it and opened it later; in between any outgoing connection of the packages tested in parallel could get it. Ruled out: retrying the start, since a host list with the address is already out; and passing open listeners, which separate processes cannot take.

--- a/internal/embedded/tier.go
+++ b/internal/embedded/tier.go
@@ -6,14 +6,13 @@
 import (
 	"context"
 	"crypto/rand"
-	"fmt"
-	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/daemon"
+	"github.com/swiftvane/swiftvane/internal/loopback"
 	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/settings"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
@@ -21,7 +20,7 @@
 )
 
 const (
-	loopback = "127.0.0.1:0"
+	anyPort = "127.0.0.1:0"
 	// readyPoll is the time between two looks at a starting host.
 	readyPoll = 10 * time.Millisecond
 	secretLen = 48
@@ -56,12 +55,9 @@
 }
 
 func (t *Tier) start(ctx context.Context, o *Options) error {
-	peerAddrs, err := freeAddrs(max(1, o.Hosts))
-	if err != nil {
-		return err
-	}
-	list := fixture.Hosts(peerAddrs...)
+	list := fixture.Hosts(loopback.Addrs(max(1, o.Hosts))...)
 	o.Cluster.Hosts = list
+	var err error
 	if t.Cluster, err = cluster.Start(o.Cluster); err != nil {
 		return err
 	}
@@ -93,7 +89,7 @@
 func (t *Tier) hostSettings(host *model.Host, secrets settings.Secrets) *settings.Settings {
 	s := settings.Defaults()
 	s.Host = settings.Host{ID: host.ID, Region: host.Region, FailureDomain: host.FailureDomain}
-	s.Listen = settings.Listen{Caller: loopback, Admin: loopback, Peer: host.PeerAddr, AdvertisedPeer: host.PeerAddr}
+	s.Listen = settings.Listen{Caller: anyPort, Admin: anyPort, Peer: host.PeerAddr, AdvertisedPeer: host.PeerAddr}
 	s.Platform.BaseURL = "http://" + t.Cluster.Platform.Addr()
 	s.Limits.LameDuckMS = 0
 	s.Limits.ClaimHistoryWaitMS = 0
@@ -135,20 +131,6 @@
 	}
 }
 
-// freeAddrs returns loopback addresses that nobody listens on.
-func freeAddrs(n int) ([]string, error) {
-	addrs := make([]string, 0, n)
-	for range n {
-		listener, err := net.Listen("tcp", loopback)
-		if err != nil {
-			return nil, fmt.Errorf("embedded tier: %w", err)
-		}
-		addrs = append(addrs, listener.Addr().String())
-		defer func() { _ = listener.Close() }()
-	}
-	return addrs, nil
-}
-
 func secret() []byte {
 	value := make([]byte, secretLen)
 	_, _ = rand.Read(value) // never fails
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,13 +1,13 @@
 package fleet
 
 import (
-	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"github.com/swiftvane/swiftvane/internal/loopback"
 	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/peer"
 )
@@ -23,26 +23,13 @@
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
 }
 
-// freeAddrs returns n loopback addresses that are free now.
-func freeAddrs(t testing.TB, n int) []string {
-	t.Helper()
-	addrs := make([]string, n)
-	for i := range addrs {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = l.Close() }()
-		addrs[i] = l.Addr().String()
-	}
-	return addrs
-}
-
 // newTestFleet starts n members on one platform with configuration revision 10
 // and host list revision 1.
 func newTestFleet(t testing.TB, n int, change func(*Options, *peer.Options)) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t, platform: newFakePlatform(), change: change}
 	list := &model.HostList{Revision: 1}
-	for i, addr := range freeAddrs(t, n) {
+	for i, addr := range loopback.Addrs(n) {
 		list.Hosts = append(list.Hosts, hostOf(i, addr))
 	}
 	f.platform.publish(testConfig(10, 1, 20))
--- a/internal/load/experiment/core.go
+++ b/internal/load/experiment/core.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/loopback"
+
 	"github.com/swiftvane/swiftvane/internal/config"
 	"github.com/swiftvane/swiftvane/internal/load"
 	"github.com/swiftvane/swiftvane/internal/query"
@@ -45,11 +47,7 @@
 	if err != nil {
 		return err
 	}
-	addrs, err := freeAddrs(arm.Hosts)
-	if err != nil {
-		return err
-	}
-	hosts := fixture.Hosts(addrs...)
+	hosts := fixture.Hosts(loopback.Addrs(arm.Hosts)...)
 	for i := range hosts.Hosts {
 		host, err := startCoreHost(ctx, fleet, hosts, &hosts.Hosts[i], arm.Direct)
 		if err != nil {
--- a/internal/load/experiment/corehost.go
+++ b/internal/load/experiment/corehost.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -94,17 +93,3 @@
 		return addr, ok
 	}
 }
-
-// freeAddrs returns loopback addresses that nobody listens on.
-func freeAddrs(n int) ([]string, error) {
-	addrs := make([]string, 0, n)
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = listener.Close() }()
-		addrs = append(addrs, listener.Addr().String())
-	}
-	return addrs, nil
-}
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/swiftvane/swiftvane/internal/config"
 	"github.com/swiftvane/swiftvane/internal/faultproxy"
 	"github.com/swiftvane/swiftvane/internal/httpjson"
+	"github.com/swiftvane/swiftvane/internal/loopback"
 	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 )
@@ -75,7 +76,7 @@
 // makeHosts chooses the hosts' ids and addresses.
 func (f *Fleet) makeHosts(tb testing.TB, o *Options) {
 	tb.Helper()
-	addrs := freeAddrs(tb, 3*o.Hosts)
+	addrs := loopback.Addrs(3 * o.Hosts)
 	peers := addrs[:o.Hosts]
 	for i, published := range fixture.Hosts(peers...).Hosts {
 		host := &Host{
--- a/test/harness/target.go
+++ b/test/harness/target.go
@@ -8,6 +8,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/faultproxy"
 	"github.com/swiftvane/swiftvane/internal/httpjson"
+	"github.com/swiftvane/swiftvane/internal/loopback"
 	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/standin/target"
 )
@@ -28,7 +29,7 @@
 // startTarget starts the index-th target of a fixture's workload.
 func startTarget(tb testing.TB, client *httpjson.Client, fixture string, index int) *Target {
 	tb.Helper()
-	addr := freeAddrs(tb, 1)[0]
+	addr := loopback.Addr()
 	t := &Target{addr: addr, http: client, args: []string{
 		"targets", "--fixture", fixture, "--first", strconv.Itoa(index), "--count", "1", "--addr", addr,
 	}}
