--- /dev/null
+++ b/internal/dispatch/remote_test.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/view"
+)
+
+// startPair starts host h0, which sends, and host h1, which owns the targets.
+func startPair(tb testing.TB, v *view.View, targets *fakeTargets) (*Router, *Local) {
+	tb.Helper()
+	addresses := map[model.HostID]string{}
+	lookup := func(id model.HostID) (string, bool) { addr, ok := addresses[id]; return addr, ok }
+	mesh := func(id model.HostID) *peer.Mesh {
+		log := logrus.New()
+		log.SetLevel(logrus.PanicLevel)
+		m, err := peer.NewMesh(peer.Options{
+			Self: id, ListenAddr: "127.0.0.1:0", Keys: [][]byte{[]byte("0123456789abcdef")}, Lookup: lookup,
+			Scope: tally.NoopScope, Log: log,
+		})
+		require.NoError(tb, err)
+		return m
+	}
+	sender, owner := mesh("h0"), mesh("h1")
+	ownerView := *v
+	ownerView.Self.ID = "h1"
+	local := newTestLocal(newViews(&ownerView), targets)
+	Receive(owner, local)
+	require.NoError(tb, owner.Start(context.Background()))
+	addresses["h1"] = owner.Addr()
+	require.NoError(tb, sender.Start(context.Background()))
+	local.Start()
+	tb.Cleanup(func() {
+		stopLocal(local)
+		_ = sender.Close()
+		_ = owner.Close()
+	})
+	senderView := *v
+	senderView.Self.ID = "h0"
+	return NewRouter(RouterOptions{Views: newViews(&senderView), Remote: NewRemote(sender), Scope: tally.NoopScope}), local
+}
+
+func TestSubrequestsRunOnTheHostThatOwnsTheTarget(t *testing.T) {
+	r, _ := startPair(t, ownView("h1", 3, 2, 25), newFakeTargets())
+	answers := make(chan [2]string, 60)
+	for i := range 60 {
+		shard := fmt.Sprint(i)
+		r.Submit(subrequest(model.TargetID(fmt.Sprintf("t%d", i%3)), shard, time.Minute), func(a *subquery.Answer) {
+			answers <- [2]string{shard, string(a.Body)}
+		})
+	}
+	for range 60 {
+		got := <-answers
+		require.Equal(t, got[0], got[1])
+	}
+}
+
+func TestCancelReachesTheOtherHost(t *testing.T) {
+	targets := newFakeTargets()
+	started := make(chan struct{}, 1)
+	targets.serve = func(ctx context.Context, req *subquery.Request) *subquery.Answer {
+		started <- struct{}{}
+		return hang(ctx, req)
+	}
+	r, _ := startPair(t, ownView("h1", 1, 2, 25), targets)
+	got := make(chan *subquery.Answer, 1)
+	cancel := r.Submit(subrequest("t0", "s", time.Minute), func(a *subquery.Answer) { got <- a })
+	<-started
+	cancel()
+	a := <-got
+	require.Equal(t, verdict.Cancelled, a.Reason)
+	require.Equal(t, verdict.Unknown, a.Verdict)
+	eventually(t, func() bool {
+		targets.mu.Lock()
+		defer targets.mu.Unlock()
+		return len(targets.cancelled) == 1
+	})
+}
+
+func TestStoppedOwnerAnswersNotRun(t *testing.T) {
+	r, local := startPair(t, ownView("h1", 1, 2, 25), newFakeTargets())
+	stopLocal(local)
+	a := route(r, subrequest("t0", "s", time.Minute))
+	require.Equal(t, verdict.HostStopping, a.Reason)
+	require.Equal(t, verdict.NotRun, a.Verdict)
+}
+
+// BenchmarkRemote reports the processor time that one sub-request takes from
+// one host's router over a link to the other host's target and back, both hosts
+// together.
+func BenchmarkRemote(b *testing.B) {
+	for _, shards := range []int{20, 1400} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			const targets = 12
+			r, _ := startPair(b, ownView("h1", targets, 64, 1000), newFakeTargets())
+			body := []byte(`{"query":"kiosk"}`)
+			b.ReportAllocs()
+			before := cpuTime()
+			for b.Loop() {
+				done := make(chan struct{}, shards)
+				for i := range shards {
+					req := subrequest(model.TargetID(fmt.Sprintf("t%d", i%targets)), "s", time.Minute)
+					req.Body = body
+					r.Submit(req, func(*subquery.Answer) { done <- struct{}{} })
+				}
+				for range shards {
+					<-done
+				}
+			}
+			b.ReportMetric(float64((cpuTime()-before).Microseconds())/float64(b.N)/float64(shards), "cpu-µs/subrequest")
+		})
+	}
+}
