Send sub-requests and answers between hosts without a wrapper

Cause: each was a map in a map on the wire. Figures (go test ./internal/dispatch -run XXX -bench Remote/shards=1400 -benchtime 200x): 51 allocations a sub-request before, 46 after; processor time 50.7 and 46.0 µs, 34.3 µs with GOGC=400, on a machine that other work shared. Conclusion: kept; the rest is the link's and garbage collection.

--- a/internal/dispatch/receiver.go
+++ b/internal/dispatch/receiver.go
@@ -16,12 +16,12 @@
 }
 
 func receive(in *peer.Inbound, local subquery.Dispatcher) {
-	var w wireRequest
-	if err := cbor.Unmarshal(in.Payload, &w); err != nil || w.Request == nil {
+	req := &subquery.Request{}
+	if err := cbor.Unmarshal(in.Payload, req); err != nil || req.Target == "" {
 		in.Reply(verdict.Refuse(verdict.BadRequest, 0, "the sub-request can't be decoded"))
 		return
 	}
-	w.Request.Deadline = in.Deadline
-	cancel := local.Submit(w.Request, func(a *subquery.Answer) { in.Reply(&wireAnswer{Answer: a}) })
+	req.Deadline = in.Deadline
+	cancel := local.Submit(req, func(a *subquery.Answer) { in.Reply(a) })
 	context.AfterFunc(in.Ctx, cancel)
 }
--- a/internal/dispatch/remote.go
+++ b/internal/dispatch/remote.go
@@ -22,20 +22,21 @@
 // SubmitTo hands a sub-request to host. It keeps the rules of
 // subquery.Dispatcher.
 func (r *Remote) SubmitTo(host model.HostID, req *subquery.Request, done func(*subquery.Answer)) (cancel func()) {
-	return r.transport.Go(host, peer.KindSubquery, &wireRequest{Request: req}, req.Deadline,
+	return r.transport.Go(host, peer.KindSubquery, req, req.Deadline,
 		func(reply cbor.RawMessage, err error) { done(decodeAnswer(reply, err)) })
 }
 
-// decodeAnswer turns the outcome of a call into an answer.
+// decodeAnswer turns the outcome of a call into an answer. One that names no
+// reason and did not run is no answer at all.
 func decodeAnswer(reply cbor.RawMessage, err error) *subquery.Answer {
 	if err != nil {
 		return transportFailure(err)
 	}
-	var w wireAnswer
-	if err := cbor.Unmarshal(reply, &w); err != nil || w.Answer == nil {
+	a := &subquery.Answer{}
+	if err := cbor.Unmarshal(reply, a); err != nil || (a.OK() && a.Verdict != verdict.Ran) {
 		return unknown(verdict.ReplyTruncated)
 	}
-	return w.Answer
+	return a
 }
 
 func transportFailure(err error) *subquery.Answer {
--- a/internal/dispatch/router_test.go
+++ b/internal/dispatch/router_test.go
@@ -23,7 +23,7 @@
 	peer.Transport
 	mu    sync.Mutex
 	calls []model.HostID
-	serve map[model.HostID]func(req *wireRequest) (*wireAnswer, error)
+	serve map[model.HostID]func(req *subquery.Request) (*subquery.Answer, error)
 }
 
 func (f *fakeTransport) Go(to model.HostID, _ peer.Kind, req any, _ time.Time, done func(cbor.RawMessage, error)) func() {
@@ -37,7 +37,7 @@
 	}
 	var once sync.Once
 	go func() {
-		answer, err := serve(req.(*wireRequest))
+		answer, err := serve(req.(*subquery.Request))
 		var raw cbor.RawMessage
 		if err == nil {
 			raw, err = cbor.Marshal(answer)
@@ -50,16 +50,16 @@
 }
 
 // servesAll answers every sub-request as host does.
-func servesAll(host string) func(req *wireRequest) (*wireAnswer, error) {
-	return func(req *wireRequest) (*wireAnswer, error) {
-		a := echo(req.Request)
+func servesAll(host string) func(req *subquery.Request) (*subquery.Answer, error) {
+	return func(req *subquery.Request) (*subquery.Answer, error) {
+		a := echo(req)
 		a.Message = host
-		return &wireAnswer{Answer: a}, nil
+		return a, nil
 	}
 }
 
-func failsWith(v verdict.Verdict, r verdict.Reason) func(req *wireRequest) (*wireAnswer, error) {
-	return func(*wireRequest) (*wireAnswer, error) { return nil, &verdict.Error{Verdict: v, Reason: r} }
+func failsWith(v verdict.Verdict, r verdict.Reason) func(req *subquery.Request) (*subquery.Answer, error) {
+	return func(*subquery.Request) (*subquery.Answer, error) { return nil, &verdict.Error{Verdict: v, Reason: r} }
 }
 
 // localOnly is a Dispatcher that answers as this host.
@@ -72,7 +72,7 @@
 	return func() {}
 }
 
-func newTestRouter(owners view.Owners, serve map[model.HostID]func(*wireRequest) (*wireAnswer, error)) (*Router, *fakeTransport) {
+func newTestRouter(owners view.Owners, serve map[model.HostID]func(*subquery.Request) (*subquery.Answer, error)) (*Router, *fakeTransport) {
 	v := ownView("h0", 1, 2, 25)
 	v.Owners["t0"] = owners
 	transport := &fakeTransport{serve: serve}
@@ -86,7 +86,7 @@
 }
 
 func TestRouterGoesToTheOwner(t *testing.T) {
-	r, _ := newTestRouter(view.Owners{Owner: "h1", Standby: "h0"}, map[model.HostID]func(*wireRequest) (*wireAnswer, error){"h1": servesAll("h1")})
+	r, _ := newTestRouter(view.Owners{Owner: "h1", Standby: "h0"}, map[model.HostID]func(*subquery.Request) (*subquery.Answer, error){"h1": servesAll("h1")})
 	a := route(r, subrequest("t0", "s", time.Minute))
 	require.Equal(t, "h1", a.Message)
 	require.Equal(t, []byte("s"), a.Body)
@@ -109,7 +109,7 @@
 		{verdict.NotRun, verdict.TargetShed, false},
 		{verdict.NotRun, verdict.QueueFull, false},
 	} {
-		r, transport := newTestRouter(view.Owners{Owner: "h1", Standby: "h2"}, map[model.HostID]func(*wireRequest) (*wireAnswer, error){
+		r, transport := newTestRouter(view.Owners{Owner: "h1", Standby: "h2"}, map[model.HostID]func(*subquery.Request) (*subquery.Answer, error){
 			"h1": failsWith(c.verdict, c.reason), "h2": servesAll("h2"),
 		})
 		a := route(r, subrequest("t0", "s", time.Minute))
@@ -134,9 +134,9 @@
 func TestRouterCancelReachesTheHostThatHasTheWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		blocked := make(chan struct{})
-		r, transport := newTestRouter(view.Owners{Owner: "h1", Standby: "h2"}, map[model.HostID]func(*wireRequest) (*wireAnswer, error){
+		r, transport := newTestRouter(view.Owners{Owner: "h1", Standby: "h2"}, map[model.HostID]func(*subquery.Request) (*subquery.Answer, error){
 			"h1": failsWith(verdict.NotRun, verdict.NotOwner),
-			"h2": func(*wireRequest) (*wireAnswer, error) { <-blocked; return nil, nil },
+			"h2": func(*subquery.Request) (*subquery.Answer, error) { <-blocked; return nil, nil },
 		})
 		defer close(blocked)
 		got := make(chan *subquery.Answer, 2)
