Share the callers' messages between daemon, clients and load generator

Cause: the same JSON types, paths and header names stood in entry, callerclient and load; one could change without the others. Ruled out: importing entry from the clients, which would pull the daemon in. Change: internal/callerapi. The load generator still decodes only the part of an answer that it reports, since results are most of its bytes.

--- a/internal/entry/answer.go
+++ b/internal/callerapi/answer.go
@@ -1,4 +1,4 @@
-package entry
+package callerapi
 
 import (
 	"encoding/json"
@@ -7,8 +7,8 @@
 	"github.com/swiftvane/swiftvane/internal/verdict"
 )
 
-// QueryAnswer is the body of a successful answer.
-type QueryAnswer struct {
+// Answer is the body of a successful answer.
+type Answer struct {
 	RequestID string           `json:"request_id"`
 	Snapshot  model.SnapshotID `json:"snapshot"`
 	Coverage  Coverage         `json:"coverage"`
@@ -40,8 +40,8 @@
 	BodyBase64 []byte `json:"body_base64,omitempty"`
 }
 
-// ErrorAnswer is the body of a refused or failed request.
-type ErrorAnswer struct {
+// Error is the body of a refused or failed request.
+type Error struct {
 	RequestID string          `json:"request_id,omitempty"`
 	Verdict   verdict.Verdict `json:"verdict"`
 	Reason    verdict.Reason  `json:"reason"`
--- a/internal/callerclient/client.go
+++ b/internal/callerclient/client.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/google/uuid"
 
 	"github.com/swiftvane/swiftvane/internal/httpjson"
@@ -95,15 +97,15 @@
 // NotSent.
 func (c *Client) askOnce(url string, q *Query, issuedAt time.Time) (*Answer, *verdict.Error) {
 	timeout := exchangeDefault
-	if q.DeadlineMS > 0 {
-		timeout = time.Duration(q.DeadlineMS)*time.Millisecond + exchangeMargin
+	if q.DeadlineMS != nil {
+		timeout = time.Duration(*q.DeadlineMS)*time.Millisecond + exchangeMargin
 	}
-	header := map[string]string{headerIssuedAt: issuedAt.UTC().Format(time.RFC3339Nano)}
+	header := map[string]string{callerapi.HeaderIssuedAt: issuedAt.UTC().Format(time.RFC3339Nano)}
 	if c.Caller != "" {
-		header[headerCaller] = string(c.Caller)
+		header[callerapi.HeaderCaller] = string(c.Caller)
 	}
 	resp, err := c.HTTP.Do(&httpjson.Request{
-		Method: http.MethodPost, URL: strings.TrimSuffix(url, "/") + pathQuery, Header: header, Body: q, Timeout: timeout,
+		Method: http.MethodPost, URL: strings.TrimSuffix(url, "/") + callerapi.PathQuery, Header: header, Body: q, Timeout: timeout,
 	})
 	if err != nil {
 		return nil, sendFailure(err)
@@ -140,7 +142,7 @@
 // decodeFailure trusts a verdict only where the body has one: an answer from
 // something between caller and tier leaves it unknown.
 func decodeFailure(resp *httpjson.Response) *verdict.Error {
-	var f failure
+	var f callerapi.Error
 	if err := json.Unmarshal(resp.Body, &f); err != nil || f.Reason == "" {
 		return &verdict.Error{
 			Verdict: verdict.Unknown, Reason: verdict.Internal,
--- a/internal/callerclient/client_test.go
+++ b/internal/callerclient/client_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/httpjson"
@@ -36,7 +38,7 @@
 func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var q Query
 	content, _ := io.ReadAll(r.Body)
-	if err := json.Unmarshal(content, &q); err != nil || r.Header.Get(headerCaller) != "desk" {
+	if err := json.Unmarshal(content, &q); err != nil || r.Header.Get(callerapi.HeaderCaller) != "desk" {
 		http.Error(w, "bad request", http.StatusBadRequest)
 		return
 	}
--- a/internal/cli/query.go
+++ b/internal/cli/query.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
@@ -99,7 +101,7 @@
 	}
 	query := &callerclient.Query{
 		Workload: workload, Body: json.RawMessage(f.body),
-		DeadlineMS: f.deadline.Milliseconds(), RequestID: f.requestID,
+		DeadlineMS: callerapi.Deadline(f.deadline), RequestID: f.requestID,
 	}
 	for _, service := range f.services {
 		query.Services = append(query.Services, model.ServiceName(service))
--- a/internal/demo/tour.go
+++ b/internal/demo/tour.go
@@ -7,6 +7,8 @@
 	"io"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/rotisserie/eris"
 	"github.com/samber/lo"
@@ -20,7 +22,7 @@
 const (
 	// sweeps is enough for hedges to learn the services' latency.
 	sweeps      = 200
-	deadlineMS  = 2000
+	deadline    = 2 * time.Second
 	maxAttempts = 3
 )
 
@@ -52,14 +54,14 @@
 func (t *tour) run(ctx context.Context) error {
 	steps := []step{
 		{name: "baseline sweep", count: sweeps, query: callerclient.Query{
-			Workload: "diff-review", Body: json.RawMessage(`{"sweep":"all forms"}`), DeadlineMS: deadlineMS,
+			Workload: "diff-review", Body: json.RawMessage(`{"sweep":"all forms"}`), DeadlineMS: callerapi.Deadline(deadline),
 		}},
 		{name: "drift check", count: sweeps, query: callerclient.Query{
-			Workload: "diff-review", Body: json.RawMessage(`{"form":"FJ-112"}`), DeadlineMS: deadlineMS,
+			Workload: "diff-review", Body: json.RawMessage(`{"form":"FJ-112"}`), DeadlineMS: callerapi.Deadline(deadline),
 			Services: []model.ServiceName{"diff-review-03", "diff-review-11"},
 		}},
 		{name: "filing, sent twice", count: 2, sameID: true, query: callerclient.Query{
-			Workload: "audit-archive", Body: json.RawMessage(`{"file":"evidence 4711"}`), DeadlineMS: deadlineMS,
+			Workload: "audit-archive", Body: json.RawMessage(`{"file":"evidence 4711"}`), DeadlineMS: callerapi.Deadline(deadline),
 		}},
 	}
 	for i := range steps {
--- a/internal/entry/decode.go
+++ b/internal/entry/decode.go
@@ -8,6 +8,8 @@
 	"io"
 	"strings"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/swiftvane/swiftvane/internal/requestid"
 	"github.com/swiftvane/swiftvane/internal/verdict"
 )
@@ -20,17 +22,17 @@
 
 // Decode reads a query from body. Unknown fields are errors, so that a
 // misspelt "idempotent" is never taken for its default.
-func Decode(body []byte) (*QueryRequest, *verdict.Error) {
+func Decode(body []byte) (*callerapi.Query, *verdict.Error) {
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
-	req := &QueryRequest{}
+	req := &callerapi.Query{}
 	if err := decoder.Decode(req); err != nil {
 		return nil, decodeError(err)
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return nil, verdict.RefuseField(verdict.BadRequest, wholeRequest, "the request holds more than one JSON value")
 	}
-	return req, req.check()
+	return req, check(req)
 }
 
 func decodeError(err error) *verdict.Error {
@@ -46,7 +48,7 @@
 	return verdict.RefuseField(verdict.BadRequest, wholeRequest, "malformed JSON: %s", err)
 }
 
-func (r *QueryRequest) check() *verdict.Error {
+func check(r *callerapi.Query) *verdict.Error {
 	switch {
 	case r.Workload == "":
 		return verdict.RefuseField(verdict.BadRequest, "workload", "the workload is missing")
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/gofiber/fiber/v2"
 
 	"github.com/swiftvane/swiftvane/internal/config"
@@ -17,7 +19,7 @@
 type call struct {
 	id         requestid.ID
 	caller     model.CallerID
-	body       *QueryRequest
+	body       *callerapi.Query
 	policy     config.Policy
 	deadline   time.Time
 	idempotent bool
@@ -147,7 +149,7 @@
 	if q.idempotent {
 		return nil
 	}
-	id, refusal := requestid.Parse(q.body.RequestID, c.Get(HeaderIssuedAt), arrived)
+	id, refusal := requestid.Parse(q.body.RequestID, c.Get(callerapi.HeaderIssuedAt), arrived)
 	if refusal != nil {
 		return refusal
 	}
@@ -164,7 +166,7 @@
 }
 
 func callerOf(c *fiber.Ctx) model.CallerID {
-	if name := c.Get(HeaderCaller); name != "" {
+	if name := c.Get(callerapi.HeaderCaller); name != "" {
 		return model.CallerID(name)
 	}
 	return model.CallerID(c.IP())
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/claim"
@@ -72,7 +74,7 @@
 // TestAtMostOnceFingerprintChangesWithEveryPart guards against one caller's id
 // giving it another request's recorded answer.
 func TestAtMostOnceFingerprintChangesWithEveryPart(t *testing.T) {
-	base := call{caller: "a", body: &QueryRequest{Workload: "w", Body: json.RawMessage(`1`)}}
+	base := call{caller: "a", body: &callerapi.Query{Workload: "w", Body: json.RawMessage(`1`)}}
 	other := base
 	other.caller = "b"
 	require.NotEqual(t, base.fingerprint(), other.fingerprint())
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/gofiber/fiber/v2"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
@@ -52,7 +54,7 @@
 		ErrorHandler: s.handleError,
 	})
 	s.app.Get("/readyz", s.handleReady)
-	s.app.Post("/v1/query", s.handleQuery)
+	s.app.Post(callerapi.PathQuery, s.handleQuery)
 	return s
 }
 
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
@@ -112,9 +114,9 @@
 	return resp.StatusCode, resp.Header.Get("Retry-After"), raw
 }
 
-func decodeFailure(t *testing.T, raw []byte) ErrorAnswer {
+func decodeFailure(t *testing.T, raw []byte) callerapi.Error {
 	t.Helper()
-	var answer ErrorAnswer
+	var answer callerapi.Error
 	require.NoError(t, json.Unmarshal(raw, &answer), string(raw))
 	return answer
 }
@@ -137,7 +139,7 @@
 		{"deadline gone", `{"workload":"search","body":1,"deadline_ms":0}`, 400, verdict.DeadlineInvalid, "deadline_ms"},
 		{"deadline past the limit", `{"workload":"search","body":1,"deadline_ms":10001}`, 400, verdict.DeadlineInvalid, "deadline_ms"},
 		{"looser than published", `{"workload":"orders","body":1,"idempotent":true}`, 400, verdict.BadRequest, "idempotent"},
-		{"id without a time", `{"workload":"orders","body":1,"request_id":"order-1"}`, 410, verdict.RequestIDExpired, HeaderIssuedAt},
+		{"id without a time", `{"workload":"orders","body":1,"request_id":"order-1"}`, 410, verdict.RequestIDExpired, callerapi.HeaderIssuedAt},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -173,15 +175,15 @@
 
 func TestAnswerStatesSnapshotAndCoverage(t *testing.T) {
 	f := &fakes{}
-	status, _, raw := post(t, newTestServer(f), `{"workload":"search","body":{"q":1},"request_id":"r1"}`, HeaderCaller, "desk")
+	status, _, raw := post(t, newTestServer(f), `{"workload":"search","body":{"q":1},"request_id":"r1"}`, callerapi.HeaderCaller, "desk")
 	require.Equal(t, 200, status)
-	var answer QueryAnswer
+	var answer callerapi.Answer
 	require.NoError(t, json.Unmarshal(raw, &answer))
 	require.Equal(t, "r1", answer.RequestID)
 	require.EqualValues(t, 7, answer.Snapshot)
 	require.Equal(t, 2, answer.Coverage.Shards)
 	require.Equal(t, 1, answer.Coverage.Answered)
-	require.Equal(t, []Missing{{Shard: "b", Service: "b", Reason: verdict.StragglerSkipped}}, answer.Coverage.Missing)
+	require.Equal(t, []callerapi.Missing{{Shard: "b", Service: "b", Reason: verdict.StragglerSkipped}}, answer.Coverage.Missing)
 	require.JSONEq(t, `{"x":1}`, string(answer.Results[0].Body))
 	require.Equal(t, model.CallerID("desk"), f.executed[0].Caller)
 }
@@ -198,7 +200,7 @@
 
 func TestQuarantinedRequestIsRefused(t *testing.T) {
 	f := &fakes{}
-	status, retryAfter, raw := post(t, newTestServer(f), `{"workload":"search","body":1}`, HeaderCaller, "poison")
+	status, retryAfter, raw := post(t, newTestServer(f), `{"workload":"search","body":1}`, callerapi.HeaderCaller, "poison")
 	require.Equal(t, 422, status)
 	require.Equal(t, "60", retryAfter)
 	require.Equal(t, verdict.Quarantined, decodeFailure(t, raw).Reason)
--- a/internal/entry/write.go
+++ b/internal/entry/write.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/gofiber/fiber/v2"
 	"github.com/sirupsen/logrus"
 
@@ -51,8 +53,8 @@
 // retryAfterSeconds rounds up, since the header has whole seconds only.
 func retryAfterSeconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
 
-func errorBody(id string, e *verdict.Error) ErrorAnswer {
-	return ErrorAnswer{
+func errorBody(id string, e *verdict.Error) callerapi.Error {
+	return callerapi.Error{
 		RequestID:    id,
 		Verdict:      e.Verdict,
 		Reason:       e.Reason,
@@ -62,23 +64,23 @@
 	}
 }
 
-func answerBody(id string, answer *query.Answer) QueryAnswer {
-	body := QueryAnswer{
+func answerBody(id string, answer *query.Answer) callerapi.Answer {
+	body := callerapi.Answer{
 		RequestID: id,
 		Snapshot:  answer.Snapshot,
-		Coverage: Coverage{
+		Coverage: callerapi.Coverage{
 			Shards:   answer.Coverage.Total,
 			Answered: len(answer.Coverage.Answered),
-			Missing:  make([]Missing, 0, len(answer.Coverage.Missing)),
+			Missing:  make([]callerapi.Missing, 0, len(answer.Coverage.Missing)),
 		},
-		Results:          make([]Result, 0, len(answer.Results)),
+		Results:          make([]callerapi.Result, 0, len(answer.Results)),
 		ExtraSubrequests: answer.ExtraSubrequests,
 	}
 	for _, m := range answer.Coverage.Missing {
-		body.Coverage.Missing = append(body.Coverage.Missing, Missing{Shard: m.Shard, Service: m.Service, Reason: m.Reason})
+		body.Coverage.Missing = append(body.Coverage.Missing, callerapi.Missing{Shard: m.Shard, Service: m.Service, Reason: m.Reason})
 	}
 	for _, r := range answer.Results {
-		result := Result{Shard: r.Shard, Service: r.Service}
+		result := callerapi.Result{Shard: r.Shard, Service: r.Service}
 		if json.Valid(r.Body) {
 			result.Body = r.Body
 		} else {
--- a/internal/load/http.go
+++ b/internal/load/http.go
@@ -8,17 +8,14 @@
 	"net/url"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/valyala/fasthttp"
 
-	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/verdict"
 )
 
 const (
-	// pathQuery is the path of the caller's interface.
-	pathQuery = "/v1/query"
-	// headerCaller names the caller.
-	headerCaller = "X-Caller-Id"
 	// answerGrace is waited for an answer past the query's deadline.
 	answerGrace = 5 * time.Second
 	// dialTimeout bounds a new connection to a host.
@@ -45,32 +42,11 @@
 
 var _ Asker = (*HTTPAsker)(nil)
 
-// queryRequest is the body of a query.
-type queryRequest struct {
-	Workload   model.WorkloadName  `json:"workload"`
-	Body       json.RawMessage     `json:"body"`
-	DeadlineMS int64               `json:"deadline_ms"`
-	Services   []model.ServiceName `json:"services,omitempty"`
-	Idempotent *bool               `json:"idempotent,omitempty"`
-}
-
-// queryResponse is the part of an answer that is reported.
-type queryResponse struct {
-	Coverage struct {
-		Shards   int `json:"shards"`
-		Answered int `json:"answered"`
-		Missing  []struct {
-			Reason verdict.Reason `json:"reason"`
-		} `json:"missing"`
-	} `json:"coverage"`
-	Extra int `json:"extra_subrequests"`
-}
-
-// errorResponse is the part of an error that is reported.
-type errorResponse struct {
-	Verdict      verdict.Verdict `json:"verdict"`
-	Reason       verdict.Reason  `json:"reason"`
-	RetryAfterMS int64           `json:"retry_after_ms"`
+// answerSummary is the part of an answer that is reported; results are not
+// decoded.
+type answerSummary struct {
+	Coverage         callerapi.Coverage `json:"coverage"`
+	ExtraSubrequests int                `json:"extra_subrequests"`
 }
 
 // NewHTTPAsker returns an asker for hosts at urls that opens at most
@@ -100,8 +76,8 @@
 
 // Ask implements Asker.
 func (a *HTTPAsker) Ask(_ context.Context, q *Query) Outcome {
-	body, err := json.Marshal(queryRequest{
-		Workload: q.Workload, Body: q.Body, DeadlineMS: q.Deadline.Milliseconds(),
+	body, err := json.Marshal(callerapi.Query{
+		Workload: q.Workload, Body: q.Body, DeadlineMS: callerapi.Deadline(q.Deadline),
 		Services: q.Services, Idempotent: q.Idempotent,
 	})
 	if err != nil {
@@ -111,10 +87,10 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + host.Addr + pathQuery)
+	req.SetRequestURI("http://" + host.Addr + callerapi.PathQuery)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetContentType("application/json")
-	req.Header.Set(headerCaller, string(q.Caller))
+	req.Header.Set(callerapi.HeaderCaller, string(q.Caller))
 	req.SetBodyRaw(body)
 	if err := host.DoTimeout(req, resp, q.Deadline+answerGrace); err != nil {
 		if errors.Is(err, fasthttp.ErrTimeout) {
@@ -129,13 +105,13 @@
 }
 
 func answerOutcome(body []byte) Outcome {
-	var answer queryResponse
+	var answer answerSummary
 	if err := json.Unmarshal(body, &answer); err != nil {
 		return Outcome{Reason: BadResponse}
 	}
 	outcome := Outcome{
 		Answered: true, Verdict: verdict.Ran,
-		Shards: answer.Coverage.Shards, Covered: answer.Coverage.Answered, Extra: answer.Extra,
+		Shards: answer.Coverage.Shards, Covered: answer.Coverage.Answered, Extra: answer.ExtraSubrequests,
 	}
 	if len(answer.Coverage.Missing) > 0 {
 		outcome.Missing = make(map[verdict.Reason]int)
@@ -147,7 +123,7 @@
 }
 
 func errorOutcome(body []byte) Outcome {
-	var failure errorResponse
+	var failure callerapi.Error
 	if err := json.Unmarshal(body, &failure); err != nil || failure.Reason == "" {
 		return Outcome{Reason: BadResponse}
 	}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
@@ -188,7 +190,7 @@
 		"error nonsense": {500, `{}`, Outcome{Reason: BadResponse}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var got queryRequest
+			var got callerapi.Query
 			url := serve(t, func(ctx *fasthttp.RequestCtx) {
 				_ = json.Unmarshal(ctx.PostBody(), &got)
 				ctx.SetStatusCode(test.status)
@@ -199,7 +201,7 @@
 			defer asker.Close()
 			outcome := asker.Ask(t.Context(), &Query{Workload: "w", Body: json.RawMessage(`{"q":1}`), Deadline: time.Minute})
 			require.Equal(t, test.want, outcome)
-			require.Equal(t, queryRequest{Workload: "w", Body: json.RawMessage(`{"q":1}`), DeadlineMS: 60_000}, got)
+			require.Equal(t, callerapi.Query{Workload: "w", Body: json.RawMessage(`{"q":1}`), DeadlineMS: callerapi.Deadline(time.Minute)}, got)
 		})
 	}
 }
