Tell a deadline that passes in an exchange from a lost connection

Cause: the HTTP library reports a read timeout before the first byte by an error of its own that is no net.Error, so the exchange was taken for one whose connection the target closed. Ruled out: the stand-in closing connections; it closes none there. Change: any error that says it is a timeout gives DeadlinePassed. Shown by: TestDeadlineThatPassesInAnExchangeIsNotALostConnection, which failed before with target_unreachable and passes now.

--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -248,3 +248,14 @@
 	require.ErrorContains(t, target.SetFaults(Faults{ShedShare: 2}), "shed_share")
 	require.ErrorContains(t, target.SetFaults(Faults{Reply: "odd"}), "reply")
 }
+
+func TestDeadlineThatPassesInAnExchangeIsNotALostConnection(t *testing.T) {
+	target, conn := start(t, Settings{})
+	require.NoError(t, target.SetFaults(Faults{Frozen: true}))
+	batch := batchOf(1)
+	batch[0].Request.Deadline = time.Now().Add(50 * time.Millisecond)
+	answer := conn.Search(t.Context(), batch)[0]
+	require.Equal(t, verdict.Unknown, answer.Verdict)
+	require.Equal(t, verdict.DeadlinePassed, answer.Reason, "a lost connection would count as a crash of the target")
+	require.True(t, conn.Broken())
+}
--- a/internal/target/search.go
+++ b/internal/target/search.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"sync"
 	"time"
 
@@ -143,6 +142,12 @@
 	return answer
 }
 
+// timeoutError is an error that says whether it is a timeout.
+type timeoutError interface {
+	error
+	Timeout() bool
+}
+
 // lostReason tells why an exchange has no reply.
 func lostReason(ctx context.Context, err error) verdict.Reason {
 	if ctx.Err() != nil {
@@ -154,7 +159,8 @@
 		}
 		return verdict.Cancelled
 	}
-	if netErr, ok := errors.AsType[net.Error](err); ok && netErr.Timeout() {
+	// The HTTP library's own timeout error is no net.Error.
+	if timeout, ok := errors.AsType[timeoutError](err); ok && timeout.Timeout() {
 		return verdict.DeadlinePassed
 	}
 	if errors.Is(err, io.ErrUnexpectedEOF) {
