--- a/internal/dispatch/receiver.go
+++ b/internal/dispatch/receiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -22,6 +23,38 @@
 		return
 	}
 	req.Deadline = in.Deadline
-	cancel := local.Submit(req, func(a *subquery.Answer) { in.Reply(a) })
-	context.AfterFunc(in.Ctx, cancel)
+	w := &received{in: in}
+	cancel := local.Submit(req, w.answer)
+	w.cancelWith(cancel)
+}
+
+// received is a sub-request of another host. It is cancelled when its sender
+// cancels it, unless it was answered before.
+type received struct {
+	in *peer.Inbound
+
+	mu       sync.Mutex
+	answered bool
+	unwatch  func() bool
+}
+
+// answer replies to the sender.
+func (r *received) answer(a *subquery.Answer) {
+	r.mu.Lock()
+	r.answered = true
+	unwatch := r.unwatch
+	r.mu.Unlock()
+	if unwatch != nil {
+		unwatch()
+	}
+	r.in.Reply(a)
+}
+
+// cancelWith calls cancel once the sender gives the sub-request up.
+func (r *received) cancelWith(cancel func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.answered {
+		r.unwatch = context.AfterFunc(r.in.Ctx, cancel)
+	}
 }
