Forget targets, services and workloads that are no longer published

Cause: what was learned from answers was kept for the life of the process. Change: the first query after a change of configuration prunes it. Conclusion: memory follows the published configuration; tested.

--- a/internal/query/executor.go
+++ b/internal/query/executor.go
@@ -6,11 +6,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/admission"
+	"github.com/swiftvane/swiftvane/internal/config"
 	"github.com/swiftvane/swiftvane/internal/gather"
 	"github.com/swiftvane/swiftvane/internal/metrics"
 	"github.com/swiftvane/swiftvane/internal/model"
@@ -41,6 +43,8 @@
 	limiter   *admission.Limiter
 	scope     metrics.Scope
 	log       logrus.FieldLogger
+	// pruned is the configuration that what was learned was last pruned after.
+	pruned atomic.Pointer[config.Fleet]
 }
 
 // New returns an Executor.
@@ -75,6 +79,7 @@
 	if refusal := x.check(); refusal != nil {
 		return nil, refusal
 	}
+	e.prune(e.views.Current().Fleet)
 	leave, refusal := e.limiter.Enter(req.Workload, req.Caller)
 	if refusal != nil {
 		return nil, refusal
@@ -83,6 +88,15 @@
 	return x.run(ctx)
 }
 
+// prune drops what was learned about targets, services and workloads that are
+// no longer published, once for each configuration.
+func (e *Executor) prune(fleet *config.Fleet) {
+	last := e.pruned.Load()
+	if last != fleet && e.pruned.CompareAndSwap(last, fleet) && last != nil {
+		e.scatterer.Retain(fleet)
+	}
+}
+
 // execution is one query's way through its plans.
 type execution struct {
 	e        *Executor
--- a/internal/scatter/retry_test.go
+++ b/internal/scatter/retry_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/swiftvane/swiftvane/internal/config"
 	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/subquery"
 	"github.com/swiftvane/swiftvane/internal/verdict"
@@ -167,3 +168,29 @@
 		require.Len(t, d.sent, maxCrashes)
 	})
 }
+
+func TestWhatIsNoLongerPublishedIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, _ := newScripted(func(req *subquery.Request) (*subquery.Answer, time.Duration) {
+			a := ok(req)
+			a.Load = subquery.Load{Oldest: 1, Newest: 1}
+			return a, time.Millisecond
+		})
+		p := testPlan(3, 2, testPolicy())
+		runQuery(s, p, true, time.Minute)
+		s.Retain(&config.Fleet{
+			Workloads: map[model.WorkloadName]*config.Workload{"w": {}},
+			Indexes:   map[model.WorkloadName]*model.Index{"w": {Snapshots: []model.ShardMap{{Shards: p.Shards[:1]}}}},
+			Targets:   map[model.TargetID]*model.Target{replica(0, 0): {}},
+		})
+		require.Len(t, *s.targets.targets.Load(), 1)
+		services := 0
+		s.services.Range(func(any, any) bool { services++; return true })
+		require.Equal(t, 1, services)
+		require.True(t, s.holdings.Holds("w", replica(1, 0), 9))
+		s.Retain(&config.Fleet{})
+		budgets := 0
+		s.budgets.Range(func(any, any) bool { budgets++; return true })
+		require.Zero(t, budgets)
+	})
+}
--- a/internal/scatter/scatterer.go
+++ b/internal/scatter/scatterer.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/config"
 	"github.com/swiftvane/swiftvane/internal/gather"
 	"github.com/swiftvane/swiftvane/internal/metrics"
 	"github.com/swiftvane/swiftvane/internal/model"
@@ -82,10 +83,38 @@
 	return newRun(s, req, time.Now()).loop(ctx)
 }
 
-// Retain drops what was learned about targets that known does not report.
-func (s *Scatterer) Retain(known func(model.TargetID) bool) {
+// Retain drops what was learned about targets, services and workloads that the
+// configuration does not name.
+func (s *Scatterer) Retain(fleet *config.Fleet) {
+	known := func(id model.TargetID) bool { return fleet.Targets[id] != nil }
 	s.targets.Retain(known)
 	s.holdings.Forget(known)
+	s.budgets.Range(func(workload, _ any) bool {
+		if fleet.Workloads[workload.(model.WorkloadName)] == nil {
+			s.budgets.Delete(workload)
+		}
+		return true
+	})
+	published := publishedServices(fleet)
+	s.services.Range(func(key, _ any) bool {
+		if _, ok := published[key.(serviceKey)]; !ok {
+			s.services.Delete(key)
+		}
+		return true
+	})
+}
+
+// publishedServices returns the services of every published snapshot.
+func publishedServices(fleet *config.Fleet) map[serviceKey]struct{} {
+	published := make(map[serviceKey]struct{})
+	for workload, index := range fleet.Indexes {
+		for i := range index.Snapshots {
+			for j := range index.Snapshots[i].Shards {
+				published[serviceKey{workload: workload, service: index.Snapshots[i].Shards[j].Service}] = struct{}{}
+			}
+		}
+	}
+	return published
 }
 
 func (s *Scatterer) latency(w model.WorkloadName, svc model.ServiceName) *Latency {
