Act by a host list only while the platform confirms it

Cause: the model shows a double run where hosts that were all replaced go on by the old list, unaware, after the new ones dropped it: the list lease. The service had the rule but nothing that told it when the list was confirmed.

Ruled out: confirmation by a majority of the old list's hosts, since after a partition each side may have one; reading the platform more often from every host, since its calls are few and the fleet is large.

Options takes ListConfirmed in place of ListConfirmedAt; without it the rule is off.

--- a/internal/claim/control.go
+++ b/internal/claim/control.go
@@ -27,8 +27,9 @@
 	lastRun time.Time
 	// newest is the last clock reading: time never goes back for the rules.
 	newest rules.Time
-	// askedAt is when another host was last asked for its history.
-	askedAt time.Time
+	// askedAt and confirmAskedAt are when another host was last asked for its
+	// history and for its confirmation.
+	askedAt, confirmAskedAt time.Time
 	// next is the position in the host list of the host to ask next.
 	next int
 }
@@ -77,6 +78,9 @@
 	if !c.history.Complete(now) {
 		c.askSomeone()
 	}
+	if c.s.opts.ListConfirmed != nil {
+		c.askConfirmation()
+	}
 }
 
 // readLists takes over what the fleet role knows.
@@ -90,11 +94,13 @@
 	if hosts := c.s.opts.Views.Current().Hosts; hosts != nil {
 		c.learn(hosts, now)
 	}
-	confirmed := now
-	if c.s.opts.ListConfirmedAt != nil {
-		confirmed = rules.At(c.s.opts.ListConfirmedAt())
+	if c.s.opts.ListConfirmed == nil {
+		c.history.Confirm(now, now)
+		return
+	}
+	if revision, at := c.s.opts.ListConfirmed(); revision >= c.history.Newest() {
+		c.history.Confirm(rules.At(at), now)
 	}
-	c.history.Confirm(confirmed, now)
 }
 
 func (c *control) learn(list *model.HostList, now rules.Time) {
--- a/internal/claim/fleet_test.go
+++ b/internal/claim/fleet_test.go
@@ -24,6 +24,8 @@
 	net   *memnet
 	mu    sync.Mutex
 	hosts map[model.HostID]*testHost
+	// confirmed is what a host starts with.
+	confirmed map[model.HostID]time.Time
 }
 
 // testHost is one process of a testFleet.
@@ -34,6 +36,16 @@
 	ended  chan struct{}
 	list   atomic.Pointer[model.HostList]
 	offset atomic.Int64
+	// confirmed is when the platform named the list, in Unix milliseconds; zero is
+	// now.
+	confirmed atomic.Int64
+}
+
+func (h *testHost) listConfirmed() (model.Revision, time.Time) {
+	if ms := h.confirmed.Load(); ms != 0 {
+		return h.list.Load().Revision, time.UnixMilli(ms)
+	}
+	return h.list.Load().Revision, time.Now()
 }
 
 // Current implements view.Source.
@@ -73,19 +85,24 @@
 }
 
 func (f *testFleet) start(id model.HostID, started time.Time, list *model.HostList) *testHost {
-	end := f.net.start(id)
+	end := f.net.end(id)
 	h := &testHost{id: id, ended: make(chan struct{})}
 	h.list.Store(list)
+	if at, ok := f.confirmed[id]; ok {
+		h.confirmed.Store(at.UnixMilli())
+	}
 	h.Service = New(Options{
-		Self:        model.Host{ID: id},
-		Incarnation: model.Incarnation(started.UnixMilli()),
-		Views:       h,
-		Transport:   end,
-		Registrar:   end,
-		Clock:       func() time.Time { return time.Now().Add(time.Duration(h.offset.Load())) },
-		Scope:       tally.NoopScope,
-		Log:         quietLog(),
+		Self:          model.Host{ID: id},
+		Incarnation:   model.Incarnation(started.UnixMilli()),
+		Views:         h,
+		ListConfirmed: h.listConfirmed,
+		Transport:     end,
+		Registrar:     end,
+		Clock:         func() time.Time { return time.Now().Add(time.Duration(h.offset.Load())) },
+		Scope:         tally.NoopScope,
+		Log:           quietLog(),
 	})
+	f.net.join(end)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
 	go func() {
--- a/internal/claim/memnet_test.go
+++ b/internal/claim/memnet_test.go
@@ -30,7 +30,6 @@
 	net      *memnet
 	id       model.HostID
 	handlers map[peer.Kind]peer.Handler
-	dead     chan struct{}
 }
 
 func newMemnet(seed uint64) *memnet {
@@ -42,19 +41,21 @@
 	}
 }
 
-// start adds a process under a host's id, in place of one before.
-func (n *memnet) start(id model.HostID) *memhost {
+// end returns a process's end, which gets nothing until it joins.
+func (n *memnet) end(id model.HostID) *memhost {
+	return &memhost{net: n, id: id, handlers: make(map[peer.Kind]peer.Handler)}
+}
+
+// join adds a process under its host's id, in place of one before.
+func (n *memnet) join(h *memhost) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	h := &memhost{net: n, id: id, handlers: make(map[peer.Kind]peer.Handler), dead: make(chan struct{})}
-	n.hosts[id] = h
-	return h
+	n.hosts[h.id] = h
 }
 
 func (n *memnet) kill(id model.HostID) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	close(n.hosts[id].dead)
 	delete(n.hosts, id)
 }
 
--- a/internal/claim/rules/history.go
+++ b/internal/claim/rules/history.go
@@ -78,6 +78,17 @@
 	return Known{Revisions: h.Revisions(), Complete: h.Complete(now), Confirmed: h.Confirmed(now)}
 }
 
+// Newest returns the newest revision held, zero if none is.
+func (h *History) Newest() model.Revision {
+	if len(h.lists) == 0 {
+		return 0
+	}
+	return h.lists[len(h.lists)-1].revision
+}
+
+// ConfirmedAt returns when the newest list was last confirmed.
+func (h *History) ConfirmedAt() Time { return h.confirmedAt }
+
 // Has reports whether the list is held.
 func (h *History) Has(revision model.Revision) bool {
 	for i := range h.lists {
