Take the list's confirmation from the fleet role

Cause: the fleet role now tells when the platform last named the host list in force, by its own reads and its digests; the claim service had grown the same.

Ruled out: keeping both, as they would differ.

Change: Confirmations and the question to a random host go; Options is back to ListConfirmedAt, which main already wires.

Conclusion: one place follows the host list; the lease stays in rules.

--- a/internal/claim/control.go
+++ b/internal/claim/control.go
@@ -27,9 +27,8 @@
 	lastRun time.Time
 	// newest is the last clock reading: time never goes back for the rules.
 	newest rules.Time
-	// askedAt and confirmAskedAt are when another host was last asked for its
-	// history and for its confirmation.
-	askedAt, confirmAskedAt time.Time
+	// askedAt is when another host was last asked for its history.
+	askedAt time.Time
 	// next is the position in the host list of the host to ask next.
 	next int
 }
@@ -78,9 +77,6 @@
 	if !c.history.Complete(now) {
 		c.askSomeone()
 	}
-	if c.s.opts.ListConfirmed != nil {
-		c.askConfirmation()
-	}
 }
 
 // readLists takes over what the fleet role knows.
@@ -94,13 +90,11 @@
 	if hosts := c.s.opts.Views.Current().Hosts; hosts != nil {
 		c.learn(hosts, now)
 	}
-	if c.s.opts.ListConfirmed == nil {
-		c.history.Confirm(now, now)
-		return
-	}
-	if revision, at := c.s.opts.ListConfirmed(); revision >= c.history.Newest() {
-		c.history.Confirm(rules.At(at), now)
+	confirmed := now
+	if c.s.opts.ListConfirmedAt != nil {
+		confirmed = rules.At(c.s.opts.ListConfirmedAt())
 	}
+	c.history.Confirm(confirmed, now)
 }
 
 func (c *control) learn(list *model.HostList, now rules.Time) {
--- a/internal/claim/fleet_test.go
+++ b/internal/claim/fleet_test.go
@@ -41,11 +41,11 @@
 	confirmed atomic.Int64
 }
 
-func (h *testHost) listConfirmed() (model.Revision, time.Time) {
+func (h *testHost) listConfirmedAt() time.Time {
 	if ms := h.confirmed.Load(); ms != 0 {
-		return h.list.Load().Revision, time.UnixMilli(ms)
+		return time.UnixMilli(ms)
 	}
-	return h.list.Load().Revision, time.Now()
+	return time.Now()
 }
 
 // Current implements view.Source.
@@ -92,15 +92,15 @@
 		h.confirmed.Store(at.UnixMilli())
 	}
 	h.Service = New(Options{
-		Self:          model.Host{ID: id},
-		Incarnation:   model.Incarnation(started.UnixMilli()),
-		Views:         h,
-		ListConfirmed: h.listConfirmed,
-		Transport:     end,
-		Registrar:     end,
-		Clock:         func() time.Time { return time.Now().Add(time.Duration(h.offset.Load())) },
-		Scope:         tally.NoopScope,
-		Log:           quietLog(),
+		Self:            model.Host{ID: id},
+		Incarnation:     model.Incarnation(started.UnixMilli()),
+		Views:           h,
+		ListConfirmedAt: h.listConfirmedAt,
+		Transport:       end,
+		Registrar:       end,
+		Clock:           func() time.Time { return time.Now().Add(time.Duration(h.offset.Load())) },
+		Scope:           tally.NoopScope,
+		Log:             quietLog(),
 	})
 	f.net.join(end)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/claim/handle.go
+++ b/internal/claim/handle.go
@@ -16,7 +16,7 @@
 		refuse(in, verdict.RefuseField(verdict.BadRequest, "claim", "not a claim message: %s", err))
 		return
 	}
-	if (m.Operation == operationVote || m.Operation == operationRelease) && m.Claim == nil {
+	if m.Operation != operationHistory && m.Claim == nil {
 		refuse(in, verdict.RefuseField(verdict.BadRequest, "claim", "the claim is missing"))
 		return
 	}
@@ -35,8 +35,6 @@
 		reply(in, true)
 	case operationHistory:
 		reply(in, c.history.Share(c.now()))
-	case operationConfirm:
-		reply(in, c.confirmation())
 	default:
 		refuse(in, verdict.RefuseField(verdict.BadRequest, "operation", "unknown operation %d", m.Operation))
 	}
--- a/internal/claim/options.go
+++ b/internal/claim/options.go
@@ -39,12 +39,12 @@
 	// HostLists returns the host lists that this host saw, newest last. Nil
 	// leaves it at the view's.
 	HostLists func() []model.HostList
-	// ListConfirmed returns the newest revision of the host list that the platform
-	// named to this host, and when it last did so; see Confirmations. Nil takes
-	// the host list for confirmed at all times.
-	ListConfirmed func() (model.Revision, time.Time)
-	Transport     peer.Transport
-	Registrar     peer.Registrar
+	// ListConfirmedAt returns when the platform was last asked for the host list
+	// and named the newest one known, by this host or one that it heard of it
+	// from. Nil takes the host list for confirmed at all times.
+	ListConfirmedAt func() time.Time
+	Transport       peer.Transport
+	Registrar       peer.Registrar
 	// Clock returns the current time; nil is time.Now.
 	Clock func() time.Time
 	// HistoryWait is how long this process refuses claims if it finds no host
