Take out settings that nothing reads

Ruled out: to enforce the limit here; it belongs where a query is planned, in packages of others. Change: both are gone. Conclusion: the reference of settings lists what has an effect.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,8 +8,6 @@
 package settings
 
 import (
-	"strings"
-
 	"github.com/swiftvane/swiftvane/internal/logging"
 	"github.com/swiftvane/swiftvane/internal/model"
 )
@@ -48,9 +46,6 @@
 	BaseURL string `toml:"base_url" validate:"required,platformurl" allowed:"http://IP:PORT" doc:"Base URL of the configuration service and host list."`
 }
 
-// Addr returns the address part of BaseURL.
-func (p *Platform) Addr() string { return strings.TrimPrefix(p.BaseURL, platformScheme) }
-
 // Peers holds what links to other hosts need.
 type Peers struct {
 	KeyFiles []string `toml:"key_files" validate:"required,min=1,max=2,unique,dive,required" allowed:"one or two different readable files, each with a key of at least 32 bytes" doc:"Files with the keys that authenticate hosts to each other. The first signs; both are accepted, so that a key can be changed without a stop."`
@@ -67,7 +62,6 @@
 type Limits struct {
 	MaxInflightQueries int `toml:"max_inflight_queries" validate:"min=1,max=1000000" allowed:"1 to 1000000" doc:"Queries in flight; further ones are refused at once."`
 	MaxBodyBytes       int `toml:"max_body_bytes" validate:"min=1024,max=67108864" allowed:"1024 to 67108864 bytes" doc:"Size of a caller's request; policy may allow less."`
-	MaxFanOut          int `toml:"max_fan_out" validate:"min=1,max=100000" allowed:"1 to 100000" doc:"Shards that one query may touch."`
 	DeadlineMaxMS      int `toml:"deadline_max_ms" validate:"min=1,max=600000" allowed:"1 to 600000 ms" doc:"Longest deadline that a caller may name; policy may allow less."`
 	LameDuckMS         int `toml:"lame_duck_ms" validate:"min=0,max=600000" allowed:"0 to 600000 ms" doc:"Time between reporting not ready and refusing new queries, for the balancer to notice."`
 	DrainMS            int `toml:"drain_ms" validate:"min=1,max=3600000" allowed:"1 to 3600000 ms" doc:"Longest wait for requests in flight after that."`
@@ -84,7 +78,6 @@
 const (
 	defaultMaxInflightQueries = 4096
 	defaultMaxBodyBytes       = 1 << 20
-	defaultMaxFanOut          = 4096
 	defaultDeadlineMaxMS      = 60_000
 	defaultLameDuckMS         = 3_000
 	defaultDrainMS            = 30_000
@@ -98,7 +91,6 @@
 		Limits: Limits{
 			MaxInflightQueries: defaultMaxInflightQueries,
 			MaxBodyBytes:       defaultMaxBodyBytes,
-			MaxFanOut:          defaultMaxFanOut,
 			DeadlineMaxMS:      defaultDeadlineMaxMS,
 			LameDuckMS:         defaultLameDuckMS,
 			DrainMS:            defaultDrainMS,
