Add the capacity command: measured slopes and their extrapolation

Cause: docs/CAPACITY.md needs figures from runs that anyone can repeat. Change: internal/capacity measures sub-requests on one host and between two, links, configuration and owners at 7,900 targets, claims, and control of 10, 50 and 200 members in one process; swiftvanectl capacity prints the table.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/swiftvane/swiftvane/internal/capacity"
 	"github.com/swiftvane/swiftvane/internal/demo"
 	"github.com/swiftvane/swiftvane/internal/exitcode"
 	"github.com/swiftvane/swiftvane/internal/load"
@@ -39,7 +40,7 @@
 	root.AddCommand(
 		newQuery(opts), newStatus(opts), newTargets(opts), newQuarantine(opts),
 		newConfig(opts), newDrain(opts), newVersion(opts),
-		mounted(demo.NewCommand()), mounted(load.NewCommand()),
+		mounted(capacity.NewCommand()), mounted(demo.NewCommand()), mounted(load.NewCommand()),
 	)
 	return root
 }
