Take in a changed key without checking the whole document again

Ruled out: sending or hashing less often, since each change must be verified; a parse in the background, which spends the same time. Change: the digest is a sum of the keys' hashes, so that a delta gives the next digest; ParseAfter takes over values of unchanged keys and checks anew what values mean together; a delta received is kept as it is instead of made again.

--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -39,7 +39,7 @@
 
 // watchIdle fills in the idle cost of each member and second.
 func (m *members) watchIdle(ctx context.Context, slope *FleetSlope) {
-	cpu, carried, calls, began := cpuTime(), m.traffic(), m.platform.calls.Load(), time.Now()
+	cpu, carried, began := cpuTime(), m.traffic(), time.Now()
 	sleep(ctx, idleTime)
 	seconds := time.Since(began).Seconds()
 	each := seconds * float64(len(m.all))
@@ -47,7 +47,18 @@
 	slope.CPUUS = microseconds(cpuTime()-cpu) / each
 	slope.Bytes = float64(now.bytes-carried.bytes) / each
 	slope.Messages = float64(now.messages-carried.messages) / each
-	slope.PlatformCalls = float64(m.platform.calls.Load()-calls) / seconds
+	slope.Watchers = m.watchers(ctx)
+}
+
+// watchers counts the members that hold watches at the platform.
+func (m *members) watchers(ctx context.Context) int {
+	n := 0
+	for _, one := range m.all {
+		if s, err := one.fleet.Status(ctx); err == nil && s.Watching {
+			n++
+		}
+	}
+	return n
 }
 
 // change publishes changes and returns what one costs each host beyond idling.
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -80,7 +80,8 @@
 func (s *Slopes) takeView() error {
 	size := DesignSize()
 	cost, err := measureView(&size)
-	s.ViewBytes, s.DocumentBytes, s.OwnersMS = cost.viewBytes, cost.documentBytes, cost.ownersMS
+	s.ViewBytes, s.DocumentBytes = cost.viewBytes, cost.documentBytes
+	s.OwnersMS, s.LargeChangeUS = cost.ownersMS, cost.changeUS
 	return err
 }
 
--- a/internal/capacity/memplatform.go
+++ b/internal/capacity/memplatform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/config"
@@ -13,10 +12,9 @@
 
 // memPlatform is a platform.Client in this process, without I/O.
 type memPlatform struct {
-	calls atomic.Int64
-	mu    sync.Mutex
-	doc   *config.Document
-	list  *model.HostList
+	mu   sync.Mutex
+	doc  *config.Document
+	list *model.HostList
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -38,7 +36,6 @@
 
 // Document implements platform.Client.
 func (p *memPlatform) Document(ctx context.Context, after model.Revision, wait time.Duration) (*config.Document, error) {
-	p.calls.Add(1)
 	p.await(ctx, wait, func() bool { return p.doc.Revision != after })
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -47,7 +44,6 @@
 
 // HostList implements platform.Client.
 func (p *memPlatform) HostList(ctx context.Context, after model.Revision, wait time.Duration) (*model.HostList, error) {
-	p.calls.Add(1)
 	p.await(ctx, wait, func() bool { return p.list.Revision != after })
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -17,11 +17,11 @@
 		roles.AppendRow(table.Row{r.Role, r.Quantity, r.Measured, r.AtSize, r.Bound, r.Fits, r.Mechanism})
 	}
 	fleets := table.NewWriter()
-	fleets.AppendHeader(table.Row{"members", "µs/s a member", "B/s a member", "messages/s a member", "platform calls/s", "memory a member", "last in force, slowest of 20, ms"})
+	fleets.AppendHeader(table.Row{"members", "µs/s a member", "B/s a member", "messages/s a member", "watching the platform", "memory a member", "last in force, slowest of 20, ms"})
 	for _, f := range s.Fleet {
 		fleets.AppendRow(table.Row{
 			f.Members, fmt.Sprintf("%.0f", f.CPUUS), fmt.Sprintf("%.0f", f.Bytes), fmt.Sprintf("%.1f", f.Messages),
-			fmt.Sprintf("%.1f", f.PlatformCalls), bytesText(f.HeapBytes), fmt.Sprintf("%.0f", f.InForceMS),
+			f.Watchers, bytesText(f.HeapBytes), fmt.Sprintf("%.0f", f.InForceMS),
 		})
 	}
 	queries := table.NewWriter()
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -62,14 +62,14 @@
 	}
 	largest := s.Fleet[len(s.Fleet)-1]
 	changes := (size.ChangesPerDay + size.HostListChangesPerDay) / secondsPerDay
-	core := (largest.CPUUS + changes*s.ChangeUS) / microsecondsPerSecond
+	core := (largest.CPUUS + changes*(s.ChangeUS+s.LargeChangeUS)) / microsecondsPerSecond
 	bytes := largest.Bytes + changes*s.ChangeBytes
 	memory := s.ViewBytes + s.DocumentBytes + largest.HeapBytes
 	calls := float64(size.FailureDomains*watchersPerDomain*documents) * (1.0/watchSeconds + changes)
 	return []Row{
 		Row{
 			Role: "fleet", Quantity: "processor time",
-			Measured:  fmt.Sprintf("%.0f µs/s idle with %d members, %.0f µs a change", largest.CPUUS, largest.Members, s.ChangeUS),
+			Measured:  fmt.Sprintf("%.0f µs/s idle and %.0f µs a change with %d members, %.0f µs a change for %d targets", largest.CPUUS, s.ChangeUS, largest.Members, s.LargeChangeUS, size.Targets),
 			AtSize:    fmt.Sprintf("%.2f%% of a core", core*percent),
 			Mechanism: "a fixed number of partners and one swap a second",
 		}.bounded(core, size.ControlCore, fmt.Sprintf("%.1f%% of a core", size.ControlCore*percent)),
@@ -99,7 +99,7 @@
 		},
 		Row{
 			Role: "configuration reader", Quantity: "platform calls",
-			Measured:  fmt.Sprintf("%.1f/s with %d members", largest.PlatformCalls, largest.Members),
+			Measured:  fmt.Sprintf("%d of %d members watch", largest.Watchers, largest.Members),
 			AtSize:    fmt.Sprintf("%.1f/s by watches, and rare polls", calls),
 			Mechanism: "two watching hosts a failure domain",
 		}.bounded(calls, 2000, "2000/s for all readers"),
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -14,10 +14,13 @@
 	LinkBytes float64 `json:"link_bytes"`
 	// Fleet has one entry for each number of members measured.
 	Fleet []FleetSlope `json:"fleet"`
-	// ChangeBytes is the control traffic that one changed key adds on each host,
-	// and ChangeUS the processor time.
+	// ChangeBytes is the control traffic that one changed key adds on each host of
+	// the largest fleet measured, and ChangeUS the processor time.
 	ChangeBytes float64 `json:"change_bytes"`
 	ChangeUS    float64 `json:"change_us"`
+	// LargeChangeUS is the processor time of taking in one changed key at the
+	// design size.
+	LargeChangeUS float64 `json:"large_change_us"`
 	// ViewBytes is the memory of configuration, host list and owners at the
 	// design size, DocumentBytes that of the document as published, and
 	// OwnersMS the time to compute all owners anew.
@@ -33,11 +36,12 @@
 // FleetSlope is the idle cost of control in a fleet of some size, for each
 // member and second, and the time in which changes came into force on the last.
 type FleetSlope struct {
-	Members       int     `json:"members"`
-	CPUUS         float64 `json:"cpu_us"`
-	Bytes         float64 `json:"bytes"`
-	Messages      float64 `json:"messages"`
-	PlatformCalls float64 `json:"platform_calls"`
-	HeapBytes     float64 `json:"heap_bytes"`
-	InForceMS     float64 `json:"in_force_ms"`
+	Members  int     `json:"members"`
+	CPUUS    float64 `json:"cpu_us"`
+	Bytes    float64 `json:"bytes"`
+	Messages float64 `json:"messages"`
+	// Watchers is the members that hold watches at the platform.
+	Watchers  int     `json:"watchers"`
+	HeapBytes float64 `json:"heap_bytes"`
+	InForceMS float64 `json:"in_force_ms"`
 }
--- a/internal/capacity/views.go
+++ b/internal/capacity/views.go
@@ -11,7 +11,7 @@
 )
 
 // viewCost is what a host's picture of the fleet costs at the design size.
-type viewCost struct{ viewBytes, documentBytes, ownersMS float64 }
+type viewCost struct{ viewBytes, documentBytes, ownersMS, changeUS float64 }
 
 // measureView builds the configuration, host list and owners of a whole fleet.
 func measureView(size *Size) (viewCost, error) {
@@ -38,7 +38,30 @@
 		viewBytes:     usedMemory() - withDocument,
 		ownersMS:      took.Seconds() * 1000,
 	}
+	cost.changeUS, err = measureChange(doc, fleet)
 	runtime.KeepAlive(v)
 	runtime.KeepAlive(doc)
-	return cost, nil
+	return cost, err
+}
+
+// measureChange returns the processor time of taking in one changed key, in
+// microseconds.
+func measureChange(doc *config.Document, fleet *config.Fleet) (float64, error) {
+	next, err := nextDocument(doc)
+	if err != nil {
+		return 0, err
+	}
+	delta := config.DiffKnown(doc, next, fleet.Digest, config.Digest(next.Keys))
+	return cpuPer(changesMeasured, func() error {
+		for range changesMeasured {
+			changed, err := delta.ApplyKnown(doc, fleet.Digest)
+			if err != nil {
+				return err
+			}
+			if _, err := config.ParseAfter(changed, fleet, delta.ToDigest); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
 }
--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -57,3 +58,24 @@
 		Digest(doc.Keys)
 	}
 }
+
+// BenchmarkChange7900Targets reports what one changed key costs a host that gets
+// it as a delta.
+func BenchmarkChange7900Targets(b *testing.B) {
+	doc := largeDocument(b)
+	digest := Digest(doc.Keys)
+	fleet, err := ParseAfter(doc, nil, digest)
+	require.NoError(b, err)
+	next := &Document{Revision: 2, Keys: maps.Clone(doc.Keys)}
+	next.Keys[PrefixWorkload+"sweep"] = json.RawMessage(`{"idempotent":false}`)
+	delta := Diff(doc, next)
+	for b.Loop() {
+		changed, err := delta.ApplyKnown(doc, digest)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := ParseAfter(changed, fleet, delta.ToDigest); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -29,8 +29,13 @@
 
 // Diff returns the delta that makes b of a.
 func Diff(a, b *Document) *Delta {
+	return DiffKnown(a, b, Digest(a.Keys), Digest(b.Keys))
+}
+
+// DiffKnown is Diff for documents whose digests are known.
+func DiffKnown(a, b *Document, digestA, digestB uint64) *Delta {
 	d := &Delta{
-		From: a.Revision, FromDigest: Digest(a.Keys), To: b.Revision, ToDigest: Digest(b.Keys),
+		From: a.Revision, FromDigest: digestA, To: b.Revision, ToDigest: digestB,
 		Changed: make(map[string]json.RawMessage),
 	}
 	for key, value := range b.Keys {
@@ -49,10 +54,17 @@
 
 // Apply returns the document that the delta makes of a, which is not changed.
 // It fails with ErrOtherBase or ErrDigest.
-func (d *Delta) Apply(a *Document) (*Document, error) {
-	if a.Revision != d.From || Digest(a.Keys) != d.FromDigest {
+func (d *Delta) Apply(a *Document) (*Document, error) { return d.ApplyKnown(a, Digest(a.Keys)) }
+
+// ApplyKnown is Apply for a document whose digest is known. Its cost grows with
+// the delta, but for a copy of the map of keys.
+func (d *Delta) ApplyKnown(a *Document, digest uint64) (*Document, error) {
+	if a.Revision != d.From || digest != d.FromDigest {
 		return nil, ErrOtherBase
 	}
+	if d.digestAfter(a.Keys, digest) != d.ToDigest {
+		return nil, ErrDigest
+	}
 	keys := maps.Clone(a.Keys)
 	if keys == nil {
 		keys = make(map[string]json.RawMessage)
@@ -61,8 +73,5 @@
 	for _, key := range d.Removed {
 		delete(keys, key)
 	}
-	if Digest(keys) != d.ToDigest {
-		return nil, ErrDigest
-	}
 	return &Document{Revision: d.To, Keys: keys}, nil
 }
--- a/internal/config/digest.go
+++ b/internal/config/digest.go
@@ -9,26 +9,54 @@
 )
 
 // Digest returns a hash of a document's keys and values. White space between
-// JSON tokens does not count.
+// JSON tokens does not count. It is the sum of the keys' own hashes, so that the
+// digest after a change follows from the one before it.
 func Digest(keys map[string]json.RawMessage) uint64 {
-	h := xxhash.New()
-	var size [8]byte
-	write := func(data []byte) {
-		binary.BigEndian.PutUint64(size[:], uint64(len(data)))
-		_, _ = h.Write(size[:])
-		_, _ = h.Write(data)
+	var sum uint64
+	var h keyHasher
+	for key, value := range keys {
+		sum += h.hash(key, value)
 	}
-	var value bytes.Buffer
-	for _, key := range sortedKeys(keys) {
-		write([]byte(key))
-		value.Reset()
-		if err := json.Compact(&value, keys[key]); err != nil {
-			value.Reset()
-			value.Write(keys[key])
+	return sum
+}
+
+// digestAfter returns the digest of keys with d applied, given their digest.
+func (d *Delta) digestAfter(keys map[string]json.RawMessage, digest uint64) uint64 {
+	var h keyHasher
+	forget := func(key string) {
+		if old, ok := keys[key]; ok {
+			digest -= h.hash(key, old)
 		}
-		write(value.Bytes())
 	}
-	return h.Sum64()
+	for key, value := range d.Changed {
+		forget(key)
+		digest += h.hash(key, value)
+	}
+	for _, key := range d.Removed {
+		forget(key)
+	}
+	return digest
+}
+
+// keyHasher hashes keys with their values; it keeps a buffer between calls.
+type keyHasher struct {
+	digest xxhash.Digest
+	value  bytes.Buffer
+}
+
+func (h *keyHasher) hash(key string, value json.RawMessage) uint64 {
+	h.value.Reset()
+	if err := json.Compact(&h.value, value); err != nil {
+		h.value.Reset()
+		h.value.Write(value)
+	}
+	h.digest.Reset()
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(len(key)))
+	_, _ = h.digest.Write(size[:])
+	_, _ = h.digest.WriteString(key)
+	_, _ = h.digest.Write(h.value.Bytes())
+	return h.digest.Sum64()
 }
 
 // sameValue reports whether two values differ at most in white space.
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -53,4 +53,7 @@
 	Indexes    map[model.WorkloadName]*model.Index
 	Targets    map[model.TargetID]*model.Target
 	Exceptions []Exception
+
+	// source is the document's keys, from which the next one is told apart.
+	source map[string]json.RawMessage
 }
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -27,9 +27,16 @@
 
 // Parse checks a document whole. The error is *InvalidError and lists all that
 // is wrong.
-func Parse(doc *Document) (*Fleet, error) {
-	p := &parser{fleet: &Fleet{
+func Parse(doc *Document) (*Fleet, error) { return ParseAfter(doc, nil, Digest(doc.Keys)) }
+
+// ParseAfter is Parse for a document with a known digest. It takes over the
+// values of keys that did not change since base, which were checked then; what
+// values mean together is checked anew. base may be nil.
+func ParseAfter(doc *Document, base *Fleet, digest uint64) (*Fleet, error) {
+	p := &parser{base: base, fleet: &Fleet{
 		Revision:  doc.Revision,
+		Digest:    digest,
+		source:    doc.Keys,
 		Workloads: make(map[model.WorkloadName]*Workload),
 		Indexes:   make(map[model.WorkloadName]*model.Index),
 		Targets:   make(map[model.TargetID]*model.Target),
@@ -48,13 +55,14 @@
 		sort.SliceStable(p.problems, func(i, j int) bool { return p.problems[i].Path < p.problems[j].Path })
 		return nil, &InvalidError{Revision: doc.Revision, Problems: p.problems}
 	}
-	p.fleet.Digest = Digest(doc.Keys)
 	return p.fleet, nil
 }
 
 // parser collects the values and problems of one document.
 type parser struct {
-	fleet    *Fleet
+	fleet *Fleet
+	// base is the checked document before this one, or nil.
+	base     *Fleet
 	problems []Problem
 }
 
@@ -73,6 +81,9 @@
 }
 
 func (p *parser) parseKey(key string, raw json.RawMessage) {
+	if p.reuse(key, raw) {
+		return
+	}
 	if key == KeyDefaults {
 		p.decode(key, raw, &p.fleet.Defaults)
 		return
--- /dev/null
+++ b/internal/config/reuse.go
@@ -0,0 +1,54 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+)
+
+// reuse takes over the checked value of a key that did not change since the base
+// document. It reports whether there was one.
+func (p *parser) reuse(key string, raw json.RawMessage) bool {
+	if p.base == nil {
+		return false
+	}
+	if old, ok := p.base.source[key]; !ok || !bytes.Equal(old, raw) {
+		return false
+	}
+	if key == KeyDefaults {
+		p.fleet.Defaults = p.base.Defaults
+		return true
+	}
+	kind, name, _ := strings.Cut(key, "/")
+	switch kind + "/" {
+	case PrefixWorkload:
+		return take(p.fleet.Workloads, p.base.Workloads, model.WorkloadName(name))
+	case PrefixIndex:
+		return take(p.fleet.Indexes, p.base.Indexes, model.WorkloadName(name))
+	case PrefixTarget:
+		return take(p.fleet.Targets, p.base.Targets, model.TargetID(name))
+	case PrefixException:
+		return p.reuseException(name)
+	}
+	return false
+}
+
+func (p *parser) reuseException(name string) bool {
+	for _, x := range p.base.Exceptions {
+		if x.Name == name {
+			p.fleet.Exceptions = append(p.fleet.Exceptions, x)
+			return true
+		}
+	}
+	return false
+}
+
+func take[K comparable, V any](to, from map[K]V, key K) bool {
+	value, ok := from[key]
+	if ok {
+		to[key] = value
+	}
+	return ok
+}
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -22,7 +22,7 @@
 type replica struct {
 	kind documentKind
 	// check validates a document and returns what puts it in force.
-	check func(doc *config.Document) (commit func(), err error)
+	check func(doc *config.Document, digest uint64) (commit func(), err error)
 
 	doc     *config.Document
 	version version
@@ -39,7 +39,13 @@
 
 // offer takes doc if it is newer and valid. The error says why it was rejected.
 func (r *replica) offer(doc *config.Document, source string, now time.Time) (outcome, error) {
-	v := version{Revision: doc.Revision, Digest: config.Digest(doc.Keys)}
+	return r.offerVersion(doc, config.Digest(doc.Keys), nil, source, now)
+}
+
+// offerVersion is offer for a document with a known digest and, if made is not
+// nil, the delta that made it of the one in force.
+func (r *replica) offerVersion(doc *config.Document, digest uint64, made *config.Delta, source string, now time.Time) (outcome, error) {
+	v := version{Revision: doc.Revision, Digest: digest}
 	if v == r.version {
 		return known, nil
 	}
@@ -52,14 +58,17 @@
 		}
 		return stale, nil
 	}
-	commit, err := r.check(doc)
+	commit, err := r.check(doc, digest)
 	if err != nil {
 		r.refused.add(refusedVersion{version: v, reason: err.Error(), source: source, at: now})
 		return rejected, err
 	}
 	clashed := v.conflicts(r.version)
-	if r.doc != nil {
-		r.deltas = appendDelta(r.deltas, config.Diff(r.doc, doc))
+	if made == nil && r.doc != nil {
+		made = config.DiffKnown(r.doc, doc, r.version.Digest, digest)
+	}
+	if made != nil {
+		r.deltas = appendDelta(r.deltas, made)
 	}
 	r.doc, r.version, r.source, r.at = doc, v, source, now
 	commit()
@@ -75,10 +84,10 @@
 	if r.doc == nil || r.version != (version{d.From, d.FromDigest}) {
 		return "", false, nil
 	}
-	doc, err := d.Apply(r.doc)
+	doc, err := d.ApplyKnown(r.doc, r.version.Digest)
 	if err != nil {
 		return "", false, err
 	}
-	result, err := r.offer(doc, source, now)
+	result, err := r.offerVersion(doc, d.ToDigest, d, source, now)
 	return result, true, err
 }
