--- a/internal/load/experiment/core.go
+++ b/internal/load/experiment/core.go
@@ -10,6 +10,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/config"
 	"github.com/swiftvane/swiftvane/internal/load"
+	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/query"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
@@ -47,17 +48,31 @@
 	if err != nil {
 		return err
 	}
-	hosts := fixture.Hosts(loopback.Addrs(arm.Hosts)...)
-	for i := range hosts.Hosts {
-		host, err := startCoreHost(ctx, fleet, hosts, &hosts.Hosts[i], arm.Direct)
-		if err != nil {
-			return err
+	for _, hosts := range groupsOf(fixture.Hosts(loopback.Addrs(arm.Hosts)...), arm.Groups) {
+		for i := range hosts.Hosts {
+			host, err := startCoreHost(ctx, fleet, hosts, &hosts.Hosts[i], arm.Direct)
+			if err != nil {
+				return err
+			}
+			s.hosts = append(s.hosts, host)
 		}
-		s.hosts = append(s.hosts, host)
 	}
 	return nil
 }
 
+// groupsOf deals the hosts out to n lists.
+func groupsOf(all *model.HostList, n int) []*model.HostList {
+	lists := make([]*model.HostList, max(n, 1))
+	for i := range lists {
+		lists[i] = &model.HostList{Revision: all.Revision}
+	}
+	for i, host := range all.Hosts {
+		list := lists[i%len(lists)]
+		list.Hosts = append(list.Hosts, host)
+	}
+	return lists
+}
+
 // Ask implements load.Asker.
 func (s *coreSubject) Ask(ctx context.Context, q *load.Query) load.Outcome {
 	number := s.next.Add(1)
--- a/internal/load/experiment/experiment_test.go
+++ b/internal/load/experiment/experiment_test.go
@@ -36,6 +36,11 @@
 kind = "core"
 hosts = 2
 [[arm]]
+name = "split"
+kind = "core"
+hosts = 2
+groups = 2
+[[arm]]
 name = "tier"
 kind = "tier"
 hosts = 2
--- a/internal/load/experiment/metric.go
+++ b/internal/load/experiment/metric.go
@@ -10,18 +10,19 @@
 
 // metrics are what comparisons may name.
 var metrics = map[string]func(*ArmReport) float64{
-	"p50":              func(r *ArmReport) float64 { return r.Load.Summary.AnswerLatency.P50 },
-	"p99":              func(r *ArmReport) float64 { return r.Load.Summary.AnswerLatency.P99 },
-	"p99.9":            func(r *ArmReport) float64 { return r.Load.Summary.AnswerLatency.P999 },
-	"refusal_p99":      func(r *ArmReport) float64 { return r.Load.Summary.RefusalLatency.P99 },
-	"extra_load":       func(r *ArmReport) float64 { return r.ExtraLoad },
-	"target_extra":     func(r *ArmReport) float64 { return r.TargetExtra },
-	"goodput":          func(r *ArmReport) float64 { return r.Goodput },
-	"coverage":         func(r *ArmReport) float64 { return r.Load.Summary.Coverage.Mean },
-	"full_share":       func(r *ArmReport) float64 { return r.Load.Summary.Coverage.FullShare },
-	"failures":         func(r *ArmReport) float64 { return float64(r.Load.Summary.Failures) },
-	"peak_connections": func(r *ArmReport) float64 { return float64(r.PeakConnections) },
-	"cpu_us":           func(r *ArmReport) float64 { return r.CPUMicrosPerSubRequest },
+	"p50":                 func(r *ArmReport) float64 { return r.Load.Summary.AnswerLatency.P50 },
+	"p99":                 func(r *ArmReport) float64 { return r.Load.Summary.AnswerLatency.P99 },
+	"p99.9":               func(r *ArmReport) float64 { return r.Load.Summary.AnswerLatency.P999 },
+	"refusal_p99":         func(r *ArmReport) float64 { return r.Load.Summary.RefusalLatency.P99 },
+	"extra_load":          func(r *ArmReport) float64 { return r.ExtraLoad },
+	"target_extra":        func(r *ArmReport) float64 { return r.TargetExtra },
+	"goodput":             func(r *ArmReport) float64 { return r.Goodput },
+	"coverage":            func(r *ArmReport) float64 { return r.Load.Summary.Coverage.Mean },
+	"full_share":          func(r *ArmReport) float64 { return r.Load.Summary.Coverage.FullShare },
+	"failures":            func(r *ArmReport) float64 { return float64(r.Load.Summary.Failures) },
+	"peak_connections":    func(r *ArmReport) float64 { return float64(r.PeakConnections) },
+	"refused_connections": func(r *ArmReport) float64 { return float64(r.RefusedConnections) },
+	"cpu_us":              func(r *ArmReport) float64 { return r.CPUMicrosPerSubRequest },
 }
 
 // Verdict is the outcome of a comparison over all rounds.
--- a/internal/load/experiment/plan.go
+++ b/internal/load/experiment/plan.go
@@ -78,6 +78,10 @@
 	Hosts int `toml:"hosts" validate:"min=1,max=16"`
 	// Direct makes every host dial every target with a 1/N share.
 	Direct bool `toml:"direct"`
+	// Groups splits the hosts of a core arm into groups that know only their own
+	// members, as on the sides of a split or under a lagging host list. Zero means
+	// that all know all.
+	Groups int `toml:"groups" validate:"min=0,ltefield=Hosts"`
 	// Rate overrides the load's if it is set.
 	Rate float64 `toml:"rate" validate:"min=0,max=100000"`
 	// FaultAt is when Faults are set on the first FaultTargets targets, from the
