Prove the peer transport under cuts, silence and wrong keys

Cause: Close called before fasthttp had taken the listener left Serve waiting for good (TestCloseRightAfterStartReturns failed first, at its 20 s limit). Ruled out: a lost wake-up in the links; the stack showed only Serve and Close. Change: Close closes the listener itself. Writers yield once, so that ready goroutines add to the frame. Seen to fail without their mechanism: wrong key, lost link, silent link.

--- /dev/null
+++ b/internal/peer/bench_test.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkCall measures a sub-request to a peer and its answer, both ends in
+// this process. cpu-µs/op is the processor time of both ends together.
+func BenchmarkCall(b *testing.B) {
+	for _, inflight := range []int{1, 64, 1024} {
+		b.Run(map[int]string{1: "inflight=1", 64: "inflight=64", 1024: "inflight=1024"}[inflight], func(b *testing.B) {
+			benchmarkCall(b, inflight)
+		})
+	}
+}
+
+func benchmarkCall(b *testing.B, inflight int) {
+	book := newBook()
+	a, scope := startMesh(b, "a", book, nil, nil)
+	startMesh(b, "b", book, nil, map[Kind]Handler{KindSubquery: func(in *Inbound) {
+		var req subquery.Request
+		if Decode(in.Payload, &req) != nil {
+			return
+		}
+		in.Reply(&subquery.Answer{Verdict: verdict.Ran, Body: req.Body, Snapshot: req.Snapshot})
+	}})
+	req := &subquery.Request{
+		RequestID: "0193a4d2-1111-7000-8000-000000000000", Caller: "desk", Workload: "diff-review", Service: "forms",
+		Shard: "forms-12", Target: "searcher-12-1", Snapshot: 42, Body: make([]byte, 200), Idempotent: true,
+	}
+	slots := make(chan struct{}, inflight)
+	var wg sync.WaitGroup
+	b.ReportAllocs()
+	b.ResetTimer()
+	began := cpuTime()
+	for range b.N {
+		slots <- struct{}{}
+		wg.Add(1)
+		a.Go("b", KindSubquery, req, time.Now().Add(time.Minute), func(raw cbor.RawMessage, err error) {
+			var answer subquery.Answer
+			if err != nil || Decode(raw, &answer) != nil {
+				b.Error("no answer")
+			}
+			<-slots
+			wg.Done()
+		})
+	}
+	wg.Wait()
+	frames := scope.Snapshot().Counters()["peer.frames_sent+"].Value()
+	b.ReportMetric(float64(b.N)/float64(frames), "msgs/frame")
+	b.ReportMetric(float64((cpuTime()-began).Microseconds())/float64(b.N), "cpu-µs/op")
+}
--- a/internal/peer/envelope.go
+++ b/internal/peer/envelope.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -75,11 +76,22 @@
 	if raw, ok := v.(cbor.RawMessage); ok {
 		return raw, nil
 	}
-	var buf bytes.Buffer
-	if err := encMode.MarshalToBuffer(v, &buf); err != nil {
+	buf := encodeBuffers.Get().(*bytes.Buffer)
+	defer recycle(buf)
+	if err := encMode.MarshalToBuffer(v, buf); err != nil {
 		return nil, eris.Wrap(err, "peer: encode payload")
 	}
-	return buf.Bytes(), nil
+	return bytes.Clone(buf.Bytes()), nil
+}
+
+// encodeBuffers are scratch space of encodePayload.
+var encodeBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+func recycle(buf *bytes.Buffer) {
+	if buf.Cap() <= keepBufferBytes {
+		buf.Reset()
+		encodeBuffers.Put(buf)
+	}
 }
 
 // Decode decodes the payload of a message or reply into v.
@@ -96,11 +108,12 @@
 }
 
 // decodeFrame calls visit for each envelope of frame. Payloads share frame's
-// memory. It returns an error if the frame is malformed; envelopes before the
+// memory; the envelope itself is used again for the next one. It returns an error if the frame is malformed; envelopes before the
 // malformed one have been visited then.
 func decodeFrame(frame []byte, visit func(*envelope)) error {
+	var e envelope
 	for len(frame) > 0 {
-		var e envelope
+		e = envelope{}
 		rest, err := decMode.UnmarshalFirst(frame, &e)
 		if err != nil {
 			return eris.Wrap(errBadFrame, err.Error())
--- /dev/null
+++ b/internal/peer/failure_test.go
@@ -0,0 +1,287 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// hold is a handler that answers nothing and shows what it got.
+type hold struct{ got chan *Inbound }
+
+func newHold() *hold { return &hold{got: make(chan *Inbound, 64)} }
+
+func (h *hold) handle(in *Inbound) { h.got <- in }
+
+func (h *hold) next(t *testing.T) *Inbound {
+	t.Helper()
+	select {
+	case in := <-h.got:
+		return in
+	case <-time.After(generous):
+		t.Fatal("no message arrived")
+		return nil
+	}
+}
+
+// goCall starts a call and returns where its error will come.
+func goCall(m *Mesh, deadline time.Time) (errs <-chan error, cancel func()) {
+	results := make(chan error, 2)
+	cancel = m.Go("b", KindClaim, &message{"x"}, deadline, func(_ cbor.RawMessage, err error) { results <- err })
+	return results, cancel
+}
+
+func await(t *testing.T, errs <-chan error) *verdict.Error {
+	t.Helper()
+	select {
+	case err := <-errs:
+		var refused *verdict.Error
+		require.ErrorAs(t, err, &refused)
+		return refused
+	case <-time.After(generous):
+		t.Fatal("the call did not end")
+		return nil
+	}
+}
+
+func TestALostLinkLeavesWrittenCallsUnknown(t *testing.T) {
+	book := newBook()
+	a, _ := startMesh(t, "a", book, nil, nil)
+	h := newHold()
+	b, _ := startMesh(t, "b", book, nil, map[Kind]Handler{KindClaim: h.handle})
+	p := startProxy(t, b.Addr())
+	book.set("b", p.listener.Addr().String())
+	errs, _ := goCall(a, time.Time{})
+	in := h.next(t)
+	p.cut()
+	err := await(t, errs)
+	require.Equal(t, verdict.Unknown, err.Verdict)
+	require.Equal(t, verdict.PeerLinkLost, err.Reason)
+	select {
+	case <-in.Ctx.Done():
+	case <-time.After(generous):
+		t.Fatal("the receiver was not told")
+	}
+}
+
+func TestASilentLinkIsClosedAndTheNextCallUsesAnother(t *testing.T) {
+	book := newBook()
+	quick := func(o *Options) { o.ProgressTimeout = 300 * time.Millisecond; o.DialTimeout = generous }
+	a, scope := startMesh(t, "a", book, quick, nil)
+	b, _ := startMesh(t, "b", book, nil, map[Kind]Handler{KindClaim: echo})
+	p := startProxy(t, b.Addr())
+	book.set("b", p.listener.Addr().String())
+	require.NoError(t, a.Call(t.Context(), "b", KindClaim, &message{"first"}, nil))
+	p.freeze()
+	errs, _ := goCall(a, time.Time{})
+	require.Equal(t, verdict.Unknown, await(t, errs).Verdict)
+	require.Equal(t, int64(1), scope.Snapshot().Counters()["peer.links_silent+"].Value())
+	p.thaw()
+	require.Eventually(t, func() bool {
+		return a.Call(t.Context(), "b", KindClaim, &message{"again"}, nil) == nil
+	}, generous, 10*time.Millisecond)
+}
+
+func TestCancelReachesTheReceiver(t *testing.T) {
+	book := newBook()
+	a, _ := startMesh(t, "a", book, nil, nil)
+	h := newHold()
+	startMesh(t, "b", book, nil, map[Kind]Handler{KindClaim: h.handle})
+	errs, cancel := goCall(a, time.Now().Add(time.Hour))
+	in := h.next(t)
+	require.False(t, in.Deadline.IsZero())
+	cancel()
+	err := await(t, errs)
+	require.Equal(t, verdict.Cancelled, err.Reason)
+	require.Equal(t, verdict.Unknown, err.Verdict)
+	select {
+	case <-in.Ctx.Done():
+		require.ErrorIs(t, in.Ctx.Err(), context.Canceled)
+	case <-time.After(generous):
+		t.Fatal("the receiver was not told")
+	}
+	in.Reply(&message{"late"})
+	cancel()
+	require.Empty(t, errs)
+}
+
+func TestALateReplyHarmsNoOtherCall(t *testing.T) {
+	book := newBook()
+	a, _ := startMesh(t, "a", book, nil, nil)
+	h := newHold()
+	startMesh(t, "b", book, nil, map[Kind]Handler{KindClaim: h.handle, KindOutcome: echo})
+	errs, _ := goCall(a, time.Now().Add(200*time.Millisecond))
+	in := h.next(t)
+	err := await(t, errs)
+	require.Equal(t, verdict.DeadlinePassed, err.Reason)
+	require.Equal(t, verdict.Unknown, err.Verdict)
+	// The reply that races the cancel is either dropped at b or late at a; the
+	// link must carry the next call unharmed.
+	in.Reply(&message{"late"})
+	var reply message
+	require.NoError(t, a.Call(t.Context(), "b", KindOutcome, &message{"next"}, &reply))
+	require.Equal(t, "next", reply.Text)
+	require.Empty(t, errs)
+}
+
+func TestAPassedDeadlineIsNotSent(t *testing.T) {
+	book := newBook()
+	a, _ := startMesh(t, "a", book, nil, nil)
+	h := newHold()
+	startMesh(t, "b", book, nil, map[Kind]Handler{KindClaim: h.handle, KindOutcome: echo})
+	errs, _ := goCall(a, time.Now().Add(-time.Second))
+	err := await(t, errs)
+	require.Equal(t, verdict.NotRun, err.Verdict)
+	require.NoError(t, a.Call(t.Context(), "b", KindOutcome, &message{"next"}, nil))
+	require.Empty(t, h.got)
+}
+
+func TestAFullQueueRefusesAtOnce(t *testing.T) {
+	book := newBook()
+	a, _ := startMesh(t, "a", book, func(o *Options) { o.QueueMessages = 2 }, nil)
+	h := newHold()
+	startMesh(t, "b", book, nil, map[Kind]Handler{KindClaim: h.handle})
+	goCall(a, time.Time{})
+	goCall(a, time.Time{})
+	errs, _ := goCall(a, time.Time{})
+	err := await(t, errs)
+	require.Equal(t, verdict.NotRun, err.Verdict)
+	require.Equal(t, verdict.QueueFull, err.Reason)
+}
+
+func TestAWrongKeyGetsNothingAndACounter(t *testing.T) {
+	book := newBook()
+	wrong := func(o *Options) { o.Keys = [][]byte{[]byte("fedcba9876543210fedcba9876543210")} }
+	a, _ := startMesh(t, "a", book, wrong, nil)
+	h := newHold()
+	_, scope := startMesh(t, "b", book, nil, map[Kind]Handler{KindClaim: h.handle})
+	err := a.Call(t.Context(), "b", KindClaim, &message{}, nil)
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	require.Empty(t, h.got)
+	require.Equal(t, int64(1), scope.Snapshot().Counters()["peer.handshake_refused+reason=wrong_key"].Value())
+}
+
+func TestTwoKeysAreValidDuringRotation(t *testing.T) {
+	book := newBook()
+	newKey := []byte("fedcba9876543210fedcba9876543210")
+	keys := func(list ...[]byte) func(*Options) { return func(o *Options) { o.Keys = list } }
+	handlers := map[Kind]Handler{KindClaim: echo}
+	onlyOld, _ := startMesh(t, "old", book, keys(testKey), handlers)
+	both, _ := startMesh(t, "both", book, keys(newKey, testKey), handlers)
+	onlyNew, _ := startMesh(t, "new", book, keys(newKey), handlers)
+	require.NoError(t, onlyOld.Call(t.Context(), "both", KindClaim, &message{}, nil))
+	require.NoError(t, both.Call(t.Context(), "old", KindClaim, &message{}, nil))
+	require.NoError(t, both.Call(t.Context(), "new", KindClaim, &message{}, nil))
+	require.NoError(t, onlyNew.Call(t.Context(), "both", KindClaim, &message{}, nil))
+	require.Error(t, onlyOld.Call(t.Context(), "new", KindClaim, &message{}, nil))
+}
+
+func TestAnotherHostAtTheAddressIsRefused(t *testing.T) {
+	book := newBook()
+	a, _ := startMesh(t, "a", book, nil, nil)
+	c, scope := startMesh(t, "c", book, nil, map[Kind]Handler{KindClaim: echo})
+	book.set("b", c.Addr())
+	err := a.Call(t.Context(), "b", KindClaim, &message{}, nil)
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	require.Equal(t, int64(1), scope.Snapshot().Counters()["peer.handshake_refused+reason=wrong_host"].Value())
+}
+
+func TestEachCallGetsItsOwnReplyWhileLinksAreCut(t *testing.T) {
+	book := newBook()
+	a, _ := startMesh(t, "a", book, nil, nil)
+	b, _ := startMesh(t, "b", book, nil, map[Kind]Handler{KindClaim: func(in *Inbound) { go echo(in) }})
+	p := startProxy(t, b.Addr())
+	book.set("b", p.listener.Addr().String())
+	const callers, calls = 8, 300
+	var wg sync.WaitGroup
+	var ended, answered atomic.Int64
+	for c := range callers {
+		wg.Go(func() {
+			for i := range calls {
+				text := fmt.Sprintf("%d/%d", c, i)
+				var reply message
+				err := a.Call(context.Background(), "b", KindClaim, &message{text}, &reply)
+				ended.Add(1)
+				if err == nil {
+					answered.Add(1)
+					if reply.Text != text {
+						t.Errorf("sent %q, got %q", text, reply.Text)
+					}
+				}
+				if c == 0 && i%100 == 50 {
+					p.cut()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	require.Equal(t, int64(callers*calls), ended.Load())
+	require.Positive(t, answered.Load())
+}
+
+func TestCloseEndsOpenCalls(t *testing.T) {
+	book := newBook()
+	a, _ := startMesh(t, "a", book, nil, nil)
+	h := newHold()
+	startMesh(t, "b", book, nil, map[Kind]Handler{KindClaim: h.handle})
+	errs, _ := goCall(a, time.Time{})
+	h.next(t)
+	require.NoError(t, a.Close())
+	require.Equal(t, verdict.Unknown, await(t, errs).Verdict)
+	require.Equal(t, verdict.NotRun, verdict.Of(a.Call(t.Context(), "b", KindClaim, &message{}, nil)))
+}
+
+func TestACallToSelfNeedsNoLink(t *testing.T) {
+	a, _ := startMesh(t, "a", newBook(), nil, map[Kind]Handler{KindClaim: echo})
+	var reply message
+	require.NoError(t, a.Call(t.Context(), "a", KindClaim, &message{"me"}, &reply))
+	require.Equal(t, "me", reply.Text)
+}
+
+func FuzzDecodeFrame(f *testing.F) {
+	payload, err := encodePayload(&message{"x"})
+	require.NoError(f, err)
+	f.Add([]byte{})
+	seed, err := encMode.Marshal(&envelope{Type: typeCall, ID: 7, Kind: KindClaim, LeftMicros: 5, Payload: payload})
+	require.NoError(f, err)
+	f.Add(append(seed, seed...))
+	f.Add(seed[:len(seed)-1])
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		total := 0
+		err := decodeFrame(frame, func(e *envelope) {
+			total++
+			if e.Type < typeCall || e.Type > typePong || e.LeftMicros < 0 {
+				t.Fatalf("visited a bad envelope: %+v", e)
+			}
+			var m message
+			_ = Decode(e.Payload, &m)
+		})
+		if err == nil && len(frame) > 0 && total == 0 {
+			t.Fatal("a frame without envelopes was accepted")
+		}
+	})
+}
+
+func TestCloseRightAfterStartReturns(t *testing.T) {
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		for range 20 {
+			m, _ := startMesh(t, "a", newBook(), nil, nil)
+			_ = m.Close()
+		}
+	}()
+	select {
+	case <-closed:
+	case <-time.After(generous):
+		t.Error("Close did not return")
+	}
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,6 +88,8 @@
 			return nil
 		case <-l.outbox.wake:
 		}
+		// Goroutines that are ready to run get to add to the frame.
+		runtime.Gosched()
 		if err := l.flush(&frame); err != nil {
 			return err
 		}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -106,7 +107,11 @@
 	m.cancel()
 	var err error
 	if listener != nil {
-		err = m.server.Shutdown()
+		// The server forgets a listener that it was not yet given by Serve.
+		_ = listener.Close()
+		if err = m.server.Shutdown(); errors.Is(err, net.ErrClosed) {
+			err = nil
+		}
 	}
 	m.running.Wait()
 	return err
