--- /dev/null
+++ b/internal/dispatch/remote.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"errors"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// Remote hands sub-requests to the hosts that hold the targets.
+type Remote struct {
+	transport peer.Transport
+}
+
+// NewRemote returns a Remote over transport.
+func NewRemote(transport peer.Transport) *Remote { return &Remote{transport: transport} }
+
+// SubmitTo hands a sub-request to host. It keeps the rules of
+// subquery.Dispatcher.
+func (r *Remote) SubmitTo(host model.HostID, req *subquery.Request, done func(*subquery.Answer)) (cancel func()) {
+	return r.transport.Go(host, peer.KindSubquery, req, req.Deadline,
+		func(reply cbor.RawMessage, err error) { done(decodeAnswer(reply, err)) })
+}
+
+// decodeAnswer turns the outcome of a call into an answer. One that names no
+// reason and did not run is no answer at all.
+func decodeAnswer(reply cbor.RawMessage, err error) *subquery.Answer {
+	if err != nil {
+		return transportFailure(err)
+	}
+	a := &subquery.Answer{}
+	if err := cbor.Unmarshal(reply, a); err != nil || (a.OK() && a.Verdict != verdict.Ran) {
+		return unknown(verdict.ReplyTruncated)
+	}
+	return a
+}
+
+func transportFailure(err error) *subquery.Answer {
+	var failure *verdict.Error
+	if !errors.As(err, &failure) {
+		a := unknown(verdict.PeerLinkLost)
+		a.Message = err.Error()
+		return a
+	}
+	return &subquery.Answer{
+		Verdict:    failure.Verdict,
+		Reason:     failure.Reason,
+		Message:    failure.Message,
+		RetryAfter: failure.RetryAfter,
+	}
+}
