Prove the fleet under outages, splits, races and pauses

Cause: the promises on configuration and hosts had one test, without faults. Change: tests with many members on real loopback links, a stand-in platform and links cut by direction: platform down or stale over a restart, older revisions, racing operators, an invalid revision, a one-way cut, a split and its heal, leaving targets and hosts, a pause, host list history, a wrong key, watchers. Ruled out: a first form of the one-way cut, which passed without the push since the announcement already carried the change; the host now misses it first.

--- a/internal/fleet/platform_test.go
+++ b/internal/fleet/platform_test.go
@@ -44,6 +44,7 @@
 
 func (p *fakePlatform) publish(doc *config.Document)     { p.update(func() { p.doc = doc }) }
 func (p *fakePlatform) publishList(list *model.HostList) { p.update(func() { p.list = list }) }
+func (p *fakePlatform) setDown(down bool)                { p.update(func() { p.down = down }) }
 
 // read waits until get returns a revision other than after.
 func (p *fakePlatform) read(ctx context.Context, wait time.Duration, fresh func() bool) error {
@@ -118,6 +119,27 @@
 	return &config.Document{Revision: revision, Keys: keys}
 }
 
+// platformID stands for the platform in cuts.
+const platformID = "platform"
+
+// memberPlatform is the platform as one member reaches it.
+type memberPlatform struct {
+	*fakePlatform
+	cuts *cuts
+	self model.HostID
+}
+
+func (p memberPlatform) Document(ctx context.Context, after model.Revision, wait time.Duration) (*config.Document, error) {
+	if p.cuts.isCut(p.self, platformID) {
+		return nil, errPlatformDown
+	}
+	doc, err := p.fakePlatform.Document(ctx, after, wait)
+	if p.cuts.isCut(p.self, platformID) {
+		return nil, errPlatformDown
+	}
+	return doc, err
+}
+
 // member is one host of a test fleet.
 type member struct {
 	host   model.Host
@@ -148,6 +170,17 @@
 	return 0
 }
 
+// counter returns the sum of a counter over the given reason tag.
+func (m *member) counter(name, reason string) int64 {
+	var total int64
+	for _, c := range m.scope.Snapshot().Counters() {
+		if c.Name() == name && (reason == "" || c.Tags()["reason"] == reason) {
+			total += c.Value()
+		}
+	}
+	return total
+}
+
 var testKey = []byte("0123456789abcdef0123456789abcdef")
 
 // testFleet is many members over one platform, with links on loopback.
@@ -155,6 +188,7 @@
 	t        testing.TB
 	platform *fakePlatform
 	members  []*member
+	cuts     cuts
 	change   func(*Options, *peer.Options)
 }
 
@@ -182,7 +216,7 @@
 		DialTimeout: 5 * time.Second, BackoffMax: 200 * time.Millisecond,
 	}
 	opts := Options{
-		Self: host, Platform: f.platform, Directory: directory, Scope: scope, Log: quietLog(),
+		Self: host, Platform: memberPlatform{f.platform, &f.cuts, host.ID}, Directory: directory, Scope: scope, Log: quietLog(),
 		GossipInterval: 50 * time.Millisecond, WatchWait: 2 * time.Second, PollInterval: 10 * time.Second,
 	}
 	if f.change != nil {
@@ -190,9 +224,7 @@
 	}
 	mesh, err := peer.NewMesh(peerOpts)
 	require.NoError(f.t, err)
-	if opts.Transport == nil {
-		opts.Transport = mesh
-	}
+	opts.Transport = &cutTransport{Transport: mesh, self: host.ID, cuts: &f.cuts}
 	opts.Registrar = mesh
 	fleet, err := New(opts)
 	require.NoError(f.t, err)
