Hedge by the workload's latency while a service has few samples

Cause: with many hosts each sees few answers of one service, and until 32 of them came a hedge waited 100 ms: with 12 hosts at 100 queries a second p99 was 90.8 ms, that of the stragglers. The lack of samples was also remembered for 100 ms (TestServiceWithFewSamplesIsHedgedByItsWorkload failed by that). Ruled out: fewer samples for a quantile of 0.97; it would be the maximum.

--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -165,11 +165,15 @@
 	r.alarms.push(next)
 }
 
-// hedgeDelay returns how long an attempt for the shard may run alone.
+// hedgeDelay returns how long an attempt for the shard may run alone: by its
+// service's latency, or by the workload's while the service has few samples.
 func (r *run) hedgeDelay(shard int, now time.Time) time.Duration {
 	p := r.groupOf[shard].policy
 	q := max(p.HedgeQuantile, 1-p.HedgeBudget*hedgeBudgetShare)
 	d, ok := r.s.latency(r.plan.Workload, r.service(shard)).Quantile(q, now)
+	if !ok {
+		d, ok = r.overall.Quantile(q, now)
+	}
 	if !ok {
 		return defaultHedgeDelay
 	}
--- a/internal/scatter/hedge_test.go
+++ b/internal/scatter/hedge_test.go
@@ -89,3 +89,21 @@
 		require.Len(t, d.sent, 4)
 	})
 }
+
+func TestServiceWithFewSamplesIsHedgedByItsWorkload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, d, _ := newScripted(func(req *subquery.Request) (*subquery.Answer, time.Duration) {
+			if req.Shard == "s7" {
+				return ok(req), 10 * time.Second
+			}
+			return ok(req), 5 * time.Millisecond
+		})
+		for range 8 {
+			runQuery(s, testPlan(7, 2, testPolicy()), true, time.Minute)
+		}
+		runQuery(s, testPlan(8, 2, testPolicy()), true, time.Minute)
+		last := len(d.sent) - 1
+		require.Equal(t, model.ShardID("s7"), d.sent[last].Shard)
+		require.Less(t, d.sentAt[last].Sub(d.sentAt[last-1]), defaultHedgeDelay, "virtual time")
+	})
+}
--- a/internal/scatter/latency.go
+++ b/internal/scatter/latency.go
@@ -42,10 +42,13 @@
 		return time.Duration(d), d > 0
 	}
 	d := l.compute(q)
+	if d == 0 {
+		return 0, false
+	}
 	l.cached.Store(int64(d))
 	l.quanta.Store(key)
 	l.expires.Store(nanos + int64(quantileRefresh))
-	return d, d > 0
+	return d, true
 }
 
 // compute returns zero if there are too few samples.
--- a/internal/scatter/retry_test.go
+++ b/internal/scatter/retry_test.go
@@ -186,7 +186,7 @@
 		require.Len(t, *s.targets.targets.Load(), 1)
 		services := 0
 		s.services.Range(func(any, any) bool { services++; return true })
-		require.Equal(t, 1, services)
+		require.Equal(t, 2, services, "the one that is left and the workload's own")
 		require.True(t, s.holdings.Holds("w", replica(1, 0), 9))
 		s.Retain(&config.Fleet{})
 		budgets := 0
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -18,6 +18,8 @@
 	plan     *plan.Plan
 	gathered *gather.Gatherer
 	budgets  *budgets
+	// overall is the latency of all services of the workload.
+	overall  *Latency
 	shards   []shardState
 	attempts []attempt
 	mail     *mailbox
@@ -41,6 +43,7 @@
 		plan:     req.Plan,
 		gathered: gather.New(req.Plan.Snapshot, req.Plan.Shards, s.discarded),
 		budgets:  s.budgetsOf(req.Plan.Workload),
+		overall:  s.latency(req.Plan.Workload, ""),
 		shards:   make([]shardState, n),
 		attempts: make([]attempt, 0, n+n/8+1),
 		mail:     newMailbox(),
@@ -194,5 +197,6 @@
 	r.s.holdings.Observe(req.Workload, req.Target, &a.Load)
 	if a.OK() {
 		latency.Observe(elapsed, now)
+		r.overall.Observe(elapsed, now)
 	}
 }
--- a/internal/scatter/scatterer.go
+++ b/internal/scatter/scatterer.go
@@ -108,6 +108,7 @@
 func publishedServices(fleet *config.Fleet) map[serviceKey]struct{} {
 	published := make(map[serviceKey]struct{})
 	for workload, index := range fleet.Indexes {
+		published[serviceKey{workload: workload}] = struct{}{}
 		for i := range index.Snapshots {
 			for j := range index.Snapshots[i].Shards {
 				published[serviceKey{workload: workload, service: index.Snapshots[i].Shards[j].Service}] = struct{}{}
