--- a/internal/dispatch/connection_test.go
+++ b/internal/dispatch/connection_test.go
@@ -141,14 +141,14 @@
 		targets := newFakeTargets()
 		startLocal(t, targets)
 		open, _ := targets.connections("t0")
-		require.Equal(t, 2, open)
+		require.Equal(t, 3, open)
 		time.Sleep(defaultMaxIdle + 2*defaultIdleProbe)
 		open, peak := targets.connections("t0")
-		require.Equal(t, 2, open)
-		require.Equal(t, 2, peak)
+		require.Equal(t, 3, open)
+		require.Equal(t, 3, peak)
 		targets.mu.Lock()
 		defer targets.mu.Unlock()
-		require.Greater(t, len(targets.conns), 2)
+		require.Greater(t, len(targets.conns), 3)
 	})
 }
 
--- a/internal/dispatch/controlconn.go
+++ b/internal/dispatch/controlconn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/swiftvane/swiftvane/internal/subquery"
 	"github.com/swiftvane/swiftvane/internal/target"
@@ -45,8 +46,12 @@
 	}
 }
 
-// loop sends cancellations until the pool closes.
+// loop sends cancellations until the pool closes, and keeps the connection warm
+// in between: a cancellation must not wait for a new connection, and a
+// connection that dies together with others tells a crash from a cut.
 func (c *controlConn) loop() {
+	warm := time.NewTimer(0)
+	defer warm.Stop()
 	for {
 		select {
 		case <-c.p.ctx.Done():
@@ -56,6 +61,11 @@
 			return
 		case <-c.wake:
 			c.flush()
+		case <-warm.C:
+			if c.enabled && c.p.wantsWarm(1, time.Now()) {
+				_, _ = c.probe()
+			}
+			warm.Reset(c.p.l.limits.IdleProbe)
 		}
 	}
 }
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -114,6 +114,8 @@
 	died   chan struct{}
 	cutted atomic.Bool
 	broken atomic.Bool
+	// busy is set while an exchange runs.
+	busy atomic.Bool
 	// silent connections lose what is sent on them.
 	silent atomic.Bool
 	// stale connections were closed by the target while they were idle.
@@ -132,6 +134,8 @@
 	c.f.mu.Lock()
 	c.f.batches = append(c.f.batches, len(batch))
 	c.f.mu.Unlock()
+	c.busy.Store(true)
+	defer c.busy.Store(false)
 	answers := make([]*subquery.Answer, len(batch))
 	for i := range batch {
 		answers[i] = c.one(ctx, batch[i].Request)
--- a/internal/dispatch/state_test.go
+++ b/internal/dispatch/state_test.go
@@ -70,7 +70,11 @@
 	l.Submit(subrequest("t0", "s0", time.Minute), func(a *subquery.Answer) { got <- a })
 	<-started
 	targets.mu.Lock()
-	targets.conns[0].cut()
+	for _, c := range targets.conns {
+		if c.busy.Load() {
+			c.cut()
+		}
+	}
 	targets.mu.Unlock()
 	a := <-got
 	require.Equal(t, verdict.TargetUnreachable, a.Reason)
@@ -99,3 +103,25 @@
 	targets.setLoad(subquery.Load{})
 	eventually(t, func() bool { return ask(l, subrequest("t0", "s2", time.Minute)).OK() })
 }
+
+func TestTargetThatRestartsAtOnceCountsAsCrashed(t *testing.T) {
+	targets := newFakeTargets()
+	started := make(chan struct{}, 1)
+	targets.serve = func(ctx context.Context, req *subquery.Request) *subquery.Answer {
+		started <- struct{}{}
+		return hang(ctx, req)
+	}
+	l := newTestLocal(newViews(ownView("h0", 1, 2, 25)), targets)
+	l.Start()
+	defer stopLocal(l)
+	eventually(t, func() bool { open, _ := targets.connections("t0"); return open == 3 })
+	got := make(chan *subquery.Answer, 1)
+	l.Submit(subrequest("t0", "s0", time.Minute), func(a *subquery.Answer) { got <- a })
+	<-started
+	targets.mu.Lock()
+	for _, c := range targets.conns {
+		c.cut()
+	}
+	targets.mu.Unlock()
+	require.Equal(t, verdict.TargetCrashed, (<-got).Reason)
+}
--- a/internal/query/cluster_test.go
+++ b/internal/query/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/internal/subquery"
 	"github.com/swiftvane/swiftvane/internal/target"
 	"github.com/swiftvane/swiftvane/internal/view"
 )
@@ -30,7 +31,7 @@
 }
 
 // startTier starts targets of the shape and a host that owns them all.
-func startTier(tb testing.TB, shape fixture.Shape, policy func(*config.Policy)) *tier {
+func startTier(tb testing.TB, shape fixture.Shape, policy func(*config.Policy), onCrash ...func(*subquery.Request)) *tier {
 	tb.Helper()
 	c, err := cluster.Start(cluster.Options{Shapes: []fixture.Shape{shape}, Seed: 1})
 	require.NoError(tb, err)
@@ -38,7 +39,11 @@
 	t.views.v.Store(t.view(policy, shape.ShardMap(fixture.FirstSnapshot)))
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	t.local = dispatch.NewLocal(dispatch.Options{Views: t.views, Dialer: target.NewHTTPDialer(), Scope: t.scope, Log: log})
+	options := dispatch.Options{Views: t.views, Dialer: target.NewHTTPDialer(), Scope: t.scope, Log: log}
+	for _, f := range onCrash {
+		options.OnCrash = f
+	}
+	t.local = dispatch.NewLocal(options)
 	t.local.Start()
 	router := dispatch.NewRouter(dispatch.RouterOptions{Views: t.views, Local: t.local, Scope: t.scope})
 	t.executor = New(Options{Views: t.views, Dispatcher: router, Scope: t.scope, Log: log})
