--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -42,7 +42,8 @@
 }
 
 // Start starts a fleet and waits until each host is ready. It is ended with the
-// test.
+// test. The first start has the setting for fleets with no past; a host that is
+// restarted has it no more, as operators are told.
 func Start(tb testing.TB, o Options) *Fleet {
 	tb.Helper()
 	f := &Fleet{Shape: o.Shape, HTTP: httpjson.New()}
@@ -58,10 +59,13 @@
 	f.Platform = startPlatform(tb, f.HTTP, f.document(tb, o.Policy), f.hostList())
 	lameDuck := lo.CoalesceOrEmpty(o.LameDuckMS, defaultLameDuckMS)
 	for _, host := range f.Hosts {
-		host.writeSettings(tb, f.Platform.Addr, lameDuck, f.Hosts)
+		host.writeSettings(tb, f, lameDuck, firstStart)
 		host.Restart(tb)
 	}
 	f.AwaitReady(tb)
+	for _, host := range f.Hosts {
+		host.writeSettings(tb, f, lameDuck, "")
+	}
 	return f
 }
 
--- a/test/harness/host.go
+++ b/test/harness/host.go
@@ -46,9 +46,12 @@
 write_token_file = %q
 [limits]
 lame_duck_ms = %d
-claim_history_wait_ms = 0
+%s
 `
 
+// firstStart is the setting of hosts that start with no earlier fleet alive.
+const firstStart = "claim_history_wait_ms = 0"
+
 // Host is a daemon process.
 type Host struct {
 	*Process
@@ -104,7 +107,7 @@
 }
 
 // writeSettings writes the host's settings with the files that they name.
-func (h *Host) writeSettings(tb testing.TB, platformAddr string, lameDuckMS int, others []*Host) {
+func (h *Host) writeSettings(tb testing.TB, f *Fleet, lameDuckMS int, extra string) {
 	tb.Helper()
 	dir := tb.TempDir()
 	secret := func(name, content string) string {
@@ -113,15 +116,15 @@
 		return path
 	}
 	var seeds []string
-	for _, other := range others {
+	for _, other := range f.Hosts {
 		if other.ID != h.ID {
 			seeds = append(seeds, fmt.Sprintf("%q", string(other.ID)+"="+other.PeerAddr))
 		}
 	}
 	content := fmt.Sprintf(settingsForm, h.ID, h.Region, h.FailureDomain,
-		h.caller, h.admin, h.peer, h.PeerAddr, platformAddr,
+		h.caller, h.admin, h.peer, h.PeerAddr, f.Platform.Addr,
 		secret("peer.key", peerKey), strings.Join(seeds, ", "),
-		secret("read", readToken), secret("write", writeToken), lameDuckMS)
+		secret("read", readToken), secret("write", writeToken), lameDuckMS, extra)
 	h.settings = filepath.Join(dir, "settings.toml")
 	require.NoError(tb, os.WriteFile(h.settings, []byte(content), 0o600))
 }
