Test with real processes that a request that crashes targets is quarantined

Cause: the quarantine's promise, at most two targets, had no test with processes. Change: one request that kills each target that runs it, sent again and again to each host in turn; at most two of four targets die, every host refuses it in the end, other requests are answered, an operator's release holds on each host.

--- /dev/null
+++ b/test/integration/quarantine_test.go
@@ -0,0 +1,66 @@
+package integration
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/adminapi"
+	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/internal/standin/target"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/test/harness"
+)
+
+// TestRequestThatCrashesTargetsIsQuarantined sends a request that kills each
+// target that runs it, again and again, to each host in turn.
+func TestRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
+	f := harness.Start(t, harness.Options{Shape: fixture.AuditArchive(), Hosts: 3})
+	for _, searcher := range f.Targets {
+		searcher.SetFaults(t, target.Faults{CrashBody: "poison"})
+	}
+	poison := json.RawMessage(`{"form":"poison"}`)
+	dead := func() int {
+		return lo.CountBy(f.Targets, func(searcher *harness.Target) bool { return searcher.Exited() })
+	}
+
+	sent := 0
+	harness.Eventually(t, "every host refuses the request", func() bool {
+		quarantined := 0
+		for _, host := range f.Hosts {
+			_, err := host.Ask(t, f.Shape.Workload, poison)
+			sent++
+			var failure *verdict.Error
+			require.True(t, errors.As(err, &failure))
+			if failure.Reason == verdict.Quarantined {
+				require.Equal(t, verdict.NotRun, failure.Verdict)
+				quarantined++
+			}
+		}
+		return quarantined == len(f.Hosts)
+	})
+	const mostDead = 2
+	require.LessOrEqual(t, dead(), mostDead)
+	require.NotZero(t, dead())
+	for _, host := range f.Hosts {
+		whole(t, f, host)
+	}
+
+	var list adminapi.Quarantine
+	_, stdout, _ := f.Hosts[0].Ctl(t, "", "quarantine", "list")
+	require.NoError(t, json.Unmarshal([]byte(stdout), &list))
+	require.Len(t, list.Entries, 1)
+	require.Equal(t, f.Shape.Workload, list.Entries[0].Workload)
+	code, _, stderr := f.Hosts[0].Ctl(t, "", "quarantine", "release", list.Entries[0].Fingerprint)
+	require.Zero(t, code, stderr)
+	harness.Eventually(t, "no host has it quarantined", func() bool {
+		return lo.EveryBy(f.Hosts, func(host *harness.Host) bool {
+			quarantine, err := host.Admin().Quarantine()
+			require.NoError(t, err)
+			return len(quarantine.Entries) == 0
+		})
+	})
+}
