--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/callerclient"
@@ -73,7 +75,7 @@
 		host := f.Hosts[random.IntN(len(f.Hosts))]
 		client := &callerclient.Client{URLs: []string{host.URL()}, Caller: "filing-desk", HTTP: f.HTTP}
 		_, err := client.Ask(t.Context(), callerclient.Query{
-			Workload: f.Shape.Workload, Body: harness.Body(body), DeadlineMS: onceDeadline.Milliseconds(), RequestID: id,
+			Workload: f.Shape.Workload, Body: harness.Body(body), DeadlineMS: callerapi.Deadline(onceDeadline), RequestID: id,
 		})
 		var failure *verdict.Error
 		if !errors.As(err, &failure) {
