Make the test of cleared suspicion wait for the host that clears it

Ruled out: a fault of the product: a later success on a host that knows clears it, and the check itself is unchanged; the test has a further condition to wait for.

--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -110,6 +110,9 @@
 	fingerprint := FingerprintOf(innocent.Caller, innocent.Workload, innocent.Body)
 	suspect := func() bool { return services[2].suspectIn(fingerprint, innocent.Shard) }
 	require.Eventually(t, suspect, 20*time.Second, time.Millisecond)
+	// Only a host that knows of the suspicion clears it.
+	knownWhereItRuns := func() bool { return services[1].suspectIn(fingerprint, innocent.Shard) }
+	require.Eventually(t, knownWhereItRuns, 20*time.Second, time.Millisecond)
 	// The clock's milliseconds must have moved on for the run to count as later.
 	time.Sleep(2 * time.Millisecond)
 	require.True(t, ask(all[1], innocent).OK())
