--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -45,6 +45,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&out, "out", "", "folder for reports and pictures; none are written without it")
+	cmd.AddCommand(newTableCommand())
 	return cmd
 }
 
