Share the listener that closes its connections among the stand-ins

Cause: the same bookkeeping stood in the platform's and the target's stand-in, and a connection accepted while the listener closed stayed open. Change: httpserve.Tracker serves both administration listeners and the platform; it and the target's listener close what they accept after closing. Shown by: go test -race -count=2 ./internal/standin/... passes.

--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -37,8 +37,8 @@
 	calls     Calls
 	changed   chan struct{}
 
-	public *connTracker
-	admin  *connTracker
+	public *httpserve.Tracker
+	admin  *httpserve.Tracker
 	done   chan struct{}
 	once   sync.Once
 	group  sync.WaitGroup
@@ -66,7 +66,7 @@
 		return nil, err
 	}
 	if p.admin, err = listen(settings.AdminAddr); err != nil {
-		p.public.closeAll()
+		p.public.CloseAll()
 		return nil, err
 	}
 	p.group.Go(func() { httpserve.Serve(p.public, p.handlePublic) })
@@ -74,7 +74,7 @@
 	return p, nil
 }
 
-func listen(addr string) (*connTracker, error) {
+func listen(addr string) (*httpserve.Tracker, error) {
 	if addr == "" {
 		addr = "127.0.0.1:0"
 	}
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "standin: listen on %s", addr)
 	}
-	return &connTracker{Listener: inner, open: make(map[net.Conn]struct{})}, nil
+	return httpserve.Track(inner), nil
 }
 
 // Addr returns the address where configuration and hosts are read.
@@ -94,8 +94,8 @@
 // Close stops the platform at once.
 func (p *Platform) Close() {
 	p.once.Do(func() { close(p.done) })
-	p.public.closeAll()
-	p.admin.closeAll()
+	p.public.CloseAll()
+	p.admin.CloseAll()
 	p.group.Wait()
 }
 
--- a/internal/standin/target/listener.go
+++ b/internal/standin/target/listener.go
@@ -16,6 +16,7 @@
 	open      map[*conn]struct{}
 	peak      int
 	refused   int
+	closed    bool
 }
 
 func newListener(inner net.Listener, limit int, setupCost time.Duration) *listener {
@@ -39,6 +40,9 @@
 func (l *listener) admit(raw net.Conn) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
 	if len(l.open) >= l.limit {
 		l.refused++
 		return nil
@@ -58,6 +62,9 @@
 // closeAll closes the listener and every connection.
 func (l *listener) closeAll() {
 	_ = l.Close()
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
 	for _, c := range l.conns() {
 		_ = c.Close()
 	}
