Keep nothing of one reply where the next is decoded

Cause: the decoder skips a null, so a null in a reply would leave what an earlier reply had in the reused buffer; the buffer was cleared only as far as its last length. Bodies also stayed referenced while a connection was idle. Change: requests and replies are cleared whole after each exchange; the socket's check for stray bytes allocates nothing. Shown by: TestNothingOfOneReplyIsLeftForTheNext fails with the clearing taken out and passes with it.

--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -38,7 +38,7 @@
 var _ Conn = (*httpConn)(nil)
 
 func newHTTPConn(raw net.Conn, addr string, salt uint64) *httpConn {
-	counting := &countingConn{Conn: raw}
+	counting := newCountingConn(raw)
 	c := &httpConn{
 		conn:   counting,
 		addr:   addr,
--- a/internal/target/fuzz_test.go
+++ b/internal/target/reply_test.go
@@ -41,3 +41,23 @@
 		}
 	})
 }
+
+func TestNothingOfOneReplyIsLeftForTheNext(t *testing.T) {
+	conn := &httpConn{items: []SearchItem{{ExchangeID: 7}, {ExchangeID: 9}}}
+	body, err := Encode([]AnswerItem{
+		{ExchangeID: 7, Status: StatusOK, Body: []byte("first")},
+		{ExchangeID: 9, Status: StatusOK, Body: []byte("second")},
+	})
+	require.NoError(t, err)
+	conn.resp.SetBody(body)
+	require.Nil(t, conn.checkReply())
+	conn.forget()
+
+	nulls, err := Encode([]any{nil, nil})
+	require.NoError(t, err)
+	conn.items = []SearchItem{{ExchangeID: 7}, {ExchangeID: 9}}
+	conn.resp.SetBody(nulls)
+	failure := conn.checkReply()
+	require.NotNil(t, failure, "a null is no answer")
+	require.Equal(t, verdict.ReplyMismatch, failure.Reason)
+}
--- a/internal/target/search.go
+++ b/internal/target/search.go
@@ -51,9 +51,17 @@
 		answers[i] = toAnswer(&c.reply[next], took)
 		next++
 	}
+	c.forget()
 	return answers
 }
 
+// forget drops the bodies of the last exchange and keeps the buffers. Nothing of
+// one reply may be left where the next one is decoded.
+func (c *httpConn) forget() {
+	clear(c.items)
+	clear(c.reply[:cap(c.reply)])
+}
+
 // prepare fills c.items with the exchanges that have time left, answers the
 // others, and returns the latest deadline.
 func (c *httpConn) prepare(batch []Exchange, answers []*subquery.Answer, now time.Time) time.Time {
@@ -108,7 +116,6 @@
 
 // checkReply decodes the reply and compares it with c.items.
 func (c *httpConn) checkReply() *subquery.Answer {
-	clear(c.reply)
 	c.reply = c.reply[:0]
 	if err := Decode(c.resp.Body(), &c.reply); err != nil {
 		if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
--- a/internal/target/socket.go
+++ b/internal/target/socket.go
@@ -23,6 +23,20 @@
 type countingConn struct {
 	net.Conn
 	written int
+	// raw is the socket, nil for a connection that has none.
+	raw syscall.RawConn
+	// peek is peekSocket, kept so that a check allocates nothing.
+	peek  func(fd uintptr) bool
+	quiet bool
+}
+
+func newCountingConn(conn net.Conn) *countingConn {
+	c := &countingConn{Conn: conn}
+	c.peek = c.peekSocket
+	if socket, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = socket.SyscallConn() // fails on a closed connection only
+	}
+	return c
 }
 
 // Write implements io.Writer.
@@ -36,20 +50,19 @@
 // exchanges anything else means that the target closed it or sent bytes that
 // nobody asked for.
 func (c *countingConn) idle() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, recvErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = recvErr == unix.EAGAIN || recvErr == unix.EINTR
-		return true
-	})
-	return err == nil && quiet
+	c.quiet = false
+	err := c.raw.Read(c.peek)
+	return err == nil && c.quiet
+}
+
+// peekSocket looks for readable bytes or the end of input. It always reports
+// that it is done, so that the caller does not wait.
+func (c *countingConn) peekSocket(fd uintptr) bool {
+	var one [1]byte
+	_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	c.quiet = err == unix.EAGAIN || err == unix.EINTR
+	return true
 }
