Make a change of configuration cost what changed, and measure control

Ruled out: parsing less strictly. Change: a digest is the sum of entry hashes and is carried on by a delta; Parse takes over values of unchanged keys (ParseNext, held equal to Parse by a test). The outbox of a link is bounded in bytes as well.

--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -29,8 +29,13 @@
 
 // Diff returns the delta that makes b of a.
 func Diff(a, b *Document) *Delta {
+	return DiffDigests(a, b, Digest(a.Keys), Digest(b.Keys))
+}
+
+// DiffDigests is Diff for a caller that knows the digests of both documents.
+func DiffDigests(a, b *Document, digestA, digestB uint64) *Delta {
 	d := &Delta{
-		From: a.Revision, FromDigest: Digest(a.Keys), To: b.Revision, ToDigest: Digest(b.Keys),
+		From: a.Revision, FromDigest: digestA, To: b.Revision, ToDigest: digestB,
 		Changed: make(map[string]json.RawMessage),
 	}
 	for key, value := range b.Keys {
@@ -50,18 +55,36 @@
 // Apply returns the document that the delta makes of a, which is not changed.
 // It fails with ErrOtherBase or ErrDigest.
 func (d *Delta) Apply(a *Document) (*Document, error) {
-	if a.Revision != d.From || Digest(a.Keys) != d.FromDigest {
+	return d.ApplyDigest(a, Digest(a.Keys))
+}
+
+// ApplyDigest is Apply for a caller that knows the digest of a. It hashes only
+// the entries that the delta names.
+func (d *Delta) ApplyDigest(a *Document, digestA uint64) (*Document, error) {
+	if a.Revision != d.From || digestA != d.FromDigest {
 		return nil, ErrOtherBase
 	}
 	keys := maps.Clone(a.Keys)
 	if keys == nil {
 		keys = make(map[string]json.RawMessage)
 	}
-	maps.Copy(keys, d.Changed)
+	var h entryHasher
+	digest := digestA
+	drop := func(key string) {
+		if old, ok := keys[key]; ok {
+			digest -= h.hash(key, old)
+			delete(keys, key)
+		}
+	}
+	for key, value := range d.Changed {
+		drop(key)
+		digest += h.hash(key, value)
+		keys[key] = value
+	}
 	for _, key := range d.Removed {
-		delete(keys, key)
+		drop(key)
 	}
-	if Digest(keys) != d.ToDigest {
+	if digest != d.ToDigest {
 		return nil, ErrDigest
 	}
 	return &Document{Revision: d.To, Keys: keys}, nil
--- a/internal/config/delta_test.go
+++ b/internal/config/delta_test.go
@@ -40,7 +40,7 @@
 				return false
 			}
 		}
-		return Digest(got.Keys) == Digest(b.Keys)
+		return Digest(got.Keys) == Digest(b.Keys) && Diff(a, b).ToDigest == Digest(got.Keys)
 	}, values, values))
 	properties.TestingRun(t)
 }
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"sort"
 	"strings"
@@ -28,8 +29,16 @@
 // Parse checks a document whole. The error is *InvalidError and lists all that
 // is wrong.
 func Parse(doc *Document) (*Fleet, error) {
-	p := &parser{fleet: &Fleet{
+	return ParseNext(nil, nil, doc, Digest(doc.Keys))
+}
+
+// ParseNext is Parse for a document that follows another, whose values it takes
+// over where they are the same. last is the result of parsing lastDoc; both may
+// be nil. digest is that of doc.
+func ParseNext(last *Fleet, lastDoc, doc *Document, digest uint64) (*Fleet, error) {
+	p := &parser{last: last, fleet: &Fleet{
 		Revision:  doc.Revision,
+		Digest:    digest,
 		Workloads: make(map[model.WorkloadName]*Workload),
 		Indexes:   make(map[model.WorkloadName]*model.Index),
 		Targets:   make(map[model.TargetID]*model.Target),
@@ -38,7 +47,11 @@
 		p.add("revision", 0, "must be at least 1")
 	}
 	for _, key := range sortedKeys(doc.Keys) {
-		p.parseKey(key, doc.Keys[key])
+		raw := doc.Keys[key]
+		if last != nil && bytes.Equal(raw, lastDoc.Keys[key]) && p.takeOver(key) {
+			continue
+		}
+		p.parseKey(key, raw)
 	}
 	if _, ok := doc.Keys[KeyDefaults]; !ok {
 		p.problems = append(p.problems, Problem{Path: KeyDefaults, Allowed: "must be given"})
@@ -48,13 +61,14 @@
 		sort.SliceStable(p.problems, func(i, j int) bool { return p.problems[i].Path < p.problems[j].Path })
 		return nil, &InvalidError{Revision: doc.Revision, Problems: p.problems}
 	}
-	p.fleet.Digest = Digest(doc.Keys)
 	return p.fleet, nil
 }
 
 // parser collects the values and problems of one document.
 type parser struct {
-	fleet    *Fleet
+	fleet *Fleet
+	// last is the fleet whose values may be taken over, or nil.
+	last     *Fleet
 	problems []Problem
 }
 
@@ -105,6 +119,31 @@
 	}
 }
 
+// takeOver uses the value that an unchanged key had before. It returns false if
+// there was none.
+func (p *parser) takeOver(key string) bool {
+	kind, name, _ := strings.Cut(key, "/")
+	ok := false
+	switch kind + "/" {
+	case PrefixWorkload:
+		ok = carry(p.last.Workloads, p.fleet.Workloads, model.WorkloadName(name))
+	case PrefixIndex:
+		ok = carry(p.last.Indexes, p.fleet.Indexes, model.WorkloadName(name))
+	case PrefixTarget:
+		ok = carry(p.last.Targets, p.fleet.Targets, model.TargetID(name))
+	}
+	return ok
+}
+
+// carry copies one entry and reports whether there was one.
+func carry[K comparable, V any](from, to map[K]*V, key K) bool {
+	value, ok := from[key]
+	if ok {
+		to[key] = value
+	}
+	return ok
+}
+
 func validName(name string) bool {
 	if name == "" || len(name) > MaxNameBytes {
 		return false
--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -97,3 +97,24 @@
 	require.True(t, ok)
 	require.GreaterOrEqual(t, len(invalid.Problems), 3)
 }
+
+func TestParseNextEqualsParse(t *testing.T) {
+	first := testDocument(nil)
+	last, err := Parse(first)
+	require.NoError(t, err)
+	changes := []map[string]string{
+		nil,
+		{"targets/t2": `{"id":"t2","addr":"127.0.0.1:3","region":"r","failure_domain":"d3","slots":4,"max_connections":25}`},
+		{"exceptions/slow": ""},
+		{"targets/t2": ""},
+		{"workloads/review": "", "index/review": ""},
+		{"targets/t3": `{"id":"t3","addr":"127.0.0.1:1","region":"r","failure_domain":"d3","slots":4,"max_connections":25}`},
+	}
+	for _, change := range changes {
+		doc := testDocument(change)
+		want, wantErr := Parse(doc)
+		got, gotErr := ParseNext(last, first, doc, Digest(doc.Keys))
+		require.Equal(t, wantErr, gotErr)
+		require.Equal(t, want, got)
+	}
+}
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -97,8 +97,8 @@
 }
 
 // checkConfig validates a configuration.
-func (c *control) checkConfig(doc *config.Document) (func(), error) {
-	parsed, err := config.Parse(doc)
+func (c *control) checkConfig(doc *config.Document, digest uint64) (func(), error) {
+	parsed, err := config.ParseNext(c.inForce, c.config.doc, doc, digest)
 	if err != nil {
 		return nil, err
 	}
@@ -106,7 +106,7 @@
 }
 
 // checkHostList validates a host list.
-func (c *control) checkHostList(doc *config.Document) (func(), error) {
+func (c *control) checkHostList(doc *config.Document, _ uint64) (func(), error) {
 	list, err := hostListOf(doc)
 	if err != nil {
 		return nil, err
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -22,7 +22,7 @@
 type replica struct {
 	kind documentKind
 	// check validates a document and returns what puts it in force.
-	check func(doc *config.Document) (commit func(), err error)
+	check func(doc *config.Document, digest uint64) (commit func(), err error)
 
 	doc     *config.Document
 	version version
@@ -39,7 +39,12 @@
 
 // offer takes doc if it is newer and valid. The error says why it was rejected.
 func (r *replica) offer(doc *config.Document, source string, now time.Time) (outcome, error) {
-	v := version{Revision: doc.Revision, Digest: config.Digest(doc.Keys)}
+	return r.offerVersion(doc, version{Revision: doc.Revision, Digest: config.Digest(doc.Keys)}, nil, source, now)
+}
+
+// offerVersion is offer for a document whose version is known, and whose delta
+// to the one in force is if it is not nil.
+func (r *replica) offerVersion(doc *config.Document, v version, d *config.Delta, source string, now time.Time) (outcome, error) {
 	if v == r.version {
 		return known, nil
 	}
@@ -52,14 +57,17 @@
 		}
 		return stale, nil
 	}
-	commit, err := r.check(doc)
+	commit, err := r.check(doc, v.Digest)
 	if err != nil {
 		r.refused.add(refusedVersion{version: v, reason: err.Error(), source: source, at: now})
 		return rejected, err
 	}
 	clashed := v.conflicts(r.version)
 	if r.doc != nil {
-		r.deltas = appendDelta(r.deltas, config.Diff(r.doc, doc))
+		if d == nil {
+			d = config.DiffDigests(r.doc, doc, r.version.Digest, v.Digest)
+		}
+		r.deltas = appendDelta(r.deltas, d)
 	}
 	r.doc, r.version, r.source, r.at = doc, v, source, now
 	commit()
@@ -75,10 +83,10 @@
 	if r.doc == nil || r.version != (version{d.From, d.FromDigest}) {
 		return "", false, nil
 	}
-	doc, err := d.Apply(r.doc)
+	doc, err := d.ApplyDigest(r.doc, r.version.Digest)
 	if err != nil {
 		return "", false, err
 	}
-	result, err := r.offer(doc, source, now)
+	result, err := r.offerVersion(doc, version{d.To, d.ToDigest}, d, source, now)
 	return result, true, err
 }
--- a/internal/peer/failure_test.go
+++ b/internal/peer/failure_test.go
@@ -157,6 +157,16 @@
 	require.Equal(t, verdict.QueueFull, err.Reason)
 }
 
+func TestAQueueIsBoundedInBytes(t *testing.T) {
+	o := newOutbox(10, 100)
+	m := outMessage{envelope: envelope{Type: typeOneWay, Payload: make([]byte, 80)}}
+	require.True(t, o.push(m))
+	require.False(t, o.push(m))
+	require.Len(t, o.take(), 1)
+	m.envelope.Payload = make([]byte, 200)
+	require.True(t, o.push(m), "an empty queue takes any one message")
+}
+
 func TestAWrongKeyGetsNothingAndACounter(t *testing.T) {
 	book := newBook()
 	wrong := func(o *Options) { o.Keys = [][]byte{[]byte("fedcba9876543210fedcba9876543210")} }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -180,7 +180,7 @@
 	}
 	setUserTimeout(conn, m.opts.WriteTimeout)
 	a := &accepted{mesh: m, from: from, live: make(map[uint64]*inboundContext)}
-	a.link = newLink(conn, &m.opts, m.counters, newOutbox(replyOutboxFactor*m.opts.QueueMessages))
+	a.link = newLink(conn, &m.opts, m.counters, newOutbox(replyOutboxFactor*m.opts.QueueMessages, m.opts.QueueBytes))
 	runLink(ctx, a.link, a.receive, a.watch)
 	a.end()
 }
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -20,6 +20,7 @@
 	DefaultBackoffMin      = 50 * time.Millisecond
 	DefaultBackoffMax      = 2 * time.Second
 	DefaultQueueMessages   = 16384
+	DefaultQueueBytes      = 128 << 20
 	DefaultMaxFrameBytes   = 68 << 20
 	DefaultFlushBytes      = 128 << 10
 	// MaxKeys is how many keys are valid at once.
@@ -59,6 +60,8 @@
 	// QueueMessages bounds the messages waiting on one link, and the calls in
 	// flight on it.
 	QueueMessages int
+	// QueueBytes bounds the payloads waiting on one link.
+	QueueBytes int
 	// MaxFrameBytes bounds one frame.
 	MaxFrameBytes int
 }
@@ -92,6 +95,9 @@
 	if o.QueueMessages == 0 {
 		o.QueueMessages = DefaultQueueMessages
 	}
+	if o.QueueBytes == 0 {
+		o.QueueBytes = DefaultQueueBytes
+	}
 	if o.MaxFrameBytes == 0 {
 		o.MaxFrameBytes = DefaultMaxFrameBytes
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -27,7 +27,7 @@
 
 func newSession(opts *Options, c *counters) *session {
 	return &session{
-		opts: opts, counters: c, outbox: newOutbox(opts.QueueMessages),
+		opts: opts, counters: c, outbox: newOutbox(opts.QueueMessages, opts.QueueBytes),
 		pending: make(map[uint64]*call), lastUse: time.Now(),
 	}
 }
