--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -29,11 +29,11 @@
 
 // Diff returns the delta that makes b of a.
 func Diff(a, b *Document) *Delta {
-	return DiffDigests(a, b, Digest(a.Keys), Digest(b.Keys))
+	return DiffKnown(a, b, Digest(a.Keys), Digest(b.Keys))
 }
 
-// DiffDigests is Diff for a caller that knows the digests of both documents.
-func DiffDigests(a, b *Document, digestA, digestB uint64) *Delta {
+// DiffKnown is Diff for documents whose digests are known.
+func DiffKnown(a, b *Document, digestA, digestB uint64) *Delta {
 	d := &Delta{
 		From: a.Revision, FromDigest: digestA, To: b.Revision, ToDigest: digestB,
 		Changed: make(map[string]json.RawMessage),
@@ -54,38 +54,24 @@
 
 // Apply returns the document that the delta makes of a, which is not changed.
 // It fails with ErrOtherBase or ErrDigest.
-func (d *Delta) Apply(a *Document) (*Document, error) {
-	return d.ApplyDigest(a, Digest(a.Keys))
-}
+func (d *Delta) Apply(a *Document) (*Document, error) { return d.ApplyKnown(a, Digest(a.Keys)) }
 
-// ApplyDigest is Apply for a caller that knows the digest of a. It hashes only
-// the entries that the delta names.
-func (d *Delta) ApplyDigest(a *Document, digestA uint64) (*Document, error) {
-	if a.Revision != d.From || digestA != d.FromDigest {
+// ApplyKnown is Apply for a document whose digest is known. Its cost grows with
+// the delta, but for a copy of the map of keys.
+func (d *Delta) ApplyKnown(a *Document, digest uint64) (*Document, error) {
+	if a.Revision != d.From || digest != d.FromDigest {
 		return nil, ErrOtherBase
 	}
+	if d.digestAfter(a.Keys, digest) != d.ToDigest {
+		return nil, ErrDigest
+	}
 	keys := maps.Clone(a.Keys)
 	if keys == nil {
 		keys = make(map[string]json.RawMessage)
 	}
-	var h entryHasher
-	digest := digestA
-	drop := func(key string) {
-		if old, ok := keys[key]; ok {
-			digest -= h.hash(key, old)
-			delete(keys, key)
-		}
-	}
-	for key, value := range d.Changed {
-		drop(key)
-		digest += h.hash(key, value)
-		keys[key] = value
-	}
+	maps.Copy(keys, d.Changed)
 	for _, key := range d.Removed {
-		drop(key)
-	}
-	if digest != d.ToDigest {
-		return nil, ErrDigest
+		delete(keys, key)
 	}
 	return &Document{Revision: d.To, Keys: keys}, nil
 }
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
 	"sort"
 	"strings"
@@ -28,17 +27,16 @@
 
 // Parse checks a document whole. The error is *InvalidError and lists all that
 // is wrong.
-func Parse(doc *Document) (*Fleet, error) {
-	return ParseNext(nil, nil, doc, Digest(doc.Keys))
-}
+func Parse(doc *Document) (*Fleet, error) { return ParseAfter(doc, nil, Digest(doc.Keys)) }
 
-// ParseNext is Parse for a document that follows another, whose values it takes
-// over where they are the same. last is the result of parsing lastDoc; both may
-// be nil. digest is that of doc.
-func ParseNext(last *Fleet, lastDoc, doc *Document, digest uint64) (*Fleet, error) {
-	p := &parser{last: last, fleet: &Fleet{
+// ParseAfter is Parse for a document with a known digest. It takes over the
+// values of keys that did not change since base, which were checked then; what
+// values mean together is checked anew. base may be nil.
+func ParseAfter(doc *Document, base *Fleet, digest uint64) (*Fleet, error) {
+	p := &parser{base: base, fleet: &Fleet{
 		Revision:  doc.Revision,
 		Digest:    digest,
+		source:    doc.Keys,
 		Workloads: make(map[model.WorkloadName]*Workload),
 		Indexes:   make(map[model.WorkloadName]*model.Index),
 		Targets:   make(map[model.TargetID]*model.Target),
@@ -47,11 +45,7 @@
 		p.add("revision", 0, "must be at least 1")
 	}
 	for _, key := range sortedKeys(doc.Keys) {
-		raw := doc.Keys[key]
-		if last != nil && bytes.Equal(raw, lastDoc.Keys[key]) && p.takeOver(key) {
-			continue
-		}
-		p.parseKey(key, raw)
+		p.parseKey(key, doc.Keys[key])
 	}
 	if _, ok := doc.Keys[KeyDefaults]; !ok {
 		p.problems = append(p.problems, Problem{Path: KeyDefaults, Allowed: "must be given"})
@@ -67,8 +61,8 @@
 // parser collects the values and problems of one document.
 type parser struct {
 	fleet *Fleet
-	// last is the fleet whose values may be taken over, or nil.
-	last     *Fleet
+	// base is the checked document before this one, or nil.
+	base     *Fleet
 	problems []Problem
 }
 
@@ -87,6 +81,9 @@
 }
 
 func (p *parser) parseKey(key string, raw json.RawMessage) {
+	if p.reuse(key, raw) {
+		return
+	}
 	if key == KeyDefaults {
 		p.decode(key, raw, &p.fleet.Defaults)
 		return
@@ -119,31 +116,6 @@
 	}
 }
 
-// takeOver uses the value that an unchanged key had before. It returns false if
-// there was none.
-func (p *parser) takeOver(key string) bool {
-	kind, name, _ := strings.Cut(key, "/")
-	ok := false
-	switch kind + "/" {
-	case PrefixWorkload:
-		ok = carry(p.last.Workloads, p.fleet.Workloads, model.WorkloadName(name))
-	case PrefixIndex:
-		ok = carry(p.last.Indexes, p.fleet.Indexes, model.WorkloadName(name))
-	case PrefixTarget:
-		ok = carry(p.last.Targets, p.fleet.Targets, model.TargetID(name))
-	}
-	return ok
-}
-
-// carry copies one entry and reports whether there was one.
-func carry[K comparable, V any](from, to map[K]*V, key K) bool {
-	value, ok := from[key]
-	if ok {
-		to[key] = value
-	}
-	return ok
-}
-
 func validName(name string) bool {
 	if name == "" || len(name) > MaxNameBytes {
 		return false
--- a/internal/fleet/measure_test.go
+++ b/internal/fleet/measure_test.go
@@ -177,7 +177,7 @@
 func benchmarkChange(b *testing.B, doc *config.Document, parsed *config.Fleet, asDelta bool) {
 	r := &replica{kind: configDocument, doc: doc, version: version{doc.Revision, parsed.Digest}}
 	r.check = func(d *config.Document, digest uint64) (func(), error) {
-		next, err := config.ParseNext(parsed, r.doc, d, digest)
+		next, err := config.ParseAfter(d, parsed, digest)
 		return func() { parsed = next }, err
 	}
 	for i := 0; b.Loop(); i++ {
--- a/internal/fleet/replica.go
+++ b/internal/fleet/replica.go
@@ -39,12 +39,13 @@
 
 // offer takes doc if it is newer and valid. The error says why it was rejected.
 func (r *replica) offer(doc *config.Document, source string, now time.Time) (outcome, error) {
-	return r.offerVersion(doc, version{Revision: doc.Revision, Digest: config.Digest(doc.Keys)}, nil, source, now)
+	return r.offerVersion(doc, config.Digest(doc.Keys), nil, source, now)
 }
 
-// offerVersion is offer for a document whose version is known, and whose delta
-// to the one in force is if it is not nil.
-func (r *replica) offerVersion(doc *config.Document, v version, d *config.Delta, source string, now time.Time) (outcome, error) {
+// offerVersion is offer for a document with a known digest and, if made is not
+// nil, the delta that made it of the one in force.
+func (r *replica) offerVersion(doc *config.Document, digest uint64, made *config.Delta, source string, now time.Time) (outcome, error) {
+	v := version{Revision: doc.Revision, Digest: digest}
 	if v == r.version {
 		return known, nil
 	}
@@ -57,17 +58,17 @@
 		}
 		return stale, nil
 	}
-	commit, err := r.check(doc, v.Digest)
+	commit, err := r.check(doc, digest)
 	if err != nil {
 		r.refused.add(refusedVersion{version: v, reason: err.Error(), source: source, at: now})
 		return rejected, err
 	}
 	clashed := v.conflicts(r.version)
-	if r.doc != nil {
-		if d == nil {
-			d = config.DiffDigests(r.doc, doc, r.version.Digest, v.Digest)
-		}
-		r.deltas = appendDelta(r.deltas, d)
+	if made == nil && r.doc != nil {
+		made = config.DiffKnown(r.doc, doc, r.version.Digest, digest)
+	}
+	if made != nil {
+		r.deltas = appendDelta(r.deltas, made)
 	}
 	r.doc, r.version, r.source, r.at = doc, v, source, now
 	commit()
@@ -83,10 +84,10 @@
 	if r.doc == nil || r.version != (version{d.From, d.FromDigest}) {
 		return "", false, nil
 	}
-	doc, err := d.ApplyDigest(r.doc, r.version.Digest)
+	doc, err := d.ApplyKnown(r.doc, r.version.Digest)
 	if err != nil {
 		return "", false, err
 	}
-	result, err := r.offerVersion(doc, version{d.To, d.ToDigest}, d, source, now)
+	result, err := r.offerVersion(doc, d.ToDigest, d, source, now)
 	return result, true, err
 }
