Share counters with a reason tag; the router reports only what it counts

Cause: the look-up of counters by reason stood twice, and the router showed five counters that were always 0.

--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -29,12 +29,12 @@
 	views    view.Source
 	local    subquery.Dispatcher
 	remote   *Remote
-	counters *counters
+	counters *metrics.Reasons
 }
 
 // NewRouter returns a Router.
 func NewRouter(o RouterOptions) *Router {
-	return &Router{views: o.Views, local: o.Local, remote: o.Remote, counters: newCounters(o.Scope)}
+	return &Router{views: o.Views, local: o.Local, remote: o.Remote, counters: metrics.NewReasons(o.Scope)}
 }
 
 // Submit implements subquery.Dispatcher.
@@ -96,7 +96,7 @@
 	}
 	t.moved = true
 	t.mu.Unlock()
-	t.r.counters.rerouted(a.Reason)
+	t.r.counters.Counter("dispatch_rerouted", a.Reason).Inc(1)
 	cancel := t.r.submitTo(t.v, t.second, t.req, t.done)
 	t.mu.Lock()
 	t.cancelNow = cancel
--- /dev/null
+++ b/internal/metrics/reasons.go
@@ -0,0 +1,36 @@
+package metrics
+
+import (
+	"sync"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// Reasons holds counters with a reason tag, so that the scope is not asked for
+// them each time. It is safe for concurrent use.
+type Reasons struct {
+	scope Scope
+	// counters maps reasonKey to tally.Counter.
+	counters sync.Map
+}
+
+type reasonKey struct {
+	name   string
+	reason verdict.Reason
+}
+
+// NewReasons returns a Reasons that reports to scope.
+func NewReasons(scope Scope) *Reasons { return &Reasons{scope: scope} }
+
+// Counter returns the counter name with a reason tag.
+func (r *Reasons) Counter(name string, reason verdict.Reason) tally.Counter {
+	key := reasonKey{name: name, reason: reason}
+	found, ok := r.counters.Load(key)
+	if !ok {
+		made := r.scope.Tagged(map[string]string{"reason": string(reason)}).Counter(name)
+		found, _ = r.counters.LoadOrStore(key, made)
+	}
+	return found.(tally.Counter)
+}
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -87,16 +87,16 @@
 // retry sends the shard to target if the deadline and the budget hold it.
 func (r *run) retry(shard int, target model.TargetID, reason verdict.Reason, now time.Time) {
 	if !r.fits(target, now) {
-		r.s.counters.inc("retries_refused", verdict.DeadlinePassed)
+		r.s.counters.reasons.Counter("retries_refused", verdict.DeadlinePassed).Inc(1)
 		r.fail(shard, reason)
 		return
 	}
 	if !r.budgets.retry.Spend(r.groupOf[shard].policy.RetryBudget) {
-		r.s.counters.inc("retries_refused", verdict.RetryBudgetSpent)
+		r.s.counters.reasons.Counter("retries_refused", verdict.RetryBudgetSpent).Inc(1)
 		r.fail(shard, reason)
 		return
 	}
-	r.s.counters.inc("retries_sent", reason)
+	r.s.counters.reasons.Counter("retries_sent", reason).Inc(1)
 	r.sendExtra(shard, target, now)
 }
 
@@ -155,7 +155,7 @@
 	if !r.budgets.hedge.Spend(r.groupOf[shard].policy.HedgeBudget) {
 		if !st.hedgeDenied {
 			st.hedgeDenied = true
-			r.s.counters.inc("hedges_refused", verdict.HedgeBudgetSpent)
+			r.s.counters.reasons.Counter("hedges_refused", verdict.HedgeBudgetSpent).Inc(1)
 		}
 		r.alarms.push(next)
 		return
