--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -106,7 +107,11 @@
 	m.cancel()
 	var err error
 	if listener != nil {
-		err = m.server.Shutdown()
+		// The server forgets a listener that it was not yet given by Serve.
+		_ = listener.Close()
+		if err = m.server.Shutdown(); errors.Is(err, net.ErrClosed) {
+			err = nil
+		}
 	}
 	m.running.Wait()
 	return err
@@ -175,7 +180,7 @@
 	}
 	setUserTimeout(conn, m.opts.WriteTimeout)
 	a := &accepted{mesh: m, from: from, live: make(map[uint64]*inboundContext)}
-	a.link = newLink(conn, &m.opts, m.counters, newOutbox(replyOutboxFactor*m.opts.QueueMessages))
+	a.link = newLink(conn, &m.opts, m.counters, newOutbox(replyOutboxFactor*m.opts.QueueMessages, m.opts.QueueBytes))
 	runLink(ctx, a.link, a.receive, a.watch)
 	a.end()
 }
