--- a/internal/claim/claimmodel/explore.go
+++ b/internal/claim/claimmodel/explore.go
@@ -46,6 +46,10 @@
 				if _, ok := seen[key]; ok && n.violation == "" {
 					continue
 				}
+				// Checked at every state: what waits is held in memory.
+				if len(steps) > s.MaxStates {
+					return nil, fmt.Errorf("claimmodel: %s: more than %d states", s.Name, s.MaxStates)
+				}
 				seen[key] = struct{}{}
 				steps = append(steps, step{from: ids[at], event: e})
 				if n.check(); n.violation != "" {
@@ -55,9 +59,6 @@
 				nextIDs = append(nextIDs, len(steps)-1)
 			}
 		}
-		if len(steps) > s.MaxStates {
-			return nil, fmt.Errorf("claimmodel: %s: more than %d states", s.Name, s.MaxStates)
-		}
 		frontier, ids = next, nextIDs
 	}
 	return &Result{States: len(steps)}, nil
--- a/internal/claim/refusal.go
+++ b/internal/claim/refusal.go
@@ -40,12 +40,11 @@
 		return &Duplicate{Outcome: outcome}
 	}
 	switch {
-	case tally.Seen(rules.Reused):
-		return s.refused(verdict.RefuseField(verdict.RequestIDReused, requestid.FieldID,
-			"the id was used for a request with another caller, workload or body; give each request its own id"))
 	case tally.Seen(rules.Held):
 		s.counter.duplicates.Inc(1)
 		return &Duplicate{}
+	case tally.Seen(rules.Reused):
+		return s.refused(reused(tally))
 	case tally.Seen(rules.Future):
 		return s.refused(verdict.RefuseField(verdict.RequestIDInvalid, requestid.FieldID,
 			"issued in the future by the clock of other hosts; set the issuing clock"))
@@ -56,6 +55,17 @@
 	return s.noMajority(id, tally)
 }
 
+// reused tells that the id was seen with another request. Only where a majority
+// saw that one first can this one never have run.
+func reused(tally *rules.Tally) *verdict.Error {
+	e := verdict.RefuseField(verdict.RequestIDReused, requestid.FieldID,
+		"the id was used for a request with another caller, workload or body; give each request its own id")
+	if !tally.Majority(rules.Reused) {
+		e.Verdict = verdict.Unknown
+	}
+	return e
+}
+
 // noMajority names the reason that the witnesses gave most to the point.
 func (s *Service) noMajority(id requestid.ID, tally *rules.Tally) error {
 	switch {
--- a/internal/claim/rules/tally.go
+++ b/internal/claim/rules/tally.go
@@ -95,6 +95,22 @@
 	return false
 }
 
+// Majority reports whether a majority of some set gave the answer.
+func (t *Tally) Majority(answer Answer) bool {
+	for _, set := range t.sets {
+		n := 0
+		for _, host := range set {
+			if got, ok := t.votes[host]; ok && got == answer {
+				n++
+			}
+		}
+		if n > len(set)/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // From returns a witness that gave the answer.
 func (t *Tally) From(answer Answer) (model.HostID, bool) {
 	for host, got := range t.votes {
--- a/internal/claim/service_test.go
+++ b/internal/claim/service_test.go
@@ -97,6 +97,18 @@
 	require.ErrorAs(t, claimAt(f.host(2), restamped), new(*Duplicate))
 }
 
+func TestAtMostOnceOtherBodyAtOneWitnessHidesNoRun(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	ids := hostIDs(3)
+	f.net.partition(ids[:2], ids[2:], true)
+	id := resent(mint(t))
+	require.NoError(t, claimAt(f.host(1), id))
+	require.Error(t, f.host(3).Claim(context.Background(), id, testFingerprint+1, soon()))
+	require.Equal(t, verdict.Unknown, verdict.Of(claimAt(f.host(3), id)))
+	f.net.partition(ids[:2], ids[2:], false)
+	require.ErrorAs(t, claimAt(f.host(3), id), new(*Duplicate))
+}
+
 func TestAtMostOnceDeadlinePassedBeforeActing(t *testing.T) {
 	f := newFleet(t, 3, 1)
 	err := f.host(1).Claim(context.Background(), mint(t), testFingerprint, time.Now().Add(-time.Second))
