--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -3,6 +3,9 @@
 //
 // A document is a set of keys with JSON values. The keys are "defaults",
 // "workloads/NAME", "index/WORKLOAD", "targets/ID" and "exceptions/NAME".
+//
+// It starts no goroutine; a checked document is immutable and safe for concurrent
+// use.
 package config
 
 import (
@@ -53,4 +56,7 @@
 	Indexes    map[model.WorkloadName]*model.Index
 	Targets    map[model.TargetID]*model.Target
 	Exceptions []Exception
+
+	// source is the document's keys, from which the next one is told apart.
+	source map[string]json.RawMessage
 }
--- a/internal/quarantine/guard_test.go
+++ b/internal/quarantine/guard_test.go
@@ -110,10 +110,16 @@
 	fingerprint := FingerprintOf(innocent.Caller, innocent.Workload, innocent.Body)
 	suspect := func() bool { return services[2].suspectIn(fingerprint, innocent.Shard) }
 	require.Eventually(t, suspect, 20*time.Second, time.Millisecond)
+	// Only a host that knows of the suspicion clears it.
+	knownWhereItRuns := func() bool { return services[1].suspectIn(fingerprint, innocent.Shard) }
+	require.Eventually(t, knownWhereItRuns, 20*time.Second, time.Millisecond)
 	// The clock's milliseconds must have moved on for the run to count as later.
 	time.Sleep(2 * time.Millisecond)
 	require.True(t, ask(all[1], innocent).OK())
 	require.Eventually(t, func() bool { return !suspect() }, 20*time.Second, time.Millisecond)
+	// A crash in the same millisecond as the start of the run that succeeded
+	// counts as before it.
+	time.Sleep(2 * time.Millisecond)
 	services[1].OnCrash(innocent)
 	require.Eventually(t, suspect, 20*time.Second, time.Millisecond)
 	require.Nil(t, services[2].Check(fingerprint), "the cleared crash does not count")
--- a/internal/target/search.go
+++ b/internal/target/search.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"sync"
 	"time"
 
@@ -52,9 +51,17 @@
 		answers[i] = toAnswer(&c.reply[next], took)
 		next++
 	}
+	c.forget()
 	return answers
 }
 
+// forget drops the bodies of the last exchange and keeps the buffers. Nothing of
+// one reply may be left where the next one is decoded.
+func (c *httpConn) forget() {
+	clear(c.items)
+	clear(c.reply[:cap(c.reply)])
+}
+
 // prepare fills c.items with the exchanges that have time left, answers the
 // others, and returns the latest deadline.
 func (c *httpConn) prepare(batch []Exchange, answers []*subquery.Answer, now time.Time) time.Time {
@@ -109,7 +116,6 @@
 
 // checkReply decodes the reply and compares it with c.items.
 func (c *httpConn) checkReply() *subquery.Answer {
-	clear(c.reply)
 	c.reply = c.reply[:0]
 	if err := Decode(c.resp.Body(), &c.reply); err != nil {
 		if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
@@ -143,6 +149,12 @@
 	return answer
 }
 
+// timeoutError is an error that says whether it is a timeout.
+type timeoutError interface {
+	error
+	Timeout() bool
+}
+
 // lostReason tells why an exchange has no reply.
 func lostReason(ctx context.Context, err error) verdict.Reason {
 	if ctx.Err() != nil {
@@ -154,7 +166,8 @@
 		}
 		return verdict.Cancelled
 	}
-	if netErr, ok := errors.AsType[net.Error](err); ok && netErr.Timeout() {
+	// The HTTP library's own timeout error is no net.Error.
+	if timeout, ok := errors.AsType[timeoutError](err); ok && timeout.Timeout() {
 		return verdict.DeadlinePassed
 	}
 	if errors.Is(err, io.ErrUnexpectedEOF) {
