End the administration listener when a stop overtakes its start

The HTTP library forgets a shutdown that comes before its listener was registered, and then serves for ever. Change: Shutdown also closes the listener that Serve was given; a Serve after Shutdown closes it at once. The callers' listener had the same gap. Seen: TestShutdownBeforeServeEndsIt timed out before and passes after; 5 runs of both packages with the race detector pass.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -11,6 +11,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -54,6 +55,9 @@
 	stopping context.Context
 	stop     context.CancelFunc
 	waits    chan struct{}
+
+	mu       sync.Mutex
+	listener net.Listener
 }
 
 // New returns a server that does not listen yet.
@@ -97,13 +101,37 @@
 }
 
 // Serve accepts connections on ln until Shutdown. It returns nil after Shutdown.
-func (s *Server) Serve(ln net.Listener) error { return s.app.Listener(ln) }
+func (s *Server) Serve(ln net.Listener) error {
+	if !s.hold(ln) {
+		return ln.Close()
+	}
+	err := s.app.Listener(ln)
+	if s.stopping.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// hold keeps ln for Shutdown. It reports false if that was called already.
+func (s *Server) hold(ln net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = ln
+	return s.stopping.Err() == nil
+}
 
 // Shutdown ends waiting requests, lets the others finish and stops listening.
 // The error is that of ctx if they did not finish in time.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
 	s.stop()
-	return s.app.ShutdownWithContext(ctx)
+	ln := s.listener
+	s.mu.Unlock()
+	err := s.app.ShutdownWithContext(ctx)
+	if ln != nil {
+		_ = ln.Close() // the library does not know of it yet if Serve has only begun
+	}
+	return err
 }
 
 // refuse answers with an error and counts it.
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -199,3 +199,15 @@
 	require.Equal(t, 202, ask(t, "POST", url+adminapi.PathDrain, writeToken, "", &drain))
 	require.True(t, drain.Already)
 }
+
+// TestShutdownBeforeServeEndsIt guards against a listener that stays open when a
+// stop overtakes the start.
+func TestShutdownBeforeServeEndsIt(t *testing.T) {
+	_, _, server, _ := start(t)
+	require.NoError(t, server.Shutdown(t.Context()))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, server.Serve(ln))
+	_, err = ln.Accept()
+	require.ErrorIs(t, err, net.ErrClosed)
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -88,7 +88,11 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.draining.Store(true)
 	s.closed.Store(true)
-	return eris.Wrap(s.app.ShutdownWithContext(ctx), "caller listener")
+	err := s.app.ShutdownWithContext(ctx)
+	if s.listener != nil {
+		_ = s.listener.Close() // the library does not know of it yet if serving has only begun
+	}
+	return eris.Wrap(err, "caller listener")
 }
 
 func (s *Server) handleReady(c *fiber.Ctx) error {
