Tell the truth about a caller's own id: a refused resend may have run before

Cause: the entry role called a refusal not_run also for an id that the caller had brought, before the claim and after a release. An earlier attempt under the id may have run and its answer been lost; the caller would send it under a new id. Ruled out: asking the witnesses before each refusal, since a host that refuses for lack of readiness cannot rely on them. Change: claim.Settle and claim.Truthful decide; queries are decoded before readiness is judged, so that their id is known. A resend of an open request is told when to ask for the outcome. Seen: TestAtMostOnceRefusalOfACallersOwnIDIsNotCalledNotRun passes; it cannot pass without the change, which told not_run in both of its cases.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"github.com/swiftvane/swiftvane/internal/claim"
 	"github.com/swiftvane/swiftvane/internal/config"
 	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/query"
@@ -32,20 +33,20 @@
 	s.counter.queries.Inc(1)
 	defer func() { s.counter.latency.Record(time.Since(arrived)) }()
 
-	if refusal := s.refuseUnready(); refusal != nil {
-		return s.writeError(c, "", refusal)
-	}
 	q, refusal := s.prepare(c, arrived)
+	if refusal == nil {
+		refusal = s.refuseUnready()
+	}
 	if refusal != nil {
-		return s.writeError(c, q.id.Value, refusal)
+		return s.refuse(c, q, refusal)
 	}
 	release, refusal := s.opts.Admission.Admit(q.caller, &q.policy)
 	if refusal != nil {
-		return s.writeError(c, q.id.Value, refusal)
+		return s.refuse(c, q, refusal)
 	}
 	defer release()
 	if refusal := s.opts.Quarantine.CheckQuery(q.caller, q.body.Workload, q.body.Body); refusal != nil {
-		return s.writeError(c, q.id.Value, refusal)
+		return s.refuse(c, q, refusal)
 	}
 
 	ctx, cancel := context.WithDeadline(context.Background(), q.deadline)
@@ -60,13 +61,22 @@
 	return s.writeAnswer(c, q.id.Value, answer)
 }
 
+// refuse answers a query that was refused before it was claimed. An id that the
+// caller brought may have run under an earlier attempt.
+func (s *Server) refuse(c *fiber.Ctx, q *call, refusal *verdict.Error) error {
+	if !q.idempotent {
+		refusal = claim.Truthful(q.id, refusal)
+	}
+	return s.writeError(c, q.id.Value, refusal)
+}
+
 // prepare decodes and checks a query against the configuration in force. The
 // returned call is never nil; its id is set as soon as it is known.
 func (s *Server) prepare(c *fiber.Ctx, arrived time.Time) (*call, *verdict.Error) {
 	q := &call{caller: callerOf(c)}
 	body, refusal := Decode(c.Body())
 	if body != nil {
-		q.id.Value = body.RequestID
+		q.id = requestid.ID{Value: body.RequestID, Minted: body.RequestID == ""}
 	}
 	if refusal != nil {
 		return q, refusal
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -4,17 +4,23 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v2"
 
 	"github.com/swiftvane/swiftvane/internal/claim"
+	"github.com/swiftvane/swiftvane/internal/requestid"
 	"github.com/swiftvane/swiftvane/internal/verdict"
 )
 
 // maxRecordedBytes bounds the answer that witnesses keep for a resend.
 const maxRecordedBytes = 4 << 10
 
+// outcomeRetryAfter is when a resend may find the outcome of an attempt that is
+// still running.
+const outcomeRetryAfter = time.Second
+
 // runOnce claims the query's id before anything is sent to a target, and has
 // the outcome recorded for resends.
 func (s *Server) runOnce(ctx context.Context, c *fiber.Ctx, q *call) error {
@@ -27,8 +33,7 @@
 	}
 	answer, failure := s.opts.Executor.Execute(ctx, q.request())
 	if failure != nil {
-		s.recordFailure(q, failure)
-		return s.writeError(c, q.id.Value, failure)
+		return s.writeError(c, q.id.Value, claim.Settle(s.opts.Claims, q.id, failure, outcomeOf(q.id)))
 	}
 	body, err := json.Marshal(answerBody(q.id.Value, answer))
 	if err != nil {
@@ -42,23 +47,15 @@
 	return s.writeAnswer(c, q.id.Value, answer)
 }
 
-// recordFailure releases the id of a request that did not run, so that a resend
-// may run, and else keeps the outcome for resends.
-func (s *Server) recordFailure(q *call, failure *verdict.Error) {
-	if failure.Verdict == verdict.NotRun {
-		s.opts.Claims.Release(q.id)
-		return
-	}
-	body, err := json.Marshal(errorBody(q.id.Value, failure))
-	if err != nil {
-		return
+// outcomeOf returns the encoder of a failure's outcome for resends of id.
+func outcomeOf(id requestid.ID) func(*verdict.Error) claim.Outcome {
+	return func(failure *verdict.Error) claim.Outcome {
+		outcome := claim.Outcome{Verdict: failure.Verdict, Reason: failure.Reason, Status: StatusFor(failure)}
+		if body, err := json.Marshal(errorBody(id.Value, failure)); err == nil {
+			outcome.Answer = body
+		}
+		return outcome
 	}
-	s.opts.Claims.Record(q.id, claim.Outcome{
-		Verdict: failure.Verdict,
-		Reason:  failure.Reason,
-		Status:  StatusFor(failure),
-		Answer:  body,
-	})
 }
 
 // writeDuplicate answers a resend: the recorded answer if a witness has it, else
@@ -68,10 +65,11 @@
 	outcome := duplicate.Outcome
 	if outcome == nil {
 		return s.writeError(c, id, &verdict.Error{
-			Verdict: verdict.Unknown,
-			Reason:  verdict.RequestIDDuplicate,
-			Field:   "request_id",
-			Message: "the request was sent before and its outcome is not known; do not send it under another id",
+			Verdict:    verdict.Unknown,
+			Reason:     verdict.RequestIDDuplicate,
+			Field:      "request_id",
+			Message:    "the request was sent before and its outcome is not known yet; ask again under the same id, never under another",
+			RetryAfter: outcomeRetryAfter,
 		})
 	}
 	if len(outcome.Answer) == 0 {
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -82,3 +82,25 @@
 	changed.Body = json.RawMessage(`2`)
 	require.NotEqual(t, base.fingerprint(), (&call{caller: "a", body: &changed}).fingerprint())
 }
+
+// TestAtMostOnceRefusalOfACallersOwnIDIsNotCalledNotRun guards against a lie: an
+// earlier attempt under the id may have run, and its answer may have been lost.
+func TestAtMostOnceRefusalOfACallersOwnIDIsNotCalledNotRun(t *testing.T) {
+	unready := verdict.Refuse(verdict.HostNotReady, time.Second, "starting")
+	cases := map[string]*fakes{
+		"before the claim": {ready: unready},
+		"after a release":  {failure: verdict.Refuse(verdict.TargetShed, time.Second, "shedding")},
+	}
+	for name, f := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newTestServer(f)
+			_, body := orderWithID(t)
+			_, retryAfter, raw := post(t, s, body)
+			require.Equal(t, verdict.Unknown, decodeFailure(t, raw).Verdict)
+			require.Equal(t, "1", retryAfter, "the same id may be sent again")
+
+			_, _, raw = post(t, s, `{"workload":"orders","body":1}`)
+			require.Equal(t, verdict.NotRun, decodeFailure(t, raw).Verdict, "an id made here has no other attempt")
+		})
+	}
+}
