--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -77,7 +77,7 @@
 		ListenAddr: s.Listen.Peer,
 		Keys:       s.Secrets.PeerKeys,
 		Lookup:     do.MustInvoke[*fleet.Directory](i).Lookup,
-		Scope:      in.scope.SubScope("peer"),
+		Scope:      in.scope,
 		Log:        in.log,
 	})
 }
@@ -94,7 +94,7 @@
 		Transport: mesh,
 		Registrar: mesh,
 		Directory: do.MustInvoke[*fleet.Directory](i),
-		Scope:     in.scope.SubScope("fleet"),
+		Scope:     in.scope,
 		Log:       in.log,
 	})
 }
@@ -138,6 +138,7 @@
 	return query.New(query.Options{
 		Views:      views,
 		Dispatcher: router,
+		MaxFanOut:  do.MustInvoke[*settings.Settings](i).Limits.MaxFanOut,
 		Scope:      in.scope.SubScope("query"),
 		Log:        in.log,
 	}), nil
--- a/internal/query/executor.go
+++ b/internal/query/executor.go
@@ -29,6 +29,8 @@
 	Views view.Source
 	// Dispatcher runs sub-requests; required.
 	Dispatcher subquery.Dispatcher
+	// MaxFanOut bounds the shards of one query; zero means no bound.
+	MaxFanOut int
 	// Scope gets the counters; required.
 	Scope metrics.Scope
 	// Log gets one line for each plan that was discarded; required.
@@ -41,6 +43,7 @@
 	planner   *plan.Planner
 	scatterer *scatter.Scatterer
 	limiter   *admission.Limiter
+	maxFanOut int
 	scope     metrics.Scope
 	log       logrus.FieldLogger
 	// pruned is the configuration that what was learned was last pruned after.
@@ -59,9 +62,10 @@
 			Gather:     gather.NewCounters(o.Scope),
 			Scope:      o.Scope,
 		}),
-		limiter: admission.NewLimiter(),
-		scope:   o.Scope,
-		log:     o.Log,
+		limiter:   admission.NewLimiter(),
+		maxFanOut: o.MaxFanOut,
+		scope:     o.Scope,
+		log:       o.Log,
 	}
 }
 
@@ -130,6 +134,9 @@
 			Services: x.req.Services,
 			Exclude:  x.excluded,
 		})
+		if refusal == nil {
+			refusal = x.e.checkFanOut(p)
+		}
 		if refusal != nil {
 			return nil, x.refuse(refusal)
 		}
@@ -156,6 +163,15 @@
 	})
 }
 
+// checkFanOut refuses a plan of more shards than one query may ask.
+func (e *Executor) checkFanOut(p *plan.Plan) *verdict.Error {
+	if e.maxFanOut == 0 || len(p.Shards) <= e.maxFanOut {
+		return nil
+	}
+	return verdict.RefuseField(verdict.BadRequest, "services",
+		"the query asks %d shards, at most %d are allowed; name fewer services", len(p.Shards), e.maxFanOut)
+}
+
 // refuse adjusts a refusal to what earlier plans may have run.
 func (x *execution) refuse(err *verdict.Error) *verdict.Error {
 	if x.ran {
--- a/internal/query/executor_test.go
+++ b/internal/query/executor_test.go
@@ -118,3 +118,19 @@
 	require.Equal(t, verdict.DeadlinePassed, err.Reason)
 	require.Equal(t, verdict.NotRun, err.Verdict)
 }
+
+func TestQueryOfTooManyShardsIsRefused(t *testing.T) {
+	views := &fixedView{}
+	views.v.Store(testView(3, 1))
+	asked := dispatcherFunc(func(*subquery.Request, func(*subquery.Answer)) func() {
+		t.Error("a sub-request was sent")
+		return func() {}
+	})
+	log := logrus.New()
+	e := New(Options{Views: views, Dispatcher: asked, MaxFanOut: 2, Scope: tally.NoopScope, Log: log})
+	_, refusal := e.Execute(t.Context(), request(time.Minute))
+	require.NotNil(t, refusal)
+	require.Equal(t, verdict.BadRequest, refusal.Reason)
+	require.Equal(t, verdict.NotRun, refusal.Verdict)
+	require.Equal(t, "services", refusal.Field)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,7 @@
 type Limits struct {
 	MaxInflightQueries int `toml:"max_inflight_queries" validate:"min=1,max=1000000" allowed:"1 to 1000000" doc:"Queries in flight; further ones are refused at once."`
 	MaxBodyBytes       int `toml:"max_body_bytes" validate:"min=1024,max=67108864" allowed:"1024 to 67108864 bytes" doc:"Size of a caller's request; policy may allow less."`
+	MaxFanOut          int `toml:"max_fan_out" validate:"min=1,max=100000" allowed:"1 to 100000" doc:"Shards that one query may ask; a wider one is refused."`
 	DeadlineMaxMS      int `toml:"deadline_max_ms" validate:"min=1,max=600000" allowed:"1 to 600000 ms" doc:"Longest deadline that a caller may name; policy may allow less."`
 	LameDuckMS         int `toml:"lame_duck_ms" validate:"min=0,max=600000" allowed:"0 to 600000 ms" doc:"Time between reporting not ready and refusing new queries, for the balancer to notice."`
 	DrainMS            int `toml:"drain_ms" validate:"min=1,max=3600000" allowed:"1 to 3600000 ms" doc:"Longest wait for requests in flight after that."`
@@ -78,6 +79,7 @@
 const (
 	defaultMaxInflightQueries = 4096
 	defaultMaxBodyBytes       = 1 << 20
+	defaultMaxFanOut          = 4096
 	defaultDeadlineMaxMS      = 60_000
 	defaultLameDuckMS         = 3_000
 	defaultDrainMS            = 30_000
@@ -91,6 +93,7 @@
 		Limits: Limits{
 			MaxInflightQueries: defaultMaxInflightQueries,
 			MaxBodyBytes:       defaultMaxBodyBytes,
+			MaxFanOut:          defaultMaxFanOut,
 			DeadlineMaxMS:      defaultDeadlineMaxMS,
 			LameDuckMS:         defaultLameDuckMS,
 			DrainMS:            defaultDrainMS,
