--- a/internal/callerclient/client.go
+++ b/internal/callerclient/client.go
@@ -1,3 +1,6 @@
+// Package callerclient asks the tier as a caller that handles retries and
+// request ids rightly: it sends a request again only where the tier said that
+// it did not run and when to ask again, and always under the same id.
 package callerclient
 
 import (
@@ -56,7 +59,7 @@
 // Ask sends q until it has its final answer. It asks again only if the verdict
 // is not_run and the tier said when, under the same id, at most MaxAttempts
 // times, and only while ctx allows the wait. Its error is a *verdict.Error.
-func (c *Client) Ask(ctx context.Context, q Query) (*Answer, error) {
+func (c *Client) Ask(ctx context.Context, q callerapi.Query) (*callerapi.Answer, error) {
 	if q.RequestID == "" {
 		id, err := NewRequestID()
 		if err != nil {
@@ -78,7 +81,7 @@
 }
 
 // askAny sends q to the first URL that takes it.
-func (c *Client) askAny(q *Query, issuedAt time.Time) (*Answer, *verdict.Error) {
+func (c *Client) askAny(q *callerapi.Query, issuedAt time.Time) (*callerapi.Answer, *verdict.Error) {
 	failed := verdict.RefuseField(verdict.BadRequest, "caller-url", "none was given")
 	for _, url := range c.URLs {
 		answer, err := c.askOnce(url, q, issuedAt)
@@ -95,7 +98,7 @@
 
 // askOnce sends q once to url. A request that could not be sent has the reason
 // NotSent.
-func (c *Client) askOnce(url string, q *Query, issuedAt time.Time) (*Answer, *verdict.Error) {
+func (c *Client) askOnce(url string, q *callerapi.Query, issuedAt time.Time) (*callerapi.Answer, *verdict.Error) {
 	timeout := exchangeDefault
 	if q.DeadlineMS != nil {
 		timeout = time.Duration(*q.DeadlineMS)*time.Millisecond + exchangeMargin
@@ -125,8 +128,8 @@
 	return &verdict.Error{Verdict: verdict.Unknown, Reason: ConnectionLost, Message: err.Error()}
 }
 
-func decodeAnswer(body []byte, q *Query) (*Answer, *verdict.Error) {
-	answer := &Answer{}
+func decodeAnswer(body []byte, q *callerapi.Query) (*callerapi.Answer, *verdict.Error) {
+	answer := &callerapi.Answer{}
 	if err := json.Unmarshal(body, answer); err != nil {
 		return nil, &verdict.Error{Verdict: verdict.Ran, Reason: verdict.ReplyTruncated, Message: err.Error()}
 	}
--- a/internal/callerclient/client_test.go
+++ b/internal/callerclient/client_test.go
@@ -36,7 +36,7 @@
 }
 
 func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var q Query
+	var q callerapi.Query
 	content, _ := io.ReadAll(r.Body)
 	if err := json.Unmarshal(content, &q); err != nil || r.Header.Get(callerapi.HeaderCaller) != "desk" {
 		http.Error(w, "bad request", http.StatusBadRequest)
@@ -60,14 +60,14 @@
 	_, _ = fmt.Fprintf(w, `{"request_id":%q,"snapshot":7,"coverage":{"shards":1,"answered":1}}`, id)
 }
 
-func ask(t *testing.T, attempts int, answers ...func(http.ResponseWriter, string)) (*script, *Answer, error) {
+func ask(t *testing.T, attempts int, answers ...func(http.ResponseWriter, string)) (*script, *callerapi.Answer, error) {
 	t.Helper()
 	s := &script{answers: answers}
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
 	client := &Client{URLs: []string{server.URL}, Caller: "desk", MaxAttempts: attempts, HTTP: httpjson.New()}
 	t.Cleanup(client.HTTP.Close)
-	answer, err := client.Ask(t.Context(), Query{Workload: "w", Body: json.RawMessage(`{}`)})
+	answer, err := client.Ask(t.Context(), callerapi.Query{Workload: "w", Body: json.RawMessage(`{}`)})
 	return s, answer, err
 }
 
@@ -116,7 +116,7 @@
 	client := &Client{URLs: []string{server.URL}, Caller: "desk", MaxAttempts: 5, HTTP: httpjson.New()}
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	_, err := client.Ask(ctx, Query{Body: json.RawMessage(`1`)})
+	_, err := client.Ask(ctx, callerapi.Query{Body: json.RawMessage(`1`)})
 	require.Equal(t, verdict.NotRun, verdict.Of(err))
 	require.Len(t, s.sent(), 1)
 }
@@ -131,10 +131,10 @@
 	defer server.Close()
 
 	client := &Client{URLs: []string{closed, server.URL}, Caller: "desk", HTTP: httpjson.New()}
-	_, err = client.Ask(t.Context(), Query{Body: json.RawMessage(`1`)})
+	_, err = client.Ask(t.Context(), callerapi.Query{Body: json.RawMessage(`1`)})
 	require.NoError(t, err)
 
 	client.URLs = []string{closed}
-	_, err = client.Ask(t.Context(), Query{Body: json.RawMessage(`1`)})
+	_, err = client.Ask(t.Context(), callerapi.Query{Body: json.RawMessage(`1`)})
 	require.Equal(t, verdict.NotRun, verdict.Of(err))
 }
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -88,7 +88,7 @@
 		Row{
 			Role: "fleet", Quantity: "time to in force",
 			Measured:  fmt.Sprintf("%.0f ms on the last of %d", largest.InForceMS, largest.Members),
-			AtSize:    "grows with the logarithm of the hosts; not measured at this size",
+			AtSize:    "not measured at this size",
 			Mechanism: "push to a few peers at once, then swaps",
 		}.bounded(largest.InForceMS, size.InForce.Seconds()*1000, size.InForce.String()),
 		{
--- a/internal/cli/query.go
+++ b/internal/cli/query.go
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, f.patience)
 	defer cancel()
 
-	var answer *callerclient.Answer
+	var answer *callerapi.Answer
 	began := time.Now()
 	err = o.withProgress("asking", func() (err error) {
 		answer, err = client.Ask(ctx, *query)
@@ -92,14 +92,14 @@
 	return o.render(answer, func(t table.Writer) { drawAnswer(t, answer, time.Since(began), f.bodies) })
 }
 
-func (f *queryFlags) query(workload model.WorkloadName) (*callerclient.Query, error) {
+func (f *queryFlags) query(workload model.WorkloadName) (*callerapi.Query, error) {
 	if !json.Valid([]byte(f.body)) {
 		return nil, usagef("--body is not JSON: %q", f.body)
 	}
 	if f.attempts < 1 {
 		return nil, usagef("--attempts = %d: allowed: 1 or more", f.attempts)
 	}
-	query := &callerclient.Query{
+	query := &callerapi.Query{
 		Workload: workload, Body: json.RawMessage(f.body),
 		DeadlineMS: callerapi.Deadline(f.deadline), RequestID: f.requestID,
 	}
@@ -129,7 +129,7 @@
 	return exitcode.With(code, fmt.Errorf("request %s: %w", id, err))
 }
 
-func drawAnswer(t table.Writer, answer *callerclient.Answer, took time.Duration, bodies bool) {
+func drawAnswer(t table.Writer, answer *callerapi.Answer, took time.Duration, bodies bool) {
 	t.AppendRows([]table.Row{
 		{"request id", answer.RequestID},
 		{"snapshot", answer.Snapshot},
--- a/internal/demo/step.go
+++ b/internal/demo/step.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/swiftvane/swiftvane/internal/callerapi"
 
-	"github.com/swiftvane/swiftvane/internal/callerclient"
+	"github.com/jedib0t/go-pretty/v6/table"
 )
 
 // step is one kind of query, asked count times.
@@ -16,10 +16,10 @@
 	count int
 	// sameID sends every query under one request id.
 	sameID bool
-	query  callerclient.Query
+	query  callerapi.Query
 }
 
-func (s *step) row(last *callerclient.Answer, latencies []time.Duration, extra, asked int, runs string) table.Row {
+func (s *step) row(last *callerapi.Answer, latencies []time.Duration, extra, asked int, runs string) table.Row {
 	slices.Sort(latencies)
 	return table.Row{
 		s.name,
--- a/internal/demo/tour.go
+++ b/internal/demo/tour.go
@@ -53,14 +53,14 @@
 
 func (t *tour) run(ctx context.Context) error {
 	steps := []step{
-		{name: "baseline sweep", count: sweeps, query: callerclient.Query{
+		{name: "baseline sweep", count: sweeps, query: callerapi.Query{
 			Workload: "diff-review", Body: json.RawMessage(`{"sweep":"all forms"}`), DeadlineMS: callerapi.Deadline(deadline),
 		}},
-		{name: "drift check", count: sweeps, query: callerclient.Query{
+		{name: "drift check", count: sweeps, query: callerapi.Query{
 			Workload: "diff-review", Body: json.RawMessage(`{"form":"FJ-112"}`), DeadlineMS: callerapi.Deadline(deadline),
 			Services: []model.ServiceName{"diff-review-03", "diff-review-11"},
 		}},
-		{name: "filing, sent twice", count: 2, sameID: true, query: callerclient.Query{
+		{name: "filing, sent twice", count: 2, sameID: true, query: callerapi.Query{
 			Workload: "audit-archive", Body: json.RawMessage(`{"file":"evidence 4711"}`), DeadlineMS: callerapi.Deadline(deadline),
 		}},
 	}
@@ -77,7 +77,7 @@
 // take asks a step's query and adds a row. It fails if any answer is missing or
 // does not cover every shard.
 func (t *tour) take(ctx context.Context, s *step) error {
-	var last *callerclient.Answer
+	var last *callerapi.Answer
 	var latencies []time.Duration
 	extra, asked := 0, 0
 	if s.sameID {
--- a/test/harness/balancer.go
+++ b/test/harness/balancer.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/samber/lo"
 
 	"github.com/swiftvane/swiftvane/internal/callerclient"
@@ -68,7 +70,7 @@
 
 // Ask sends one query. The error is a *verdict.Error, or what Verify found wrong
 // with the answer.
-func (b *Balancer) Ask(ctx context.Context, body json.RawMessage) (*callerclient.Answer, error) {
+func (b *Balancer) Ask(ctx context.Context, body json.RawMessage) (*callerapi.Answer, error) {
 	urls := *b.ready.Load()
 	if len(urls) == 0 {
 		return nil, verdict.Refuse(verdict.HostNotReady, 0, "no host is ready")
@@ -77,7 +79,7 @@
 	client := &callerclient.Client{
 		URLs: append(append([]string{}, urls[first:]...), urls[:first]...), Caller: "integration", HTTP: b.fleet.HTTP,
 	}
-	answer, err := client.Ask(ctx, callerclient.Query{Workload: b.fleet.Shape.Workload, Body: body})
+	answer, err := client.Ask(ctx, callerapi.Query{Workload: b.fleet.Shape.Workload, Body: body})
 	if err != nil {
 		return nil, err
 	}
@@ -115,7 +117,7 @@
 	return l
 }
 
-func (l *Load) count(answer *callerclient.Answer, err error) {
+func (l *Load) count(answer *callerapi.Answer, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
--- a/test/harness/host.go
+++ b/test/harness/host.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/adminclient"
@@ -75,10 +77,10 @@
 
 // Ask sends one query of all services to this host. The error is a
 // *verdict.Error.
-func (h *Host) Ask(tb testing.TB, workload model.WorkloadName, body json.RawMessage) (*callerclient.Answer, error) {
+func (h *Host) Ask(tb testing.TB, workload model.WorkloadName, body json.RawMessage) (*callerapi.Answer, error) {
 	tb.Helper()
 	client := &callerclient.Client{URLs: []string{h.URL()}, Caller: "integration", HTTP: h.http}
-	return client.Ask(tb.Context(), callerclient.Query{Workload: workload, Body: body})
+	return client.Ask(tb.Context(), callerapi.Query{Workload: workload, Body: body})
 }
 
 // Ready reports whether the host says that it takes queries.
--- a/test/harness/verify.go
+++ b/test/harness/verify.go
@@ -5,7 +5,8 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/swiftvane/swiftvane/internal/callerclient"
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/standin/content"
 )
@@ -13,7 +14,7 @@
 // Verify returns what is wrong with an answer to a query of all services: a
 // result that is not the pinned snapshot's for this very body, or coverage that
 // says more or less than the results.
-func (f *Fleet) Verify(body json.RawMessage, answer *callerclient.Answer) error {
+func (f *Fleet) Verify(body json.RawMessage, answer *callerapi.Answer) error {
 	covered := map[model.ShardID]bool{}
 	for _, result := range answer.Results {
 		if covered[result.Shard] {
--- a/test/integration/atmostonce_test.go
+++ b/test/integration/atmostonce_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/callerapi"
+
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
@@ -103,14 +106,14 @@
 func send(f *harness.Fleet, host *harness.Host, h *history) {
 	client := &callerclient.Client{URLs: []string{host.URL()}, Caller: "once", HTTP: f.HTTP}
 	body := json.RawMessage(fmt.Sprintf(`{"order":%q}`, h.id))
-	_, err := client.Ask(context.Background(), callerclient.Query{
+	_, err := client.Ask(context.Background(), callerapi.Query{
 		Workload: f.Shape.Workload, Body: body, RequestID: h.id, DeadlineMS: lo.ToPtr[int64](sendDeadlineMS),
 	})
 	if err == nil {
 		h.add(sending{verdict: verdict.Ran})
 		return
 	}
-	failure, ok := err.(*verdict.Error) //nolint:errorlint // Ask documents its type.
+	failure, ok := errors.AsType[*verdict.Error](err)
 	if !ok {
 		panic(err)
 	}
--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -74,7 +74,7 @@
 	for range onceAttempts {
 		host := f.Hosts[random.IntN(len(f.Hosts))]
 		client := &callerclient.Client{URLs: []string{host.URL()}, Caller: "filing-desk", HTTP: f.HTTP}
-		_, err := client.Ask(t.Context(), callerclient.Query{
+		_, err := client.Ask(t.Context(), callerapi.Query{
 			Workload: f.Shape.Workload, Body: harness.Body(body), DeadlineMS: callerapi.Deadline(onceDeadline), RequestID: id,
 		})
 		var failure *verdict.Error
