--- a/internal/capacity/control.go
+++ b/internal/capacity/control.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/cputime"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/model"
@@ -39,12 +41,12 @@
 
 // watchIdle fills in the idle cost of each member and second.
 func (m *members) watchIdle(ctx context.Context, slope *FleetSlope) {
-	cpu, carried, began := cpuTime(), m.traffic(), time.Now()
+	cpu, carried, began := cputime.Used(), m.traffic(), time.Now()
 	sleep(ctx, idleTime)
 	seconds := time.Since(began).Seconds()
 	each := seconds * float64(len(m.all))
 	now := m.traffic()
-	slope.CPUUS = microseconds(cpuTime()-cpu) / each
+	slope.CPUUS = microseconds(cputime.Used()-cpu) / each
 	slope.Bytes = float64(now.bytes-carried.bytes) / each
 	slope.Messages = float64(now.messages-carried.messages) / each
 	slope.Watchers = m.watchers(ctx)
@@ -63,7 +65,7 @@
 
 // change publishes changes and returns what one costs each host beyond idling.
 func (m *members) change(ctx context.Context, slope *FleetSlope) (changeCost, error) {
-	cpu, carried, began := cpuTime(), m.traffic(), time.Now()
+	cpu, carried, began := cputime.Used(), m.traffic(), time.Now()
 	var took []time.Duration
 	for range changesMeasured {
 		next, err := nextDocument(m.platform.doc)
@@ -82,7 +84,7 @@
 	idle := time.Since(began).Seconds() * float64(len(m.all))
 	each := float64(changesMeasured * len(m.all))
 	return changeCost{
-		cpuUS: max(0, microseconds(cpuTime()-cpu)-idle*slope.CPUUS) / each,
+		cpuUS: max(0, microseconds(cputime.Used()-cpu)-idle*slope.CPUUS) / each,
 		bytes: max(0, float64(m.traffic().bytes-carried.bytes)-idle*slope.Bytes) / each,
 	}, nil
 }
--- a/internal/capacity/instant.go
+++ b/internal/capacity/oneview.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"context"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -9,9 +8,6 @@
 	"github.com/swiftvane/swiftvane/internal/config"
 	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
 	"github.com/swiftvane/swiftvane/internal/view"
 )
 
@@ -21,38 +17,6 @@
 	measuredRegion   model.Region       = "region-1"
 )
 
-// instantDialer opens connections to targets that answer at once, without I/O.
-type instantDialer struct{}
-
-// Dial implements target.Dialer.
-func (instantDialer) Dial(context.Context, *model.Target, time.Duration) (target.Conn, error) {
-	return instantConn{}, nil
-}
-
-// instantConn answers every exchange with its own body.
-type instantConn struct{}
-
-// Search implements target.Conn.
-func (instantConn) Search(_ context.Context, batch []target.Exchange) []*subquery.Answer {
-	answers := make([]*subquery.Answer, len(batch))
-	for i := range batch {
-		answers[i] = &subquery.Answer{Verdict: verdict.Ran, Snapshot: batch[i].Request.Snapshot, Body: batch[i].Request.Body}
-	}
-	return answers
-}
-
-// Cancel implements target.Conn.
-func (instantConn) Cancel(context.Context, []uint64) error { return nil }
-
-// Probe implements target.Conn.
-func (instantConn) Probe(context.Context) (subquery.Load, error) { return subquery.Load{}, nil }
-
-// Broken implements target.Conn.
-func (instantConn) Broken() bool { return false }
-
-// Close implements target.Conn.
-func (instantConn) Close() error { return nil }
-
 // fixedView is a view.Source of one view.
 type fixedView struct{ v atomic.Pointer[view.View] }
 
--- a/internal/capacity/subrequest.go
+++ b/internal/capacity/subrequest.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/standin/instant"
+
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -36,7 +38,7 @@
 }
 
 func newLocal(views view.Source, log logrus.FieldLogger) *dispatch.Local {
-	local := dispatch.NewLocal(dispatch.Options{Views: views, Dialer: instantDialer{}, Scope: tally.NoopScope, Log: log})
+	local := dispatch.NewLocal(dispatch.Options{Views: views, Dialer: instant.Dialer{}, Scope: tally.NoopScope, Log: log})
 	local.Start()
 	return local
 }
--- a/internal/capacity/usage.go
+++ b/internal/capacity/usage.go
@@ -4,18 +4,9 @@
 	"runtime"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/swiftvane/swiftvane/internal/cputime"
 )
 
-// cpuTime returns the processor time that this process has used.
-func cpuTime() time.Duration {
-	var u unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // usedMemory returns the bytes in live heap objects and goroutine stacks.
 func usedMemory() float64 {
 	runtime.GC()
@@ -28,11 +19,11 @@
 // cpuPer runs work and returns the processor time of one of n units, in
 // microseconds.
 func cpuPer(n int, work func() error) (float64, error) {
-	before := cpuTime()
+	before := cputime.Used()
 	if err := work(); err != nil {
 		return 0, err
 	}
-	return microseconds(cpuTime()-before) / float64(n), nil
+	return microseconds(cputime.Used()-before) / float64(n), nil
 }
 
 func microseconds(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sys/unix"
 
 	"github.com/swiftvane/swiftvane/internal/config"
 	"github.com/swiftvane/swiftvane/internal/model"
@@ -250,12 +249,3 @@
 		Deadline: time.Now().Add(left),
 	}
 }
-
-// cpuTime returns the processor time that this process has used.
-func cpuTime() time.Duration {
-	var u unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/internal/dispatch/remote_test.go
+++ b/internal/dispatch/remote_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/cputime"
+
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
@@ -106,7 +108,7 @@
 			r, _ := startPair(b, ownView("h1", targets, 64, 1000), newFakeTargets())
 			body := []byte(`{"query":"kiosk"}`)
 			b.ReportAllocs()
-			before := cpuTime()
+			before := cputime.Used()
 			for b.Loop() {
 				done := make(chan struct{}, shards)
 				for i := range shards {
@@ -118,7 +120,7 @@
 					<-done
 				}
 			}
-			b.ReportMetric(float64((cpuTime()-before).Microseconds())/float64(b.N)/float64(shards), "cpu-µs/subrequest")
+			b.ReportMetric(float64((cputime.Used()-before).Microseconds())/float64(b.N)/float64(shards), "cpu-µs/subrequest")
 		})
 	}
 }
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -2,25 +2,17 @@
 
 import (
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/cputime"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/swiftvane/swiftvane/internal/subquery"
 	"github.com/swiftvane/swiftvane/internal/verdict"
 )
 
-// cpuTime returns the processor time that this process has used.
-func cpuTime() time.Duration {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // BenchmarkCall measures a sub-request to a peer and its answer, both ends in
 // this process. cpu-µs/op is the processor time of both ends together.
 func BenchmarkCall(b *testing.B) {
@@ -49,7 +41,7 @@
 	var wg sync.WaitGroup
 	b.ReportAllocs()
 	b.ResetTimer()
-	began := cpuTime()
+	began := cputime.Used()
 	for range b.N {
 		slots <- struct{}{}
 		wg.Add(1)
@@ -65,5 +57,5 @@
 	wg.Wait()
 	frames := scope.Snapshot().Counters()["peer.frames_sent+"].Value()
 	b.ReportMetric(float64(b.N)/float64(frames), "msgs/frame")
-	b.ReportMetric(float64((cpuTime()-began).Microseconds())/float64(b.N), "cpu-µs/op")
+	b.ReportMetric(float64((cputime.Used()-began).Microseconds())/float64(b.N), "cpu-µs/op")
 }
--- a/internal/query/fleet_test.go
+++ b/internal/query/fleet_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/cputime"
+
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
@@ -182,9 +184,9 @@
 						require.NoError(b, h.cluster.SetFaults(faults))
 						openLoop(rate, 2*time.Second, h.run)
 						before := h.counter("subrequests_sent")
-						cpu := cpuTime()
+						cpu := cputime.Used()
 						r := openLoop(rate, scenarioTime, h.run)
-						cpu = cpuTime() - cpu
+						cpu = cputime.Used() - cpu
 						regular := (r.ok.Load() + r.failed.Load()) * int64(h.shape.Services)
 						b.ReportMetric(r.quantile(0.5), "p50-ms")
 						b.ReportMetric(r.quantile(0.99), "p99-ms")
