--- a/cmd/swiftvaned/command.go
+++ b/cmd/swiftvaned/command.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"os"
 
 	"github.com/spf13/cobra"
 
 	"github.com/swiftvane/swiftvane/internal/exitcode"
 	"github.com/swiftvane/swiftvane/internal/settings"
 	"github.com/swiftvane/swiftvane/internal/version"
+	"github.com/swiftvane/swiftvane/platform"
 )
 
 // flags are the daemon's.
@@ -34,6 +36,9 @@
 }
 
 func (f *flags) run(cmd *cobra.Command) error {
+	if path := os.Getenv(platform.SettingsVariable); path != "" && f.settingsFile == "" {
+		return servePlatform(path)
+	}
 	if f.settingsFile == "" {
 		return exitcode.With(exitcode.Usage, fmt.Errorf("--settings: a file is required"))
 	}
--- /dev/null
+++ b/cmd/swiftvaned/platform.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/edge"
+	"github.com/swiftvane/swiftvane/internal/exitcode"
+	"github.com/swiftvane/swiftvane/internal/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/logging"
+	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/platform"
+)
+
+const (
+	// assumedHosts is the number of hosts that share targets' connections and
+	// budgets while they do not know of each other.
+	assumedHosts = 8
+	// heapShare of the memory limit is the runtime's own limit.
+	heapShare = 0.6
+	// gcPercent lets the heap grow to this many percent of what is in use.
+	gcPercent = 400
+	// logFlush bounds the wait for the last log lines.
+	logFlush = 200 * time.Millisecond
+)
+
+// servePlatform runs a host on the users' platform until a signal asks it to stop.
+func servePlatform(path string) error {
+	node, err := platform.LoadNode(path)
+	if err != nil {
+		return exitcode.With(exitcode.Usage, err)
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(heapShare * float64(node.MemoryBytes)))
+	out := logging.NewBounded(os.Stdout)
+	defer out.Close(logFlush)
+	log, err := logging.New(out, logging.DefaultLevel, model.HostID(node.Host))
+	if err != nil {
+		return exitcode.With(exitcode.Usage, err)
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	host := edge.New(edgeOptions(node, log))
+	if err := host.Start(); err != nil {
+		return err
+	}
+	log.WithFields(logrus.Fields{"caller_addr": node.CallerAddr, "store": node.StoreAddr}).Info("started")
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		log.Info("settings reload asked")
+	}
+	log.Info("stopping")
+	clean := host.Stop()
+	log.WithField("clean", clean).Info("stopped")
+	return nil
+}
+
+func edgeOptions(node *platform.Node, log logrus.FieldLogger) edge.Options {
+	return edge.Options{
+		Host:          node.Host,
+		FailureDomain: node.FailureDomain,
+		CallerAddr:    node.CallerAddr,
+		ReadyAddr:     node.ReadyAddr,
+		ReadyPath:     platform.ReadyPath,
+		StopWithin:    node.StopWithin,
+		Extra:         extrabudget.Limit{Ratio: node.Extra.Ratio, Slack: node.Extra.Slack, Window: node.Extra.Window},
+		Hosts:         assumedHosts,
+		Source:        platform.NewStore(node.StoreAddr),
+		CallerCodec:   platform.CallerCodec{},
+		TargetCodec:   platform.TargetCodec{},
+		Log:           log,
+	}
+}
--- /dev/null
+++ b/internal/catalogsync/follower.go
@@ -0,0 +1,159 @@
+// Package catalogsync keeps a host's view of the store up to date.
+//
+// Two goroutines: one calls the store, the other owns the state and publishes
+// immutable views. Neither waits for traffic and traffic waits for neither.
+package catalogsync
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/catalog"
+)
+
+const (
+	// watchWait is the longest a watch waits for a first change. A connection
+	// that went silent is noticed after this time and a little.
+	watchWait = 2500 * time.Millisecond
+	// watchPause is the least time between two watches, so that a run of
+	// changes costs few calls.
+	watchPause = 600 * time.Millisecond
+	// retryFirst and retryLast bound the pause after a failed call.
+	retryFirst = 150 * time.Millisecond
+	retryLast  = 900 * time.Millisecond
+	// returnHold is how long an entry that vanished while the store was away
+	// is kept after its return: living targets write theirs again by then.
+	returnHold = 2300 * time.Millisecond
+)
+
+// Follower follows the store.
+type Follower struct {
+	source  Source
+	log     logrus.FieldLogger
+	view    atomic.Pointer[catalog.View]
+	updates chan update
+	onView  func(*catalog.View)
+	calls   atomic.Int64
+}
+
+// update is what the calling goroutine hands to the owner of the state.
+type update struct {
+	batch Batch
+	// returned is set on the first success after a failure.
+	returned bool
+}
+
+// New returns a follower whose Run must be called. Each view is passed to
+// onView, from one goroutine.
+func New(source Source, log logrus.FieldLogger, onView func(*catalog.View)) *Follower {
+	f := &Follower{source: source, log: log, updates: make(chan update), onView: onView}
+	f.view.Store(catalog.NewView(nil, 0, nil))
+	return f
+}
+
+// View returns the newest view. It is never nil.
+func (f *Follower) View() *catalog.View { return f.view.Load() }
+
+// Calls is the number of calls made to the store.
+func (f *Follower) Calls() int64 { return f.calls.Load() }
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	go f.read(ctx)
+	f.own(ctx)
+}
+
+// read calls the store: all entries once, then what changes.
+func (f *Follower) read(ctx context.Context) {
+	revision, failures := int64(0), 0
+	for ctx.Err() == nil {
+		f.calls.Add(1)
+		began := time.Now()
+		batch, err := f.call(revision)
+		switch {
+		case errors.Is(err, ErrCompacted):
+			f.log.WithField("revision", revision).Warn("store dropped its history; reading all entries again")
+			revision = 0
+			continue
+		case err != nil:
+			failures++
+			if failures == 1 {
+				f.log.WithError(err).WithField("revision", revision).Warn("store lost; the last view stays in force")
+			}
+			pause(ctx, backoff(failures))
+			continue
+		}
+		if failures > 0 {
+			f.log.WithField("failed_calls", failures).Info("store regained")
+		}
+		f.hand(ctx, update{batch: batch, returned: failures > 0})
+		failures = 0
+		revision = batch.Revision
+		if !batch.Full {
+			pause(ctx, watchPause-time.Since(began))
+		}
+	}
+}
+
+func (f *Follower) call(revision int64) (Batch, error) {
+	if revision == 0 {
+		return f.source.Read()
+	}
+	return f.source.Watch(revision, watchWait)
+}
+
+func (f *Follower) hand(ctx context.Context, u update) {
+	select {
+	case f.updates <- u:
+	case <-ctx.Done():
+	}
+}
+
+// own applies updates and publishes a view after each that changed something.
+func (f *Follower) own(ctx context.Context) {
+	s := newState(f.log)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		var changed bool
+		select {
+		case <-ctx.Done():
+			return
+		case u := <-f.updates:
+			changed = s.apply(u, time.Now())
+		case <-timer.C:
+			changed = s.expire(time.Now())
+		}
+		if changed {
+			v := s.view()
+			f.view.Store(v)
+			f.onView(v)
+		}
+		timer.Reset(s.nextExpiry(time.Now()))
+	}
+}
+
+// backoff is the pause after that many failures in a row, with jitter so that
+// hosts do not return together.
+func backoff(failures int) time.Duration {
+	d := retryFirst << min(failures-1, 8)
+	d = min(d, retryLast)
+	return d/2 + rand.N(d/2)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,139 @@
+// Package edge wires one host of the tier on the users' platform: the follower
+// of the store, the pools of targets, the executor and the listeners. It owns
+// the order in which they start and stop.
+package edge
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/catalogsync"
+	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/front"
+	"github.com/swiftvane/swiftvane/internal/relay"
+	"github.com/swiftvane/swiftvane/internal/targetpool"
+)
+
+// Options are a host's settings and its adapters to the platform.
+type Options struct {
+	Host          string
+	FailureDomain string
+	CallerAddr    string
+	ReadyAddr     string
+	ReadyPath     string
+	// StopWithin is the time from the stop signal to the forced end.
+	StopWithin time.Duration
+	// Extra bounds the extra sub-requests of a service over all hosts.
+	Extra extrabudget.Limit
+	// Hosts is the number of hosts that share what targets allow.
+	Hosts       int
+	Source      catalogsync.Source
+	CallerCodec exchange.CallerCodec
+	TargetCodec exchange.TargetCodec
+	Log         logrus.FieldLogger
+}
+
+const (
+	// extraSafety is the part of the allowed ratio that a host uses, since its
+	// windows and those of the bound don't begin together.
+	extraSafety = 0.9
+	// retireAfter is the part of the stop time in which connections stay open,
+	// so that the balancer has stopped sending new ones.
+	retireAfter = 0.4
+	// closeIdleAfter is the part after which idle connections are closed.
+	closeIdleAfter = 0.65
+	// closeIdleEvery is how often connections that became idle are closed.
+	closeIdleEvery = 50 * time.Millisecond
+	// stopReserve is kept between the last connection's end and the forced one.
+	stopReserve = 400 * time.Millisecond
+)
+
+// Edge is one host.
+type Edge struct {
+	opts      Options
+	follower  *catalogsync.Follower
+	directory *targetpool.Directory
+	server    *front.Server
+	ready     *readiness
+	callers   net.Listener
+	cancel    context.CancelFunc
+}
+
+// New builds a host; nothing runs yet.
+func New(opts Options) *Edge {
+	e := &Edge{opts: opts}
+	e.directory = targetpool.NewDirectory(targetpool.Options{
+		Codec:  opts.TargetCodec,
+		Dialer: targetpool.TCPDialer{},
+		Log:    opts.Log,
+		Extra: extrabudget.Limit{
+			Ratio:  opts.Extra.Ratio * extraSafety,
+			Slack:  opts.Extra.Slack / float64(2*max(opts.Hosts, 1)),
+			Window: opts.Extra.Window,
+		},
+		Hosts: opts.Hosts,
+	})
+	e.follower = catalogsync.New(opts.Source, opts.Log, e.directory.Update)
+	executor := relay.NewExecutor(relay.Options{
+		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Log: opts.Log,
+	})
+	e.server = front.New(front.Options{
+		Codec: opts.CallerCodec, Handler: executor, Observer: newObserver(opts.Log), Log: opts.Log,
+	})
+	e.ready = newReadiness(opts.ReadyPath, e.follower)
+	return e
+}
+
+// Start opens the listeners and begins to follow the store.
+func (e *Edge) Start() error {
+	callers, err := net.Listen("tcp", e.opts.CallerAddr)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	e.callers = callers
+	if err := e.ready.listen(e.opts.ReadyAddr, e.opts.Log); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go e.follower.Run(ctx)
+	go func() {
+		if err := e.server.Serve(callers); err != nil {
+			e.opts.Log.WithError(err).Info("callers' listener closed")
+		}
+	}()
+	return nil
+}
+
+// Stop ends the host in order: not ready, then connections close behind their
+// next answer, then idle ones close. It reports whether no request was cut.
+func (e *Edge) Stop() bool {
+	began := time.Now()
+	at := func(share float64) time.Time {
+		return began.Add(time.Duration(share * float64(e.opts.StopWithin)))
+	}
+	e.ready.stop()
+	time.Sleep(time.Until(at(retireAfter)))
+	e.server.Retire()
+	time.Sleep(time.Until(at(closeIdleAfter)))
+	if err := e.callers.Close(); err != nil {
+		e.opts.Log.WithError(err).Warn("callers' listener did not close")
+	}
+	end := began.Add(e.opts.StopWithin - stopReserve)
+	clean := false
+	for !clean && time.Now().Before(end) {
+		e.server.CloseIdle()
+		clean = e.server.Wait(time.Now().Add(closeIdleEvery))
+	}
+	e.cancel()
+	return clean
+}
+
+// View returns what the host believes.
+func (e *Edge) View() *catalog.View { return e.follower.View() }
--- /dev/null
+++ b/internal/edge/readiness.go
@@ -0,0 +1,58 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/catalogsync"
+)
+
+// readyTimeout bounds one question of the balancer.
+const readyTimeout = 2 * time.Second
+
+// readiness answers the balancer. A host is ready while it knows a
+// configuration and has not been asked to stop.
+type readiness struct {
+	path     string
+	follower *catalogsync.Follower
+	stopping atomic.Bool
+}
+
+func newReadiness(path string, follower *catalogsync.Follower) *readiness {
+	return &readiness{path: path, follower: follower}
+}
+
+func (r *readiness) listen(addr string, log logrus.FieldLogger) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return eris.Wrap(err, "listen for the balancer")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(r.path, r.answer)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout}
+	go func() {
+		if err := server.Serve(l); err != nil {
+			log.WithError(err).Info("balancer's listener closed")
+		}
+	}()
+	return nil
+}
+
+func (r *readiness) stop() { r.stopping.Store(true) }
+
+func (r *readiness) isReady() bool {
+	return !r.stopping.Load() && r.follower.View().Config != nil
+}
+
+func (r *readiness) answer(w http.ResponseWriter, _ *http.Request) {
+	if !r.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/logging/bounded.go
@@ -0,0 +1,82 @@
+package logging
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// boundedLines is the number of lines that wait for a slow reader.
+	boundedLines = 2048
+	// batchBytes bounds one write.
+	batchBytes = 32 << 10
+)
+
+// Bounded is a writer that never blocks: one goroutine writes the lines, and a
+// line that finds the queue full is dropped and counted.
+type Bounded struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewBounded returns a writer to out whose goroutine runs until Close.
+func NewBounded(out io.Writer) *Bounded {
+	b := &Bounded{out: out, lines: make(chan []byte, boundedLines), done: make(chan struct{})}
+	go b.run()
+	return b
+}
+
+// Write implements io.Writer; it takes one line.
+func (b *Bounded) Write(line []byte) (int, error) {
+	select {
+	case b.lines <- append([]byte(nil), line...):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Close writes what is queued, waiting at most the given time.
+func (b *Bounded) Close(within time.Duration) {
+	b.once.Do(func() { b.lines <- nil })
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	select {
+	case <-b.done:
+	case <-timer.C:
+	}
+}
+
+func (b *Bounded) run() {
+	defer close(b.done)
+	batch := make([]byte, 0, batchBytes)
+	for line := range b.lines {
+		if line == nil {
+			return
+		}
+		batch = append(batch[:0], line...)
+		ended := false
+		for more := true; more && len(batch) < batchBytes; {
+			select {
+			case next := <-b.lines:
+				ended = next == nil
+				more = !ended
+				batch = append(batch, next...)
+			default:
+				more = false
+			}
+		}
+		if n := b.dropped.Swap(0); n > 0 {
+			batch = fmt.Appendf(batch, "{\"level\":\"warning\",\"message\":\"log lines were dropped: the reader is too slow\",\"lines\":%d}\n", n)
+		}
+		if _, err := b.out.Write(batch); err != nil || ended {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/executor.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/replica"
+	"github.com/swiftvane/swiftvane/internal/targetpool"
+)
+
+// retryNoConfig is when a caller may ask a host again that knows no configuration.
+const retryNoConfig = 500 * time.Millisecond
+
+// Snapshots returns the newest view with its pools.
+type Snapshots interface {
+	Snapshot() *targetpool.Snapshot
+}
+
+// Options are what an Executor needs.
+type Options struct {
+	Snapshots Snapshots
+	// FailureDomain is the host's own.
+	FailureDomain string
+	Log           logrus.FieldLogger
+}
+
+// Executor serves requests. It is safe for concurrent use.
+type Executor struct {
+	opts   Options
+	kinds  kinds
+	splits splits
+}
+
+// NewExecutor returns an executor.
+func NewExecutor(opts Options) *Executor { return &Executor{opts: opts} }
+
+// Limits returns the limits in force, or false where no configuration is known.
+func (e *Executor) Limits() (catalog.Limits, bool) {
+	config := e.opts.Snapshots.Snapshot().View.Config
+	if config == nil {
+		return catalog.Limits{}, false
+	}
+	return config.Limits, true
+}
+
+// Serve returns the answer to one request. gone is closed when the caller has
+// left; the answer is then of no use.
+func (e *Executor) Serve(r *exchange.Request, gone <-chan struct{}) *exchange.Answer {
+	snapshot := e.opts.Snapshots.Snapshot()
+	config := snapshot.View.Config
+	if config == nil {
+		return refuse(exchange.NoConfiguration, retryNoConfig)
+	}
+	route := config.Match(r.Host, r.URI)
+	if route == nil {
+		return &exchange.Answer{Status: 404, Reason: exchange.NoRoute}
+	}
+	k := e.kinds.of(route)
+	run := &run{
+		executor: e, snapshot: snapshot, route: route, request: r, gone: gone,
+		kind: k, pace: k.pace(route, time.Now()), times: newSchedule(route, r),
+	}
+	if route.Sweep() {
+		return run.sweep()
+	}
+	return run.single(e.splits.pick(route))
+}
+
+// refuse is for requests that have not run.
+func refuse(reason exchange.Reason, after time.Duration) *exchange.Answer {
+	return &exchange.Answer{Status: 503, Reason: reason, RetryAfter: after}
+}
+
+// candidate describes a pool's target to the replica choice.
+func (e *Executor) candidate(p *targetpool.Pool, now time.Time) replica.Candidate {
+	t := p.Target()
+	return replica.Candidate{
+		Load:    p.Load(now),
+		Warming: now.Before(t.WarmUntil),
+		Remote:  t.FailureDomain != e.opts.FailureDomain,
+	}
+}
+
+// choose returns the best pool that is not in tried, or nil.
+func (e *Executor) choose(pools []*targetpool.Pool, tried []*targetpool.Pool, usual time.Duration, now time.Time) *targetpool.Pool {
+	left := make([]*targetpool.Pool, 0, len(pools))
+	candidates := make([]replica.Candidate, 0, len(pools))
+	for _, p := range pools {
+		if contains(tried, p) {
+			continue
+		}
+		left = append(left, p)
+		candidates = append(candidates, e.candidate(p, now))
+	}
+	best := replica.Choose(candidates, usual, rand.Float64)
+	if best < 0 {
+		return nil
+	}
+	return left[best]
+}
+
+func contains(pools []*targetpool.Pool, p *targetpool.Pool) bool {
+	for _, q := range pools {
+		if q == p {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/relay/kind.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/latency"
+)
+
+const (
+	// usualQuantile of a route's sub-requests is their usual time.
+	usualQuantile = 0.5
+	// stragglerQuantile of them answer before a hedge is sent.
+	stragglerQuantile = 0.93
+	// guessShare of the objective is the usual time before there are samples.
+	guessShare = 0.12
+	// guessFactor of the usual time makes a straggler before there are samples.
+	guessFactor = 2.5
+	// paceRefresh is how long a computed pace is reused.
+	paceRefresh = 200 * time.Millisecond
+	// maxKinds bounds the routes that are remembered.
+	maxKinds = 4096
+)
+
+// pace is how fast a route's sub-requests are answered.
+type pace struct {
+	usual time.Duration
+	// straggler is the time after which a sub-request counts as late.
+	straggler time.Duration
+}
+
+// kind is what is known of one route's sub-requests.
+type kind struct {
+	times latency.Histogram
+
+	mu      sync.Mutex
+	cached  pace
+	expires time.Time
+}
+
+// observe notes the time of an attempt that was answered.
+func (k *kind) observe(took time.Duration, now time.Time) { k.times.Observe(took, now) }
+
+// pace returns the route's pace at now.
+func (k *kind) pace(route *catalog.Route, now time.Time) pace {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now.Before(k.expires) {
+		return k.cached
+	}
+	k.expires = now.Add(paceRefresh)
+	usual, ok := k.times.Quantile(usualQuantile, now)
+	if !ok {
+		usual = time.Duration(guessShare * float64(route.Objective))
+		k.cached = pace{usual: usual, straggler: time.Duration(guessFactor * float64(usual))}
+		return k.cached
+	}
+	late, _ := k.times.Quantile(stragglerQuantile, now)
+	k.cached = pace{usual: usual, straggler: late}
+	return k.cached
+}
+
+// kinds holds the kinds by route name.
+type kinds struct {
+	mu    sync.Mutex
+	known map[string]*kind
+}
+
+func (k *kinds) of(route *catalog.Route) *kind {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	found, ok := k.known[route.Name]
+	if !ok {
+		if k.known == nil || len(k.known) >= maxKinds {
+			k.known = map[string]*kind{}
+		}
+		found = &kind{}
+		k.known[route.Name] = found
+	}
+	return found
+}
--- /dev/null
+++ b/internal/relay/run.go
@@ -0,0 +1,143 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/targetpool"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+const (
+	// loserGrace is how long a sub-request that nobody waits for any more may
+	// run on before its connection is closed: a new connection costs the target
+	// about as much as the rest of the work.
+	loserGrace = 350 * time.Millisecond
+	// leftGrace is the same after the caller has left.
+	leftGrace = 150 * time.Millisecond
+	// spareEvents is the room for outcomes beyond one for each attempt.
+	spareEvents = 8
+)
+
+// run is one request being served.
+type run struct {
+	executor *Executor
+	snapshot *targetpool.Snapshot
+	route    *catalog.Route
+	request  *exchange.Request
+	gone     <-chan struct{}
+	kind     *kind
+	pace     pace
+	times    schedule
+	events   chan event
+}
+
+// leg is the part of a run at one service.
+type leg struct {
+	group    *targetpool.Group
+	attempts []attempt
+	tried    []*targetpool.Pool
+	// open counts attempts without an outcome, ran those that may have run.
+	open    int
+	ran     int
+	hedgeAt time.Time
+	hedged  bool
+	settled bool
+	reply   *exchange.Reply
+	// failure is the last reply that was no success.
+	failure *exchange.Reply
+}
+
+type attempt struct {
+	call *targetpool.Call
+	pool *targetpool.Pool
+}
+
+// event is an attempt's outcome.
+type event struct {
+	leg     int
+	attempt int
+	outcome targetpool.Outcome
+}
+
+// start sends the first attempt of a leg and reports whether there was a target.
+func (r *run) start(l *leg, index int, now time.Time) bool {
+	if l.group == nil {
+		return false
+	}
+	l.group.CountRequest(now)
+	return r.send(l, index, now)
+}
+
+// send sends one more attempt of a leg to the best target that had none.
+func (r *run) send(l *leg, index int, now time.Time) bool {
+	pool := r.executor.choose(l.group.Pools, l.tried, r.pace.usual, now)
+	if pool == nil {
+		return false
+	}
+	number := len(l.attempts)
+	call := &targetpool.Call{
+		Request:  r.request,
+		Deadline: r.times.deadline,
+		Priority: r.route.Priority,
+		Expected: r.pace.usual,
+		Done:     func(o targetpool.Outcome) { r.events <- event{leg: index, attempt: number, outcome: o} },
+	}
+	l.attempts = append(l.attempts, attempt{call: call, pool: pool})
+	l.tried = append(l.tried, pool)
+	l.open++
+	l.hedgeAt = r.times.hedgeTime(now, r.pace)
+	pool.Submit(call)
+	return true
+}
+
+// again sends another attempt after one that failed, if the route, the
+// service's bound on extra load and the targets allow it.
+func (r *run) again(l *leg, index int, now time.Time) bool {
+	if !r.mayRepeat(l) || len(l.tried) >= len(l.group.Pools) {
+		return false
+	}
+	if !l.group.TakeExtra(now) {
+		return false
+	}
+	return r.send(l, index, now)
+}
+
+// mayRepeat reports whether one more target may get the request. What may have
+// run is repeated only where the route allows it.
+func (r *run) mayRepeat(l *leg) bool {
+	if l.ran > 0 && !r.route.Idempotent {
+		return false
+	}
+	return l.ran+l.open < r.route.MaxAttempts
+}
+
+// take notes an attempt's outcome and reports whether it succeeded.
+func (r *run) take(l *leg, ev event) bool {
+	l.open--
+	o := ev.outcome
+	if o.Verdict != verdict.NotRun {
+		l.ran++
+	}
+	if o.Reply != nil && o.Reply.Success() {
+		r.kind.observe(o.Ended.Sub(o.Sent), o.Ended)
+		l.reply = o.Reply
+		l.settled = true
+		return true
+	}
+	if o.Reply != nil && o.Verdict == verdict.Ran {
+		l.failure = o.Reply
+	}
+	return false
+}
+
+// withdraw ends the attempts of a leg that have no outcome yet.
+func (l *leg) withdraw(within time.Duration) {
+	if l.open == 0 {
+		return
+	}
+	for _, a := range l.attempts {
+		a.pool.Withdraw(a.call, within)
+	}
+}
--- /dev/null
+++ b/internal/relay/single.go
@@ -0,0 +1,112 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// retryNoRoom is when a caller may ask again after no target could take it.
+const retryNoRoom = 300 * time.Millisecond
+
+// single serves a request from one target of a service.
+func (r *run) single(service catalog.ServiceName) *exchange.Answer {
+	s := &single{run: r}
+	r.events = make(chan event, r.route.MaxAttempts+maxRefusals+spareEvents)
+	s.leg.group = r.snapshot.Group(service)
+	if !r.start(&s.leg, 0, time.Now()) {
+		return refuse(exchange.NoTarget, retryNoRoom)
+	}
+	answer := s.wait()
+	grace := loserGrace
+	if answer.Reason == exchange.CallerLeft {
+		grace = leftGrace
+	}
+	s.leg.withdraw(grace)
+	return answer
+}
+
+// maxRefusals bounds the targets that may refuse one request before the caller
+// is refused.
+const maxRefusals = 4
+
+// single is a run at one service.
+type single struct {
+	*run
+	leg     leg
+	refused int
+}
+
+func (s *single) wait() *exchange.Answer {
+	now := time.Now()
+	timer := time.NewTimer(s.nextTime(now).Sub(now))
+	defer timer.Stop()
+	for {
+		select {
+		case ev := <-s.events:
+			if answer := s.outcome(ev, time.Now()); answer != nil {
+				return answer
+			}
+		case <-timer.C:
+			now := time.Now()
+			if !now.Before(s.times.final) {
+				return &exchange.Answer{Status: 504, Reason: exchange.TimedOut}
+			}
+			s.hedge(now)
+			timer.Reset(max(s.nextTime(now).Sub(now), time.Millisecond))
+		case <-s.gone:
+			return &exchange.Answer{Status: 499, Reason: exchange.CallerLeft, CloseConnection: true}
+		}
+	}
+}
+
+// outcome returns the answer, or nil while another attempt may bring one.
+func (s *single) outcome(ev event, now time.Time) *exchange.Answer {
+	l := &s.leg
+	if s.take(l, ev) {
+		return &exchange.Answer{Status: l.reply.Status, Relayed: l.reply}
+	}
+	if ev.outcome.Verdict == verdict.NotRun {
+		s.refused++
+	}
+	if r := ev.outcome.Reply; r != nil && ev.outcome.Verdict == verdict.Ran && r.Status < 500 && r.Status >= 300 {
+		return &exchange.Answer{Status: r.Status, Relayed: r}
+	}
+	if s.refused < maxRefusals && s.again(l, 0, now) || l.open > 0 {
+		return nil
+	}
+	return s.failed(ev)
+}
+
+// failed is the answer once no attempt is left.
+func (s *single) failed(ev event) *exchange.Answer {
+	switch {
+	case s.leg.ran == 0:
+		return refuse(exchange.NoRoom, retryNoRoom)
+	case s.leg.failure != nil && s.leg.failure.Status >= 300:
+		return &exchange.Answer{Status: s.leg.failure.Status, Relayed: s.leg.failure}
+	case ev.outcome.Reply == nil:
+		return &exchange.Answer{Status: 502, Reason: exchange.TargetSilent}
+	default:
+		return &exchange.Answer{Status: 502, Reason: exchange.TargetFailed}
+	}
+}
+
+// hedge asks a second target where the first is late and a repetition is allowed.
+func (s *single) hedge(now time.Time) {
+	l := &s.leg
+	if !s.route.Idempotent || l.hedged || now.Before(l.hedgeAt) {
+		return
+	}
+	l.hedged = true
+	s.again(l, 0, now)
+}
+
+func (s *single) nextTime(_ time.Time) time.Time {
+	if s.route.Idempotent && !s.leg.hedged && s.leg.hedgeAt.Before(s.times.final) {
+		return s.leg.hedgeAt
+	}
+	return s.times.final
+}
--- /dev/null
+++ b/internal/relay/sweep.go
@@ -0,0 +1,168 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/exchange"
+)
+
+// sweep asks each shard of the route and merges the parts.
+func (r *run) sweep() *exchange.Answer {
+	s := &sweep{run: r, legs: make([]leg, len(r.route.Shards)), least: r.route.LeastShards()}
+	r.events = make(chan event, len(s.legs)*(r.route.MaxAttempts+1)+spareEvents)
+	now := time.Now()
+	for i, name := range r.route.Shards {
+		s.legs[i].group = r.snapshot.Group(name)
+		if !r.start(&s.legs[i], i, now) {
+			s.settle(i)
+		}
+	}
+	answer := s.wait()
+	grace := loserGrace
+	if answer.Reason == exchange.CallerLeft {
+		grace = leftGrace
+	}
+	for i := range s.legs {
+		s.legs[i].withdraw(grace)
+	}
+	return answer
+}
+
+// sweep is a run over many shards.
+type sweep struct {
+	*run
+	legs  []leg
+	least int
+	// parts counts the shards that answered, settled those that need no wait.
+	parts   int
+	settled int
+	// ran is set once any attempt may have run.
+	ran bool
+}
+
+func (s *sweep) settle(i int) {
+	if !s.legs[i].settled {
+		s.legs[i].settled = true
+	}
+	s.settled++
+}
+
+// wait takes outcomes until the answer is decided.
+func (s *sweep) wait() *exchange.Answer {
+	timer := time.NewTimer(time.Until(s.nextTime(time.Now())))
+	defer timer.Stop()
+	for {
+		now := time.Now()
+		if answer := s.decide(now); answer != nil {
+			return answer
+		}
+		select {
+		case ev := <-s.events:
+			s.outcome(ev, time.Now())
+		case <-timer.C:
+			now = time.Now()
+			s.hedge(now)
+			timer.Reset(max(s.nextTime(now).Sub(now), time.Millisecond))
+		case <-s.gone:
+			return &exchange.Answer{Status: 499, Reason: exchange.CallerLeft, CloseConnection: true}
+		}
+	}
+}
+
+// decide returns the answer once waiting longer serves the caller no better:
+// all shards are settled, the objective is about to pass with enough of them,
+// or the time is over.
+func (s *sweep) decide(now time.Time) *exchange.Answer {
+	enough := s.parts >= s.least
+	switch {
+	case s.settled == len(s.legs) && enough, enough && !now.Before(s.times.onTime):
+		return s.merged()
+	case len(s.legs)-(s.settled-s.parts) < s.least:
+		return s.failed(exchange.LowCoverage)
+	case !now.Before(s.times.final):
+		return s.failed(exchange.TimedOut)
+	default:
+		return nil
+	}
+}
+
+// outcome notes an attempt's end. A shard whose attempt failed is asked again
+// or given up.
+func (s *sweep) outcome(ev event, now time.Time) {
+	l := &s.legs[ev.leg]
+	if l.settled {
+		l.open--
+		return
+	}
+	if s.take(l, ev) {
+		s.parts++
+		s.settled++
+		return
+	}
+	s.ran = s.ran || l.ran > 0
+	if s.again(l, ev.leg, now) || l.open > 0 {
+		return
+	}
+	s.settle(ev.leg)
+}
+
+// hedge sends a second attempt for each shard whose answer is late.
+func (s *sweep) hedge(now time.Time) {
+	for i := range s.legs {
+		l := &s.legs[i]
+		if l.settled || l.hedged || now.Before(l.hedgeAt) {
+			continue
+		}
+		l.hedged = true
+		s.again(l, i, now)
+	}
+}
+
+// nextTime is when something happens without an outcome.
+func (s *sweep) nextTime(now time.Time) time.Time {
+	next := s.times.final
+	if now.Before(s.times.onTime) {
+		next = s.times.onTime
+	}
+	for i := range s.legs {
+		l := &s.legs[i]
+		if !l.settled && !l.hedged && l.hedgeAt.Before(next) {
+			next = l.hedgeAt
+		}
+	}
+	return next
+}
+
+func (s *sweep) merged() *exchange.Answer {
+	signatures := make([]string, 0, s.parts)
+	parts := make([][]byte, 0, s.parts)
+	for i := range s.legs {
+		if reply := s.legs[i].reply; reply != nil {
+			signatures = append(signatures, reply.Signature)
+			parts = append(parts, reply.Body)
+		}
+	}
+	return &exchange.Answer{
+		Status:     200,
+		Signatures: signatures,
+		Missing:    len(s.legs) - len(parts),
+		Body:       greatest(parts, s.route.TopK),
+	}
+}
+
+// failed is the answer without enough shards. It says that the request did not
+// run only where no target may have run it.
+func (s *sweep) failed(reason exchange.Reason) *exchange.Answer {
+	ran := s.ran || s.parts > 0
+	for i := range s.legs {
+		ran = ran || s.legs[i].open > 0 || s.legs[i].ran > 0
+	}
+	switch {
+	case reason == exchange.TimedOut:
+		return &exchange.Answer{Status: 504, Reason: reason}
+	case ran:
+		return &exchange.Answer{Status: 502, Reason: reason}
+	default:
+		return refuse(reason, retryNoRoom)
+	}
+}
--- a/internal/scatter/hedge_test.go
+++ b/internal/scatter/hedge_test.go
@@ -7,13 +7,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/swiftvane/swiftvane/internal/latency"
 	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/subquery"
 )
 
 // warm runs queries until every service has a latency quantile.
 func warm(s *Scatterer, shards int) {
-	for range 2 * minHedgeSamples {
+	for range 2 * latency.MinSamples {
 		runQuery(s, testPlan(shards, 2, testPolicy()), true, time.Minute)
 	}
 }
--- a/internal/scatter/limits.go
+++ b/internal/scatter/limits.go
@@ -22,12 +22,6 @@
 	defaultHedgeDelay = 100 * time.Millisecond
 	// minHedgeDelay keeps timer noise from causing hedges.
 	minHedgeDelay = 500 * time.Microsecond
-	// minHedgeSamples are needed before a quantile is trusted.
-	minHedgeSamples = 32
-	// latencyWindow is the length of one of the two windows of a histogram.
-	latencyWindow = 5 * time.Second
-	// quantileRefresh is how long a computed quantile is reused.
-	quantileRefresh = 100 * time.Millisecond
 
 	// hedgeBudgetShare of the hedge budget is what the delay alone lets through,
 	// so that the budget is seldom empty when a straggler needs it.
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/gather"
+	"github.com/swiftvane/swiftvane/internal/latency"
 	"github.com/swiftvane/swiftvane/internal/plan"
 	"github.com/swiftvane/swiftvane/internal/subquery"
 )
@@ -19,7 +20,7 @@
 	gathered *gather.Gatherer
 	budgets  *budgets
 	// overall is the latency of all services of the workload.
-	overall  *Latency
+	overall  *latency.Histogram
 	shards   []shardState
 	attempts []attempt
 	mail     *mailbox
@@ -190,13 +191,13 @@
 
 // learn takes in what an answer says about its target and service. It may be
 // called from any goroutine.
-func (r *run) learn(req *subquery.Request, stats *TargetStats, latency *Latency, sentAt time.Time, a *subquery.Answer) {
+func (r *run) learn(req *subquery.Request, stats *TargetStats, hist *latency.Histogram, sentAt time.Time, a *subquery.Answer) {
 	now := time.Now()
 	elapsed := now.Sub(sentAt)
 	stats.End(a, elapsed, now)
 	r.s.holdings.Observe(req.Workload, req.Target, &a.Load)
 	if a.OK() {
-		latency.Observe(elapsed, now)
+		hist.Observe(elapsed, now)
 		r.overall.Observe(elapsed, now)
 	}
 }
--- a/internal/scatter/scatterer.go
+++ b/internal/scatter/scatterer.go
@@ -13,6 +13,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/config"
 	"github.com/swiftvane/swiftvane/internal/gather"
+	"github.com/swiftvane/swiftvane/internal/latency"
 	"github.com/swiftvane/swiftvane/internal/metrics"
 	"github.com/swiftvane/swiftvane/internal/model"
 	"github.com/swiftvane/swiftvane/internal/plan"
@@ -48,7 +49,7 @@
 	discarded  *gather.Counters
 	counters   *counters
 	targets    *Table
-	// services maps serviceKey to *Latency.
+	// services maps serviceKey to *latency.Histogram.
 	services sync.Map
 	// budgets maps model.WorkloadName to *budgets.
 	budgets sync.Map
@@ -118,13 +119,13 @@
 	return published
 }
 
-func (s *Scatterer) latency(w model.WorkloadName, svc model.ServiceName) *Latency {
+func (s *Scatterer) latency(w model.WorkloadName, svc model.ServiceName) *latency.Histogram {
 	key := serviceKey{workload: w, service: svc}
 	if l, ok := s.services.Load(key); ok {
-		return l.(*Latency)
+		return l.(*latency.Histogram)
 	}
-	l, _ := s.services.LoadOrStore(key, &Latency{})
-	return l.(*Latency)
+	l, _ := s.services.LoadOrStore(key, &latency.Histogram{})
+	return l.(*latency.Histogram)
 }
 
 func (s *Scatterer) budgetsOf(w model.WorkloadName) *budgets {
--- /dev/null
+++ b/internal/targetpool/conn.go
@@ -0,0 +1,193 @@
+package targetpool
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/replica"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+const (
+	// readBufferBytes holds a usual reply with its headers.
+	readBufferBytes = 4 << 10
+	// deadlineSlack is how long after the caller's deadline a reply is read.
+	deadlineSlack = 150 * time.Millisecond
+	// idleShare is the part of a target's idle time-out after which the host
+	// closes the connection itself, so that no request meets the target's close.
+	idleShare = 0.75
+)
+
+// conn is one connection to a target.
+type conn struct {
+	pool   *Pool
+	raw    net.Conn
+	reader *bufio.Reader
+	out    []byte
+
+	// The pool's lock guards these.
+	call        *Call
+	idleSince   time.Time
+	idleTimeout time.Duration
+
+	// writing is held while a request is written; a reply that comes before
+	// the end of a long body must not free the connection.
+	writing sync.Mutex
+	broken  bool
+	once    sync.Once
+}
+
+func newConn(p *Pool, raw net.Conn) *conn {
+	return &conn{pool: p, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+}
+
+// fresh reports whether the target still keeps the connection open.
+func (c *conn) fresh(now time.Time) bool {
+	return c.idleTimeout == 0 || now.Sub(c.idleSince) < time.Duration(float64(c.idleTimeout)*idleShare)
+}
+
+// send writes the call's request. On an error the reading goroutine ends the call.
+func (c *conn) send(call *Call) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	now := time.Now()
+	deadline := call.Deadline.Add(deadlineSlack)
+	if err := c.raw.SetDeadline(deadline); err != nil {
+		c.broken = true
+		c.close()
+		return
+	}
+	c.out = c.pool.codec.AppendRequest(c.out[:0], call.Request, string(c.pool.target.ID), call.Deadline.Sub(now))
+	if _, err := c.raw.Write(c.out); err != nil {
+		c.broken = true
+		c.close()
+	}
+}
+
+// expireBy closes the connection at a time unless the reply comes before. The
+// pool's lock is held.
+func (c *conn) expireBy(at time.Time) {
+	if err := c.raw.SetReadDeadline(at); err != nil {
+		go c.close()
+	}
+}
+
+// read is the connection's goroutine.
+func (c *conn) read() {
+	for c.readOne() {
+	}
+	c.close()
+}
+
+// readOne waits for one reply and reports whether the connection is still good.
+func (c *conn) readOne() bool {
+	if _, err := c.reader.Peek(1); err != nil {
+		c.fail(err)
+		return false
+	}
+	call := c.current()
+	if call == nil {
+		c.fail(errStrayBytes)
+		return false
+	}
+	reply, err := c.pool.codec.ReadReply(c.reader, call.Request.Bodyless())
+	if err != nil {
+		c.fail(err)
+		return false
+	}
+	if reply.ID != "" && reply.ID != call.Request.ID {
+		c.pool.log.WithFields(logrus.Fields{"request_id": call.Request.ID, "stray_id": reply.ID}).Warn("reply to another request was dropped")
+		return true
+	}
+	return c.complete(call, reply)
+}
+
+func (c *conn) current() *Call {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return c.call
+}
+
+// complete hands the reply over and frees the connection, or closes it where
+// more bytes came, the request is still being written or the target asks so.
+func (c *conn) complete(call *Call, reply *exchange.Reply) bool {
+	good := !reply.Closes && c.reader.Buffered() == 0
+	if good && c.writing.TryLock() {
+		good = !c.broken
+		c.writing.Unlock()
+	} else {
+		good = false
+	}
+	now := time.Now()
+	p := c.pool
+	p.mu.Lock()
+	p.stats.Ended(now, replica.Exchange{Sent: call.sent, Expected: call.Expected, Result: resultOf(reply)})
+	c.idleTimeout = reply.IdleTimeout
+	c.call = nil
+	if !good {
+		delete(p.conns, c)
+	}
+	p.mu.Unlock()
+	finish(call, Outcome{Reply: reply, Verdict: verdictOf(reply), Ended: now})
+	if !good {
+		return false
+	}
+	if err := c.raw.SetDeadline(time.Time{}); err != nil {
+		return false
+	}
+	p.free(c)
+	return true
+}
+
+func resultOf(reply *exchange.Reply) replica.Result {
+	switch {
+	case reply.NotRun, reply.OtherTarget:
+		return replica.Shed
+	case reply.Status >= 500 || !reply.Success() && reply.Status < 300:
+		return replica.Failed
+	default:
+		return replica.Served
+	}
+}
+
+func verdictOf(reply *exchange.Reply) verdict.Verdict {
+	if reply.NotRun || reply.OtherTarget {
+		return verdict.NotRun
+	}
+	return verdict.Ran
+}
+
+// fail ends the call in flight, if any: it may have run.
+func (c *conn) fail(err error) {
+	now := time.Now()
+	p := c.pool
+	p.mu.Lock()
+	call := c.call
+	c.call = nil
+	if call != nil {
+		result := replica.Failed
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			result = replica.Silent
+		}
+		p.stats.Ended(now, replica.Exchange{Sent: call.sent, Expected: call.Expected, Result: result})
+	}
+	p.mu.Unlock()
+	c.close()
+	if call != nil {
+		finish(call, Outcome{Verdict: verdict.Unknown, Err: err, Ended: now})
+	}
+}
+
+func (c *conn) close() {
+	c.once.Do(func() {
+		_ = c.raw.Close() //nolint:errcheck // nothing is left to do with a connection that is given up
+		c.pool.drop(c)
+	})
+}
--- /dev/null
+++ b/internal/targetpool/errors.go
@@ -0,0 +1,11 @@
+package targetpool
+
+import "errors"
+
+// The errors of calls that got no reply.
+var (
+	ErrUnreachable = errors.New("no connection to the target")
+	ErrClosed      = errors.New("the target is no longer in use")
+	ErrExpired     = errors.New("the deadline passed before a connection was free")
+	errStrayBytes  = errors.New("bytes on an idle connection")
+)
--- /dev/null
+++ b/internal/targetpool/group.go
@@ -0,0 +1,37 @@
+package targetpool
+
+import (
+	"sync"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/extrabudget"
+)
+
+// Group holds the pools of one service's targets that take new work.
+type Group struct {
+	Service catalog.ServiceName
+	Pools   []*Pool
+	extra   *guardedBudget
+}
+
+// guardedBudget outlives the groups of its service.
+type guardedBudget struct {
+	mu     sync.Mutex
+	budget *extrabudget.Budget
+}
+
+// CountRequest counts one request for the service.
+func (g *Group) CountRequest(now time.Time) {
+	g.extra.mu.Lock()
+	defer g.extra.mu.Unlock()
+	g.extra.budget.Request(now)
+}
+
+// TakeExtra counts one more sub-request of a request that already has one, and
+// reports whether the service's bound allows it.
+func (g *Group) TakeExtra(now time.Time) bool {
+	g.extra.mu.Lock()
+	defer g.extra.mu.Unlock()
+	return g.extra.budget.Take(now)
+}
--- /dev/null
+++ b/internal/targetpool/pool.go
@@ -0,0 +1,237 @@
+package targetpool
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/replica"
+	"github.com/swiftvane/swiftvane/internal/verdict"
+)
+
+// Pool holds the connections to one target.
+type Pool struct {
+	target *catalog.Target
+	codec  exchange.TargetCodec
+	dialer Dialer
+	log    logrus.FieldLogger
+
+	mu sync.Mutex
+	// Invariant: len(idle) is 0 or len(waiting) is 0.
+	idle    []*conn
+	waiting []*Call
+	conns   map[*conn]bool
+	dialing int
+	limit   int
+	warm    int
+	closed  bool
+	// retryDial is when the next dial may start after one failed.
+	retryDial time.Time
+	failures  int
+	stats     replica.Stats
+}
+
+// NewPool returns a pool without connections.
+func NewPool(target *catalog.Target, codec exchange.TargetCodec, dialer Dialer, log logrus.FieldLogger) *Pool {
+	return &Pool{
+		target: target, codec: codec, dialer: dialer, limit: 1,
+		log:   log.WithFields(logrus.Fields{"target": target.ID, "service": target.Service, "addr": target.Addr}),
+		conns: map[*conn]bool{},
+	}
+}
+
+// Target returns the target that the pool is for.
+func (p *Pool) Target() *catalog.Target { return p.target }
+
+// Resize sets the most connections and how many are kept open while idle.
+func (p *Pool) Resize(limit, warm int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit, p.warm = max(limit, 1), min(warm, limit)
+	p.keepWarm()
+}
+
+// Load returns what is known of the target's speed and health at now.
+func (p *Pool) Load(now time.Time) replica.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	load := p.stats.Load(now)
+	load.Waiting = len(p.waiting)
+	load.Room = p.limit - p.busy()
+	load.Unreachable = len(p.conns) == 0 && now.Before(p.retryDial)
+	return load
+}
+
+// busy is the number of connections that carry a call or that have a waiting
+// call to take.
+func (p *Pool) busy() int { return len(p.conns) - len(p.idle) + len(p.waiting) }
+
+// Submit sends the call, or queues it until a connection is free.
+func (p *Pool) Submit(call *Call) {
+	now := time.Now()
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		call.Done(Outcome{Verdict: verdict.NotRun, Err: ErrClosed, Ended: now})
+		return
+	}
+	if c := p.takeIdle(now); c != nil {
+		p.assign(c, call, now)
+		p.mu.Unlock()
+		c.send(call)
+		return
+	}
+	if len(p.conns) == 0 && p.dialing == 0 && now.Before(p.retryDial) {
+		p.mu.Unlock()
+		call.Done(Outcome{Verdict: verdict.NotRun, Err: ErrUnreachable, Ended: now})
+		return
+	}
+	call.waiting = true
+	p.enqueue(call)
+	if p.dialing < len(p.waiting) {
+		p.dial(now)
+	}
+	p.mu.Unlock()
+}
+
+// Withdraw ends the caller's interest in a call. One that still waits is
+// dropped; one that was sent has the given time left before its connection is
+// closed, which ends the target's work on it. Done is not called any more.
+func (p *Pool) Withdraw(call *Call, within time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	call.abandoned.Store(true)
+	if call.waiting {
+		p.unqueue(call)
+		return
+	}
+	if call.conn != nil && call.conn.call == call {
+		call.conn.expireBy(time.Now().Add(within))
+	}
+}
+
+// Close ends the pool: idle connections at once, the others behind their call.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	waiting := p.waiting
+	p.waiting = nil
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+	for _, call := range waiting {
+		finish(call, Outcome{Verdict: verdict.NotRun, Err: ErrClosed, Ended: time.Now()})
+	}
+}
+
+// takeIdle returns the connection that was used last among those that the
+// target keeps open long enough.
+func (p *Pool) takeIdle(now time.Time) *conn {
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if c.fresh(now) {
+			return c
+		}
+		delete(p.conns, c)
+		go c.close()
+	}
+	return nil
+}
+
+// assign gives the connection to the call. The caller holds the lock and sends
+// after releasing it.
+func (p *Pool) assign(c *conn, call *Call, now time.Time) {
+	call.waiting = false
+	call.conn = c
+	call.sent = now
+	c.call = call
+	p.stats.Sent(now)
+}
+
+func (p *Pool) enqueue(call *Call) {
+	at := len(p.waiting)
+	for at > 0 && p.waiting[at-1].Priority > call.Priority {
+		at--
+	}
+	p.waiting = append(p.waiting, nil)
+	copy(p.waiting[at+1:], p.waiting[at:])
+	p.waiting[at] = call
+}
+
+func (p *Pool) unqueue(call *Call) {
+	call.waiting = false
+	for i, w := range p.waiting {
+		if w == call {
+			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// nextWaiting takes the first waiting call whose deadline has not passed.
+func (p *Pool) nextWaiting(now time.Time) *Call {
+	for len(p.waiting) > 0 {
+		call := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		call.waiting = false
+		if now.Before(call.Deadline) {
+			return call
+		}
+		go finish(call, Outcome{Verdict: verdict.NotRun, Err: ErrExpired, Ended: now})
+	}
+	return nil
+}
+
+// free gives an open connection to the next waiting call or makes it idle.
+func (p *Pool) free(c *conn) {
+	now := time.Now()
+	p.mu.Lock()
+	c.call = nil
+	if p.closed {
+		delete(p.conns, c)
+		p.mu.Unlock()
+		c.close()
+		return
+	}
+	call := p.nextWaiting(now)
+	if call == nil {
+		c.idleSince = now
+		p.idle = append(p.idle, c)
+		p.mu.Unlock()
+		return
+	}
+	p.assign(c, call, now)
+	p.mu.Unlock()
+	c.send(call)
+}
+
+// drop forgets a closed connection.
+func (p *Pool) drop(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+	for i, idle := range p.idle {
+		if idle == c {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			break
+		}
+	}
+	if !p.closed {
+		p.keepWarm()
+	}
+}
+
+// finish reports the outcome unless nobody waits for it.
+func finish(call *Call, o Outcome) {
+	o.Sent = call.sent
+	if !call.abandoned.Load() {
+		call.Done(o)
+	}
+}
