--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -93,8 +93,12 @@
 		if contains(tried, p) {
 			continue
 		}
+		c := e.candidate(p, now)
+		if c.Load.Moved {
+			continue
+		}
 		left = append(left, p)
-		candidates = append(candidates, e.candidate(p, now))
+		candidates = append(candidates, c)
 	}
 	best := replica.Choose(candidates, usual, rand.Float64)
 	if best < 0 {
--- a/internal/replica/stats.go
+++ b/internal/replica/stats.go
@@ -70,6 +70,8 @@
 	Waiting     int
 	Room        int
 	Unreachable bool
+	// Moved is set where another process has the target's address.
+	Moved bool
 }
 
 // Sent notes that an exchange began.
--- a/internal/targetpool/conn.go
+++ b/internal/targetpool/conn.go
@@ -36,6 +36,7 @@
 	call        *Call
 	idleSince   time.Time
 	idleTimeout time.Duration
+	replies     int
 
 	// writing is held while a request is written; a reply that comes before
 	// the end of a long body must not free the connection.
@@ -130,6 +131,11 @@
 	p.mu.Lock()
 	p.stats.Ended(now, replica.Exchange{Sent: call.sent, Expected: call.Expected, Result: resultOf(reply)})
 	c.idleTimeout = reply.IdleTimeout
+	c.replies++
+	p.regained()
+	if reply.OtherTarget {
+		p.moved = true
+	}
 	c.call = nil
 	if !good {
 		delete(p.conns, c)
--- a/internal/targetpool/dial.go
+++ b/internal/targetpool/dial.go
@@ -1,13 +1,13 @@
 package targetpool
 
 import (
+	"errors"
+	"math/rand/v2"
 	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"github.com/swiftvane/swiftvane/internal/verdict"
 )
 
 const (
@@ -17,6 +17,8 @@
 	// redialFirst and redialLast bound the pause after a failed attempt.
 	redialFirst = 100 * time.Millisecond
 	redialLast  = 1600 * time.Millisecond
+	// maxDoublings bounds the doublings of redialFirst.
+	maxDoublings = 8
 	// userTimeout ends connections whose sent bytes are not acknowledged.
 	userTimeout = 3 * time.Second
 )
@@ -55,7 +57,7 @@
 // dial starts a connection attempt if there is room for one more. The caller
 // holds the lock.
 func (p *Pool) dial(now time.Time) {
-	if len(p.conns)+p.dialing >= p.limit || now.Before(p.retryDial) {
+	if len(p.conns)+p.dialing >= p.room(now) || now.Before(p.retryDial) {
 		return
 	}
 	p.dialing++
@@ -65,7 +67,7 @@
 // keepWarm opens connections up to the warm number. The caller holds the lock.
 func (p *Pool) keepWarm() {
 	now := time.Now()
-	for n := len(p.conns) + p.dialing; n < p.warm; n++ {
+	for n := len(p.conns) + p.dialing; n < p.warm && !p.moved; n++ {
 		p.dial(now)
 	}
 }
@@ -79,45 +81,50 @@
 	c := newConn(p, raw)
 	p.mu.Lock()
 	p.dialing--
-	if p.failures > 0 {
-		p.log.Info("target is reachable again")
-	}
-	p.failures = 0
-	p.retryDial = time.Time{}
 	p.conns[c] = true
 	p.mu.Unlock()
 	go c.read()
 	p.free(c)
 }
 
-// dialFailed ends the calls that have no other connection to wait for, and
-// starts the next attempt later if calls or the warm number ask for it.
+// dialFailed ends the calls that have no other connection to wait for.
 func (p *Pool) dialFailed(err error) {
 	now := time.Now()
 	p.mu.Lock()
 	p.dialing--
+	if errors.Is(err, syscall.ECONNRESET) {
+		p.crowdedAt = now
+	}
+	p.failed(now, err)
+	ended := p.strand(now)
+	p.mu.Unlock()
+	endAll(ended, ErrUnreachable, now)
+}
+
+// failed notes a connection that brought nothing and puts the next dial off.
+// The caller holds the lock.
+func (p *Pool) failed(now time.Time, err error) {
 	p.failures++
 	if p.failures == 1 {
 		p.log.WithError(err).Warn("target lost: no connection")
 	}
-	wait := min(redialFirst<<min(p.failures-1, 8), redialLast)
+	wait := min(redialFirst<<min(p.failures-1, maxDoublings), redialLast)
+	wait = wait/2 + rand.N(wait/2)
 	p.retryDial = now.Add(wait)
-	var ended []*Call
-	if len(p.conns) == 0 && p.dialing == 0 {
-		ended = p.waiting
-		p.waiting = nil
-	}
-	closed := p.closed
-	p.mu.Unlock()
-	for _, call := range ended {
-		call.waiting = false
-		finish(call, Outcome{Verdict: verdict.NotRun, Err: ErrUnreachable, Ended: now})
-	}
-	if !closed {
+	if !p.closed {
 		time.AfterFunc(wait, p.redial)
 	}
 }
 
+// regained notes a reply. The caller holds the lock.
+func (p *Pool) regained() {
+	if p.failures > 0 {
+		p.log.WithField("failures", p.failures).Info("target regained")
+	}
+	p.failures = 0
+	p.retryDial = time.Time{}
+}
+
 func (p *Pool) redial() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/targetpool/directory.go
+++ b/internal/targetpool/directory.go
@@ -23,13 +23,17 @@
 }
 
 const (
-	// warmInUse is the number of connections kept open to a target that a
-	// route needs, warmOther to one that no route needs yet.
-	warmInUse = 2
-	warmOther = 1
+	// warm is the number of connections kept open to each target.
+	warm = 1
+	// restarts is how many times over the hosts' connections must fit what a
+	// target takes: a target counts those of a host that lost power for a while
+	// beside the new ones.
+	restarts = 2
 	// mostConns bounds the connections to one target whatever its share is:
 	// beyond it a queue in the host serves callers better than one at the target.
 	mostConns = 6
+	// leastConns lets a second request start while the first is delayed.
+	leastConns = 2
 )
 
 // Directory holds the pools of all targets of the current view. Update is
@@ -78,12 +82,12 @@
 		groups[name] = d.group(name, nil)
 	}
 	for name, targets := range v.ByService {
-		groups[name] = d.group(name, d.poolsOf(v.Config, targets, used[name]))
+		groups[name] = d.group(name, d.poolsOf(v.Config, targets))
 	}
 	d.current.Store(&Snapshot{View: v, groups: groups})
 }
 
-func (d *Directory) poolsOf(config *catalog.Config, targets []*catalog.Target, used bool) []*Pool {
+func (d *Directory) poolsOf(config *catalog.Config, targets []*catalog.Target) []*Pool {
 	pools := make([]*Pool, 0, len(targets))
 	for _, t := range targets {
 		pool, ok := d.pools[t.ID]
@@ -91,10 +95,6 @@
 			pool = NewPool(t, d.opts.Codec, d.opts.Dialer, d.opts.Log)
 			d.pools[t.ID] = pool
 		}
-		warm := warmOther
-		if used {
-			warm = warmInUse
-		}
 		pool.Resize(d.share(config, t), warm)
 		pools = append(pools, pool)
 	}
@@ -108,7 +108,7 @@
 		return 1
 	}
 	limit := config.Services[t.Service].MaxConns
-	return min(max(limit/max(d.opts.Hosts, 1), 1), mostConns)
+	return min(max(limit/max(restarts*d.opts.Hosts, 1), leastConns), mostConns)
 }
 
 func (d *Directory) group(name catalog.ServiceName, pools []*Pool) *Group {
--- a/internal/targetpool/errors.go
+++ b/internal/targetpool/errors.go
@@ -7,5 +7,6 @@
 	ErrUnreachable = errors.New("no connection to the target")
 	ErrClosed      = errors.New("the target is no longer in use")
 	ErrExpired     = errors.New("the deadline passed before a connection was free")
+	errNoReply     = errors.New("the connection ended before any reply")
 	errStrayBytes  = errors.New("bytes on an idle connection")
 )
--- a/internal/targetpool/pool.go
+++ b/internal/targetpool/pool.go
@@ -30,10 +30,23 @@
 	closed  bool
 	// retryDial is when the next dial may start after one failed.
 	retryDial time.Time
-	failures  int
-	stats     replica.Stats
+	// failures counts connections in a row that brought no reply.
+	failures int
+	// crowdedAt is when the target last reset a new connection.
+	crowdedAt time.Time
+	// moved is set once another process was found at the target's address.
+	moved bool
+	stats replica.Stats
 }
 
+const (
+	// crowdedFor is how long a target that reset a new connection gets no more
+	// than one from this host: it holds others' connections, dead ones included.
+	crowdedFor = 8 * time.Second
+	// surplusFor is how long a connection beyond the warm ones stays idle.
+	surplusFor = 5 * time.Second
+)
+
 // NewPool returns a pool without connections.
 func NewPool(target *catalog.Target, codec exchange.TargetCodec, dialer Dialer, log logrus.FieldLogger) *Pool {
 	return &Pool{
@@ -60,11 +73,25 @@
 	defer p.mu.Unlock()
 	load := p.stats.Load(now)
 	load.Waiting = len(p.waiting)
-	load.Room = p.limit - p.busy()
-	load.Unreachable = len(p.conns) == 0 && now.Before(p.retryDial)
+	load.Room = p.room(now) - p.busy()
+	load.Unreachable = p.unreachable(now)
+	load.Moved = p.moved
 	return load
 }
 
+// unreachable reports whether a call could only wait for a later dial.
+func (p *Pool) unreachable(now time.Time) bool {
+	return len(p.conns) == 0 && p.dialing == 0 && now.Before(p.retryDial)
+}
+
+// room is the number of connections that the host may have now.
+func (p *Pool) room(now time.Time) int {
+	if !p.crowdedAt.IsZero() && now.Sub(p.crowdedAt) < crowdedFor {
+		return 1
+	}
+	return p.limit
+}
+
 // busy is the number of connections that carry a call or that have a waiting
 // call to take.
 func (p *Pool) busy() int { return len(p.conns) - len(p.idle) + len(p.waiting) }
@@ -73,7 +100,7 @@
 func (p *Pool) Submit(call *Call) {
 	now := time.Now()
 	p.mu.Lock()
-	if p.closed {
+	if p.closed || p.moved {
 		p.mu.Unlock()
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: ErrClosed, Ended: now})
 		return
@@ -84,7 +111,7 @@
 		c.send(call)
 		return
 	}
-	if len(p.conns) == 0 && p.dialing == 0 && now.Before(p.retryDial) {
+	if p.unreachable(now) {
 		p.mu.Unlock()
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: ErrUnreachable, Ended: now})
 		return
@@ -125,9 +152,7 @@
 	for _, c := range idle {
 		c.close()
 	}
-	for _, call := range waiting {
-		finish(call, Outcome{Verdict: verdict.NotRun, Err: ErrClosed, Ended: time.Now()})
-	}
+	endAll(waiting, ErrClosed, time.Now())
 }
 
 // takeIdle returns the connection that was used last among those that the
@@ -204,7 +229,11 @@
 	if call == nil {
 		c.idleSince = now
 		p.idle = append(p.idle, c)
+		surplus := p.takeSurplus(now)
 		p.mu.Unlock()
+		if surplus != nil {
+			surplus.close()
+		}
 		return
 	}
 	p.assign(c, call, now)
@@ -212,10 +241,24 @@
 	c.send(call)
 }
 
-// drop forgets a closed connection.
+// takeSurplus returns the connection that was idle longest if the pool can do
+// without it.
+func (p *Pool) takeSurplus(now time.Time) *conn {
+	if len(p.conns) <= p.warm || now.Sub(p.idle[0].idleSince) < surplusFor {
+		return nil
+	}
+	c := p.idle[0]
+	p.idle = p.idle[1:]
+	delete(p.conns, c)
+	return c
+}
+
+// drop forgets a closed connection. One that never brought a reply counts as a
+// failed dial.
 func (p *Pool) drop(c *conn) {
+	now := time.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	_, known := p.conns[c]
 	delete(p.conns, c)
 	for i, idle := range p.idle {
 		if idle == c {
@@ -223,9 +266,32 @@
 			break
 		}
 	}
+	if known && c.replies == 0 && !p.closed {
+		p.crowdedAt = now
+		p.failed(now, errNoReply)
+	}
+	ended := p.strand(now)
 	if !p.closed {
 		p.keepWarm()
 	}
+	p.mu.Unlock()
+	endAll(ended, ErrUnreachable, now)
+}
+
+// strand takes the waiting calls that no connection will serve soon.
+func (p *Pool) strand(now time.Time) []*Call {
+	if !p.unreachable(now) {
+		return nil
+	}
+	ended := p.waiting
+	p.waiting = nil
+	return ended
+}
+
+func endAll(calls []*Call, err error, now time.Time) {
+	for _, call := range calls {
+		finish(call, Outcome{Verdict: verdict.NotRun, Err: err, Ended: now})
+	}
 }
 
 // finish reports the outcome unless nobody waits for it.
