--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -85,8 +85,10 @@
 	}
 }
 
-// choose returns the best pool that is not in tried, or nil.
-func (e *Executor) choose(pools []*targetpool.Pool, tried []*targetpool.Pool, usual time.Duration, now time.Time) *targetpool.Pool {
+// choose returns the best pool that is not in tried, or nil. Targets that can't
+// be reached or that moved are left out, and those that are held unless
+// evenHeld is set.
+func (e *Executor) choose(pools []*targetpool.Pool, tried []*targetpool.Pool, usual time.Duration, evenHeld bool, now time.Time) *targetpool.Pool {
 	left := make([]*targetpool.Pool, 0, len(pools))
 	candidates := make([]replica.Candidate, 0, len(pools))
 	for _, p := range pools {
@@ -94,7 +96,7 @@
 			continue
 		}
 		c := e.candidate(p, now)
-		if c.Load.Moved {
+		if c.Load.Moved || c.Load.Unreachable || c.Load.Held && !evenHeld {
 			continue
 		}
 		left = append(left, p)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -61,25 +61,23 @@
 	outcome targetpool.Outcome
 }
 
-// start sends the first attempt of a leg and reports whether there was a target.
-func (r *run) start(l *leg, index int, now time.Time) bool {
-	if l.group == nil {
-		return false
-	}
-	l.group.CountRequest(now)
-	return r.send(l, index, now)
-}
-
 // send sends one more attempt of a leg to the best target that had none.
 func (r *run) send(l *leg, index int, now time.Time) bool {
-	pool := r.executor.choose(l.group.Pools, l.tried, r.pace.usual, now)
+	pool := r.executor.choose(l.group.Pools, l.tried, r.pace.usual, !r.route.Sweep(), now)
 	if pool == nil {
 		return false
 	}
+	r.sendTo(pool, l, index, now)
+	return true
+}
+
+// sendTo sends one more attempt of a leg to a target.
+func (r *run) sendTo(pool *targetpool.Pool, l *leg, index int, now time.Time) {
 	number := len(l.attempts)
 	call := &targetpool.Call{
 		Request:  r.request,
 		Deadline: r.times.deadline,
+		OnTime:   r.times.onTime,
 		Priority: r.route.Priority,
 		Expected: r.pace.usual,
 		Done:     func(o targetpool.Outcome) { r.events <- event{leg: index, attempt: number, outcome: o} },
@@ -89,7 +87,6 @@
 	l.open++
 	l.hedgeAt = r.times.hedgeTime(now, r.pace)
 	pool.Submit(call)
-	return true
 }
 
 // again sends another attempt after one that failed, if the route, the
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -16,9 +16,11 @@
 	s := &single{run: r}
 	r.events = make(chan event, r.route.MaxAttempts+maxRefusals+spareEvents)
 	s.leg.group = r.snapshot.Group(service)
-	if !r.start(&s.leg, 0, time.Now()) {
+	now := time.Now()
+	if s.leg.group == nil || !r.send(&s.leg, 0, now) {
 		return refuse(exchange.NoTarget, retryNoRoom)
 	}
+	s.leg.group.CountRequest(now)
 	answer := s.wait()
 	grace := loserGrace
 	if answer.Reason == exchange.CallerLeft {
--- a/internal/relay/sweep.go
+++ b/internal/relay/sweep.go
@@ -4,18 +4,15 @@
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/targetpool"
 )
 
 // sweep asks each shard of the route and merges the parts.
 func (r *run) sweep() *exchange.Answer {
 	s := &sweep{run: r, legs: make([]leg, len(r.route.Shards)), least: r.route.LeastShards()}
 	r.events = make(chan event, len(s.legs)*(r.route.MaxAttempts+1)+spareEvents)
-	now := time.Now()
-	for i, name := range r.route.Shards {
-		s.legs[i].group = r.snapshot.Group(name)
-		if !r.start(&s.legs[i], i, now) {
-			s.settle(i)
-		}
+	if answer := s.start(time.Now()); answer != nil {
+		return answer
 	}
 	answer := s.wait()
 	grace := loserGrace
@@ -40,6 +37,44 @@
 	ran bool
 }
 
+// start chooses a target for each shard and then sends to all of them, so that
+// a request that can't reach enough shards is refused before any work on it. It
+// returns that refusal or nil.
+func (s *sweep) start(now time.Time) *exchange.Answer {
+	chosen := make([]*targetpool.Pool, len(s.legs))
+	reached := s.choose(chosen, false, now)
+	if 2*reached < len(s.legs) {
+		// So many held targets at once point to this host's own delays.
+		reached = s.choose(chosen, true, now)
+	}
+	if reached < s.least {
+		return refuse(exchange.LowCoverage, retryNoRoom)
+	}
+	for i, pool := range chosen {
+		if pool == nil {
+			s.settle(i)
+			continue
+		}
+		s.legs[i].group.CountRequest(now)
+		s.sendTo(pool, &s.legs[i], i, now)
+	}
+	return nil
+}
+
+// choose fills in a target for each shard and returns how many have one.
+func (s *sweep) choose(chosen []*targetpool.Pool, evenHeld bool, now time.Time) int {
+	reached := 0
+	for i, name := range s.route.Shards {
+		group := s.snapshot.Group(name)
+		s.legs[i].group = group
+		chosen[i] = s.executor.choose(group.Pools, nil, s.pace.usual, evenHeld, now)
+		if chosen[i] != nil {
+			reached++
+		}
+	}
+	return reached
+}
+
 func (s *sweep) settle(i int) {
 	if !s.legs[i].settled {
 		s.legs[i].settled = true
--- a/internal/targetpool/dial.go
+++ b/internal/targetpool/dial.go
@@ -96,7 +96,7 @@
 		p.crowdedAt = now
 	}
 	p.failed(now, err)
-	ended := p.strand(now)
+	ended := p.strand()
 	p.mu.Unlock()
 	endAll(ended, ErrUnreachable, now)
 }
--- a/internal/targetpool/pool.go
+++ b/internal/targetpool/pool.go
@@ -74,15 +74,14 @@
 	load := p.stats.Load(now)
 	load.Waiting = len(p.waiting)
 	load.Room = p.room(now) - p.busy()
-	load.Unreachable = p.unreachable(now)
+	load.Unreachable = p.unreachable()
 	load.Moved = p.moved
 	return load
 }
 
-// unreachable reports whether a call could only wait for a later dial.
-func (p *Pool) unreachable(now time.Time) bool {
-	return len(p.conns) == 0 && p.dialing == 0 && now.Before(p.retryDial)
-}
+// unreachable reports whether there is no connection and the last one failed.
+// Dials go on meanwhile; no call waits for them.
+func (p *Pool) unreachable() bool { return len(p.conns) == 0 && p.failures > 0 }
 
 // room is the number of connections that the host may have now.
 func (p *Pool) room(now time.Time) int {
@@ -111,7 +110,7 @@
 		c.send(call)
 		return
 	}
-	if p.unreachable(now) {
+	if p.unreachable() {
 		p.mu.Unlock()
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: ErrUnreachable, Ended: now})
 		return
@@ -270,7 +269,7 @@
 		p.crowdedAt = now
 		p.failed(now, errNoReply)
 	}
-	ended := p.strand(now)
+	ended := p.strand()
 	if !p.closed {
 		p.keepWarm()
 	}
@@ -279,8 +278,8 @@
 }
 
 // strand takes the waiting calls that no connection will serve soon.
-func (p *Pool) strand(now time.Time) []*Call {
-	if !p.unreachable(now) {
+func (p *Pool) strand() []*Call {
+	if !p.unreachable() {
 		return nil
 	}
 	ended := p.waiting
