--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -86,9 +86,8 @@
 }
 
 // choose returns the best pool that is not in tried, or nil. Targets that can't
-// be reached or that moved are left out, and those that are held unless
-// evenHeld is set.
-func (e *Executor) choose(pools []*targetpool.Pool, tried []*targetpool.Pool, usual time.Duration, evenHeld bool, now time.Time) *targetpool.Pool {
+// be reached or that moved are left out.
+func (e *Executor) choose(pools []*targetpool.Pool, tried []*targetpool.Pool, usual time.Duration, now time.Time) *targetpool.Pool {
 	left := make([]*targetpool.Pool, 0, len(pools))
 	candidates := make([]replica.Candidate, 0, len(pools))
 	for _, p := range pools {
@@ -96,7 +95,7 @@
 			continue
 		}
 		c := e.candidate(p, now)
-		if c.Load.Moved || c.Load.Unreachable || c.Load.Held && !evenHeld {
+		if c.Load.Moved || c.Load.Unreachable {
 			continue
 		}
 		left = append(left, p)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -63,7 +63,7 @@
 
 // send sends one more attempt of a leg to the best target that had none.
 func (r *run) send(l *leg, index int, now time.Time) bool {
-	pool := r.executor.choose(l.group.Pools, l.tried, r.pace.usual, !r.route.Sweep(), now)
+	pool := r.executor.choose(l.group.Pools, l.tried, r.pace.usual, now)
 	if pool == nil {
 		return false
 	}
@@ -77,7 +77,6 @@
 	call := &targetpool.Call{
 		Request:  r.request,
 		Deadline: r.times.deadline,
-		OnTime:   r.times.onTime,
 		Priority: r.route.Priority,
 		Expected: r.pace.usual,
 		Done:     func(o targetpool.Outcome) { r.events <- event{leg: index, attempt: number, outcome: o} },
--- a/internal/relay/sweep.go
+++ b/internal/relay/sweep.go
@@ -42,12 +42,7 @@
 // returns that refusal or nil.
 func (s *sweep) start(now time.Time) *exchange.Answer {
 	chosen := make([]*targetpool.Pool, len(s.legs))
-	reached := s.choose(chosen, false, now)
-	if 2*reached < len(s.legs) {
-		// So many held targets at once point to this host's own delays.
-		reached = s.choose(chosen, true, now)
-	}
-	if reached < s.least {
+	if s.choose(chosen, now) < s.least {
 		return refuse(exchange.LowCoverage, retryNoRoom)
 	}
 	for i, pool := range chosen {
@@ -62,12 +57,12 @@
 }
 
 // choose fills in a target for each shard and returns how many have one.
-func (s *sweep) choose(chosen []*targetpool.Pool, evenHeld bool, now time.Time) int {
+func (s *sweep) choose(chosen []*targetpool.Pool, now time.Time) int {
 	reached := 0
 	for i, name := range s.route.Shards {
 		group := s.snapshot.Group(name)
 		s.legs[i].group = group
-		chosen[i] = s.executor.choose(group.Pools, nil, s.pace.usual, evenHeld, now)
+		chosen[i] = s.executor.choose(group.Pools, nil, s.pace.usual, now)
 		if chosen[i] != nil {
 			reached++
 		}
--- a/internal/replica/stats.go
+++ b/internal/replica/stats.go
@@ -28,8 +28,6 @@
 	// Expected is the usual time of such a request.
 	Expected time.Duration
 	Result   Result
-	// Late is set where the caller had no full use of the reply any more.
-	Late bool
 }
 
 const (
@@ -56,7 +54,6 @@
 	// oldestSent is when the oldest exchange in flight was sent, or earlier.
 	oldestSent  time.Time
 	outstanding int
-	pacer       Pacer
 }
 
 // Load is the state of a target at one moment.
@@ -73,8 +70,6 @@
 	Waiting     int
 	Room        int
 	Unreachable bool
-	// Held is set while the target gets no request since it answers too late.
-	Held bool
 	// Moved is set where another process has the target's address.
 	Moved bool
 }
@@ -85,7 +80,6 @@
 		s.oldestSent = now
 	}
 	s.outstanding++
-	s.pacer.Sent(now)
 }
 
 // Ended notes how an exchange ended.
@@ -96,9 +90,6 @@
 		s.lastReply = now
 		s.oldestSent = now
 	}
-	if e.Result == Served || e.Result == Silent {
-		s.pacer.Ended(e.Late)
-	}
 	failure := 0.0
 	if e.Result != Served {
 		failure = 1
@@ -142,7 +133,7 @@
 // Load returns the state at now.
 func (s *Stats) Load(now time.Time) Load {
 	idle := now.Sub(s.updated)
-	load := Load{Slowness: 1, Outstanding: s.outstanding, Held: s.pacer.Holds(now)}
+	load := Load{Slowness: 1, Outstanding: s.outstanding}
 	if s.slowness > 0 {
 		load.Slowness = 1 + (s.slowness-1)*halving(idle, slownessHalfLife)
 	}
--- a/internal/targetpool/conn.go
+++ b/internal/targetpool/conn.go
@@ -129,7 +129,7 @@
 	now := time.Now()
 	p := c.pool
 	p.mu.Lock()
-	p.stats.Ended(now, exchangeOf(call, resultOf(reply), now))
+	p.stats.Ended(now, exchangeOf(call, resultOf(reply)))
 	c.idleTimeout = reply.IdleTimeout
 	c.replies++
 	p.regained()
@@ -152,8 +152,8 @@
 	return true
 }
 
-func exchangeOf(call *Call, result replica.Result, now time.Time) replica.Exchange {
-	return replica.Exchange{Sent: call.sent, Expected: call.Expected, Result: result, Late: now.After(call.OnTime)}
+func exchangeOf(call *Call, result replica.Result) replica.Exchange {
+	return replica.Exchange{Sent: call.sent, Expected: call.Expected, Result: result}
 }
 
 func resultOf(reply *exchange.Reply) replica.Result {
@@ -186,7 +186,7 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			result = replica.Silent
 		}
-		p.stats.Ended(now, exchangeOf(call, result, now))
+		p.stats.Ended(now, exchangeOf(call, result))
 	}
 	p.mu.Unlock()
 	c.close()
