--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -85,9 +85,15 @@
 	}
 }
 
-// choose returns the best pool that is not in tried, or nil. Targets that can't
-// be reached or that moved are left out.
-func (e *Executor) choose(pools []*targetpool.Pool, tried []*targetpool.Pool, usual time.Duration, now time.Time) *targetpool.Pool {
+// choice is a target that was chosen, and what was known of it.
+type choice struct {
+	pool *targetpool.Pool
+	load replica.Load
+}
+
+// choose returns the best target that is not in tried; its pool is nil if there
+// is none. Targets that can't be reached or that moved are left out.
+func (e *Executor) choose(pools []*targetpool.Pool, tried []*targetpool.Pool, usual time.Duration, now time.Time) choice {
 	left := make([]*targetpool.Pool, 0, len(pools))
 	candidates := make([]replica.Candidate, 0, len(pools))
 	for _, p := range pools {
@@ -103,9 +109,9 @@
 	}
 	best := replica.Choose(candidates, usual, rand.Float64)
 	if best < 0 {
-		return nil
+		return choice{}
 	}
-	return left[best]
+	return choice{pool: left[best], load: candidates[best].Load}
 }
 
 func contains(pools []*targetpool.Pool, p *targetpool.Pool) bool {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -63,11 +63,11 @@
 
 // send sends one more attempt of a leg to the best target that had none.
 func (r *run) send(l *leg, index int, now time.Time) bool {
-	pool := r.executor.choose(l.group.Pools, l.tried, r.pace.usual, now)
-	if pool == nil {
+	chosen := r.executor.choose(l.group.Pools, l.tried, r.pace.usual, now)
+	if chosen.pool == nil {
 		return false
 	}
-	r.sendTo(pool, l, index, now)
+	r.sendTo(chosen.pool, l, index, now)
 	return true
 }
 
@@ -77,6 +77,7 @@
 	call := &targetpool.Call{
 		Request:  r.request,
 		Deadline: r.times.deadline,
+		OnTime:   r.times.onTime,
 		Priority: r.route.Priority,
 		Expected: r.pace.usual,
 		Done:     func(o targetpool.Outcome) { r.events <- event{leg: index, attempt: number, outcome: o} },
@@ -88,6 +89,20 @@
 	pool.Submit(call)
 }
 
+// hedge sends a second attempt beside one that is late, where a target with a
+// free connection can take it: behind a queue it would help nobody.
+func (r *run) hedge(l *leg, index int, now time.Time) {
+	l.hedged = true
+	if !r.mayRepeat(l) {
+		return
+	}
+	chosen := r.executor.choose(l.group.Pools, l.tried, r.pace.usual, now)
+	if chosen.pool == nil || chosen.load.Room <= 0 || !l.group.TakeExtra(now) {
+		return
+	}
+	r.sendTo(chosen.pool, l, index, now)
+}
+
 // again sends another attempt after one that failed, if the route, the
 // service's bound on extra load and the targets allow it.
 func (r *run) again(l *leg, index int, now time.Time) bool {
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -5,21 +5,33 @@
 
 	"github.com/swiftvane/swiftvane/internal/catalog"
 	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/replica"
 	"github.com/swiftvane/swiftvane/internal/verdict"
 )
 
 // retryNoRoom is when a caller may ask again after no target could take it.
 const retryNoRoom = 300 * time.Millisecond
 
+// retryLongest bounds the time after which a refused caller is asked to return.
+const retryLongest = 2 * time.Second
+
 // single serves a request from one target of a service.
 func (r *run) single(service catalog.ServiceName) *exchange.Answer {
 	s := &single{run: r}
 	r.events = make(chan event, r.route.MaxAttempts+maxRefusals+spareEvents)
 	s.leg.group = r.snapshot.Group(service)
 	now := time.Now()
-	if s.leg.group == nil || !r.send(&s.leg, 0, now) {
+	if s.leg.group == nil {
+		return refuse(exchange.NoTarget, retryNoRoom)
+	}
+	chosen := r.executor.choose(s.leg.group.Pools, nil, r.pace.usual, now)
+	if chosen.pool == nil {
 		return refuse(exchange.NoTarget, retryNoRoom)
 	}
+	if replica.Overrun(chosen.load, r.pace.usual, r.times.final.Sub(now)) {
+		return refuse(exchange.NoRoom, min(replica.Estimate(chosen.load, r.pace.usual), retryLongest))
+	}
+	r.sendTo(chosen.pool, &s.leg, 0, now)
 	s.leg.group.CountRequest(now)
 	answer := s.wait()
 	grace := loserGrace
@@ -102,8 +114,7 @@
 	if !s.route.Idempotent || l.hedged || now.Before(l.hedgeAt) {
 		return
 	}
-	l.hedged = true
-	s.again(l, 0, now)
+	s.run.hedge(l, 0, now)
 }
 
 func (s *single) nextTime(_ time.Time) time.Time {
--- a/internal/relay/sweep.go
+++ b/internal/relay/sweep.go
@@ -1,10 +1,11 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/exchange"
-	"github.com/swiftvane/swiftvane/internal/targetpool"
+	"github.com/swiftvane/swiftvane/internal/replica"
 )
 
 // sweep asks each shard of the route and merges the parts.
@@ -41,33 +42,57 @@
 // a request that can't reach enough shards is refused before any work on it. It
 // returns that refusal or nil.
 func (s *sweep) start(now time.Time) *exchange.Answer {
-	chosen := make([]*targetpool.Pool, len(s.legs))
-	if s.choose(chosen, now) < s.least {
+	chosen := make([]choice, len(s.legs))
+	reached, overrun := s.choose(chosen, now)
+	if reached < s.least {
 		return refuse(exchange.LowCoverage, retryNoRoom)
 	}
-	for i, pool := range chosen {
-		if pool == nil {
+	if reached-overrun < s.least {
+		return refuse(exchange.NoRoom, s.roomAfter(chosen))
+	}
+	for i, c := range chosen {
+		if c.pool == nil {
 			s.settle(i)
 			continue
 		}
 		s.legs[i].group.CountRequest(now)
-		s.sendTo(pool, &s.legs[i], i, now)
+		s.sendTo(c.pool, &s.legs[i], i, now)
 	}
 	return nil
 }
 
-// choose fills in a target for each shard and returns how many have one.
-func (s *sweep) choose(chosen []*targetpool.Pool, now time.Time) int {
-	reached := 0
+// roomAfter is when the shards that are overrun now will have worked off what
+// waits, with a spread so that refused callers don't return together.
+func (s *sweep) roomAfter(chosen []choice) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range chosen {
+		if c.pool != nil && c.load.Room <= 0 {
+			longest = max(longest, replica.Estimate(c.load, s.pace.usual))
+		}
+	}
+	return min(longest+rand.N(longest+time.Millisecond), retryLongest)
+}
+
+// choose fills in a target for each shard and returns how many have one and how
+// many of these would answer too late for what waits already.
+func (s *sweep) choose(chosen []choice, now time.Time) (reached, overrun int) {
+	within := s.times.onTime.Sub(now)
 	for i, name := range s.route.Shards {
 		group := s.snapshot.Group(name)
 		s.legs[i].group = group
+		if group == nil {
+			continue
+		}
 		chosen[i] = s.executor.choose(group.Pools, nil, s.pace.usual, now)
-		if chosen[i] != nil {
-			reached++
+		if chosen[i].pool == nil {
+			continue
+		}
+		reached++
+		if replica.Overrun(chosen[i].load, s.pace.usual, within) {
+			overrun++
 		}
 	}
-	return reached
+	return reached, overrun
 }
 
 func (s *sweep) settle(i int) {
@@ -143,8 +168,7 @@
 		if l.settled || l.hedged || now.Before(l.hedgeAt) {
 			continue
 		}
-		l.hedged = true
-		s.again(l, i, now)
+		s.run.hedge(l, i, now)
 	}
 }
 
--- a/internal/replica/stats.go
+++ b/internal/replica/stats.go
@@ -65,9 +65,11 @@
 	// Stalled is how long the target has answered nothing while it had
 	// something to answer.
 	Stalled time.Duration
-	// Waiting counts calls that wait for a connection, Room the connections
-	// that could take one more call.
+	// Waiting counts calls that wait for a connection; Limit is the number of
+	// connections that the host may have and Room what of it is free, less the
+	// calls that wait.
 	Waiting     int
+	Limit       int
 	Room        int
 	Unreachable bool
 	// Moved is set where another process has the target's address.
--- a/internal/targetpool/call.go
+++ b/internal/targetpool/call.go
@@ -13,6 +13,9 @@
 	Request *exchange.Request
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// OnTime is until when the caller has full use of the reply. A call that
+	// waits longer goes behind those that can still be in time.
+	OnTime time.Time
 	// Priority orders calls that wait for a connection; lower goes first.
 	Priority int
 	// Expected is the usual time of such a call; it tells a stall.
--- a/internal/targetpool/pool.go
+++ b/internal/targetpool/pool.go
@@ -73,7 +73,8 @@
 	defer p.mu.Unlock()
 	load := p.stats.Load(now)
 	load.Waiting = len(p.waiting)
-	load.Room = p.room(now) - p.busy()
+	load.Limit = p.room(now)
+	load.Room = load.Limit - p.busy()
 	load.Unreachable = p.unreachable()
 	load.Moved = p.moved
 	return load
@@ -199,18 +200,36 @@
 	}
 }
 
-// nextWaiting takes the first waiting call whose deadline has not passed.
+// nextWaiting takes the first waiting call that can still be in time, or else
+// the first whose deadline has not passed.
 func (p *Pool) nextWaiting(now time.Time) *Call {
-	for len(p.waiting) > 0 {
-		call := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		call.waiting = false
-		if now.Before(call.Deadline) {
+	p.expire(now)
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	for _, call := range p.waiting {
+		if now.Before(call.OnTime) {
+			p.unqueue(call)
 			return call
 		}
+	}
+	call := p.waiting[0]
+	p.unqueue(call)
+	return call
+}
+
+// expire ends the waiting calls whose deadline has passed.
+func (p *Pool) expire(now time.Time) {
+	kept := p.waiting[:0]
+	for _, call := range p.waiting {
+		if now.Before(call.Deadline) {
+			kept = append(kept, call)
+			continue
+		}
+		call.waiting = false
 		go finish(call, Outcome{Verdict: verdict.NotRun, Err: ErrExpired, Ended: now})
 	}
-	return nil
+	p.waiting = kept
 }
 
 // free gives an open connection to the next waiting call or makes it idle.
