--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -18,7 +18,7 @@
 	// warmingCost multiplies the cost of a target that has just started.
 	warmingCost = 1.6
 	// remoteCost is the added cost of crossing failure domains.
-	remoteCost = 0.12
+	remoteCost = 0.45
 	// failureCost multiplies the failure rate.
 	failureCost = 12
 	// stallFactor is how many usual times without any reply make a stall.
