Tell a host ready once it reached the others; take a reset at the dial for a refusal

Cause (demo): hosts start one after the other; a dial to one that does not listen yet puts the next off, and meanwhile a host that called itself ready failed queries whose targets others own (owner_unreachable). Ruled out: the demo's own wait, it did wait for ready. Cause (fault proxy): the reset may overtake the dial. Change: a refused connection must end with a reset at the dial or the first read, with no byte.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,6 +37,7 @@
 	local       *dispatch.Local
 	entry       *entry.Server
 	admin       *admin.Server
+	readiness   *readiness
 	adminListen net.Listener
 
 	// background runs the control loops; cancel ends them.
@@ -70,6 +71,7 @@
 	d.tools = do.MustInvoke[*instruments](injector)
 	d.mesh = do.MustInvoke[*peer.Mesh](injector)
 	d.fleet = do.MustInvoke[*fleet.Fleet](injector)
+	d.readiness = do.MustInvoke[*readiness](injector)
 	d.claims = do.MustInvoke[*claim.Service](injector)
 	d.quarantine = do.MustInvoke[*quarantine.Service](injector)
 	d.local = do.MustInvoke[*dispatch.Local](injector)
@@ -84,7 +86,7 @@
 func (d *Daemon) AdminAddr() string { return d.adminListen.Addr().String() }
 
 // Ready reports whether the host serves queries.
-func (d *Daemon) Ready() bool { return d.fleet.Ready() && !d.draining.Load() }
+func (d *Daemon) Ready() bool { return d.readiness.refusal() == nil && !d.draining.Load() }
 
 // DrainAsked is closed once an operator asked for a planned stop.
 func (d *Daemon) DrainAsked() <-chan struct{} { return d.drainAsked }
--- a/internal/daemon/providers.go
+++ b/internal/daemon/providers.go
@@ -50,6 +50,10 @@
 	do.Provide(injector, provideExecutor)
 	do.Provide(injector, provideClaims)
 	do.Provide(injector, provideEntry)
+	do.Provide(injector, func(i do.Injector) (*readiness, error) {
+		views, mesh := do.MustInvoke[*fleet.Fleet](i), do.MustInvoke[*peer.Mesh](i)
+		return &readiness{fleetReady: views.Ready, view: views, reach: mesh.Reach}, nil
+	})
 	return injector
 }
 
@@ -173,7 +177,7 @@
 		}),
 		Quarantine:   do.MustInvoke[*quarantine.Service](i),
 		Claims:       do.MustInvoke[*claim.Service](i),
-		Ready:        readiness(views),
+		Ready:        do.MustInvoke[*readiness](i).refusal,
 		MaxBodyBytes: s.Limits.MaxBodyBytes,
 		MaxDeadline:  time.Duration(s.Limits.DeadlineMaxMS) * time.Millisecond,
 		Scope:        in.scope.SubScope("entry"),
--- a/internal/daemon/statussource.go
+++ b/internal/daemon/statussource.go
@@ -61,7 +61,7 @@
 	if status.Draining {
 		status.Self.State = model.Leaving
 		status.NotReadyBecause = "the host is leaving"
-	} else if refusal := readiness(d.fleet)(); refusal != nil {
+	} else if refusal := d.readiness.refusal(); refusal != nil {
 		status.NotReadyBecause = refusal.Message
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -77,6 +78,22 @@
 	require.Equal(t, text+"\n", got)
 }
 
+// requireRefused checks that a new connection fails, at the dial or at the first
+// read, since the reset may overtake either, and that not one byte comes.
+func requireRefused(t *testing.T, proxy *Proxy) {
+	t.Helper()
+	conn, err := net.Dial("tcp", proxy.Addr())
+	if err != nil {
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+		return
+	}
+	defer func() { require.NoError(t, conn.Close()) }()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(limit)))
+	n, err := conn.Read(make([]byte, 1))
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	require.Zero(t, n)
+}
+
 func TestForwardsBothWays(t *testing.T) {
 	connect(t, startEcho(t, nil)).echo(t, "hello")
 }
@@ -119,8 +136,7 @@
 	old := connect(t, proxy)
 	old.echo(t, "a")
 	proxy.SetRule(Rule{Refuse: true})
-	_, err := connect(t, proxy).read(limit)
-	require.Error(t, err)
+	requireRefused(t, proxy)
 	old.echo(t, "b")
 }
 
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -138,6 +138,13 @@
 	return true
 }
 
+// Reach reports whether there is a link to a host. If there is none it dials,
+// unless a dial failed a short time ago.
+func (m *Mesh) Reach(id model.HostID) bool {
+	s, err := m.remote(id).use()
+	return err == nil && s.currentLink() != nil
+}
+
 func (m *Mesh) remote(id model.HostID) *remote {
 	m.mu.Lock()
 	defer m.mu.Unlock()
