--- /dev/null
+++ b/internal/standin/searcher/searcher.go
@@ -0,0 +1,319 @@
+// Package searcher is a stand-in of the users' targets: processes with an id,
+// slots, a queue and faults, which record each request that they run.
+package searcher
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Fault is what happens to a request.
+type Fault uint8
+
+// The faults.
+const (
+	// None answers.
+	None Fault = iota
+	// Shed refuses the request unrun.
+	Shed
+	// FailRun runs the request and answers 500.
+	FailRun
+	// LoseAnswer runs the request and resets the connection.
+	LoseAnswer
+	// CutAnswer runs the request and ends the answer early.
+	CutAnswer
+	// TwoAnswers sends a second answer behind the first.
+	TwoAnswers
+	// NoLength ends the answer with its connection.
+	NoLength
+	// Mute runs the request and answers nothing.
+	Mute
+)
+
+// Options describe one searcher.
+type Options struct {
+	ID      string
+	Service string
+	Slots   int
+	// Queue is the number of requests that wait for a slot.
+	Queue int
+	Work  time.Duration
+	// Records is the number of records in an answer.
+	Records int
+	// Fault decides about each request; nil means none.
+	Fault func(requestID string) Fault
+}
+
+// Searcher is a running stand-in.
+type Searcher struct {
+	opts     Options
+	listener net.Listener
+	server   *http.Server
+	slots    chan struct{}
+
+	mu      sync.Mutex
+	waiting int
+	paused  chan struct{}
+	runs    map[string]int
+	sent    map[string]int
+	cut     int
+	conns   int
+}
+
+// Start listens on addr, which may leave the port open.
+func Start(addr string, opts Options) (*Searcher, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Searcher{
+		opts: opts, listener: l, slots: make(chan struct{}, max(opts.Slots, 1)),
+		runs: map[string]int{}, sent: map[string]int{},
+	}
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Second, ConnState: s.track}
+	go func() { _ = s.server.Serve(l) }()
+	return s, nil
+}
+
+// Addr is where the searcher listens.
+func (s *Searcher) Addr() string { return s.listener.Addr().String() }
+
+// Close ends the searcher at once, its connections included.
+func (s *Searcher) Close() { _ = s.server.Close() }
+
+// Pause makes the searcher stand still until the returned function is called.
+func (s *Searcher) Pause() (resume func()) {
+	gate := make(chan struct{})
+	s.mu.Lock()
+	s.paused = gate
+	s.mu.Unlock()
+	return func() {
+		s.mu.Lock()
+		s.paused = nil
+		s.mu.Unlock()
+		close(gate)
+	}
+}
+
+// Runs returns how often each request ran.
+func (s *Searcher) Runs() map[string]int { return s.copied(s.runs) }
+
+// Arrivals returns how often each request arrived.
+func (s *Searcher) Arrivals() map[string]int { return s.copied(s.sent) }
+
+// Conns is the number of connections accepted so far.
+func (s *Searcher) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
+// Cut is the number of requests whose caller left before the answer.
+func (s *Searcher) Cut() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut
+}
+
+func (s *Searcher) copied(from map[string]int) map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	to := make(map[string]int, len(from))
+	for id, n := range from {
+		to[id] = n
+	}
+	return to
+}
+
+func (s *Searcher) track(_ net.Conn, state http.ConnState) {
+	if state == http.StateNew {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.conns++
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Searcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.note(s.sent, id)
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != s.opts.ID {
+		w.Header().Set("Instance-Id", s.opts.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	fault := None
+	if s.opts.Fault != nil {
+		fault = s.opts.Fault(id)
+	}
+	if fault == Shed || !s.acquire(r) {
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Request-Id", id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.slots }()
+	s.note(s.runs, id)
+	if !s.work(r) {
+		return
+	}
+	s.answer(w, id, body, fault)
+}
+
+func (s *Searcher) note(counts map[string]int, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts[id]++
+}
+
+// acquire takes a slot, waiting in the queue if there is room.
+func (s *Searcher) acquire(r *http.Request) bool {
+	s.mu.Lock()
+	if s.waiting >= s.opts.Queue+cap(s.slots) {
+		s.mu.Unlock()
+		return false
+	}
+	s.waiting++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.waiting--
+	}()
+	ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms"))
+	if err != nil {
+		ms = 1000
+	}
+	deadline := time.NewTimer(time.Duration(ms) * time.Millisecond)
+	defer deadline.Stop()
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-deadline.C:
+		return false
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// work takes the working time and any pause; it reports whether the caller is
+// still there.
+func (s *Searcher) work(r *http.Request) bool {
+	timer := time.NewTimer(s.opts.Work)
+	defer timer.Stop()
+	s.mu.Lock()
+	paused := s.paused
+	s.mu.Unlock()
+	if paused != nil {
+		select {
+		case <-paused:
+		case <-r.Context().Done():
+			s.left()
+			return false
+		}
+	}
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		s.left()
+		return false
+	}
+}
+
+func (s *Searcher) left() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut++
+}
+
+func (s *Searcher) answer(w http.ResponseWriter, id string, body []byte, fault Fault) {
+	reply := s.Reply(id, body)
+	signature := Signature(s.opts.Service, s.opts.ID, id)
+	switch fault {
+	case Mute:
+		s.hijack(w, func(net.Conn, *bufio.ReadWriter) { time.Sleep(time.Hour) })
+		return
+	case LoseAnswer:
+		s.hijack(w, func(c net.Conn, _ *bufio.ReadWriter) { _ = c.(*net.TCPConn).SetLinger(0) })
+		return
+	case CutAnswer:
+		s.raw(w, id, signature, len(reply), reply[:len(reply)/2])
+		return
+	case NoLength:
+		s.raw(w, id, signature, -1, reply)
+		return
+	case TwoAnswers:
+		s.hijack(w, func(_ net.Conn, rw *bufio.ReadWriter) {
+			writeRaw(rw, id, signature, len(reply), reply)
+			writeRaw(rw, id, signature, len(reply), reply)
+		})
+		return
+	case FailRun:
+		w.Header().Set("Response-Stamp", signature)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Response-Stamp", signature)
+	w.Header().Set("Content-Length", strconv.Itoa(len(reply)))
+	_, _ = w.Write(reply)
+}
+
+// hijack takes the connection over, acts and closes it.
+func (s *Searcher) hijack(w http.ResponseWriter, act func(net.Conn, *bufio.ReadWriter)) {
+	conn, rw, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	act(conn, rw)
+	_ = conn.Close()
+}
+
+func (s *Searcher) raw(w http.ResponseWriter, id, signature string, length int, body []byte) {
+	s.hijack(w, func(_ net.Conn, rw *bufio.ReadWriter) { writeRaw(rw, id, signature, length, body) })
+}
+
+func writeRaw(rw *bufio.ReadWriter, id, signature string, length int, body []byte) {
+	_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: %s\r\n", id, signature)
+	if length >= 0 {
+		_, _ = fmt.Fprintf(rw, "Content-Length: %d\r\n", length)
+	}
+	_, _ = rw.WriteString("\r\n")
+	_, _ = rw.Write(body)
+	_ = rw.Flush()
+}
+
+// Reply is the body that the searcher answers to a request.
+func (s *Searcher) Reply(id string, body []byte) []byte {
+	return Records(s.opts.Service, id, body, s.opts.Records)
+}
+
+// Records returns n records of 16 bytes that follow from the request and the
+// service; all searchers of a service answer alike.
+func Records(service, id string, body []byte, n int) []byte {
+	out := make([]byte, 0, 16*n)
+	for i := range n {
+		sum := sha256.Sum256(fmt.Appendf(nil, "%s/%s/%d/%x", service, id, i, body))
+		out = append(out, sum[:16]...)
+	}
+	return out
+}
+
+// Signature is what a searcher signs its answer with.
+func Signature(service, target, id string) string {
+	sum := sha256.Sum256([]byte(service + "/" + target + "/" + id))
+	return hex.EncodeToString(sum[:8]) + "." + service
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,228 @@
+// Package store is a stand-in of the users' metadata store: keys with
+// revisions, pages, watches, a history that can be dropped, and faults.
+package store
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// pageItems is the size of one page of a range.
+const pageItems = 50
+
+// Fault is what the store does to calls.
+type Fault uint8
+
+// The faults.
+const (
+	// None serves.
+	None Fault = iota
+	// Busy answers 503.
+	Busy
+	// TooMany answers 429.
+	TooMany
+	// Silent answers nothing.
+	Silent
+	// Garbled answers bytes that are no JSON.
+	Garbled
+)
+
+type item struct {
+	Key      string `json:"key"`
+	Value    string `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Store is a running stand-in.
+type Store struct {
+	listener net.Listener
+	server   *http.Server
+
+	mu       sync.Mutex
+	revision int64
+	oldest   int64
+	items    map[string]item
+	history  []item
+	changed  chan struct{}
+	fault    Fault
+	calls    int
+}
+
+// Start listens on a free port of the loopback.
+func Start() (*Store, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{listener: l, items: map[string]item{}, changed: make(chan struct{}), revision: 1}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/kv-range", s.faulty(s.serveRange))
+	mux.HandleFunc("/kv-watch", s.faulty(s.serveWatch))
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.server.Serve(l) }()
+	return s, nil
+}
+
+// Addr is where the store listens.
+func (s *Store) Addr() string { return s.listener.Addr().String() }
+
+// Close ends the store.
+func (s *Store) Close() { _ = s.server.Close() }
+
+// Put writes a key and returns its revision.
+func (s *Store) Put(key string, value []byte) int64 {
+	return s.write(item{Key: key, Value: base64.StdEncoding.EncodeToString(value)})
+}
+
+// PutJSON writes a key with a value encoded as JSON.
+func (s *Store) PutJSON(key string, value any) int64 {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return s.Put(key, raw)
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) int64 { return s.write(item{Key: key, Deleted: true}) }
+
+func (s *Store) write(it item) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	it.Revision = s.revision
+	if it.Deleted {
+		delete(s.items, it.Key)
+	} else {
+		s.items[it.Key] = it
+	}
+	s.history = append(s.history, it)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+// Compact drops the history: watches from before fail.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = s.revision
+	s.history = nil
+}
+
+// SetFault sets what happens to calls from now on.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Calls is the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) faulty(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		fault := s.fault
+		s.mu.Unlock()
+		switch fault {
+		case Busy:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case TooMany:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case Silent:
+			<-r.Context().Done()
+		case Garbled:
+			_, _ = w.Write([]byte("{not json"))
+		default:
+			next(w, r)
+		}
+	}
+}
+
+func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
+	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > pageItems
+	if more {
+		keys = keys[:pageItems]
+	}
+	items := make([]item, len(keys))
+	for i, key := range keys {
+		items[i] = s.items[key]
+	}
+	answer(w, map[string]any{"items": items, "has_more": more, "current_rev": s.revision})
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	waitMS, _ := strconv.Atoi(query.Get("wait_ms"))
+	timer := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		gone := after < s.oldest
+		events := s.since(query.Get("prefix"), after)
+		revision, changed, fault := s.revision, s.changed, s.fault
+		s.mu.Unlock()
+		switch {
+		case fault != None:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0:
+			answer(w, map[string]any{"events": events, "current_rev": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			answer(w, map[string]any{"events": []item{}, "current_rev": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after int64) []item {
+	var events []item
+	for _, it := range s.history {
+		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
+			events = append(events, it)
+		}
+	}
+	return events
+}
+
+func answer(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/test/edge/callers_test.go
@@ -0,0 +1,234 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/standin/searcher"
+	"github.com/swiftvane/swiftvane/internal/standin/store"
+)
+
+func TestBadRequestsAreRefusedAndTheConnectionIsClosed(t *testing.T) {
+	c := start(t, options{work: time.Millisecond})
+	head := "POST /one/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: bad\r\n"
+	for name, tc := range map[string]struct {
+		sent   string
+		status int
+	}{
+		"two lengths":           {head + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400},
+		"two different lengths": {head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc", 400},
+		"length and chunks":     {head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		"bare line feed":        {"GET /one/x HTTP/1.1\r\nHost: a.example\nRequest-Id: bad\r\n\r\n", 400},
+		"only line feeds":       {"GET /one/x HTTP/1.1\nHost: a.example\n\n", 400},
+		"space before colon":    {"GET /one/x HTTP/1.1\r\nHost : a.example\r\n\r\n", 400},
+		"folded header":         {head + "X: a\r\n b\r\n\r\n", 400},
+		"odd coding":            {head + "Transfer-Encoding: xchunked\r\n\r\n", 400},
+		"two hosts":             {head + "Host: b.example\r\n\r\n", 400},
+		"no id":                 {"GET /one/x HTTP/1.1\r\nHost: a.example\r\n\r\n", 400},
+		"large header":          {head + "X: " + strings.Repeat("a", 5000) + "\r\n\r\n", 431},
+		"large body":            {head + "Content-Length: 70000\r\n\r\n", 413},
+		"slow header":           {"GET /one/x HTTP/1.1\r\nHost:", 408},
+		"no request":            {"hello\r\n\r\n", 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := c.hosts[0].dial(t)
+			_, err := io.WriteString(conn, tc.sent)
+			require.NoError(t, err)
+			reader := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, tc.status, resp.StatusCode)
+			_, err = io.Copy(io.Discard, reader)
+			require.NoError(t, err, "the connection ends")
+		})
+	}
+	for _, s := range c.searchers["single"] {
+		require.Empty(t, s.Arrivals())
+	}
+}
+
+func TestAPathWithoutARouteIsNotFoundAndAHostWithoutConfigurationSaysSo(t *testing.T) {
+	c := start(t, options{work: time.Millisecond})
+	r, err := c.hosts[0].caller().ask("GET", "/nowhere/", "x", nil)
+	require.NoError(t, err)
+	require.Equal(t, 404, r.status)
+}
+
+func TestMethodPathBodyAndHeadersGoOnUnchanged(t *testing.T) {
+	c := start(t, options{work: time.Millisecond})
+	body := []byte("some body")
+	r, err := c.hosts[0].caller().ask("POST", "/one/a%20b//c?x=%2f", "same", body)
+	require.NoError(t, err)
+	require.Equal(t, 200, r.status)
+	require.Equal(t, searcher.Records("single", "same", body, records), r.body)
+	require.NotEmpty(t, r.header.Get("Response-Stamp"))
+}
+
+func TestChunkedBodiesAndPipelinedRequestsAreServedInOrder(t *testing.T) {
+	c := start(t, options{work: time.Millisecond})
+	conn := c.hosts[0].dial(t)
+	head := "Host: a.example\r\nDeadline-Ms: 900\r\n"
+	_, err := io.WriteString(conn, "POST /one/x HTTP/1.1\r\n"+head+"Request-Id: p1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"+
+		"GET /one/x HTTP/1.1\r\n"+head+"Request-Id: p2\r\n\r\n")
+	require.NoError(t, err)
+	reader := bufio.NewReader(conn)
+	for i, body := range [][]byte{[]byte("abc"), nil} {
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		id := fmt.Sprintf("p%d", i+1)
+		require.Equal(t, id, resp.Header.Get("Request-Id"))
+		got, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, searcher.Records("single", id, body, records), got)
+	}
+}
+
+func TestACallerThatLeavesEndsTheTargetsWork(t *testing.T) {
+	c := start(t, options{work: 1200 * time.Millisecond})
+	conn := c.hosts[0].dial(t)
+	_, err := io.WriteString(conn, "GET /one/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: left\r\nDeadline-Ms: 5000\r\n\r\n")
+	require.NoError(t, err)
+	running := func() int {
+		n := 0
+		for _, s := range c.searchers["single"] {
+			n += s.Runs()["left"]
+		}
+		return n
+	}
+	require.Eventually(t, func() bool { return running() > 0 }, limit, time.Millisecond)
+	require.NoError(t, conn.Close())
+	require.Eventually(t, func() bool {
+		cut := 0
+		for _, s := range c.searchers["single"] {
+			cut += s.Cut()
+		}
+		return cut == running()
+	}, limit, time.Millisecond)
+}
+
+func TestAPlannedStopCutsNoRequest(t *testing.T) {
+	c := start(t, options{hosts: 2, work: 5 * time.Millisecond})
+	stopping := make(chan bool)
+	go func() {
+		time.Sleep(200 * time.Millisecond)
+		stopping <- c.hosts[0].edge.Stop()
+	}()
+	var all sync.WaitGroup
+	failures := make(chan error, 4)
+	stopped := make(chan struct{})
+	for k := range 4 {
+		all.Go(func() {
+			caller := c.hosts[0].caller()
+			for i := 0; ; i++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				id := fmt.Sprintf("stop-%d-%d", k, i)
+				r, err := caller.ask("GET", "/sweep/x", id, nil)
+				if err != nil && strings.Contains(err.Error(), "refused") {
+					return
+				}
+				if err != nil || r.status != 200 {
+					failures <- fmt.Errorf("%s: %v %v", id, r, err)
+					return
+				}
+			}
+		})
+	}
+	require.True(t, <-stopping)
+	close(stopped)
+	all.Wait()
+	close(failures)
+	for err := range failures {
+		require.NoError(t, err)
+	}
+	require.False(t, c.hosts[0].isReady())
+}
+
+func TestAHostServesOnWhileTheStoreIsAway(t *testing.T) {
+	for name, fault := range map[string]store.Fault{
+		"busy": store.Busy, "too many": store.TooMany, "silent": store.Silent, "garbled": store.Garbled,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := start(t, options{work: time.Millisecond})
+			c.store.SetFault(fault)
+			require.Eventually(t, func() bool { return strings.Contains(c.hosts[0].log.String(), "store lost") }, limit, 10*time.Millisecond)
+			r, err := c.hosts[0].caller().ask("GET", "/sweep/x", "away", nil)
+			require.NoError(t, err)
+			require.Zero(t, requireWhole(t, "away", r))
+			require.True(t, c.hosts[0].isReady())
+			c.store.SetFault(store.None)
+			c.store.Compact()
+			next := c.config(false)
+			next["routes"].([]map[string]any)[1]["prefix"] = "/two/"
+			c.putConfig(next)
+			require.Eventually(t, func() bool {
+				r, err := c.hosts[0].caller().ask("GET", "/two/", "back", nil)
+				return err == nil && r.status == 200
+			}, limit, 20*time.Millisecond)
+			require.Contains(t, c.hosts[0].log.String(), "store regained")
+		})
+	}
+}
+
+func TestAnUnreadableEntryChangesNothingElse(t *testing.T) {
+	c := start(t, options{work: time.Millisecond})
+	c.store.Put("op/config", []byte("{"))
+	c.store.Put("servers/forged", []byte(`{"service":7}`))
+	require.Eventually(t, func() bool {
+		log := c.hosts[0].log.String()
+		return strings.Contains(log, "configuration is unreadable") && strings.Contains(log, "servers/forged")
+	}, limit, 10*time.Millisecond)
+	r, err := c.hosts[0].caller().ask("GET", "/sweep/x", "after", nil)
+	require.NoError(t, err)
+	require.Zero(t, requireWhole(t, "after", r))
+}
+
+func TestALeavingTargetGetsNoNewWork(t *testing.T) {
+	c := start(t, options{work: time.Millisecond})
+	leaving := c.searchers["single"][0]
+	c.putTarget("single", "single-0", leaving.Addr(), "draining")
+	require.Eventually(t, func() bool { return strings.Contains(c.hosts[0].log.String(), `"leaving":true`) }, limit, 5*time.Millisecond)
+	before := len(leaving.Arrivals())
+	caller := c.hosts[0].caller()
+	for i := range 30 {
+		r, err := caller.ask("GET", "/one/x", fmt.Sprintf("drain-%d", i), nil)
+		require.NoError(t, err)
+		require.Equal(t, 200, r.status)
+	}
+	require.Len(t, leaving.Arrivals(), before)
+}
+
+// TestAnAddressThatPassedOnGetsNoMoreRequests ends a target and starts one of
+// another service at its address while the store is away: the first request that
+// meets the other process must be the last.
+func TestAnAddressThatPassedOnGetsNoMoreRequests(t *testing.T) {
+	c := start(t, options{work: time.Millisecond})
+	c.store.SetFault(store.Busy)
+	gone := c.searchers[shardName(2)][0]
+	addr := gone.Addr()
+	gone.Close()
+	other, err := searcher.Start(addr, searcher.Options{ID: "other-1", Service: "other", Slots: 2, Queue: 12, Records: records})
+	require.NoError(t, err)
+	t.Cleanup(other.Close)
+	caller := c.hosts[0].caller()
+	for i := range 100 {
+		id := fmt.Sprintf("moved-%d", i)
+		r, err := caller.ask("GET", "/sweep/x", id, nil)
+		require.NoError(t, err)
+		require.Zero(t, requireWhole(t, id, r))
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.LessOrEqual(t, len(other.Arrivals()), 1)
+	require.Empty(t, other.Runs())
+}
--- /dev/null
+++ b/test/edge/sweep_test.go
@@ -0,0 +1,161 @@
+package edge_test
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/standin/searcher"
+)
+
+// requireWhole checks a sweep's answer against what the parts that it names
+// hold, computed here.
+func requireWhole(t *testing.T, id string, r *reply) (missing int) {
+	t.Helper()
+	require.Equal(t, 200, r.status)
+	signatures := strings.Split(r.header.Get("Part-Stamps"), ", ")
+	missing, err := strconv.Atoi(r.header.Get("Missing-Parts"))
+	require.NoError(t, err)
+	require.Equal(t, shards, len(signatures)+missing)
+	var all [][]byte
+	seen := map[string]bool{}
+	for _, s := range signatures {
+		_, service, ok := strings.Cut(s, ".")
+		require.True(t, ok)
+		require.False(t, seen[service], "two parts of one shard")
+		seen[service] = true
+		valid := false
+		for i := range replicas {
+			valid = valid || s == searcher.Signature(service, fmt.Sprintf("%s-%d", service, i), id)
+		}
+		require.True(t, valid, "signature %s is of another request", s)
+		part := searcher.Records(service, id, nil, records)
+		for ; len(part) > 0; part = part[16:] {
+			all = append(all, part[:16])
+		}
+	}
+	slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+	require.Equal(t, bytes.Join(all[:topK], nil), r.body)
+	return missing
+}
+
+func TestASweepIsTheGreatestRecordsOfAllShards(t *testing.T) {
+	c := start(t, options{work: time.Millisecond})
+	caller := c.hosts[0].caller()
+	for i := range 20 {
+		id := fmt.Sprintf("calm-%d", i)
+		r, err := caller.ask("GET", "/sweep/x?q=1", id, nil)
+		require.NoError(t, err)
+		require.Zero(t, requireWhole(t, id, r))
+		require.Equal(t, id, r.header.Get("Request-Id"))
+	}
+}
+
+func TestASweepIsWholeWhileTargetsPauseFailAndLie(t *testing.T) {
+	faults := []searcher.Fault{
+		searcher.Shed, searcher.FailRun, searcher.LoseAnswer, searcher.CutAnswer, searcher.TwoAnswers, searcher.NoLength,
+	}
+	c := start(t, options{work: time.Millisecond, fault: func(service, id string) searcher.Fault {
+		n, _ := strconv.Atoi(id[strings.LastIndexByte(id, '-')+1:])
+		if service == shardName(n%shards) {
+			return faults[n%len(faults)]
+		}
+		return searcher.None
+	}})
+	caller := c.hosts[0].caller()
+	for i := range 60 {
+		id := fmt.Sprintf("lie-%d", i)
+		r, err := caller.ask("GET", "/sweep/x", id, nil)
+		require.NoError(t, err)
+		require.LessOrEqual(t, requireWhole(t, id, r), 1)
+	}
+}
+
+func TestAPausedTargetIsHedged(t *testing.T) {
+	c := start(t, options{work: time.Millisecond})
+	caller := c.hosts[0].caller()
+	resume := c.searchers[shardName(3)][0].Pause()
+	defer resume()
+	for i := range 10 {
+		id := fmt.Sprintf("pause-%d", i)
+		r, err := caller.ask("GET", "/sweep/x", id, nil)
+		require.NoError(t, err)
+		require.Zero(t, requireWhole(t, id, r), "the other replica has the whole shard")
+	}
+}
+
+func TestALostShardIsSaidToBeMissing(t *testing.T) {
+	c := start(t, options{work: time.Millisecond})
+	for _, s := range c.searchers[shardName(5)] {
+		s.Close()
+	}
+	caller := c.hosts[0].caller()
+	for i := range 5 {
+		id := fmt.Sprintf("lost-%d", i)
+		r, err := caller.ask("GET", "/sweep/x", id, nil)
+		require.NoError(t, err)
+		require.Equal(t, 1, requireWhole(t, id, r))
+	}
+}
+
+func TestASweepBelowTheLeastCoverageIsRefusedUnrun(t *testing.T) {
+	c := start(t, options{work: time.Millisecond})
+	for i := range 3 {
+		for _, s := range c.searchers[shardName(i)] {
+			s.Close()
+		}
+	}
+	caller := c.hosts[0].caller()
+	require.Eventually(t, func() bool {
+		r, err := caller.ask("GET", "/sweep/x", "probe", nil)
+		return err == nil && r.status == 503
+	}, limit, 20*time.Millisecond)
+	r, err := caller.ask("GET", "/sweep/x", "refused-1", nil)
+	require.NoError(t, err)
+	require.Equal(t, 503, r.status)
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	for _, list := range c.searchers {
+		for _, s := range list {
+			require.Zero(t, s.Arrivals()["refused-1"], "a refused sweep reaches no target")
+		}
+	}
+}
+
+func TestARepartitionNeverMixesVersions(t *testing.T) {
+	c := start(t, options{work: time.Millisecond})
+	old := c.config(false)
+	next := c.config(false)
+	gather := []string{}
+	for i := range shards {
+		name := "new-" + strconv.Itoa(i)
+		c.addService(name, replicas, time.Millisecond)
+		gather = append(gather, name)
+	}
+	next["routes"].([]map[string]any)[0]["gather"] = gather
+	next["version"] = old["version"].(int64) + 1
+	caller := c.hosts[0].caller()
+	changed := false
+	for i := range 200 {
+		if i == 20 {
+			c.putConfig(next)
+		}
+		id := fmt.Sprintf("part-%d", i)
+		r, err := caller.ask("GET", "/sweep/x", id, nil)
+		require.NoError(t, err)
+		require.Zero(t, requireWhole(t, id, r))
+		now := strings.Contains(r.header.Get("Part-Stamps"), ".new-")
+		require.NotEqual(t, now, strings.Contains(r.header.Get("Part-Stamps"), ".shard-"))
+		require.False(t, changed && !now, "the old shards came back")
+		changed = now
+		if !changed {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	require.True(t, changed)
+}
