--- /dev/null
+++ b/internal/catalogsync/follower_test.go
@@ -0,0 +1,73 @@
+package catalogsync
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/catalog"
+)
+
+// scripted answers calls from a list and then repeats the last.
+type scripted struct {
+	calls []string
+	steps []func() (Batch, error)
+}
+
+func (s *scripted) next(what string) (Batch, error) {
+	s.calls = append(s.calls, what)
+	step := s.steps[0]
+	if len(s.steps) > 1 {
+		s.steps = s.steps[1:]
+	}
+	return step()
+}
+
+func (s *scripted) Read() (Batch, error) { return s.next("read") }
+
+func (s *scripted) Watch(_ int64, wait time.Duration) (Batch, error) {
+	batch, err := s.next("watch")
+	if err == nil && len(batch.Changes) == 0 {
+		time.Sleep(wait)
+	}
+	return batch, err
+}
+
+func TestADroppedHistoryIsReadAgainAndAFailedCallIsNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ok := func(b Batch) func() (Batch, error) { return func() (Batch, error) { return b, nil } }
+		fails := func(err error) func() (Batch, error) { return func() (Batch, error) { return Batch{}, err } }
+		source := &scripted{steps: []func() (Batch, error){
+			fails(errors.New("down")), ok(Batch{Full: true, Revision: 3, Changes: []Change{config(1), target("a")}}),
+			fails(errors.New("down")), ok(Batch{Revision: 4, Changes: []Change{gone("a")}}),
+			fails(ErrCompacted), ok(Batch{Full: true, Revision: 9, Changes: []Change{config(2)}}), ok(Batch{Revision: 9}),
+		}}
+		f := New(source, quiet(), func(*catalog.View) {})
+		require.Nil(t, f.View().Config)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(2 * retryLast)
+		require.Len(t, f.View().ByService["s"], 1, "held, since the store was away")
+		time.Sleep(returnHold + time.Second)
+		require.Empty(t, f.View().ByService["s"])
+		require.EqualValues(t, 2, f.View().Config.Version)
+		require.Equal(t, []string{"read", "read", "watch", "watch", "watch", "read", "watch"}, source.calls[:7])
+		cancel()
+		time.Sleep(watchWait)
+		<-done
+	})
+}
+
+func TestCallsToAStoreThatIsDownGrowRare(t *testing.T) {
+	for failures := 1; failures < 40; failures++ {
+		d := backoff(failures)
+		require.LessOrEqual(t, d, retryLast)
+		require.GreaterOrEqual(t, d, retryFirst/2)
+	}
+	require.GreaterOrEqual(t, backoff(20), retryLast/2)
+}
--- /dev/null
+++ b/internal/extrabudget/window_test.go
@@ -0,0 +1,70 @@
+package extrabudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/stretchr/testify/require"
+)
+
+// TestNoWindowHoldsMoreExtraLoadThanAllowed plays any order of requests, tries
+// and pauses and checks each window of the bound's length.
+func TestNoWindowHoldsMoreExtraLoadThanAllowed(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(3)
+	properties := gopter.NewProperties(parameters)
+	limit := Limit{Ratio: 0.2, Slack: 3, Window: 10 * time.Second}
+	properties.Property("bound", prop.ForAll(func(steps []int) bool {
+		now := time.Now()
+		b := New(limit, now)
+		var requests, extras []time.Time
+		for _, step := range steps {
+			now = now.Add(time.Duration(step%700) * time.Millisecond)
+			b.Request(now)
+			requests = append(requests, now)
+			for range step % 3 {
+				if b.Take(now) {
+					extras = append(extras, now)
+				}
+			}
+		}
+		return holds(limit, requests, extras)
+	}, gen.SliceOfN(300, gen.IntRange(0, 5000))))
+	properties.TestingRun(t)
+}
+
+// holds checks the bound with the requests of a window and of the half window
+// before it, as the tier's own counting is no finer than a slice.
+func holds(limit Limit, requests, extras []time.Time) bool {
+	for _, end := range extras {
+		from := end.Add(-limit.Window)
+		n := count(extras, from, end)
+		m := count(requests, from.Add(-limit.Window/2), end)
+		if float64(n) > limit.Ratio*float64(m)+limit.Slack {
+			return false
+		}
+	}
+	return true
+}
+
+func count(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(from) && !at.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestTheBudgetComesBackWithTime(t *testing.T) {
+	now := time.Now()
+	b := New(Limit{Ratio: 0, Slack: 2, Window: 10 * time.Second}, now)
+	require.True(t, b.Take(now))
+	require.True(t, b.Take(now))
+	require.False(t, b.Take(now))
+	require.False(t, b.Take(now.Add(9*time.Second)))
+	require.True(t, b.Take(now.Add(11*time.Second)))
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/exchange"
+)
+
+// TestGreatestEqualsSorting compares the merge with sorting everything.
+func TestGreatestEqualsSorting(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(5))
+	part := gen.SliceOf(gen.UInt8Range(0, 3))
+	properties.Property("equal", prop.ForAll(func(raw [][]byte, k int) bool {
+		var all [][]byte
+		for _, p := range raw {
+			for ; len(p) >= recordBytes; p = p[recordBytes:] {
+				all = append(all, p[:recordBytes])
+			}
+		}
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		return bytes.Equal(bytes.Join(all[:min(k, len(all))], nil), greatest(raw, k))
+	}, gen.SliceOf(part), gen.IntRange(0, 30)))
+	properties.TestingRun(t)
+}
+
+func TestSplitsHoldOverAnyRunOfRequests(t *testing.T) {
+	parts := []catalog.WeightedService{{Service: "a", Weight: 7}, {Service: "b", Weight: 2}, {Service: "c", Weight: 1}}
+	debt := make([]float64, len(parts))
+	counts := make([]int, len(parts))
+	for n := 1; n <= 1000; n++ {
+		counts[nextPart(debt, parts)]++
+		for i, p := range parts {
+			require.InDelta(t, p.Weight/10*float64(n), float64(counts[i]), 1.01)
+		}
+	}
+}
+
+func TestAHedgeIsSentInTimeToBeOfUse(t *testing.T) {
+	arrived := time.Now()
+	route := &catalog.Route{Objective: 100 * time.Millisecond, Timeout: time.Second}
+	s := newSchedule(route, &exchange.Request{Arrived: arrived, Patience: 400 * time.Millisecond})
+	require.Equal(t, arrived.Add(400*time.Millisecond), s.deadline)
+	require.True(t, s.onTime.Before(arrived.Add(route.Objective)))
+	p := pace{usual: 10 * time.Millisecond, straggler: 30 * time.Millisecond}
+	require.Equal(t, arrived.Add(30*time.Millisecond), s.hedgeTime(arrived, p))
+	p.straggler = 200 * time.Millisecond
+	require.Equal(t, s.onTime.Add(-15*time.Millisecond), s.hedgeTime(arrived, p))
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,77 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const usual = 10 * time.Millisecond
+
+func never() float64 { return 0 }
+
+func served(s *Stats, at time.Time, took time.Duration) {
+	s.Sent(at)
+	s.Ended(at.Add(took), Exchange{Sent: at, Expected: usual, Result: Served})
+}
+
+func candidate(s *Stats, now time.Time) Candidate {
+	load := s.Load(now)
+	load.Limit, load.Room = 2, 2
+	return Candidate{Load: load}
+}
+
+func TestAStalledTargetIsLeftAfterOneExchange(t *testing.T) {
+	now := time.Now()
+	var stalled, well Stats
+	served(&stalled, now, usual)
+	served(&well, now, usual)
+	stalled.Sent(now.Add(usual))
+	later := now.Add(usual + 40*time.Millisecond)
+	require.Equal(t, 1, Choose([]Candidate{candidate(&stalled, later), candidate(&well, later)}, usual, never))
+}
+
+func TestASlowTargetIsTriedAgainAfterAWhile(t *testing.T) {
+	now := time.Now()
+	var slow Stats
+	for range 20 {
+		served(&slow, now, 10*usual)
+		now = now.Add(10 * usual)
+	}
+	require.Greater(t, slow.Load(now).Slowness, 6.0)
+	require.Less(t, slow.Load(now.Add(10*time.Second)).Slowness, 1.5)
+}
+
+func TestSheddingAndFailuresSteerAway(t *testing.T) {
+	for _, result := range []Result{Shed, Failed, Silent} {
+		now := time.Now()
+		var bad, well Stats
+		served(&well, now, usual)
+		for range 3 {
+			bad.Sent(now)
+			bad.Ended(now.Add(usual), Exchange{Sent: now, Expected: usual, Result: result})
+		}
+		now = now.Add(2 * usual)
+		require.Equal(t, 1, Choose([]Candidate{candidate(&bad, now), candidate(&well, now)}, usual, never), result)
+	}
+}
+
+func TestChooseWeighsDistanceLessThanSlowness(t *testing.T) {
+	near := Candidate{Load: Load{Slowness: 1, Room: 1, Limit: 2}}
+	far := near
+	far.Remote = true
+	require.Equal(t, 1, Choose([]Candidate{far, near}, usual, never))
+	near.Load.Slowness = 4
+	require.Equal(t, 0, Choose([]Candidate{far, near}, usual, never))
+	require.Equal(t, -1, Choose(nil, usual, never))
+}
+
+func TestOnlyAQueueMakesATargetOverrun(t *testing.T) {
+	slow := Load{Slowness: 50, Room: 1, Limit: 2}
+	require.False(t, Overrun(slow, usual, time.Millisecond), "without requests nobody would see it get well")
+	queued := Load{Slowness: 1, Room: -5, Limit: 2}
+	require.Equal(t, 4*usual, Estimate(queued, usual))
+	require.True(t, Overrun(queued, usual, 3*usual))
+	require.False(t, Overrun(queued, usual, 5*usual))
+}
