Follow the hosts that read the store; divide connections and slack by the fleet's size

Change: the hosts that the seeds name read the store and pass its entries on over WebSocket and CBOR; a host without a fresh link calls the store itself. The links tell the fleet's size, which sets the connections a target (a rendezvous subset of the replicas where not all fit) and the slack of the budgets. The end of an idle connection that never served is no failure.

--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// assumedHosts is the number of hosts that share targets' connections and
-	// budgets while they do not know of each other.
-	assumedHosts = 8
 	// heapShare of the memory limit is the runtime's own limit.
 	heapShare = 0.6
 	// gcPercent lets the heap grow to this many percent of what is in use.
@@ -71,8 +68,10 @@
 		ReadyPath:     platform.ReadyPath,
 		StopWithin:    node.StopWithin,
 		Extra:         extrabudget.Limit{Ratio: node.Extra.Ratio, Slack: node.Extra.Slack, Window: node.Extra.Window},
-		Hosts:         assumedHosts,
-		Source:        platform.NewStore(node.StoreAddr),
+		PeerAddr:      node.PeerAddr,
+		Readers:       func() []string { return node.Seeds },
+		Store:         platform.NewStore(node.StoreAddr),
+		Decode:        platform.Decode,
 		CallerCodec:   platform.CallerCodec{},
 		TargetCodec:   platform.TargetCodec{},
 		Log:           log,
--- /dev/null
+++ b/internal/catalogshare/hub.go
@@ -0,0 +1,257 @@
+package catalogshare
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/swiftvane/swiftvane/internal/catalogsync"
+)
+
+// outboxMessages is the number of messages that wait for a slow follower; one
+// more ends its link.
+const outboxMessages = 64
+
+// Hub serves a host's entries to the hosts that follow it.
+type Hub struct {
+	log      logrus.FieldLogger
+	upgrader websocket.FastHTTPUpgrader
+
+	mu        sync.Mutex
+	entries   map[string]entry
+	revision  int64
+	asOf      time.Time
+	followers map[*follower]bool
+	// others has the number of hosts that each other reader stands for.
+	others map[string]count
+	// told is the number of hosts that the host's own upstream knows.
+	told int
+}
+
+type count struct {
+	hosts int
+	at    time.Time
+}
+
+// countFor is how long a count is used after it was last told.
+const countFor = 10 * time.Second
+
+type follower struct {
+	out     chan []byte
+	observe bool
+}
+
+// NewHub returns a hub without entries.
+func NewHub(log logrus.FieldLogger) *Hub {
+	return &Hub{
+		log: log, entries: map[string]entry{}, followers: map[*follower]bool{}, others: map[string]count{},
+		upgrader: websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }},
+	}
+}
+
+// Serve accepts links until the listener is closed.
+func (h *Hub) Serve(l net.Listener) error {
+	server := &fasthttp.Server{Handler: h.handle, NoDefaultServerHeader: true, ReadTimeout: linkTimeout}
+	return server.Serve(l)
+}
+
+// Run sends what keeps the links alive until ctx ends.
+func (h *Hub) Run(ctx context.Context) {
+	ticker := time.NewTicker(beatEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.mu.Lock()
+			if len(h.followers) > 0 {
+				h.broadcast(h.beat())
+			}
+			h.mu.Unlock()
+		}
+	}
+}
+
+// Publish takes a batch in and passes it on.
+func (h *Hub) Publish(b catalogsync.Batch) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if b.Full {
+		h.entries = make(map[string]entry, len(b.Changes))
+	}
+	m := h.beat()
+	for i := range b.Changes {
+		c := &b.Changes[i]
+		e := entry{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}
+		m.Entries = append(m.Entries, e)
+		if c.Deleted {
+			delete(h.entries, c.Key)
+		} else {
+			h.entries[c.Key] = e
+		}
+	}
+	h.revision = max(h.revision, b.Revision)
+	h.asOf = b.AsOf
+	if len(h.followers) == 0 || len(m.Entries) == 0 && !b.Returned {
+		return
+	}
+	m.Full, m.Returned, m.Revision = b.Full, b.Returned, h.revision
+	m.AgeMS = time.Since(h.asOf).Milliseconds()
+	h.broadcast(m)
+}
+
+// Hosts is the number of hosts in the fleet as far as this one knows, at least
+// the one itself.
+func (h *Hub) Hosts() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hosts()
+}
+
+func (h *Hub) hosts() int {
+	sum := h.own()
+	for _, other := range h.others {
+		if time.Since(other.at) < countFor {
+			sum += other.hosts
+		}
+	}
+	return max(sum, h.told)
+}
+
+func (h *Hub) own() int {
+	n := 1
+	for f := range h.followers {
+		if !f.observe {
+			n++
+		}
+	}
+	return n
+}
+
+// observed notes what another reader tells of itself.
+func (h *Hub) observed(addr string, hosts int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.others[addr] = count{hosts: hosts, at: time.Now()}
+}
+
+// tell notes what the upstream knows of the fleet.
+func (h *Hub) tell(hosts int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.told = hosts
+}
+
+// beat is a message without entries. The lock is held.
+func (h *Hub) beat() *message {
+	return &message{Revision: h.revision, AgeMS: time.Since(h.asOf).Milliseconds(), Own: h.own(), Hosts: h.hosts()}
+}
+
+// full is a message with all entries. The lock is held.
+func (h *Hub) full() *message {
+	m := h.beat()
+	m.Full = true
+	for _, e := range h.entries {
+		m.Entries = append(m.Entries, e)
+	}
+	return m
+}
+
+// broadcast sends to all followers; a link that is behind ends. The lock is held.
+func (h *Hub) broadcast(m *message) {
+	raw, err := encode(m)
+	if err != nil {
+		h.log.WithError(err).Error("catalog message can't be encoded")
+		return
+	}
+	for f := range h.followers {
+		if f.observe && len(m.Entries) > 0 {
+			continue
+		}
+		select {
+		case f.out <- raw:
+		default:
+			h.remove(f)
+		}
+	}
+}
+
+func (h *Hub) remove(f *follower) {
+	if h.followers[f] {
+		delete(h.followers, f)
+		close(f.out)
+	}
+}
+
+func (h *Hub) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != sharePath {
+		ctx.Error("not found", fasthttp.StatusNotFound)
+		return
+	}
+	observe := ctx.QueryArgs().Has(observeQuery)
+	if err := h.upgrader.Upgrade(ctx, func(conn *websocket.Conn) { h.follow(conn, observe) }); err != nil {
+		h.log.WithError(err).Info("catalog link refused")
+	}
+}
+
+// follow serves one link in its goroutine.
+func (h *Hub) follow(conn *websocket.Conn, observe bool) {
+	f := &follower{out: make(chan []byte, outboxMessages), observe: observe}
+	h.mu.Lock()
+	if h.revision == 0 {
+		// Nothing is known yet; the host asks another one.
+		h.mu.Unlock()
+		closeLink(conn, h.log)
+		return
+	}
+	first := h.beat()
+	if !observe {
+		first = h.full()
+	}
+	h.followers[f] = true
+	h.mu.Unlock()
+	defer closeLink(conn, h.log)
+	defer func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.remove(f)
+	}()
+	go discard(conn)
+	raw, err := encode(first)
+	if err != nil {
+		h.log.WithError(err).Error("catalog message can't be encoded")
+		return
+	}
+	for raw != nil && write(conn, raw) == nil {
+		raw = <-f.out
+	}
+}
+
+// discard reads until the link ends and then closes it, which ends its writer.
+func discard(conn *websocket.Conn) {
+	for {
+		if _, _, err := conn.ReadMessage(); err != nil {
+			_ = conn.Close() //nolint:errcheck // the link is over either way
+			return
+		}
+	}
+}
+
+func write(conn *websocket.Conn, raw []byte) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return conn.WriteMessage(websocket.BinaryMessage, raw)
+}
+
+func closeLink(conn *websocket.Conn, log logrus.FieldLogger) {
+	if err := conn.Close(); err != nil {
+		log.WithError(err).Debug("close of a catalog link")
+	}
+}
--- /dev/null
+++ b/internal/catalogshare/link.go
@@ -0,0 +1,94 @@
+package catalogshare
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/sirupsen/logrus"
+)
+
+var (
+	errSilent = errors.New("the link was silent for too long")
+	errStale  = errors.New("the host's own reading of the store is too old")
+)
+
+// link is a host's link to one that reads the store.
+type link struct {
+	addr string
+	conn *websocket.Conn
+	// messages is closed when the link ends.
+	messages chan *message
+	log      logrus.FieldLogger
+}
+
+// dial opens a link whose messages are read by a goroutine until it ends.
+func dial(addr string, observe bool, log logrus.FieldLogger) (*link, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	url := "ws://" + addr + sharePath
+	if observe {
+		url += "?" + observeQuery
+	}
+	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout}
+	conn, resp, err := dialer.DialContext(ctx, url, nil)
+	if resp != nil && resp.Body != nil {
+		_ = resp.Body.Close() //nolint:errcheck // an upgrade's response has no body to lose
+	}
+	if err != nil {
+		return nil, err
+	}
+	l := &link{addr: addr, conn: conn, messages: make(chan *message, outboxMessages), log: log}
+	go l.read()
+	return l, nil
+}
+
+func (l *link) read() {
+	defer close(l.messages)
+	defer l.close()
+	for {
+		if err := l.conn.SetReadDeadline(time.Now().Add(linkTimeout)); err != nil {
+			return
+		}
+		_, raw, err := l.conn.ReadMessage()
+		if err != nil {
+			return
+		}
+		m, err := decode(raw)
+		if err != nil {
+			l.log.WithError(err).WithField("peer", l.addr).Warn("catalog message is unreadable")
+			return
+		}
+		l.messages <- m
+	}
+}
+
+// next waits for a message, at most linkTimeout.
+func (l *link) next() (*message, error) {
+	timer := time.NewTimer(linkTimeout)
+	defer timer.Stop()
+	select {
+	case m, ok := <-l.messages:
+		if !ok {
+			return nil, errSilent
+		}
+		if m.AgeMS > freshFor.Milliseconds() {
+			return nil, errStale
+		}
+		return m, nil
+	case <-timer.C:
+		return nil, errSilent
+	}
+}
+
+// end closes the link and lets its goroutine finish.
+func (l *link) end() {
+	l.close()
+	go func() {
+		for range l.messages {
+		}
+	}()
+}
+
+func (l *link) close() { closeLink(l.conn, l.log) }
--- a/internal/catalogsync/follower.go
+++ b/internal/catalogsync/follower.go
@@ -19,9 +19,9 @@
 const (
 	// watchWait is the longest a watch waits for a first change. A connection
 	// that went silent is noticed after this time and a little.
-	watchWait = 2500 * time.Millisecond
-	// watchPause is the least time between two watches, so that a run of
-	// changes costs few calls.
+	watchWait = 1300 * time.Millisecond
+	// watchPause is the least time between two watches of the store, so that a
+	// run of changes costs few calls.
 	watchPause = 600 * time.Millisecond
 	// retryFirst and retryLast bound the pause after a failed call.
 	retryFirst = 150 * time.Millisecond
@@ -36,22 +36,21 @@
 	source  Source
 	log     logrus.FieldLogger
 	view    atomic.Pointer[catalog.View]
-	updates chan update
-	onView  func(*catalog.View)
-	calls   atomic.Int64
+	updates chan Batch
+	hooks   Hooks
 }
 
-// update is what the calling goroutine hands to the owner of the state.
-type update struct {
-	batch Batch
-	// returned is set on the first success after a failure.
-	returned bool
+// Hooks are called by a follower, each from one goroutine.
+type Hooks struct {
+	// OnView gets each view.
+	OnView func(*catalog.View)
+	// OnBatch gets each batch as it was read, before the view that reflects it.
+	OnBatch func(Batch)
 }
 
-// New returns a follower whose Run must be called. Each view is passed to
-// onView, from one goroutine.
-func New(source Source, log logrus.FieldLogger, onView func(*catalog.View)) *Follower {
-	f := &Follower{source: source, log: log, updates: make(chan update), onView: onView}
+// New returns a follower whose Run must be called.
+func New(source Source, log logrus.FieldLogger, hooks Hooks) *Follower {
+	f := &Follower{source: source, log: log, updates: make(chan Batch), hooks: hooks}
 	f.view.Store(catalog.NewView(nil, 0, nil))
 	return f
 }
@@ -59,9 +58,6 @@
 // View returns the newest view. It is never nil.
 func (f *Follower) View() *catalog.View { return f.view.Load() }
 
-// Calls is the number of calls made to the store.
-func (f *Follower) Calls() int64 { return f.calls.Load() }
-
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	go f.read(ctx)
@@ -72,7 +68,6 @@
 func (f *Follower) read(ctx context.Context) {
 	revision, failures := int64(0), 0
 	for ctx.Err() == nil {
-		f.calls.Add(1)
 		began := time.Now()
 		batch, err := f.call(revision)
 		switch {
@@ -91,10 +86,11 @@
 		if failures > 0 {
 			f.log.WithField("failed_calls", failures).Info("store regained")
 		}
-		f.hand(ctx, update{batch: batch, returned: failures > 0})
+		batch.Returned = batch.Returned || failures > 0
+		f.hand(ctx, batch)
 		failures = 0
-		revision = batch.Revision
-		if !batch.Full {
+		revision = max(revision, batch.Revision)
+		if batch.Direct && !batch.Full {
 			pause(ctx, watchPause-time.Since(began))
 		}
 	}
@@ -107,9 +103,12 @@
 	return f.source.Watch(revision, watchWait)
 }
 
-func (f *Follower) hand(ctx context.Context, u update) {
+func (f *Follower) hand(ctx context.Context, batch Batch) {
+	if f.hooks.OnBatch != nil {
+		f.hooks.OnBatch(batch)
+	}
 	select {
-	case f.updates <- u:
+	case f.updates <- batch:
 	case <-ctx.Done():
 	}
 }
@@ -124,15 +123,15 @@
 		select {
 		case <-ctx.Done():
 			return
-		case u := <-f.updates:
-			changed = s.apply(u, time.Now())
+		case batch := <-f.updates:
+			changed = s.apply(batch, time.Now())
 		case <-timer.C:
 			changed = s.expire(time.Now())
 		}
 		if changed {
 			v := s.view()
 			f.view.Store(v)
-			f.onView(v)
+			f.hooks.OnView(v)
 		}
 		timer.Reset(s.nextExpiry(time.Now()))
 	}
--- a/internal/catalogsync/follower_test.go
+++ b/internal/catalogsync/follower_test.go
@@ -46,7 +46,7 @@
 			fails(errors.New("down")), ok(Batch{Revision: 4, Changes: []Change{gone("a")}}),
 			fails(ErrCompacted), ok(Batch{Full: true, Revision: 9, Changes: []Change{config(2)}}), ok(Batch{Revision: 9}),
 		}}
-		f := New(source, quiet(), func(*catalog.View) {})
+		f := New(source, quiet(), Hooks{OnView: func(*catalog.View) {}})
 		require.Nil(t, f.View().Config)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
--- a/internal/catalogsync/source.go
+++ b/internal/catalogsync/source.go
@@ -29,6 +29,8 @@
 	Key      string
 	Revision int64
 	Deleted  bool
+	// Value is the entry as written, for passing it on.
+	Value []byte
 	// Config and Target are set by their kinds, unless Deleted or Err is.
 	Config *catalog.Config
 	Target *catalog.Target
@@ -41,6 +43,12 @@
 	// Full batches list all entries; what they leave out is gone.
 	Full     bool
 	Revision int64
+	// AsOf is the time up to which the batch is complete.
+	AsOf time.Time
+	// Direct is set where the store itself was called.
+	Direct bool
+	// Returned is set on the first batch after the store was away.
+	Returned bool
 	Changes  []Change
 }
 
--- a/internal/catalogsync/state.go
+++ b/internal/catalogsync/state.go
@@ -31,21 +31,21 @@
 }
 
 // apply takes a batch in and reports whether the view changed.
-func (s *state) apply(u update, now time.Time) bool {
-	if u.returned {
+func (s *state) apply(batch Batch, now time.Time) bool {
+	if batch.Returned {
 		s.holdUntil = now.Add(returnHold)
 	}
 	changed := s.revision == 0
-	s.revision = max(s.revision, u.batch.Revision)
+	s.revision = max(s.revision, batch.Revision)
 	seen := map[catalog.TargetID]bool{}
-	for i := range u.batch.Changes {
-		c := &u.batch.Changes[i]
+	for i := range batch.Changes {
+		c := &batch.Changes[i]
 		if c.Kind == TargetChange && c.Target != nil {
 			seen[c.Target.ID] = true
 		}
 		changed = s.change(c, now) || changed
 	}
-	if u.batch.Full {
+	if batch.Full {
 		for id := range s.targets {
 			if !seen[id] {
 				changed = s.remove(id, "entry is missing", now) || changed
--- a/internal/catalogsync/state_test.go
+++ b/internal/catalogsync/state_test.go
@@ -30,44 +30,44 @@
 func TestVersionsOnlyRiseAndAnUnreadableOneChangesNothing(t *testing.T) {
 	s := newState(quiet())
 	now := time.Now()
-	s.apply(update{batch: Batch{Revision: 5, Changes: []Change{config(7)}}}, now)
-	require.False(t, s.apply(update{batch: Batch{Revision: 6, Changes: []Change{config(6)}}}, now))
-	require.False(t, s.apply(update{batch: Batch{Revision: 7, Changes: []Change{{Kind: ConfigChange, Err: errors.New("x")}}}}, now))
+	s.apply(Batch{Revision: 5, Changes: []Change{config(7)}}, now)
+	require.False(t, s.apply(Batch{Revision: 6, Changes: []Change{config(6)}}, now))
+	require.False(t, s.apply(Batch{Revision: 7, Changes: []Change{{Kind: ConfigChange, Err: errors.New("x")}}}, now))
 	require.EqualValues(t, 7, s.view().Config.Version)
-	require.True(t, s.apply(update{batch: Batch{Revision: 8, Changes: []Change{config(9)}}}, now))
+	require.True(t, s.apply(Batch{Revision: 8, Changes: []Change{config(9)}}, now))
 	require.EqualValues(t, 9, s.view().Config.Version)
 }
 
 func TestAnEntryThatVanishesIsGoneAtOnceWhileTheStoreIsWell(t *testing.T) {
 	s := newState(quiet())
 	now := time.Now()
-	s.apply(update{batch: Batch{Full: true, Revision: 1, Changes: []Change{target("a"), target("b")}}}, now)
-	require.True(t, s.apply(update{batch: Batch{Revision: 2, Changes: []Change{gone("a")}}}, now))
+	s.apply(Batch{Full: true, Revision: 1, Changes: []Change{target("a"), target("b")}}, now)
+	require.True(t, s.apply(Batch{Revision: 2, Changes: []Change{gone("a")}}, now))
 	require.Len(t, s.view().Targets, 1)
-	require.True(t, s.apply(update{batch: Batch{Full: true, Revision: 3}}, now))
+	require.True(t, s.apply(Batch{Full: true, Revision: 3}, now))
 	require.Empty(t, s.view().Targets)
 }
 
 func TestEntriesThatLapsedWithTheStoreAreHeldUntilTheyCouldBeBack(t *testing.T) {
 	s := newState(quiet())
 	now := time.Now()
-	s.apply(update{batch: Batch{Full: true, Revision: 1, Changes: []Change{target("a"), target("b"), target("c")}}}, now)
-	require.False(t, s.apply(update{returned: true, batch: Batch{Revision: 4, Changes: []Change{gone("a"), gone("b")}}}, now))
+	s.apply(Batch{Full: true, Revision: 1, Changes: []Change{target("a"), target("b"), target("c")}}, now)
+	require.False(t, s.apply(Batch{Returned: true, Revision: 4, Changes: []Change{gone("a"), gone("b")}}, now))
 	require.Len(t, s.view().ByService["s"], 3)
-	s.apply(update{batch: Batch{Revision: 5, Changes: []Change{target("a")}}}, now.Add(time.Second))
+	s.apply(Batch{Revision: 5, Changes: []Change{target("a")}}, now.Add(time.Second))
 	require.False(t, s.expire(now.Add(returnHold-time.Millisecond)))
 	require.True(t, s.expire(now.Add(returnHold)))
 	require.Len(t, s.view().ByService["s"], 2, "a came back, c was there, b is gone")
-	require.True(t, s.apply(update{batch: Batch{Revision: 6, Changes: []Change{gone("c")}}}, now.Add(returnHold+time.Second)))
+	require.True(t, s.apply(Batch{Revision: 6, Changes: []Change{gone("c")}}, now.Add(returnHold+time.Second)))
 }
 
 func TestALeavingEntryCountsAtOnceEvenAfterTheStoreCameBack(t *testing.T) {
 	s := newState(quiet())
 	now := time.Now()
-	s.apply(update{batch: Batch{Full: true, Revision: 1, Changes: []Change{target("a")}}}, now)
+	s.apply(Batch{Full: true, Revision: 1, Changes: []Change{target("a")}}, now)
 	leaving := target("a")
 	leaving.Target.Leaving = true
-	require.True(t, s.apply(update{returned: true, batch: Batch{Revision: 2, Changes: []Change{leaving}}}, now))
+	require.True(t, s.apply(Batch{Returned: true, Revision: 2, Changes: []Change{leaving}}, now))
 	require.Empty(t, s.view().ByService["s"])
 }
 
@@ -75,17 +75,17 @@
 	s := newState(quiet())
 	now := time.Now()
 	forged := Change{Kind: TargetChange, Key: "t/a", Err: errors.New("fields are missing")}
-	s.apply(update{batch: Batch{Full: true, Revision: 1, Changes: []Change{target("a"), target("b")}}}, now)
-	require.True(t, s.apply(update{batch: Batch{Revision: 2, Changes: []Change{forged}}}, now))
+	s.apply(Batch{Full: true, Revision: 1, Changes: []Change{target("a"), target("b")}}, now)
+	require.True(t, s.apply(Batch{Revision: 2, Changes: []Change{forged}}, now))
 	require.Len(t, s.view().ByService["s"], 1)
 }
 
 func TestARenewedEntryIsNoChangeAndANewStartIs(t *testing.T) {
 	s := newState(quiet())
 	now := time.Now()
-	s.apply(update{batch: Batch{Full: true, Revision: 1, Changes: []Change{target("a")}}}, now)
-	require.False(t, s.apply(update{batch: Batch{Revision: 2, Changes: []Change{target("a")}}}, now))
+	s.apply(Batch{Full: true, Revision: 1, Changes: []Change{target("a")}}, now)
+	require.False(t, s.apply(Batch{Revision: 2, Changes: []Change{target("a")}}, now))
 	again := target("a")
 	again.Target.Born = 5
-	require.True(t, s.apply(update{batch: Batch{Revision: 3, Changes: []Change{again}}}, now))
+	require.True(t, s.apply(Batch{Revision: 3, Changes: []Change{again}}, now))
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/catalogshare"
 	"github.com/swiftvane/swiftvane/internal/catalogsync"
 	"github.com/swiftvane/swiftvane/internal/exchange"
 	"github.com/swiftvane/swiftvane/internal/extrabudget"
@@ -31,9 +32,13 @@
 	StopWithin time.Duration
 	// Extra bounds the extra sub-requests of a service over all hosts.
 	Extra extrabudget.Limit
-	// Hosts is the number of hosts that share what targets allow.
-	Hosts       int
-	Source      catalogsync.Source
+	// PeerAddr is where other hosts follow this one; empty for nowhere. Readers
+	// returns the addresses of the hosts that read the store for the others.
+	PeerAddr string
+	Readers  func() []string
+	// Store and Decode read the platform's store.
+	Store       catalogsync.Source
+	Decode      catalogshare.Decoder
 	CallerCodec exchange.CallerCodec
 	TargetCodec exchange.TargetCodec
 	Log         logrus.FieldLogger
@@ -58,6 +63,8 @@
 type Edge struct {
 	opts      Options
 	follower  *catalogsync.Follower
+	hub       *catalogshare.Hub
+	source    *catalogshare.Source
 	directory *targetpool.Directory
 	server    *front.Server
 	ready     *readiness
@@ -74,12 +81,17 @@
 		Log:    opts.Log,
 		Extra: extrabudget.Limit{
 			Ratio:  opts.Extra.Ratio * extraSafety,
-			Slack:  opts.Extra.Slack / float64(2*max(opts.Hosts, 1)),
+			Slack:  opts.Extra.Slack,
 			Window: opts.Extra.Window,
 		},
-		Hosts: opts.Hosts,
+		Host: opts.Host,
 	})
-	e.follower = catalogsync.New(opts.Source, opts.Log, e.directory.Update)
+	e.directory.SetHosts(unknownHosts)
+	e.hub = catalogshare.NewHub(opts.Log)
+	e.source = catalogshare.NewSource(catalogshare.Options{
+		Store: opts.Store, Decode: opts.Decode, Hub: e.hub, Self: opts.PeerAddr, Readers: opts.Readers, Log: opts.Log,
+	})
+	e.follower = catalogsync.New(e.source, opts.Log, catalogsync.Hooks{OnView: e.directory.Update, OnBatch: e.hub.Publish})
 	executor := relay.NewExecutor(relay.Options{
 		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Log: opts.Log,
 	})
@@ -102,6 +114,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
+	if err := e.listenPeers(ctx); err != nil {
+		return err
+	}
 	go e.follower.Run(ctx)
 	go func() {
 		if err := e.server.Serve(callers); err != nil {
@@ -111,6 +126,41 @@
 	return nil
 }
 
+// listenPeers lets other hosts follow this one.
+func (e *Edge) listenPeers(ctx context.Context) error {
+	go e.followSize(ctx)
+	if e.opts.PeerAddr == "" {
+		return nil
+	}
+	peers, err := net.Listen("tcp", e.opts.PeerAddr)
+	if err != nil {
+		return eris.Wrap(err, "listen for other hosts")
+	}
+	go e.hub.Run(ctx)
+	go e.source.Observe(ctx)
+	go func() {
+		if err := e.hub.Serve(peers); err != nil {
+			e.opts.Log.WithError(err).Info("other hosts' listener closed")
+		}
+	}()
+	return nil
+}
+
+// followSize divides what targets allow anew as hosts come and go.
+func (e *Edge) followSize(ctx context.Context) {
+	ticker := time.NewTicker(sizeEvery)
+	defer ticker.Stop()
+	var size fleetSize
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			e.directory.SetHosts(size.see(e.hub.Hosts(), now))
+		}
+	}
+}
+
 // Stop ends the host in order: not ready, then connections close behind their
 // next answer, then idle ones close. It reports whether no request was cut.
 func (e *Edge) Stop() bool {
--- a/internal/extrabudget/window.go
+++ b/internal/extrabudget/window.go
@@ -32,6 +32,9 @@
 // New returns an empty budget.
 func New(limit Limit, now time.Time) *Budget { return &Budget{limit: limit, began: now} }
 
+// SetSlack changes the slack, as hosts come and go.
+func (b *Budget) SetSlack(slack float64) { b.limit.Slack = slack }
+
 // Request counts one request.
 func (b *Budget) Request(now time.Time) {
 	b.advance(now)
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -91,9 +91,18 @@
 	load replica.Load
 }
 
-// choose returns the best target that is not in tried; its pool is nil if there
-// is none. Targets that can't be reached or that moved are left out.
-func (e *Executor) choose(pools []*targetpool.Pool, tried []*targetpool.Pool, usual time.Duration, now time.Time) choice {
+// choose returns the best target of a group that is not in tried: one of the
+// host's own share or, if none of these can be reached, a spare one. Its pool is
+// nil if there is none.
+func (e *Executor) choose(g *targetpool.Group, tried []*targetpool.Pool, usual time.Duration, now time.Time) choice {
+	if c := e.chooseAmong(g.Pools, tried, usual, now); c.pool != nil {
+		return c
+	}
+	return e.chooseAmong(g.Spare, tried, usual, now)
+}
+
+// chooseAmong leaves out targets that can't be reached or that moved.
+func (e *Executor) chooseAmong(pools []*targetpool.Pool, tried []*targetpool.Pool, usual time.Duration, now time.Time) choice {
 	left := make([]*targetpool.Pool, 0, len(pools))
 	candidates := make([]replica.Candidate, 0, len(pools))
 	for _, p := range pools {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -63,7 +63,7 @@
 
 // send sends one more attempt of a leg to the best target that had none.
 func (r *run) send(l *leg, index int, now time.Time) bool {
-	chosen := r.executor.choose(l.group.Pools, l.tried, r.pace.usual, now)
+	chosen := r.executor.choose(l.group, l.tried, r.pace.usual, now)
 	if chosen.pool == nil {
 		return false
 	}
@@ -96,7 +96,7 @@
 	if !r.mayRepeat(l) {
 		return
 	}
-	chosen := r.executor.choose(l.group.Pools, l.tried, r.pace.usual, now)
+	chosen := r.executor.choose(l.group, l.tried, r.pace.usual, now)
 	if chosen.pool == nil || chosen.load.Room <= 0 || !l.group.TakeExtra(now) {
 		return
 	}
@@ -106,7 +106,7 @@
 // again sends another attempt after one that failed, if the route, the
 // service's bound on extra load and the targets allow it.
 func (r *run) again(l *leg, index int, now time.Time) bool {
-	if !r.mayRepeat(l) || len(l.tried) >= len(l.group.Pools) {
+	if !r.mayRepeat(l) || len(l.tried) >= len(l.group.Pools)+len(l.group.Spare) {
 		return false
 	}
 	if !l.group.TakeExtra(now) {
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -24,7 +24,7 @@
 	if s.leg.group == nil {
 		return refuse(exchange.NoTarget, retryNoRoom)
 	}
-	chosen := r.executor.choose(s.leg.group.Pools, nil, r.pace.usual, now)
+	chosen := r.executor.choose(s.leg.group, nil, r.pace.usual, now)
 	if chosen.pool == nil {
 		return refuse(exchange.NoTarget, retryNoRoom)
 	}
--- a/internal/relay/sweep.go
+++ b/internal/relay/sweep.go
@@ -83,7 +83,7 @@
 		if group == nil {
 			continue
 		}
-		chosen[i] = s.executor.choose(group.Pools, nil, s.pace.usual, now)
+		chosen[i] = s.executor.choose(group, nil, s.pace.usual, now)
 		if chosen[i].pool == nil {
 			continue
 		}
--- a/internal/targetpool/conn.go
+++ b/internal/targetpool/conn.go
@@ -37,6 +37,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	replies     int
+	opened      time.Time
 
 	// writing is held while a request is written; a reply that comes before
 	// the end of a long body must not free the connection.
@@ -46,7 +47,7 @@
 }
 
 func newConn(p *Pool, raw net.Conn) *conn {
-	return &conn{pool: p, raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	return &conn{pool: p, raw: raw, opened: time.Now(), reader: bufio.NewReaderSize(raw, readBufferBytes)}
 }
 
 // fresh reports whether the target still keeps the connection open.
--- a/internal/targetpool/directory.go
+++ b/internal/targetpool/directory.go
@@ -1,6 +1,7 @@
 package targetpool
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,35 +17,30 @@
 	Codec  exchange.TargetCodec
 	Dialer Dialer
 	Log    logrus.FieldLogger
-	// Extra is this host's bound on the extra sub-requests of each service.
+	// Extra is the bound on the extra sub-requests of each service. The slack
+	// is that of all hosts together.
 	Extra extrabudget.Limit
-	// Hosts is the number of hosts that share the targets' connections.
-	Hosts int
+	// Host names this host; it decides which replicas it connects to.
+	Host string
 }
 
-const (
-	// warm is the number of connections kept open to each target.
-	warm = 1
-	// restarts is how many times over the hosts' connections must fit what a
-	// target takes: a target counts those of a host that lost power for a while
-	// beside the new ones.
-	restarts = 2
-	// mostConns bounds the connections to one target whatever its share is:
-	// beyond it a queue in the host serves callers better than one at the target.
-	mostConns = 6
-	// leastConns lets a second request start while the first is delayed.
-	leastConns = 2
-)
-
-// Directory holds the pools of all targets of the current view. Update is
-// called by one goroutine; Snapshot by any.
+// Directory holds the pools of all targets of the current view. Traffic reads
+// snapshots and never waits for an update.
 type Directory struct {
-	opts    Options
+	opts Options
+
+	mu      sync.Mutex
+	view    *catalog.View
+	hosts   int
 	pools   map[catalog.TargetID]*Pool
 	budgets map[catalog.ServiceName]*guardedBudget
 	current atomic.Pointer[Snapshot]
 }
 
+// slackPart of a service's slack is divided among the hosts that are known; the
+// rest is for hosts that restarted and forgot what they had used.
+const slackPart = 0.5
+
 // Snapshot is a view together with the pools of its targets.
 type Snapshot struct {
 	View   *catalog.View
@@ -57,7 +53,8 @@
 // NewDirectory returns an empty directory.
 func NewDirectory(opts Options) *Directory {
 	d := &Directory{opts: opts, pools: map[catalog.TargetID]*Pool{}, budgets: map[catalog.ServiceName]*guardedBudget{}}
-	d.current.Store(&Snapshot{View: catalog.NewView(nil, 0, nil)})
+	d.view = catalog.NewView(nil, 0, nil)
+	d.current.Store(&Snapshot{View: d.view})
 	return d
 }
 
@@ -67,6 +64,33 @@
 // Update follows a new view: pools of new targets open, those of targets that
 // are gone or started anew close behind their calls.
 func (d *Directory) Update(v *catalog.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view = v
+	d.rebuild()
+}
+
+// SetHosts tells the number of hosts that share the targets' connections and the
+// slack of their budgets.
+func (d *Directory) SetHosts(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if n == d.hosts {
+		return
+	}
+	d.hosts = n
+	for _, b := range d.budgets {
+		b.setSlack(d.slack())
+	}
+	d.rebuild()
+}
+
+// slack is this host's part of the slack of a service's budget.
+func (d *Directory) slack() float64 { return slackPart * d.opts.Extra.Slack / float64(max(d.hosts, 1)) }
+
+// rebuild publishes a snapshot of the view. The lock is held.
+func (d *Directory) rebuild() {
+	v := d.view
 	for id, pool := range d.pools {
 		if t, ok := v.Targets[id]; !ok || !t.SameStart(pool.target) {
 			delete(d.pools, id)
@@ -79,43 +103,52 @@
 	}
 	groups := map[catalog.ServiceName]*Group{}
 	for name := range used {
-		groups[name] = d.group(name, nil)
+		groups[name] = d.group(name)
 	}
 	for name, targets := range v.ByService {
-		groups[name] = d.group(name, d.poolsOf(v.Config, targets))
+		groups[name] = d.group(name)
+		d.fill(groups[name], targets)
 	}
 	d.current.Store(&Snapshot{View: v, groups: groups})
 }
 
-func (d *Directory) poolsOf(config *catalog.Config, targets []*catalog.Target) []*Pool {
-	pools := make([]*Pool, 0, len(targets))
-	for _, t := range targets {
+// fill opens the pools of a service's targets and divides them into the host's
+// own share and the spare ones.
+func (d *Directory) fill(g *Group, targets []*catalog.Target) {
+	own := shareOf(d.maxConns(g.Service), len(targets), d.hosts)
+	if own.targets < len(targets) {
+		targets = rank(d.opts.Host, targets)
+	}
+	for i, t := range targets {
 		pool, ok := d.pools[t.ID]
 		if !ok {
 			pool = NewPool(t, d.opts.Codec, d.opts.Dialer, d.opts.Log)
 			d.pools[t.ID] = pool
 		}
-		pool.Resize(d.share(config, t), warm)
-		pools = append(pools, pool)
+		if i < own.targets {
+			pool.Resize(own.conns, warm)
+			g.Pools = append(g.Pools, pool)
+			continue
+		}
+		pool.Resize(1, 0)
+		g.Spare = append(g.Spare, pool)
 	}
-	return pools
 }
 
-// share is the number of connections to a target that this host may open, so
-// that all hosts together stay within what the target takes.
-func (d *Directory) share(config *catalog.Config, t *catalog.Target) int {
-	if config == nil {
+func (d *Directory) maxConns(name catalog.ServiceName) int {
+	if d.view.Config == nil {
 		return 1
 	}
-	limit := config.Services[t.Service].MaxConns
-	return min(max(limit/max(restarts*d.opts.Hosts, 1), leastConns), mostConns)
+	return d.view.Config.Services[name].MaxConns
 }
 
-func (d *Directory) group(name catalog.ServiceName, pools []*Pool) *Group {
+func (d *Directory) group(name catalog.ServiceName) *Group {
 	budget, ok := d.budgets[name]
 	if !ok {
-		budget = &guardedBudget{budget: extrabudget.New(d.opts.Extra, time.Now())}
+		limit := d.opts.Extra
+		limit.Slack = d.slack()
+		budget = &guardedBudget{budget: extrabudget.New(limit, time.Now())}
 		d.budgets[name] = budget
 	}
-	return &Group{Service: name, Pools: pools, extra: budget}
+	return &Group{Service: name, extra: budget}
 }
--- a/internal/targetpool/group.go
+++ b/internal/targetpool/group.go
@@ -11,8 +11,11 @@
 // Group holds the pools of one service's targets that take new work.
 type Group struct {
 	Service catalog.ServiceName
-	Pools   []*Pool
-	extra   *guardedBudget
+	// Pools are those of the host's own share, Spare the others, which it uses
+	// only while none of its own can be reached.
+	Pools []*Pool
+	Spare []*Pool
+	extra *guardedBudget
 }
 
 // guardedBudget outlives the groups of its service.
@@ -21,6 +24,12 @@
 	budget *extrabudget.Budget
 }
 
+func (b *guardedBudget) setSlack(slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.SetSlack(slack)
+}
+
 // CountRequest counts one request for the service.
 func (g *Group) CountRequest(now time.Time) {
 	g.extra.mu.Lock()
--- /dev/null
+++ b/internal/targetpool/placing.go
@@ -0,0 +1,62 @@
+package targetpool
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/swiftvane/swiftvane/internal/catalog"
+)
+
+const (
+	// warm is the number of connections kept open to each target of a host's
+	// own share.
+	warm = 1
+	// restarts is how many times over the hosts' connections should fit what a
+	// target takes: it counts those of a host that lost power for a while
+	// beside the new ones.
+	restarts = 2
+	// mostConns bounds the connections to one target whatever its share is:
+	// beyond it a queue in the host serves callers better than one at the target.
+	mostConns = 6
+	// fewConns lets a second request start while the first is delayed, where
+	// the target takes that many from each host.
+	fewConns = 2
+	// fill is the part of a target's connections that the hosts plan with; the
+	// rest is for hosts that don't know of each other yet.
+	fill = 0.9
+)
+
+// share is a host's part of the connections to the targets of one service.
+type share struct {
+	// targets is the number of the service's targets that the host keeps
+	// connections to, conns the most connections to each.
+	targets int
+	conns   int
+}
+
+// shareOf divides what each of a service's targets takes among the hosts. It
+// answers fleets whose hosts can't all connect to all targets: each host then
+// keeps one connection to some of the replicas.
+func shareOf(maxConns, targets, hosts int) share {
+	hosts = max(hosts, 1)
+	if float64(hosts) > fill*float64(maxConns) {
+		part := int(fill * float64(maxConns) * float64(targets) / float64(hosts))
+		return share{targets: min(max(part, 1), targets), conns: 1}
+	}
+	conns := maxConns / (restarts * hosts)
+	if fewConns*hosts <= maxConns {
+		conns = max(conns, fewConns)
+	}
+	return share{targets: targets, conns: min(max(conns, 1), mostConns)}
+}
+
+// rank orders a service's targets by rendezvous hashing, so that the hosts'
+// shares are spread evenly and change little as targets come and go.
+func rank(host string, targets []*catalog.Target) []*catalog.Target {
+	ranked := slices.Clone(targets)
+	weight := func(t *catalog.Target) uint64 { return xxhash.Sum64String(host + "/" + string(t.ID)) }
+	slices.SortFunc(ranked, func(a, b *catalog.Target) int { return cmp.Compare(weight(a), weight(b)) })
+	return ranked
+}
--- a/internal/targetpool/pool.go
+++ b/internal/targetpool/pool.go
@@ -45,6 +45,9 @@
 	crowdedFor = 8 * time.Second
 	// surplusFor is how long a connection beyond the warm ones stays idle.
 	surplusFor = 5 * time.Second
+	// freshConn is the age up to which the end of a connection without a reply
+	// means that the target does not take it; later it was merely idle.
+	freshConn = time.Second
 )
 
 // NewPool returns a pool without connections.
@@ -284,7 +287,7 @@
 			break
 		}
 	}
-	if known && c.replies == 0 && !p.closed {
+	if known && c.replies == 0 && now.Sub(c.opened) < freshConn && !p.closed {
 		p.crowdedAt = now
 		p.failed(now, errNoReply)
 	}
