--- a/internal/catalogshare/source.go
+++ b/internal/catalogshare/source.go
@@ -16,7 +16,7 @@
 	retryLinks = 2 * time.Second
 	// firstLinkWait is how long a host without entries looks for a reader before
 	// it reads all of them itself: a fleet that starts reads the store few times.
-	firstLinkWait  = 900 * time.Millisecond
+	firstLinkWait  = 500 * time.Millisecond
 	firstLinkRetry = 100 * time.Millisecond
 	// observeEvery is the pause before a reader that can't be observed is
 	// dialled again.
--- a/internal/edge/fleetsize.go
+++ b/internal/edge/fleetsize.go
@@ -3,14 +3,14 @@
 import "time"
 
 const (
-	// unknownHosts is assumed until another host was heard of: too many
-	// connections or extra sub-requests harm more than too few.
-	unknownHosts = 64
+	// unknownHosts is assumed until another host was heard of. It is more than
+	// a small fleet has: for a moment too few connections harm less than too many.
+	unknownHosts = 16
 	// sizeHold is how long a larger size is kept, as hosts that went away may
 	// still count at targets or come back.
 	sizeHold = 30 * time.Second
 	// sizeEvery is how often the size is looked at.
-	sizeEvery = time.Second
+	sizeEvery = 250 * time.Millisecond
 )
 
 // fleetSize follows the number of hosts with a delay for falls.
