--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -69,6 +69,7 @@
 		StopWithin:    node.StopWithin,
 		Extra:         extrabudget.Limit{Ratio: node.Extra.Ratio, Slack: node.Extra.Slack, Window: node.Extra.Window},
 		PeerAddr:      node.PeerAddr,
+		FirstStart:    node.FirstStart,
 		Readers:       func() []string { return node.Seeds },
 		Store:         platform.NewStore(node.StoreAddr),
 		Decode:        platform.Decode,
--- a/internal/catalogshare/source.go
+++ b/internal/catalogshare/source.go
@@ -14,9 +14,7 @@
 const (
 	// retryLinks is the pause after all readers failed a host.
 	retryLinks = 2 * time.Second
-	// firstLinkWait is how long a host without entries looks for a reader before
-	// it reads all of them itself: a fleet that starts reads the store few times.
-	firstLinkWait  = 500 * time.Millisecond
+	// firstLinkRetry is the pause between two looks for a first reader.
 	firstLinkRetry = 100 * time.Millisecond
 	// observeEvery is the pause before a reader that can't be observed is
 	// dialled again.
@@ -36,7 +34,10 @@
 	// Readers returns the addresses of the hosts that read the store; they may
 	// be down or belong to nobody.
 	Readers func() []string
-	Log     logrus.FieldLogger
+	// FirstWait is how long a host without entries looks for a reader before it
+	// reads all of them itself.
+	FirstWait time.Duration
+	Log       logrus.FieldLogger
 }
 
 // Source follows a reader if there is one and the store otherwise. It is used
@@ -58,15 +59,17 @@
 // Read implements catalogsync.Source.
 func (s *Source) Read() (catalogsync.Batch, error) {
 	s.drop()
-	for until := time.Now().Add(firstLinkWait); !s.reads() && time.Now().Before(until); time.Sleep(firstLinkRetry) {
+	for until := time.Now().Add(s.opts.FirstWait); !s.reads(); time.Sleep(firstLinkRetry) {
 		s.link = s.dialAny()
-		if s.link == nil {
-			continue
+		if s.link != nil {
+			if batch, err := s.take(0); err == nil {
+				return batch, nil
+			}
+			s.drop()
 		}
-		if batch, err := s.take(0); err == nil {
-			return batch, nil
+		if !time.Now().Before(until) {
+			break
 		}
-		s.drop()
 	}
 	return s.opts.Store.Read()
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -36,6 +36,8 @@
 	// returns the addresses of the hosts that read the store for the others.
 	PeerAddr string
 	Readers  func() []string
+	// FirstStart is set where the whole fleet starts and no caller waits yet.
+	FirstStart bool
 	// Store and Decode read the platform's store.
 	Store       catalogsync.Source
 	Decode      catalogshare.Decoder
@@ -55,6 +57,9 @@
 	closeIdleAfter = 0.65
 	// closeIdleEvery is how often connections that became idle are closed.
 	closeIdleEvery = 50 * time.Millisecond
+	// firstStartWait lets the first readers come up, so that a fleet that starts
+	// reads the store few times.
+	firstStartWait = 900 * time.Millisecond
 	// stopReserve is kept between the last connection's end and the forced one.
 	stopReserve = 400 * time.Millisecond
 )
@@ -88,8 +93,12 @@
 	})
 	e.directory.SetHosts(unknownHosts)
 	e.hub = catalogshare.NewHub(opts.Log)
+	firstWait := time.Duration(0)
+	if opts.FirstStart {
+		firstWait = firstStartWait
+	}
 	e.source = catalogshare.NewSource(catalogshare.Options{
-		Store: opts.Store, Decode: opts.Decode, Hub: e.hub, Self: opts.PeerAddr, Readers: opts.Readers, Log: opts.Log,
+		Store: opts.Store, Decode: opts.Decode, Hub: e.hub, Self: opts.PeerAddr, Readers: opts.Readers, FirstWait: firstWait, Log: opts.Log,
 	})
 	e.follower = catalogsync.New(e.source, opts.Log, catalogsync.Hooks{OnView: e.directory.Update, OnBatch: e.hub.Publish})
 	executor := relay.NewExecutor(relay.Options{
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -91,21 +91,16 @@
 	load replica.Load
 }
 
-// choose returns the best target of a group that is not in tried: one of the
-// host's own share or, if none of these can be reached, a spare one. Its pool is
-// nil if there is none.
+// choose returns the best target of a group that is not in tried; its pool is
+// nil if there is none. Targets that can't be reached or that moved are left out.
+// The group's spare targets count as dearer, so that they are used while the
+// host's own are slow, failing or gone.
 func (e *Executor) choose(g *targetpool.Group, tried []*targetpool.Pool, usual time.Duration, now time.Time) choice {
-	if c := e.chooseAmong(g.Pools, tried, usual, now); c.pool != nil {
-		return c
-	}
-	return e.chooseAmong(g.Spare, tried, usual, now)
-}
-
-// chooseAmong leaves out targets that can't be reached or that moved.
-func (e *Executor) chooseAmong(pools []*targetpool.Pool, tried []*targetpool.Pool, usual time.Duration, now time.Time) choice {
-	left := make([]*targetpool.Pool, 0, len(pools))
-	candidates := make([]replica.Candidate, 0, len(pools))
-	for _, p := range pools {
+	size := len(g.Pools) + len(g.Spare)
+	left := make([]*targetpool.Pool, 0, size)
+	candidates := make([]replica.Candidate, 0, size)
+	for i := range size {
+		p, spare := g.At(i)
 		if contains(tried, p) {
 			continue
 		}
@@ -113,6 +108,7 @@
 		if c.Load.Moved || c.Load.Unreachable {
 			continue
 		}
+		c.Spare = spare
 		left = append(left, p)
 		candidates = append(candidates, c)
 	}
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -9,6 +9,9 @@
 	Warming bool
 	// Remote targets are in another failure domain than the host.
 	Remote bool
+	// Spare targets are not in the host's own share; it has no connection to
+	// them as long as it does not need them.
+	Spare bool
 }
 
 const (
@@ -25,6 +28,8 @@
 	stallFactor = 2.5
 	// stallCost is the added cost of a target that seems to stand still.
 	stallCost = 6
+	// spareCost is the added cost of a target outside the host's own share.
+	spareCost = 2
 	// fullCost is the added cost of a target without a free connection.
 	fullCost = 3
 	// unreachableCost is that of a target with no connection at all.
@@ -45,6 +50,9 @@
 	if c.Remote {
 		cost += remoteCost
 	}
+	if c.Spare {
+		cost += spareCost
+	}
 	cost += failureCost * l.FailureRate
 	if stalled(l, expected) {
 		cost += stallCost
--- a/internal/replica/stats.go
+++ b/internal/replica/stats.go
@@ -37,11 +37,11 @@
 	slownessCap = 12
 	// slownessHalfLife is the time in which the slowness of a target without
 	// samples halves its distance to 1, so that it is tried again.
-	slownessHalfLife = 2 * time.Second
+	slownessHalfLife = 6 * time.Second
 	// failureGain is the weight of one sample in the failure rate.
 	failureGain = 0.2
 	// failureHalfLife is the same for the failure rate.
-	failureHalfLife = 2 * time.Second
+	failureHalfLife = 6 * time.Second
 )
 
 // Stats holds what is known of one target. Its owner guards it with a lock.
--- a/internal/targetpool/group.go
+++ b/internal/targetpool/group.go
@@ -11,8 +11,8 @@
 // Group holds the pools of one service's targets that take new work.
 type Group struct {
 	Service catalog.ServiceName
-	// Pools are those of the host's own share, Spare the others, which it uses
-	// only while none of its own can be reached.
+	// Pools are those of the host's own share, Spare the others, to which it
+	// connects only when it needs them.
 	Pools []*Pool
 	Spare []*Pool
 	extra *guardedBudget
@@ -24,6 +24,14 @@
 	budget *extrabudget.Budget
 }
 
+// At returns the i-th pool, the spare ones last, and whether it is spare.
+func (g *Group) At(i int) (*Pool, bool) {
+	if i < len(g.Pools) {
+		return g.Pools[i], false
+	}
+	return g.Spare[i-len(g.Pools)], true
+}
+
 func (b *guardedBudget) setSlack(slack float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
