A restarted host waits 60 ms for a reader and then calls the store

Cause: after the loss of all hosts each dialled readers that had no power for 600 ms before it called the store.

--- a/internal/catalogshare/source.go
+++ b/internal/catalogshare/source.go
@@ -14,6 +14,9 @@
 const (
 	// retryLinks is the pause after all readers failed a host.
 	retryLinks = 2 * time.Second
+	// quickLink is how long a host without entries waits for a reader's answer
+	// in any case: one that runs answers sooner than the store's pages come.
+	quickLink = 60 * time.Millisecond
 	// firstLinkRetry is the pause between two looks for a first reader.
 	firstLinkRetry = 100 * time.Millisecond
 	// observeEvery is the pause before a reader that can't be observed is
@@ -59,17 +62,19 @@
 // Read implements catalogsync.Source.
 func (s *Source) Read() (catalogsync.Batch, error) {
 	s.drop()
-	for until := time.Now().Add(s.opts.FirstWait); !s.reads(); time.Sleep(firstLinkRetry) {
-		s.link = s.dialAny()
-		if s.link != nil {
-			if batch, err := s.take(0); err == nil {
-				return batch, nil
-			}
-			s.drop()
+	until := time.Now().Add(max(s.opts.FirstWait, quickLink))
+	for !s.reads() && time.Now().Before(until) {
+		s.retryAt = time.Time{}
+		s.dialLater()
+		s.await(time.Until(until))
+		if s.link == nil {
+			time.Sleep(min(firstLinkRetry, max(time.Until(until), 0)))
+			continue
 		}
-		if !time.Now().Before(until) {
-			break
+		if batch, err := s.take(0); err == nil {
+			return batch, nil
 		}
+		s.drop()
 	}
 	return s.opts.Store.Read()
 }
@@ -113,16 +118,30 @@
 	return batch, nil
 }
 
-// adopt takes a link that was dialled in the background.
-func (s *Source) adopt() {
+// adopt takes a link that was dialled in the background, if there is one.
+func (s *Source) adopt() { s.await(0) }
+
+// await does the same and waits for the dial, at most for the given time.
+func (s *Source) await(within time.Duration) {
+	if !s.dialing {
+		return
+	}
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	var l *link
 	select {
-	case l := <-s.dialed:
-		s.dialing = false
-		s.link = l
-		if l == nil {
-			s.retryAt = time.Now().Add(retryLinks/2 + rand.N(retryLinks))
-		}
+	case l = <-s.dialed:
 	default:
+		select {
+		case l = <-s.dialed:
+		case <-timer.C:
+			return
+		}
+	}
+	s.dialing = false
+	s.link = l
+	if l == nil {
+		s.retryAt = time.Now().Add(retryLinks/2 + rand.N(retryLinks))
 	}
 }
 
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -13,7 +13,7 @@
 )
 
 // retryNoConfig is when a caller may ask a host again that knows no configuration.
-const retryNoConfig = 500 * time.Millisecond
+const retryNoConfig = 150 * time.Millisecond
 
 // Snapshots returns the newest view with its pools.
 type Snapshots interface {
