Account for each request in the log and in metrics; follow the settings file

Cause: why a request failed could not be told from its id, and a settings file that changed without a signal was not read.

--- a/cmd/swiftvaned/command.go
+++ b/cmd/swiftvaned/command.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/spf13/cobra"
 
@@ -12,6 +13,9 @@
 	"github.com/swiftvane/swiftvane/platform"
 )
 
+// platformExt tells the platform's settings from the project's own.
+const platformExt = ".json"
+
 // flags are the daemon's.
 type flags struct {
 	settingsFile string
@@ -29,16 +33,38 @@
 		SilenceErrors: true,
 		RunE:          func(cmd *cobra.Command, _ []string) error { return f.run(cmd) },
 	}
-	cmd.Flags().StringVar(&f.settingsFile, "settings", "", "TOML file with the settings of this host")
+	cmd.Flags().StringVar(&f.settingsFile, "settings", "", "TOML file with the settings of this host, or the platform's .json file; without it the file that "+platform.SettingsVariable+" names")
 	cmd.Flags().BoolVar(&f.checkConfig, "check-config", false, "check the settings, print the verdict and exit")
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return exitcode.With(exitcode.Usage, err) })
 	return cmd
 }
 
-func (f *flags) run(cmd *cobra.Command) error {
-	if path := os.Getenv(platform.SettingsVariable); path != "" && f.settingsFile == "" {
+// platformFile is the platform's settings file, if that is to be used.
+func (f *flags) platformFile() string {
+	if f.settingsFile == "" {
+		return os.Getenv(platform.SettingsVariable)
+	}
+	if filepath.Ext(f.settingsFile) == platformExt {
+		return f.settingsFile
+	}
+	return ""
+}
+
+func (f *flags) runPlatform(cmd *cobra.Command, path string) error {
+	if !f.checkConfig {
 		return servePlatform(path)
 	}
+	if _, err := platform.LoadNode(path); err != nil {
+		return exitcode.With(exitcode.Usage, err)
+	}
+	_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: settings are valid\n", path)
+	return err
+}
+
+func (f *flags) run(cmd *cobra.Command) error {
+	if path := f.platformFile(); path != "" {
+		return f.runPlatform(cmd, path)
+	}
 	if f.settingsFile == "" {
 		return exitcode.With(exitcode.Usage, fmt.Errorf("--settings: a file is required"))
 	}
--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -42,7 +43,11 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	host := edge.New(edgeOptions(node, log))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	file := newNodeFile(path, node, log)
+	go file.run(ctx)
+	host := edge.New(edgeOptions(node, file, log))
 	if err := host.Start(); err != nil {
 		return err
 	}
@@ -52,6 +57,7 @@
 			break
 		}
 		log.Info("settings reload asked")
+		file.ask()
 	}
 	log.Info("stopping")
 	clean := host.Stop()
@@ -59,7 +65,7 @@
 	return nil
 }
 
-func edgeOptions(node *platform.Node, log logrus.FieldLogger) edge.Options {
+func edgeOptions(node *platform.Node, file *nodeFile, log logrus.FieldLogger) edge.Options {
 	return edge.Options{
 		Host:          node.Host,
 		FailureDomain: node.FailureDomain,
@@ -70,11 +76,12 @@
 		Extra:         extrabudget.Limit{Ratio: node.Extra.Ratio, Slack: node.Extra.Slack, Window: node.Extra.Window},
 		PeerAddr:      node.PeerAddr,
 		FirstStart:    node.FirstStart,
-		Readers:       func() []string { return node.Seeds },
+		Readers:       file.seeds,
 		Store:         platform.NewStore(node.StoreAddr),
 		Decode:        platform.Decode,
 		CallerCodec:   platform.CallerCodec{},
 		TargetCodec:   platform.TargetCodec{},
+		MetricsAddr:   node.MetricsAddr,
 		Log:           log,
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -43,6 +43,8 @@
 	Decode      catalogshare.Decoder
 	CallerCodec exchange.CallerCodec
 	TargetCodec exchange.TargetCodec
+	// MetricsAddr is where scrapers read metrics; empty for nowhere.
+	MetricsAddr string
 	Log         logrus.FieldLogger
 }
 
@@ -73,13 +75,14 @@
 	directory *targetpool.Directory
 	server    *front.Server
 	ready     *readiness
+	metrics   *metricsServer
 	callers   net.Listener
 	cancel    context.CancelFunc
 }
 
 // New builds a host; nothing runs yet.
 func New(opts Options) *Edge {
-	e := &Edge{opts: opts}
+	e := &Edge{opts: opts, metrics: newMetricsServer(opts.Log)}
 	e.directory = targetpool.NewDirectory(targetpool.Options{
 		Codec:  opts.TargetCodec,
 		Dialer: targetpool.TCPDialer{},
@@ -105,7 +108,7 @@
 		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Log: opts.Log,
 	})
 	e.server = front.New(front.Options{
-		Codec: opts.CallerCodec, Handler: executor, Observer: newObserver(opts.Log), Log: opts.Log,
+		Codec: opts.CallerCodec, Handler: executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
 	})
 	e.ready = newReadiness(opts.ReadyPath, e.follower)
 	return e
@@ -121,6 +124,9 @@
 	if err := e.ready.listen(e.opts.ReadyAddr, e.opts.Log); err != nil {
 		return err
 	}
+	if err := e.metrics.listen(e.opts.MetricsAddr); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
 	if err := e.listenPeers(ctx); err != nil {
@@ -128,9 +134,7 @@
 	}
 	go e.follower.Run(ctx)
 	go func() {
-		if err := e.server.Serve(callers); err != nil {
-			e.opts.Log.WithError(err).Info("callers' listener closed")
-		}
+		e.opts.Log.WithError(e.server.Serve(callers)).Info("callers' listener closed")
 	}()
 	return nil
 }
@@ -165,7 +169,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			e.directory.SetHosts(size.see(e.hub.Hosts(), now))
+			hosts := size.see(e.hub.Hosts(), now)
+			e.directory.SetHosts(hosts)
+			e.metrics.fleet(hosts, e.follower.View())
 		}
 	}
 }
@@ -191,6 +197,7 @@
 		clean = e.server.Wait(time.Now().Add(closeIdleEvery))
 	}
 	e.cancel()
+	e.metrics.close()
 	return clean
 }
 
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,59 @@
+package edge
+
+import (
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/metrics"
+)
+
+// MetricsPath is the path at which metrics are served.
+const MetricsPath = "/metrics"
+
+// metricsServer serves the host's metrics to scrapers.
+type metricsServer struct {
+	scope   metrics.Scope
+	handler http.Handler
+	closer  io.Closer
+	log     logrus.FieldLogger
+}
+
+func newMetricsServer(log logrus.FieldLogger) *metricsServer {
+	scope, handler, closer := metrics.New(log)
+	return &metricsServer{scope: scope, handler: handler, closer: closer, log: log}
+}
+
+func (m *metricsServer) listen(addr string) error {
+	if addr == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return eris.Wrap(err, "listen for scrapers")
+	}
+	mux := http.NewServeMux()
+	mux.Handle(MetricsPath, m.handler)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout}
+	go func() { m.log.WithError(server.Serve(l)).Info("scrapers' listener closed") }()
+	return nil
+}
+
+// fleet sets the gauges of what the host believes.
+func (m *metricsServer) fleet(hosts int, v *catalog.View) {
+	m.scope.Gauge("fleet_hosts").Update(float64(hosts))
+	m.scope.Gauge("targets").Update(float64(len(v.Targets)))
+	if v.Config != nil {
+		m.scope.Gauge("config_version").Update(float64(v.Config.Version))
+	}
+}
+
+func (m *metricsServer) close() {
+	if err := m.closer.Close(); err != nil {
+		m.log.WithError(err).Warn("last metrics were not reported")
+	}
+}
--- a/internal/edge/observer.go
+++ b/internal/edge/observer.go
@@ -4,35 +4,126 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/swiftvane/swiftvane/internal/exchange"
 	"github.com/swiftvane/swiftvane/internal/logging"
+	"github.com/swiftvane/swiftvane/internal/metrics"
 )
 
-// linesPerKind is the number of log lines a second for each outcome.
-const linesPerKind = 20
+const (
+	// linesPerKind is the number of log lines a second for each outcome.
+	linesPerKind = 20
+	// plainLines is the number for requests that were served whole and in time.
+	plainLines = 1
+)
+
+// The outcomes of requests that the tier itself did not fail.
+const (
+	outcomeServed  = "served"
+	outcomeLate    = "late"
+	outcomePartial = "partial"
+)
 
-// observer writes one line for each request that failed.
+// answerBuckets bound the histograms of answer times.
+var answerBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 40 * time.Millisecond, 60 * time.Millisecond,
+	80 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second,
+}
+
+// observer counts each answer and writes a line for those that explain
+// something. It is safe for concurrent use.
 type observer struct {
 	log    logrus.FieldLogger
-	budget *logging.Budget
+	failed *logging.Budget
+	plain  *logging.Budget
+	scope  metrics.Scope
+	sweep  tally.Histogram
+	single tally.Histogram
+	hedges tally.Counter
+	repeat tally.Counter
+	denied tally.Counter
 }
 
-func newObserver(log logrus.FieldLogger) *observer {
-	return &observer{log: log, budget: logging.NewBudget(linesPerKind)}
+func newObserver(log logrus.FieldLogger, scope metrics.Scope) *observer {
+	histogram := func(kind string) tally.Histogram {
+		return scope.Tagged(map[string]string{"kind": kind}).Histogram("answer_time", answerBuckets)
+	}
+	return &observer{
+		log: log, scope: scope,
+		failed: logging.NewBudget(linesPerKind), plain: logging.NewBudget(plainLines),
+		sweep: histogram("sweep"), single: histogram("single"),
+		hedges: scope.Counter("hedges"), repeat: scope.Counter("retries"), denied: scope.Counter("extra_denied"),
+	}
 }
 
 // Answered implements front.Observer.
 func (o *observer) Answered(r *exchange.Request, a *exchange.Answer, took time.Duration) {
-	if a.Reason == "" {
-		return
+	outcome := outcomeOf(a)
+	o.scope.Tagged(map[string]string{"outcome": outcome}).Counter("answers").Inc(1)
+	if a.Account != nil {
+		o.count(a.Account, took)
+	}
+	budget := o.failed
+	if outcome == outcomeServed {
+		budget = o.plain
 	}
-	ok, left := o.budget.Take(string(a.Reason), time.Now())
+	ok, left := budget.Take(outcome, time.Now())
 	if !ok {
 		return
 	}
-	o.log.WithFields(logrus.Fields{
-		logging.FieldRequestID: r.ID, "status": a.Status, logging.FieldReason: a.Reason,
-		"took_ms": took.Milliseconds(), "patience_ms": r.Patience.Milliseconds(), "left_out": left,
-	}).Warn("request failed")
+	entry := o.log.WithFields(fieldsOf(r, a, outcome, took, left))
+	if outcome == outcomeServed {
+		entry.Info("request")
+		return
+	}
+	entry.Warn("request")
+}
+
+func (o *observer) count(a *exchange.Account, took time.Duration) {
+	if a.Sweep {
+		o.sweep.RecordDuration(took)
+	} else {
+		o.single.RecordDuration(took)
+	}
+	o.hedges.Inc(int64(a.Hedges))
+	o.repeat.Inc(int64(a.Retries))
+	o.denied.Inc(int64(a.Denied))
+}
+
+func outcomeOf(a *exchange.Answer) string {
+	switch {
+	case a.Reason != "":
+		return string(a.Reason)
+	case a.Account != nil && a.Account.Late:
+		return outcomeLate
+	case a.Missing > 0:
+		return outcomePartial
+	default:
+		return outcomeServed
+	}
+}
+
+func fieldsOf(r *exchange.Request, a *exchange.Answer, outcome string, took time.Duration, left int) logrus.Fields {
+	fields := logrus.Fields{
+		logging.FieldRequestID: r.ID, "outcome": outcome, "status": a.Status,
+		"took_ms": took.Milliseconds(), "patience_ms": r.Patience.Milliseconds(),
+	}
+	if left > 0 {
+		fields["lines_left_out"] = left
+	}
+	if a.RetryAfter > 0 {
+		fields[logging.FieldRetryAfter] = a.RetryAfter.Milliseconds()
+	}
+	if c := a.Account; c != nil {
+		fields["route"], fields["config_version"], fields["store_revision"] = c.Route, c.ConfigVersion, c.Revision
+		fields["objective_ms"] = c.Objective.Milliseconds()
+		fields["shards"], fields["parts"] = c.Shards, c.Parts
+		fields["hedges"], fields["retries"], fields["extra_denied"] = c.Hedges, c.Retries, c.Denied
+		if len(c.Legs) > 0 {
+			fields["legs"] = c.Legs
+		}
+	}
+	return fields
 }
--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -18,9 +18,8 @@
 	Reason Reason
 	// CloseConnection is set where the connection can't be used further.
 	CloseConnection bool
-	// CutBody ends the connection inside the body, since the target's own
-	// answer ended early.
-	CutBody bool
+	// Account says how the request was served; nil where it was not begun.
+	Account *Account
 }
 
 // Reason says why the tier itself answered.
--- /dev/null
+++ b/internal/relay/account.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/targetpool"
+)
+
+// maxLegs bounds the legs in one account.
+const maxLegs = 4
+
+// account begins the account of a run.
+func (r *run) account(legs []leg, now time.Time) *exchange.Account {
+	a := &exchange.Account{
+		Route: r.route.Name, Sweep: r.route.Sweep(), Objective: r.route.Objective,
+		ConfigVersion: r.snapshot.View.Config.Version, Revision: r.snapshot.View.Revision,
+		Shards: len(legs), Late: now.After(r.times.onTime),
+	}
+	for i := range legs {
+		l := &legs[i]
+		a.Hedges += l.hedges
+		a.Retries += l.retries
+		a.Denied += l.denied
+		if l.reply != nil {
+			a.Parts++
+		}
+	}
+	return a
+}
+
+// explain adds the legs that brought nothing.
+func explain(a *exchange.Account, legs []leg, now time.Time) {
+	for i := range legs {
+		if l := &legs[i]; l.reply == nil && len(a.Legs) < maxLegs {
+			a.Legs = append(a.Legs, l.explain(now))
+		}
+	}
+}
+
+// explain says why a leg brought nothing.
+func (l *leg) explain(now time.Time) exchange.Leg {
+	e := exchange.Leg{Service: string(l.service), Tried: len(l.attempts), Cause: exchange.CauseNoTarget}
+	if len(l.attempts) == 0 {
+		return e
+	}
+	last := l.attempts[len(l.attempts)-1]
+	e.Target = string(last.pool.Target().ID)
+	sent := last.pool.SentAt(last.call)
+	if !sent.IsZero() {
+		e.SentMS = now.Sub(sent).Milliseconds()
+	}
+	e.Cause = l.cause(sent)
+	return e
+}
+
+func (l *leg) cause(sent time.Time) exchange.Cause {
+	switch {
+	case l.open == 0 && l.ran > 0:
+		return exchange.CauseFailed
+	case l.open == 0 && l.unreached:
+		return exchange.CauseNoTarget
+	case l.open == 0:
+		return exchange.CauseShed
+	case sent.IsZero():
+		return exchange.CauseNoConnection
+	case l.denied > 0:
+		return exchange.CauseBudget
+	case l.open > 1:
+		return exchange.CauseSlowTwice
+	default:
+		return exchange.CauseSlow
+	}
+}
+
+// noteEnd keeps what explains a leg later.
+func (l *leg) noteEnd(o targetpool.Outcome) {
+	l.unreached = o.Reply == nil && o.Sent.IsZero()
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -35,6 +35,7 @@
 
 // leg is the part of a run at one service.
 type leg struct {
+	service  catalog.ServiceName
 	group    *targetpool.Group
 	attempts []attempt
 	tried    []*targetpool.Pool
@@ -47,6 +48,12 @@
 	reply   *exchange.Reply
 	// failure is the last reply that was no success.
 	failure *exchange.Reply
+
+	// The rest explains the leg afterwards.
+	hedges    int
+	retries   int
+	denied    int
+	unreached bool
 }
 
 type attempt struct {
@@ -97,9 +104,14 @@
 		return
 	}
 	chosen := r.executor.choose(l.group, l.tried, r.pace.usual, now)
-	if chosen.pool == nil || chosen.load.Room <= 0 || !l.group.TakeExtra(now) {
+	if chosen.pool == nil || chosen.load.Room <= 0 {
+		return
+	}
+	if !l.group.TakeExtra(now) {
+		l.denied++
 		return
 	}
+	l.hedges++
 	r.sendTo(chosen.pool, l, index, now)
 }
 
@@ -110,8 +122,10 @@
 		return false
 	}
 	if !l.group.TakeExtra(now) {
+		l.denied++
 		return false
 	}
+	l.retries++
 	return r.send(l, index, now)
 }
 
@@ -128,6 +142,7 @@
 func (r *run) take(l *leg, ev event) bool {
 	l.open--
 	o := ev.outcome
+	l.noteEnd(o)
 	if o.Verdict != verdict.NotRun {
 		l.ran++
 	}
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -18,8 +18,20 @@
 // single serves a request from one target of a service.
 func (r *run) single(service catalog.ServiceName) *exchange.Answer {
 	s := &single{run: r}
+	answer := s.serve(service)
+	legs := []leg{s.leg}
+	now := time.Now()
+	answer.Account = r.account(legs, now)
+	if answer.Account.Late || answer.Reason != "" {
+		explain(answer.Account, legs, now)
+	}
+	return answer
+}
+
+func (s *single) serve(service catalog.ServiceName) *exchange.Answer {
+	r := s.run
 	r.events = make(chan event, r.route.MaxAttempts+maxRefusals+spareEvents)
-	s.leg.group = r.snapshot.Group(service)
+	s.leg.service, s.leg.group = service, r.snapshot.Group(service)
 	now := time.Now()
 	if s.leg.group == nil {
 		return refuse(exchange.NoTarget, retryNoRoom)
--- a/internal/relay/sweep.go
+++ b/internal/relay/sweep.go
@@ -12,10 +12,15 @@
 func (r *run) sweep() *exchange.Answer {
 	s := &sweep{run: r, legs: make([]leg, len(r.route.Shards)), least: r.route.LeastShards()}
 	r.events = make(chan event, len(s.legs)*(r.route.MaxAttempts+1)+spareEvents)
-	if answer := s.start(time.Now()); answer != nil {
-		return answer
+	answer := s.start(time.Now())
+	if answer == nil {
+		answer = s.wait()
+	}
+	now := time.Now()
+	answer.Account = s.account(s.legs, now)
+	if answer.Account.Late || answer.Missing > 0 || answer.Reason != "" {
+		explain(answer.Account, s.legs, now)
 	}
-	answer := s.wait()
 	grace := loserGrace
 	if answer.Reason == exchange.CallerLeft {
 		grace = leftGrace
@@ -79,7 +84,7 @@
 	within := s.times.onTime.Sub(now)
 	for i, name := range s.route.Shards {
 		group := s.snapshot.Group(name)
-		s.legs[i].group = group
+		s.legs[i].service, s.legs[i].group = name, group
 		if group == nil {
 			continue
 		}
--- a/internal/targetpool/pool.go
+++ b/internal/targetpool/pool.go
@@ -143,6 +143,13 @@
 	}
 }
 
+// SentAt is when the call was sent, zero if it was not.
+func (p *Pool) SentAt(call *Call) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return call.sent
+}
+
 // Close ends the pool: idle connections at once, the others behind their call.
 func (p *Pool) Close() {
 	p.mu.Lock()
