--- /dev/null
+++ b/internal/catalogshare/share_test.go
@@ -0,0 +1,172 @@
+package catalogshare
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/catalogsync"
+)
+
+const limit = 10 * time.Second
+
+// countingStore is a store that fails or answers nothing new.
+type countingStore struct {
+	calls chan string
+	fail  error
+}
+
+func (s *countingStore) Read() (catalogsync.Batch, error) {
+	s.calls <- "read"
+	return catalogsync.Batch{Full: true, Direct: true, Revision: 1, AsOf: time.Now()}, s.fail
+}
+
+func (s *countingStore) Watch(revision int64, _ time.Duration) (catalogsync.Batch, error) {
+	s.calls <- "watch " + strconv.FormatInt(revision, 10)
+	return catalogsync.Batch{Direct: true, Revision: revision, AsOf: time.Now()}, s.fail
+}
+
+func plain(key string, value []byte, revision int64, deleted bool) catalogsync.Change {
+	return catalogsync.Change{Key: key, Value: value, Revision: revision, Deleted: deleted}
+}
+
+// serve runs a hub on a free port.
+func serve(t *testing.T) (*Hub, string, func()) {
+	t.Helper()
+	log, _ := test.NewNullLogger()
+	hub := NewHub(log)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	go hub.Run(ctx)
+	go func() { _ = hub.Serve(l) }()
+	stop := func() { cancel(); _ = l.Close() }
+	t.Cleanup(stop)
+	return hub, l.Addr().String(), stop
+}
+
+func newSource(readers ...string) (*Source, *countingStore) {
+	log, _ := test.NewNullLogger()
+	store := &countingStore{calls: make(chan string, 1000)}
+	return NewSource(Options{
+		Store: store, Decode: plain, Hub: NewHub(log), Self: "self",
+		Readers: func() []string { return readers }, FirstWait: time.Second, Log: log,
+	}), store
+}
+
+func published(revision int64, keys ...string) catalogsync.Batch {
+	b := catalogsync.Batch{Revision: revision, AsOf: time.Now()}
+	for _, key := range keys {
+		b.Changes = append(b.Changes, plain(key, []byte(key), revision, false))
+	}
+	return b
+}
+
+func TestAFollowerGetsAllEntriesAndThenEachChangeWithoutTheStore(t *testing.T) {
+	hub, addr, _ := serve(t)
+	first := published(7, "a", "b")
+	first.Full = true
+	hub.Publish(first)
+	source, store := newSource(addr)
+	batch, err := source.Read()
+	require.NoError(t, err)
+	require.True(t, batch.Full)
+	require.Len(t, batch.Changes, 2)
+	require.EqualValues(t, 7, batch.Revision)
+	gone := catalogsync.Batch{Revision: 9, AsOf: time.Now(), Returned: true, Changes: []catalogsync.Change{{Key: "a", Deleted: true}}}
+	hub.Publish(gone)
+	for len(batch.Changes) != 1 {
+		batch, err = source.Watch(7, time.Second)
+		require.NoError(t, err)
+	}
+	require.True(t, batch.Changes[0].Deleted)
+	require.True(t, batch.Returned, "the follower must hold what lapsed with the store, too")
+	require.EqualValues(t, 9, batch.Revision)
+	require.Empty(t, store.calls)
+	require.Equal(t, 2, hub.Hosts())
+	require.Equal(t, 2, source.opts.Hub.Hosts())
+}
+
+func TestAHostWithoutAReaderCallsTheStore(t *testing.T) {
+	source, store := newSource("127.0.0.1:1")
+	_, err := source.Read()
+	require.NoError(t, err)
+	require.Equal(t, "read", <-store.calls)
+	_, err = source.Watch(5, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "watch 5", <-store.calls)
+}
+
+func TestAReaderThatStopsOrGrowsStaleIsLeftForTheStore(t *testing.T) {
+	for name, spoil := range map[string]func(*Hub, func()){
+		"stops": func(_ *Hub, stop func()) { stop() },
+		"stale": func(h *Hub, _ func()) {
+			old := published(8, "c")
+			old.AsOf = time.Now().Add(-2 * freshFor)
+			h.Publish(old)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			hub, addr, stop := serve(t)
+			first := published(7, "a")
+			first.Full = true
+			hub.Publish(first)
+			source, store := newSource(addr)
+			_, err := source.Read()
+			require.NoError(t, err)
+			spoil(hub, stop)
+			require.Eventually(t, func() bool {
+				_, err := source.Watch(7, time.Second)
+				require.NoError(t, err)
+				return len(store.calls) > 0
+			}, limit, time.Millisecond)
+			require.Equal(t, "watch 7", <-store.calls, "it goes on from the revision that it has")
+		})
+	}
+}
+
+func TestAReaderBehindTheFollowerMovesItNotBack(t *testing.T) {
+	hub, addr, _ := serve(t)
+	first := published(7, "a")
+	first.Full = true
+	hub.Publish(first)
+	source, store := newSource(addr)
+	_, err := source.Read()
+	require.NoError(t, err)
+	_, err = source.Watch(20, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "watch 20", <-store.calls)
+}
+
+func TestAReaderFollowsNobody(t *testing.T) {
+	hub, addr, _ := serve(t)
+	hub.Publish(published(7, "a"))
+	source, store := newSource(addr, "self")
+	_, err := source.Read()
+	require.NoError(t, err)
+	require.Equal(t, "read", <-store.calls)
+	store.fail = errors.New("down")
+	_, err = source.Watch(1, time.Second)
+	require.Error(t, err)
+}
+
+func TestReadersCountEachOthersFollowers(t *testing.T) {
+	hub, addr, _ := serve(t)
+	first := published(7, "a")
+	first.Full = true
+	hub.Publish(first)
+	follower, _ := newSource(addr)
+	_, err := follower.Read()
+	require.NoError(t, err)
+	reader, _ := newSource(addr, "self")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go reader.Observe(ctx)
+	require.Eventually(t, func() bool { return reader.opts.Hub.Hosts() == 3 }, limit, 10*time.Millisecond)
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -39,7 +39,7 @@
 	opts.register(root.PersistentFlags())
 	root.AddCommand(
 		newQuery(opts), newStatus(opts), newTargets(opts), newQuarantine(opts),
-		newConfig(opts), newDrain(opts), newVersion(opts),
+		newConfig(opts), newDrain(opts), newExplain(opts), newVersion(opts),
 		mounted(capacity.NewCommand()), mounted(demo.NewCommand()), mounted(load.NewCommand()),
 	)
 	return root
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,107 @@
+// Package explain reads hosts' logs and says where requests lost their time.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"sort"
+
+	"github.com/swiftvane/swiftvane/internal/exchange"
+)
+
+// maxLine bounds one log line, in bytes.
+const maxLine = 1 << 20
+
+// Line is what a log line says of a request.
+type Line struct {
+	Host      string         `json:"host"`
+	Time      string         `json:"time"`
+	Message   string         `json:"message"`
+	RequestID string         `json:"request_id"`
+	Outcome   string         `json:"outcome"`
+	Route     string         `json:"route"`
+	TookMS    int64          `json:"took_ms"`
+	LeftOut   int            `json:"lines_left_out"`
+	Legs      []exchange.Leg `json:"legs"`
+}
+
+// Row is one line of the breakdown: requests of one outcome that lost their time
+// in one way.
+type Row struct {
+	Outcome  string         `json:"outcome"`
+	Cause    exchange.Cause `json:"cause"`
+	Requests int            `json:"requests"`
+	// Example is the id of one of them.
+	Example string `json:"example"`
+}
+
+// Report is the breakdown of a log.
+type Report struct {
+	Rows []Row `json:"rows"`
+	// LeftOut counts the lines that the hosts did not write for their budget.
+	LeftOut int `json:"left_out"`
+	// Story holds the whole lines about the request asked for.
+	Story []json.RawMessage `json:"story,omitempty"`
+}
+
+type rowKey struct {
+	outcome string
+	cause   exchange.Cause
+}
+
+// Read reads a log: JSON lines, each with any prefix before its first brace. id
+// names a request whose lines are kept; it may be empty. Lines that are no JSON
+// are passed over.
+func Read(from io.Reader, id string) (*Report, error) {
+	report := &Report{}
+	rows := map[rowKey]*Row{}
+	scanner := bufio.NewScanner(from)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		raw := scanner.Bytes()
+		start := bytes.IndexByte(raw, '{')
+		if start < 0 {
+			continue
+		}
+		var line Line
+		if json.Unmarshal(raw[start:], &line) != nil || line.RequestID == "" {
+			continue
+		}
+		if line.RequestID == id {
+			report.Story = append(report.Story, bytes.Clone(raw[start:]))
+		}
+		report.LeftOut += line.LeftOut
+		count(rows, &line)
+	}
+	for _, row := range rows {
+		report.Rows = append(report.Rows, *row)
+	}
+	sort.Slice(report.Rows, func(i, j int) bool {
+		a, b := &report.Rows[i], &report.Rows[j]
+		if a.Requests != b.Requests {
+			return a.Requests > b.Requests
+		}
+		return a.Outcome+string(a.Cause) < b.Outcome+string(b.Cause)
+	})
+	return report, scanner.Err()
+}
+
+// count adds a request once for each cause among its legs.
+func count(rows map[rowKey]*Row, line *Line) {
+	causes := map[exchange.Cause]bool{}
+	for _, leg := range line.Legs {
+		causes[leg.Cause] = true
+	}
+	if len(causes) == 0 {
+		causes[""] = true
+	}
+	for cause := range causes {
+		key := rowKey{outcome: line.Outcome, cause: cause}
+		if rows[key] == nil {
+			rows[key] = &Row{Outcome: line.Outcome, Cause: cause, Example: line.RequestID}
+		}
+		rows[key].Requests++
+	}
+}
--- a/internal/replica/stats.go
+++ b/internal/replica/stats.go
@@ -35,13 +35,11 @@
 	slownessGain = 0.25
 	// slownessCap bounds one sample, so that a single pause is soon forgotten.
 	slownessCap = 12
-	// slownessHalfLife is the time in which the slowness of a target without
-	// samples halves its distance to 1, so that it is tried again.
-	slownessHalfLife = 6 * time.Second
+	// halfLife is the time in which what is known of a target without samples
+	// fades by half, so that it is tried again.
+	halfLife = 6 * time.Second
 	// failureGain is the weight of one sample in the failure rate.
 	failureGain = 0.2
-	// failureHalfLife is the same for the failure rate.
-	failureHalfLife = 6 * time.Second
 )
 
 // Stats holds what is known of one target. Its owner guards it with a lock.
@@ -123,12 +121,13 @@
 	idle := now.Sub(s.updated)
 	s.updated = now
 	if s.slowness > 0 {
-		s.slowness = 1 + (s.slowness-1)*halving(idle, slownessHalfLife)
+		s.slowness = 1 + (s.slowness-1)*fading(idle)
 	}
-	s.failureRate *= halving(idle, failureHalfLife)
+	s.failureRate *= fading(idle)
 }
 
-func halving(idle, halfLife time.Duration) float64 {
+// fading is the part of what is known that still counts after a time.
+func fading(idle time.Duration) float64 {
 	return math.Exp2(-float64(idle) / float64(halfLife))
 }
 
@@ -137,9 +136,9 @@
 	idle := now.Sub(s.updated)
 	load := Load{Slowness: 1, Outstanding: s.outstanding}
 	if s.slowness > 0 {
-		load.Slowness = 1 + (s.slowness-1)*halving(idle, slownessHalfLife)
+		load.Slowness = 1 + (s.slowness-1)*fading(idle)
 	}
-	load.FailureRate = s.failureRate * halving(idle, failureHalfLife)
+	load.FailureRate = s.failureRate * fading(idle)
 	if s.outstanding > 0 {
 		load.Stalled = now.Sub(s.oldestSent)
 	}
--- /dev/null
+++ b/test/edge/overload_test.go
@@ -0,0 +1,53 @@
+package edge_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestOverloadIsRefusedUnrunAndTheRestIsServed sends far more sweeps at once
+// than the targets' slots carry. Those that would wait too long are refused
+// before any target sees them, and none is held until its time is over.
+func TestOverloadIsRefusedUnrunAndTheRestIsServed(t *testing.T) {
+	const callers = 120
+	c := start(t, options{work: 60 * time.Millisecond})
+	var mu sync.Mutex
+	statuses := map[string]int{}
+	var all sync.WaitGroup
+	for k := range callers {
+		all.Go(func() {
+			id := fmt.Sprintf("load-%d", k)
+			r, err := c.hosts[0].caller().ask("GET", "/sweep/x", id, nil)
+			status := 0
+			if err == nil {
+				status = r.status
+			}
+			if status == 503 && r.header.Get("Retry-After") == "" {
+				status = -1
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[id] = status
+		})
+	}
+	all.Wait()
+	counts := map[int]int{}
+	for id, status := range statuses {
+		counts[status]++
+		if status != 503 {
+			continue
+		}
+		for _, list := range c.searchers {
+			for _, s := range list {
+				require.Zero(t, s.Arrivals()[id], "%s was refused and reached a target", id)
+			}
+		}
+	}
+	require.Positive(t, counts[200])
+	require.Positive(t, counts[503])
+	require.Equal(t, callers, counts[200]+counts[503], "%v", counts)
+}
