--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -73,7 +73,9 @@
 			report.Story = append(report.Story, bytes.Clone(raw[start:]))
 		}
 		report.LeftOut += line.LeftOut
-		count(rows, &line)
+		if line.Outcome != "" {
+			count(rows, &line)
+		}
 	}
 	for _, row := range rows {
 		report.Rows = append(report.Rows, *row)
--- a/internal/relay/account.go
+++ b/internal/relay/account.go
@@ -15,7 +15,7 @@
 	a := &exchange.Account{
 		Route: r.route.Name, Sweep: r.route.Sweep(), Objective: r.route.Objective,
 		ConfigVersion: r.snapshot.View.Config.Version, Revision: r.snapshot.View.Revision,
-		Shards: len(legs), Late: now.After(r.times.onTime),
+		Shards: len(legs), Late: now.After(r.request.Arrived.Add(r.route.Objective)),
 	}
 	for i := range legs {
 		l := &legs[i]
