--- a/internal/extrabudget/window.go
+++ b/internal/extrabudget/window.go
@@ -41,15 +41,26 @@
 	b.requests[b.index(b.slice)]++
 }
 
-// Take counts one extra sub-request and reports whether the bound allows it.
-func (b *Budget) Take(now time.Time) bool {
+// hedgePart of the bound may be used by hedges; the rest is kept for requests
+// whose first attempt has failed, which are lost without a second one.
+const hedgePart = 0.85
+
+// TakeHedge counts one extra sub-request beside one that is late and reports
+// whether the hedges' part of the bound allows it.
+func (b *Budget) TakeHedge(now time.Time) bool { return b.take(now, hedgePart) }
+
+// TakeRetry counts one extra sub-request after one that failed and reports
+// whether the bound allows it.
+func (b *Budget) TakeRetry(now time.Time) bool { return b.take(now, 1) }
+
+func (b *Budget) take(now time.Time, part float64) bool {
 	b.advance(now)
 	requests, extras := 0, 0
 	for i := range b.requests {
 		requests += b.requests[i]
 		extras += b.extras[i]
 	}
-	if float64(extras+1) > b.limit.Ratio*float64(requests)+b.limit.Slack {
+	if float64(extras+1) > part*(b.limit.Ratio*float64(requests)+b.limit.Slack) {
 		return false
 	}
 	b.extras[b.index(b.slice)]++
--- a/internal/extrabudget/window_test.go
+++ b/internal/extrabudget/window_test.go
@@ -25,7 +25,7 @@
 			b.Request(now)
 			requests = append(requests, now)
 			for range step % 3 {
-				if b.Take(now) {
+				if b.TakeRetry(now) || b.TakeHedge(now) {
 					extras = append(extras, now)
 				}
 			}
@@ -62,9 +62,26 @@
 func TestTheBudgetComesBackWithTime(t *testing.T) {
 	now := time.Now()
 	b := New(Limit{Ratio: 0, Slack: 2, Window: 10 * time.Second}, now)
-	require.True(t, b.Take(now))
-	require.True(t, b.Take(now))
-	require.False(t, b.Take(now))
-	require.False(t, b.Take(now.Add(9*time.Second)))
-	require.True(t, b.Take(now.Add(11*time.Second)))
+	require.True(t, b.TakeRetry(now))
+	require.True(t, b.TakeRetry(now))
+	require.False(t, b.TakeRetry(now))
+	require.False(t, b.TakeRetry(now.Add(9*time.Second)))
+	require.True(t, b.TakeRetry(now.Add(11*time.Second)))
+}
+
+func TestHedgesLeaveRoomForRetries(t *testing.T) {
+	now := time.Now()
+	b := New(Limit{Ratio: 0.2, Slack: 0, Window: 10 * time.Second}, now)
+	for range 100 {
+		b.Request(now)
+	}
+	hedges, retries := 0, 0
+	for b.TakeHedge(now) {
+		hedges++
+	}
+	for b.TakeRetry(now) {
+		retries++
+	}
+	require.Equal(t, 17, hedges)
+	require.Equal(t, 3, retries)
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -107,7 +107,7 @@
 	if chosen.pool == nil || chosen.load.Room <= 0 {
 		return
 	}
-	if !l.group.TakeExtra(now) {
+	if !l.group.TakeHedge(now) {
 		l.denied++
 		return
 	}
@@ -121,7 +121,7 @@
 	if !r.mayRepeat(l) || len(l.tried) >= len(l.group.Pools)+len(l.group.Spare) {
 		return false
 	}
-	if !l.group.TakeExtra(now) {
+	if !l.group.TakeRetry(now) {
 		l.denied++
 		return false
 	}
--- a/internal/targetpool/conn.go
+++ b/internal/targetpool/conn.go
@@ -37,6 +37,7 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	replies     int
+	used        bool
 	opened      time.Time
 
 	// writing is held while a request is written; a reply that comes before
@@ -55,6 +56,16 @@
 	return c.idleTimeout == 0 || now.Sub(c.idleSince) < time.Duration(float64(c.idleTimeout)*idleShare)
 }
 
+// refused reports whether the end of the connection now means that the target
+// does not take it. The pool's lock is held.
+func (c *conn) refused(now time.Time) bool {
+	age := now.Sub(c.opened)
+	if c.used {
+		return c.replies == 0 && age < refusalAge
+	}
+	return age < freshConn
+}
+
 // send writes the call's request. On an error the reading goroutine ends the call.
 func (c *conn) send(call *Call) {
 	c.writing.Lock()
--- a/internal/targetpool/group.go
+++ b/internal/targetpool/group.go
@@ -45,10 +45,17 @@
 	g.extra.budget.Request(now)
 }
 
-// TakeExtra counts one more sub-request of a request that already has one, and
-// reports whether the service's bound allows it.
-func (g *Group) TakeExtra(now time.Time) bool {
+// TakeHedge counts a second sub-request beside a late one, and reports whether
+// the service's bound on extra load allows it.
+func (g *Group) TakeHedge(now time.Time) bool {
 	g.extra.mu.Lock()
 	defer g.extra.mu.Unlock()
-	return g.extra.budget.Take(now)
+	return g.extra.budget.TakeHedge(now)
+}
+
+// TakeRetry does the same for one after a failed sub-request.
+func (g *Group) TakeRetry(now time.Time) bool {
+	g.extra.mu.Lock()
+	defer g.extra.mu.Unlock()
+	return g.extra.budget.TakeRetry(now)
 }
--- a/internal/targetpool/pool.go
+++ b/internal/targetpool/pool.go
@@ -45,9 +45,12 @@
 	crowdedFor = 8 * time.Second
 	// surplusFor is how long a connection beyond the warm ones stays idle.
 	surplusFor = 5 * time.Second
-	// freshConn is the age up to which the end of a connection without a reply
-	// means that the target does not take it; later it was merely idle.
+	// freshConn is the age up to which the end of an unused connection means
+	// that the target does not take it; later it was merely idle.
 	freshConn = time.Second
+	// refusalAge is the same for a connection that carries a request: later the
+	// target took it and lost the answer.
+	refusalAge = 8 * time.Millisecond
 )
 
 // NewPool returns a pool without connections.
@@ -187,6 +190,7 @@
 	call.conn = c
 	call.sent = now
 	c.call = call
+	c.used = true
 	p.stats.Sent(now)
 }
 
@@ -294,7 +298,7 @@
 			break
 		}
 	}
-	if known && c.replies == 0 && now.Sub(c.opened) < freshConn && !p.closed {
+	if known && c.refused(now) && !p.closed {
 		p.crowdedAt = now
 		p.failed(now, errNoReply)
 	}
