--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"os"
 
@@ -23,6 +24,9 @@
 			if err != nil {
 				return err
 			}
+			if id != "" && o.output != outputJSON {
+				return o.printStory(report)
+			}
 			return o.render(report, func(t table.Writer) { drawExplain(t, report) })
 		},
 	}
@@ -47,14 +51,22 @@
 	return explain.Read(io.MultiReader(readers...), id)
 }
 
-func drawExplain(t table.Writer, r *explain.Report) {
-	if len(r.Story) > 0 {
-		t.AppendHeader(table.Row{"line"})
-		for _, line := range r.Story {
-			t.AppendRow(table.Row{string(line)})
+// printStory prints the lines about one request as they were logged.
+func (o *options) printStory(r *explain.Report) error {
+	if len(r.Story) == 0 {
+		return errNoLines
+	}
+	for _, line := range r.Story {
+		if _, err := fmt.Fprintln(o.streams.Out, string(line)); err != nil {
+			return err
 		}
-		return
 	}
+	return nil
+}
+
+var errNoLines = errors.New("no line of these logs is about that request; it may have been left out for the log's budget")
+
+func drawExplain(t table.Writer, r *explain.Report) {
 	t.AppendHeader(table.Row{"outcome", "cause", "requests", "example"})
 	for _, row := range r.Rows {
 		t.AppendRow(table.Row{row.Outcome, row.Cause, row.Requests, row.Example})
--- a/internal/exchange/account.go
+++ b/internal/exchange/account.go
@@ -44,6 +44,8 @@
 const (
 	// CauseNoTarget means that no target of the service could be reached.
 	CauseNoTarget Cause = "no_target"
+	// CauseNotSent means that the request was refused before anything was sent.
+	CauseNotSent Cause = "not_sent"
 	// CauseNoConnection means that the request waited for a connection.
 	CauseNoConnection Cause = "no_connection"
 	// CauseShed means that the targets refused the request.
--- a/internal/relay/account.go
+++ b/internal/relay/account.go
@@ -42,6 +42,9 @@
 func (l *leg) explain(now time.Time) exchange.Leg {
 	e := exchange.Leg{Service: string(l.service), Tried: len(l.attempts), Cause: exchange.CauseNoTarget}
 	if len(l.attempts) == 0 {
+		if l.reachable {
+			e.Cause = exchange.CauseNotSent
+		}
 		return e
 	}
 	last := l.attempts[len(l.attempts)-1]
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -49,7 +49,9 @@
 	// failure is the last reply that was no success.
 	failure *exchange.Reply
 
-	// The rest explains the leg afterwards.
+	// The rest explains the leg afterwards. reachable is set where a target
+	// could have been asked.
+	reachable bool
 	hedges    int
 	retries   int
 	denied    int
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -40,6 +40,7 @@
 	if chosen.pool == nil {
 		return refuse(exchange.NoTarget, retryNoRoom)
 	}
+	s.leg.reachable = true
 	if replica.Overrun(chosen.load, r.pace.usual, r.times.final.Sub(now)) {
 		return refuse(exchange.NoRoom, min(replica.Estimate(chosen.load, r.pace.usual), retryLongest))
 	}
--- a/internal/relay/sweep.go
+++ b/internal/relay/sweep.go
@@ -92,6 +92,7 @@
 		if chosen[i].pool == nil {
 			continue
 		}
+		s.legs[i].reachable = true
 		reached++
 		if replica.Overrun(chosen[i].load, s.pace.usual, within) {
 			overrun++
