Keep one replica of each shard connected where the hosts don't fit twice

Cause: after the loss of all 59 hosts of the grown Authority the targets count their 39 connections each for 8 s and reset the new ones (91,780), so most shards are out of reach for most hosts. Change: the hosts plan for twice their connections there too, which leaves one kept replica; the others cost less when needed (0.7 of the usual time instead of 2).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,7 +63,7 @@
 	// reads the store few times.
 	firstStartWait = 900 * time.Millisecond
 	// stopReserve is kept between the last connection's end and the forced one.
-	stopReserve = 400 * time.Millisecond
+	stopReserve = 600 * time.Millisecond
 )
 
 // Edge is one host.
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -29,7 +29,7 @@
 	// stallCost is the added cost of a target that seems to stand still.
 	stallCost = 6
 	// spareCost is the added cost of a target outside the host's own share.
-	spareCost = 2
+	spareCost = 0.7
 	// fullCost is the added cost of a target without a free connection.
 	fullCost = 3
 	// unreachableCost is that of a target with no connection at all.
--- a/internal/targetpool/placing.go
+++ b/internal/targetpool/placing.go
@@ -42,7 +42,7 @@
 func shareOf(maxConns, targets, hosts int) share {
 	hosts = max(hosts, 1)
 	if float64(hosts) > fill*float64(maxConns) {
-		part := int(fill * float64(maxConns) * float64(targets) / float64(hosts))
+		part := int(fill * float64(maxConns) * float64(targets) / float64(restarts*hosts))
 		return share{targets: min(max(part, 1), targets), conns: 1}
 	}
 	conns := maxConns / (restarts * hosts)
