Refuse requests that crash targets, fleet-wide

Change: crashguard, evidence from pools (connections broke and the next dial failed), notes over the hosts' links.

--- a/internal/catalogshare/hub.go
+++ b/internal/catalogshare/hub.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/swiftvane/swiftvane/internal/catalogsync"
+	"github.com/swiftvane/swiftvane/internal/crashguard"
 )
 
 // outboxMessages is the number of messages that wait for a slow follower; one
@@ -29,6 +30,7 @@
 	followers map[*follower]bool
 	// others has the number of hosts that each other reader stands for.
 	others map[string]count
+	guard  *crashguard.Guard
 	// told is the number of hosts that the host's own upstream knows.
 	told int
 }
@@ -46,10 +48,10 @@
 	observe bool
 }
 
-// NewHub returns a hub without entries.
-func NewHub(log logrus.FieldLogger) *Hub {
+// NewHub returns a hub without entries whose notes go to guard.
+func NewHub(guard *crashguard.Guard, log logrus.FieldLogger) *Hub {
 	return &Hub{
-		log: log, entries: map[string]entry{}, followers: map[*follower]bool{}, others: map[string]count{},
+		log: log, guard: guard, entries: map[string]entry{}, followers: map[*follower]bool{}, others: map[string]count{},
 		upgrader: websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }},
 	}
 }
@@ -106,6 +108,26 @@
 	h.broadcast(m)
 }
 
+// Note takes a note that came from elsewhere and, if it was new, passes it on to
+// the followers.
+func (h *Hub) Note(n crashguard.Note) {
+	if !h.guard.Add(n, time.Now()) {
+		return
+	}
+	h.log.WithFields(logrus.Fields{"request": n.Request, "target": n.Target}).Warn("a target crashed while it had this request")
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m := h.beat()
+	m.Notes = []crashguard.Note{n}
+	h.broadcast(m)
+}
+
+func (h *Hub) noteAll(notes []crashguard.Note) {
+	for _, n := range notes {
+		h.Note(n)
+	}
+}
+
 // Hosts is the number of hosts in the fleet as far as this one knows, at least
 // the one itself.
 func (h *Hub) Hosts() int {
@@ -222,7 +244,7 @@
 		defer h.mu.Unlock()
 		h.remove(f)
 	}()
-	go discard(conn)
+	go h.takeNotes(conn)
 	raw, err := encode(first)
 	if err != nil {
 		h.log.WithError(err).Error("catalog message can't be encoded")
@@ -233,13 +255,21 @@
 	}
 }
 
-// discard reads until the link ends and then closes it, which ends its writer.
-func discard(conn *websocket.Conn) {
+// takeNotes reads a follower's notes until the link ends and then closes it,
+// which ends its writer.
+func (h *Hub) takeNotes(conn *websocket.Conn) {
+	defer closeLink(conn, h.log)
 	for {
-		if _, _, err := conn.ReadMessage(); err != nil {
-			_ = conn.Close() //nolint:errcheck // the link is over either way
+		_, raw, err := conn.ReadMessage()
+		if err != nil {
+			return
+		}
+		m, err := decode(raw)
+		if err != nil {
+			h.log.WithError(err).Warn("note of a follower is unreadable")
 			return
 		}
+		h.noteAll(m.Notes)
 	}
 }
 
--- a/internal/catalogshare/link.go
+++ b/internal/catalogshare/link.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// send sends a message to the reader.
+func (l *link) send(m *message) {
+	raw, err := encode(m)
+	if err == nil {
+		err = write(l.conn, raw)
+	}
+	if err != nil {
+		l.log.WithError(err).WithField("peer", l.addr).Info("note was not sent")
+	}
+}
+
 // next waits for a message, at most linkTimeout.
 func (l *link) next() (*message, error) {
 	timer := time.NewTimer(linkTimeout)
--- a/internal/catalogshare/message.go
+++ b/internal/catalogshare/message.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/crashguard"
 )
 
 const (
@@ -44,6 +46,8 @@
 	// that follow it. Hosts is the number in the fleet as far as it knows.
 	Own   int `cbor:"6,keyasint"`
 	Hosts int `cbor:"7,keyasint"`
+	// Notes tell of requests that crash targets.
+	Notes []crashguard.Note `cbor:"8,keyasint,omitempty"`
 }
 
 func encode(m *message) ([]byte, error) { return cbor.Marshal(m) }
--- a/internal/catalogshare/share_test.go
+++ b/internal/catalogshare/share_test.go
@@ -12,6 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/catalogsync"
+	"github.com/swiftvane/swiftvane/internal/crashguard"
+	"github.com/swiftvane/swiftvane/internal/exchange"
 )
 
 const limit = 10 * time.Second
@@ -40,7 +42,7 @@
 func serve(t *testing.T) (*Hub, string, func()) {
 	t.Helper()
 	log, _ := test.NewNullLogger()
-	hub := NewHub(log)
+	hub := NewHub(crashguard.New(), log)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -55,7 +57,7 @@
 	log, _ := test.NewNullLogger()
 	store := &countingStore{calls: make(chan string, 1000)}
 	return NewSource(Options{
-		Store: store, Decode: plain, Hub: NewHub(log), Self: "self",
+		Store: store, Decode: plain, Hub: NewHub(crashguard.New(), log), Self: "self",
 		Readers: func() []string { return readers }, FirstWait: time.Second, Log: log,
 	}), store
 }
@@ -170,3 +172,34 @@
 	go reader.Observe(ctx)
 	require.Eventually(t, func() bool { return reader.opts.Hub.Hosts() == 3 }, limit, 10*time.Millisecond)
 }
+
+// TestACrashNoteReachesFollowersOfAllReaders goes from a follower over its
+// reader and another reader to that one's follower.
+func TestACrashNoteReachesFollowersOfAllReaders(t *testing.T) {
+	first := published(7, "a")
+	first.Full = true
+	hubA, addrA, _ := serve(t)
+	hubB, addrB, _ := serve(t)
+	hubA.Publish(first)
+	hubB.Publish(first)
+	log, _ := test.NewNullLogger()
+	observer := NewSource(Options{Hub: hubB, Self: addrB, Readers: func() []string { return []string{addrA, addrB} }, Log: log})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go observer.Observe(ctx)
+	teller, _ := newSource(addrA)
+	_, err := teller.Read()
+	require.NoError(t, err)
+	listener, _ := newSource(addrB)
+	_, err = listener.Read()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return hubB.Hosts() == 4 }, limit, time.Millisecond, "the readers see each other")
+	bad := &exchange.Request{Method: "GET", Host: "h", URI: "/bad"}
+	teller.Tell(crashguard.Note{Request: crashguard.Of(bad), Target: "t-1", AgeMS: 5000})
+	teller.Tell(crashguard.Note{Request: crashguard.Of(bad), Target: "t-2"})
+	require.Eventually(t, func() bool {
+		_, err := listener.Watch(7, time.Second)
+		require.NoError(t, err)
+		return listener.opts.Hub.guard.Blocks(bad, time.Now())
+	}, limit, time.Millisecond)
+}
--- a/internal/catalogshare/source.go
+++ b/internal/catalogshare/source.go
@@ -4,11 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/catalogsync"
+	"github.com/swiftvane/swiftvane/internal/crashguard"
 )
 
 const (
@@ -52,6 +54,10 @@
 	dialed  chan *link
 	dialing bool
 	retryAt time.Time
+
+	// mu guards current, which is link as others than the owner see it.
+	mu      sync.Mutex
+	current *link
 }
 
 var _ catalogsync.Source = (*Source)(nil)
@@ -95,6 +101,25 @@
 	return s.opts.Store.Watch(revision, wait)
 }
 
+// Tell takes this host's own note and sends it to the others: to the followers
+// of its hub and, over its link, to the reader that it follows.
+func (s *Source) Tell(n crashguard.Note) {
+	s.opts.Hub.Note(n)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != nil {
+		s.current.send(&message{Notes: []crashguard.Note{n}})
+	}
+}
+
+// setLink changes the link that notes are sent on.
+func (s *Source) setLink(l *link) {
+	s.link = l
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = l
+}
+
 // reads reports whether this host is one of the readers.
 func (s *Source) reads() bool { return slices.Contains(s.opts.Readers(), s.opts.Self) }
 
@@ -108,6 +133,7 @@
 		return catalogsync.Batch{}, errStale
 	}
 	s.opts.Hub.tell(m.Hosts)
+	s.opts.Hub.noteAll(m.Notes)
 	batch := catalogsync.Batch{
 		Full: m.Full, Revision: m.Revision, Returned: m.Returned,
 		AsOf: time.Now().Add(-time.Duration(m.AgeMS) * time.Millisecond),
@@ -139,7 +165,7 @@
 		}
 	}
 	s.dialing = false
-	s.link = l
+	s.setLink(l)
 	if l == nil {
 		s.retryAt = time.Now().Add(retryLinks/2 + rand.N(retryLinks))
 	}
@@ -148,7 +174,7 @@
 func (s *Source) drop() {
 	if s.link != nil {
 		s.link.end()
-		s.link = nil
+		s.setLink(nil)
 	}
 }
 
@@ -209,6 +235,7 @@
 	if l, err := dial(addr, true, s.opts.Log); err == nil {
 		for m := range l.messages {
 			s.opts.Hub.observed(addr, m.Own)
+			s.opts.Hub.noteAll(m.Notes)
 		}
 	}
 	timer := time.NewTimer(observeEvery)
--- /dev/null
+++ b/internal/crashguard/guard_test.go
@@ -0,0 +1,46 @@
+package crashguard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/exchange"
+)
+
+func request(id, uri string) *exchange.Request {
+	return &exchange.Request{ID: id, Method: "GET", Host: "h", URI: uri}
+}
+
+func TestARequestIsBlockedAfterSeparateCrashesWhateverItsID(t *testing.T) {
+	now := time.Now()
+	g := New()
+	bad := Of(request("1", "/bad"))
+	require.True(t, g.Add(Note{Request: bad, Target: "a"}, now))
+	require.False(t, g.Add(Note{Request: bad, Target: "a"}, now), "the same crash told twice")
+	require.False(t, g.Blocks(request("2", "/bad"), now))
+	require.True(t, g.Add(Note{Request: bad, Target: "b"}, now.Add(2*time.Second)))
+	now = now.Add(2 * time.Second)
+	require.True(t, g.Blocks(request("3", "/bad"), now))
+	require.False(t, g.Blocks(request("4", "/good"), now))
+	require.False(t, g.Blocks(request("5", "/bad"), now.Add(rememberFor)))
+}
+
+func TestTargetsThatFailTogetherSuspectNobodyTwice(t *testing.T) {
+	now := time.Now()
+	g := New()
+	for i, target := range []string{"a", "b", "c", "d"} {
+		g.Add(Note{Request: Of(request("1", "/x")), Target: target, AgeMS: int64(100 * i)}, now)
+	}
+	require.False(t, g.Blocks(request("2", "/x"), now))
+}
+
+func TestSuspectsAreBounded(t *testing.T) {
+	now := time.Now()
+	g := New()
+	for i := range 2 * maxSuspects {
+		g.Add(Note{Request: Fingerprint(i), Target: "a"}, now)
+	}
+	require.Len(t, g.suspects, maxSuspects)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,6 +14,7 @@
 	"github.com/swiftvane/swiftvane/internal/catalog"
 	"github.com/swiftvane/swiftvane/internal/catalogshare"
 	"github.com/swiftvane/swiftvane/internal/catalogsync"
+	"github.com/swiftvane/swiftvane/internal/crashguard"
 	"github.com/swiftvane/swiftvane/internal/exchange"
 	"github.com/swiftvane/swiftvane/internal/extrabudget"
 	"github.com/swiftvane/swiftvane/internal/front"
@@ -92,10 +93,12 @@
 			Slack:  opts.Extra.Slack,
 			Window: opts.Extra.Window,
 		},
-		Host: opts.Host,
+		Host:    opts.Host,
+		OnCrash: e.crashed,
 	})
 	e.directory.SetHosts(unknownHosts)
-	e.hub = catalogshare.NewHub(opts.Log)
+	guard := crashguard.New()
+	e.hub = catalogshare.NewHub(guard, opts.Log)
 	firstWait := time.Duration(0)
 	if opts.FirstStart {
 		firstWait = firstStartWait
@@ -105,7 +108,7 @@
 	})
 	e.follower = catalogsync.New(e.source, opts.Log, catalogsync.Hooks{OnView: e.directory.Update, OnBatch: e.hub.Publish})
 	executor := relay.NewExecutor(relay.Options{
-		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Log: opts.Log,
+		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard, Log: opts.Log,
 	})
 	e.server = front.New(front.Options{
 		Codec: opts.CallerCodec, Handler: executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
@@ -139,6 +142,12 @@
 	return nil
 }
 
+// crashed tells the fleet of a request that a target had when it crashed. It is
+// called on the goroutine of a dial.
+func (e *Edge) crashed(r *exchange.Request, t *catalog.Target) {
+	e.source.Tell(crashguard.Note{Request: crashguard.Of(r), Target: string(t.ID)})
+}
+
 // listenPeers lets other hosts follow this one.
 func (e *Edge) listenPeers(ctx context.Context) error {
 	go e.followSize(ctx)
--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -40,4 +40,5 @@
 	LowCoverage     Reason = "low_coverage"
 	TimedOut        Reason = "timed_out"
 	CallerLeft      Reason = "caller_left"
+	CrashesTargets  Reason = "crashes_targets"
 )
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/crashguard"
 	"github.com/swiftvane/swiftvane/internal/exchange"
 	"github.com/swiftvane/swiftvane/internal/replica"
 	"github.com/swiftvane/swiftvane/internal/targetpool"
@@ -15,6 +16,10 @@
 // retryNoConfig is when a caller may ask a host again that knows no configuration.
 const retryNoConfig = 150 * time.Millisecond
 
+// retryCrashing is when the caller of a request that crashes targets may ask
+// again; by then the targets it hit are back.
+const retryCrashing = 30 * time.Second
+
 // Snapshots returns the newest view with its pools.
 type Snapshots interface {
 	Snapshot() *targetpool.Snapshot
@@ -25,7 +30,9 @@
 	Snapshots Snapshots
 	// FailureDomain is the host's own.
 	FailureDomain string
-	Log           logrus.FieldLogger
+	// Guard knows the requests that crash targets.
+	Guard *crashguard.Guard
+	Log   logrus.FieldLogger
 }
 
 // Executor serves requests. It is safe for concurrent use.
@@ -59,6 +66,9 @@
 	if route == nil {
 		return &exchange.Answer{Status: 404, Reason: exchange.NoRoute}
 	}
+	if e.opts.Guard.Blocks(r, time.Now()) {
+		return refuse(exchange.CrashesTargets, retryCrashing)
+	}
 	k := e.kinds.of(route)
 	run := &run{
 		executor: e, snapshot: snapshot, route: route, request: r, gone: gone,
--- a/internal/targetpool/conn.go
+++ b/internal/targetpool/conn.go
@@ -197,6 +197,8 @@
 		result := replica.Failed
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			result = replica.Silent
+		} else {
+			p.lost = append(p.lost, lostCall{request: call.Request, at: now})
 		}
 		p.stats.Ended(now, exchangeOf(call, result))
 	}
--- a/internal/targetpool/dial.go
+++ b/internal/targetpool/dial.go
@@ -81,6 +81,7 @@
 	c := newConn(p, raw)
 	p.mu.Lock()
 	p.dialing--
+	p.lost = nil
 	p.conns[c] = true
 	p.mu.Unlock()
 	go c.read()
@@ -97,8 +98,23 @@
 	}
 	p.failed(now, err)
 	ended := p.strand()
+	lost := p.lost
+	p.lost = nil
 	p.mu.Unlock()
 	endAll(ended, ErrUnreachable, now)
+	p.suspect(lost, now)
+}
+
+// suspect tells of the requests that the target had when it crashed.
+func (p *Pool) suspect(lost []lostCall, now time.Time) {
+	if p.onCrash == nil {
+		return
+	}
+	for _, l := range lost {
+		if now.Sub(l.at) < crashWindow {
+			p.onCrash(l.request, p.target)
+		}
+	}
 }
 
 // failed notes a connection that brought nothing and puts the next dial off.
--- a/internal/targetpool/directory.go
+++ b/internal/targetpool/directory.go
@@ -20,6 +20,9 @@
 	// Extra is the bound on the extra sub-requests of each service. The slack
 	// is that of all hosts together.
 	Extra extrabudget.Limit
+	// OnCrash is told of each request that a target had when it crashed. It must
+	// not block; it may be nil.
+	OnCrash func(*exchange.Request, *catalog.Target)
 	// Host names this host; it decides which replicas it connects to.
 	Host string
 }
@@ -122,7 +125,7 @@
 	for i, t := range targets {
 		pool, ok := d.pools[t.ID]
 		if !ok {
-			pool = NewPool(t, d.opts.Codec, d.opts.Dialer, d.opts.Log)
+			pool = NewPool(t, &d.opts)
 			d.pools[t.ID] = pool
 		}
 		if i < own.targets {
--- a/internal/targetpool/pool.go
+++ b/internal/targetpool/pool.go
@@ -37,8 +37,21 @@
 	// moved is set once another process was found at the target's address.
 	moved bool
 	stats replica.Stats
+	// lost has the requests whose connection broke since the last dial.
+	lost    []lostCall
+	onCrash func(*exchange.Request, *catalog.Target)
 }
 
+// lostCall is a request that was in flight on a connection that broke.
+type lostCall struct {
+	request *exchange.Request
+	at      time.Time
+}
+
+// crashWindow is the time between a broken connection and a failed dial within
+// which the target is taken to have crashed.
+const crashWindow = 1500 * time.Millisecond
+
 const (
 	// crowdedFor is how long a target that reset a new connection gets no more
 	// than one from this host: it holds others' connections, dead ones included.
@@ -54,10 +67,10 @@
 )
 
 // NewPool returns a pool without connections.
-func NewPool(target *catalog.Target, codec exchange.TargetCodec, dialer Dialer, log logrus.FieldLogger) *Pool {
+func NewPool(target *catalog.Target, opts *Options) *Pool {
 	return &Pool{
-		target: target, codec: codec, dialer: dialer, limit: 1,
-		log:   log.WithFields(logrus.Fields{"target": target.ID, "service": target.Service, "addr": target.Addr}),
+		target: target, codec: opts.Codec, dialer: opts.Dialer, limit: 1, onCrash: opts.OnCrash,
+		log:   opts.Log.WithFields(logrus.Fields{"target": target.ID, "service": target.Service, "addr": target.Addr}),
 		conns: map[*conn]bool{},
 	}
 }
--- /dev/null
+++ b/test/edge/crash_test.go
@@ -0,0 +1,63 @@
+package edge_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/standin/searcher"
+)
+
+// TestARequestThatCrashesTargetsIsRefusedAfterItsSecondTime sends a request that
+// ends each searcher that runs it, under new ids.
+func TestARequestThatCrashesTargetsIsRefusedAfterItsSecondTime(t *testing.T) {
+	var mu sync.Mutex
+	var crash func(id string)
+	c := start(t, options{work: time.Millisecond, fault: func(service, id string) searcher.Fault {
+		if service != "single" || !strings.HasPrefix(id, "poison") {
+			return searcher.None
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		crash(id)
+		return searcher.LoseAnswer
+	}})
+	for i := range 5 {
+		c.addSearcher("single", fmt.Sprintf("more-%d", i), "127.0.0.1:0", time.Millisecond)
+	}
+	crashed := 0
+	mu.Lock()
+	crash = func(id string) {
+		for _, s := range c.searchers["single"] {
+			if s.Arrivals()[id] > 0 {
+				crashed++
+				go s.Close()
+			}
+		}
+	}
+	mu.Unlock()
+	caller := c.hosts[0].caller()
+	require.Eventually(t, func() bool { return strings.Contains(c.hosts[0].log.String(), "more-4") }, limit, time.Millisecond)
+	for i := range 2 {
+		r, err := caller.ask("GET", "/one/poison", fmt.Sprintf("poison-%d", i), nil)
+		require.NoError(t, err)
+		require.Equal(t, 502, r.status)
+		time.Sleep(700 * time.Millisecond)
+	}
+	before := crashed
+	require.LessOrEqual(t, before, 6)
+	r, err := caller.ask("GET", "/one/poison", "poison-last", nil)
+	require.NoError(t, err)
+	require.Equal(t, 503, r.status)
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	for _, s := range c.searchers["single"] {
+		require.Zero(t, s.Arrivals()["poison-last"])
+	}
+	r, err = caller.ask("GET", "/one/other", "innocent", nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, r.status)
+}
