Take out fields that nothing reads; put types before their functions

Read as a newcomer: settings that nothing used, a receiver's parameter without a use, a type in the middle of its file. No change of behaviour.

--- a/cmd/swiftvaned/nodefile_test.go
+++ b/cmd/swiftvaned/nodefile_test.go
@@ -28,7 +28,7 @@
 	write(strings.Replace(goodNode, "10.0.0.1:9", "10.0.0.7:9", 1))
 	f.check()
 	require.Equal(t, []string{"10.0.0.7:9"}, f.seeds())
-	for _, bad := range []string{"{", strings.Replace(goodNode, `"heartbeat_ms":1200`, `"heartbeat_ms":0`, 1)} {
+	for _, bad := range []string{"{", strings.Replace(goodNode, `"grace_s":6`, `"grace_s":0`, 1)} {
 		hook.Reset()
 		write(bad)
 		f.check()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -108,7 +108,7 @@
 	})
 	e.follower = catalogsync.New(e.source, opts.Log, catalogsync.Hooks{OnView: e.directory.Update, OnBatch: e.hub.Publish})
 	executor := relay.NewExecutor(relay.Options{
-		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard, Log: opts.Log,
+		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard,
 	})
 	e.server = front.New(front.Options{
 		Codec: opts.CallerCodec, Handler: executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
--- a/internal/relay/executor.go
+++ b/internal/relay/executor.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/swiftvane/swiftvane/internal/catalog"
 	"github.com/swiftvane/swiftvane/internal/crashguard"
 	"github.com/swiftvane/swiftvane/internal/exchange"
@@ -32,7 +30,6 @@
 	FailureDomain string
 	// Guard knows the requests that crash targets.
 	Guard *crashguard.Guard
-	Log   logrus.FieldLogger
 }
 
 // Executor serves requests. It is safe for concurrent use.
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -15,7 +15,18 @@
 // retryLongest bounds the time after which a refused caller is asked to return.
 const retryLongest = 2 * time.Second
 
-// single serves a request from one target of a service.
+// maxRefusals bounds the targets that may refuse one request before the caller
+// is refused.
+const maxRefusals = 4
+
+// single is a run at one service.
+type single struct {
+	*run
+	leg     leg
+	refused int
+}
+
+// single serves a request from one target of a service and accounts for it.
 func (r *run) single(service catalog.ServiceName) *exchange.Answer {
 	s := &single{run: r}
 	answer := s.serve(service)
@@ -28,6 +39,7 @@
 	return answer
 }
 
+// serve sends the request, unless it can't be served, and waits for the answer.
 func (s *single) serve(service catalog.ServiceName) *exchange.Answer {
 	r := s.run
 	r.events = make(chan event, r.route.MaxAttempts+maxRefusals+spareEvents)
@@ -55,20 +67,10 @@
 	return answer
 }
 
-// maxRefusals bounds the targets that may refuse one request before the caller
-// is refused.
-const maxRefusals = 4
-
-// single is a run at one service.
-type single struct {
-	*run
-	leg     leg
-	refused int
-}
-
+// wait takes outcomes until the answer is decided.
 func (s *single) wait() *exchange.Answer {
 	now := time.Now()
-	timer := time.NewTimer(s.nextTime(now).Sub(now))
+	timer := time.NewTimer(s.nextTime().Sub(now))
 	defer timer.Stop()
 	for {
 		select {
@@ -82,7 +84,7 @@
 				return &exchange.Answer{Status: 504, Reason: exchange.TimedOut}
 			}
 			s.hedge(now)
-			timer.Reset(max(s.nextTime(now).Sub(now), time.Millisecond))
+			timer.Reset(max(s.nextTime().Sub(now), time.Millisecond))
 		case <-s.gone:
 			return &exchange.Answer{Status: 499, Reason: exchange.CallerLeft, CloseConnection: true}
 		}
@@ -130,7 +132,8 @@
 	s.run.hedge(l, 0, now)
 }
 
-func (s *single) nextTime(_ time.Time) time.Time {
+// nextTime is when something happens without an outcome.
+func (s *single) nextTime() time.Time {
 	if s.route.Idempotent && !s.leg.hedged && s.leg.hedgeAt.Before(s.times.final) {
 		return s.leg.hedgeAt
 	}
--- a/internal/relay/sweep.go
+++ b/internal/relay/sweep.go
@@ -8,6 +8,18 @@
 	"github.com/swiftvane/swiftvane/internal/replica"
 )
 
+// sweep is a run over many shards.
+type sweep struct {
+	*run
+	legs  []leg
+	least int
+	// parts counts the shards that answered, settled those that need no wait.
+	parts   int
+	settled int
+	// ran is set once any attempt may have run.
+	ran bool
+}
+
 // sweep asks each shard of the route and merges the parts.
 func (r *run) sweep() *exchange.Answer {
 	s := &sweep{run: r, legs: make([]leg, len(r.route.Shards)), least: r.route.LeastShards()}
@@ -31,18 +43,6 @@
 	return answer
 }
 
-// sweep is a run over many shards.
-type sweep struct {
-	*run
-	legs  []leg
-	least int
-	// parts counts the shards that answered, settled those that need no wait.
-	parts   int
-	settled int
-	// ran is set once any attempt may have run.
-	ran bool
-}
-
 // start chooses a target for each shard and then sends to all of them, so that
 // a request that can't reach enough shards is refused before any work on it. It
 // returns that refusal or nil.
@@ -101,10 +101,9 @@
 	return reached, overrun
 }
 
+// settle gives a shard up.
 func (s *sweep) settle(i int) {
-	if !s.legs[i].settled {
-		s.legs[i].settled = true
-	}
+	s.legs[i].settled = true
 	s.settled++
 }
 
--- a/internal/replica/stats.go
+++ b/internal/replica/stats.go
@@ -48,7 +48,6 @@
 	slowness    float64
 	failureRate float64
 	updated     time.Time
-	lastReply   time.Time
 	// oldestSent is when the oldest exchange in flight was sent, or earlier.
 	oldestSent  time.Time
 	outstanding int
@@ -87,7 +86,6 @@
 	s.outstanding--
 	s.decay(now)
 	if e.Result != Silent {
-		s.lastReply = now
 		s.oldestSent = now
 	}
 	failure := 0.0
