--- a/internal/catalogsync/follower_test.go
+++ b/internal/catalogsync/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,17 +15,30 @@
 
 // scripted answers calls from a list and then repeats the last.
 type scripted struct {
+	mu    sync.Mutex
 	calls []string
 	steps []func() (Batch, error)
 }
 
 func (s *scripted) next(what string) (Batch, error) {
+	return s.step(what)()
+}
+
+func (s *scripted) step(what string) func() (Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.calls = append(s.calls, what)
 	step := s.steps[0]
 	if len(s.steps) > 1 {
 		s.steps = s.steps[1:]
 	}
-	return step()
+	return step
+}
+
+func (s *scripted) firstCalls(n int) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.calls[:n]...)
 }
 
 func (s *scripted) Read() (Batch, error) { return s.next("read") }
@@ -56,7 +70,7 @@
 		time.Sleep(returnHold + time.Second)
 		require.Empty(t, f.View().ByService["s"])
 		require.EqualValues(t, 2, f.View().Config.Version)
-		require.Equal(t, []string{"read", "read", "watch", "watch", "watch", "read", "watch"}, source.calls[:7])
+		require.Equal(t, []string{"read", "read", "watch", "watch", "watch", "read", "watch"}, source.firstCalls(7))
 		cancel()
 		time.Sleep(watchWait)
 		<-done
