Check that each log line is written or counted, not how many are kept

Ruled out: a loss that is not told. Change: kept and dropped lines must add up exactly, with lines of 1 KB and a bound of queue and two batches.

--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -15,8 +17,10 @@
 func TestAReaderThatStopsBlocksNobodyAndTheLossIsTold(t *testing.T) {
 	reader, writer := io.Pipe()
 	b := NewBounded(writer)
-	for range 3 * boundedLines {
-		_, err := b.Write([]byte("{}\n"))
+	const written = 3 * boundedLines
+	line := []byte("{" + strings.Repeat(" ", 1000) + "}\n")
+	for range written {
+		_, err := b.Write(line)
 		require.NoError(t, err)
 	}
 	var got bytes.Buffer
@@ -28,8 +32,17 @@
 	b.Close(10 * time.Second)
 	require.NoError(t, writer.Close())
 	<-done
-	require.Contains(t, got.String(), "log lines were dropped")
-	require.Less(t, strings.Count(got.String(), "{}"), 2*boundedLines)
+	kept := bytes.Count(got.Bytes(), line)
+	dropped := 0
+	for _, match := range regexp.MustCompile(`"lines":(\d+)`).FindAllSubmatch(got.Bytes(), -1) {
+		n, err := strconv.Atoi(string(match[1]))
+		require.NoError(t, err)
+		dropped += n
+	}
+	require.Positive(t, dropped)
+	require.Equal(t, written, kept+dropped, "each line is written or counted as dropped")
+	const batch = batchBytes/1000 + 1
+	require.LessOrEqual(t, kept, boundedLines+2*batch, "the queue and what was taken from it before the reader stopped")
 }
 
 func TestABudgetCountsWhatItLeavesOut(t *testing.T) {
