Tell a host ready only once its targets' directory has the view

Ruled out: the targets (their log lines show no loss before). Change: the directory takes a view first.

--- a/internal/catalogsync/follower.go
+++ b/internal/catalogsync/follower.go
@@ -130,8 +130,9 @@
 		}
 		if changed {
 			v := s.view()
-			f.view.Store(v)
+			// Whoever serves by the view has it before anybody is told of it.
 			f.hooks.OnView(v)
+			f.view.Store(v)
 		}
 		timer.Reset(s.nextExpiry(time.Now()))
 	}
--- a/internal/catalogsync/follower_test.go
+++ b/internal/catalogsync/follower_test.go
@@ -77,6 +77,29 @@
 	})
 }
 
+// TestAViewIsToldOnlyOnceItIsServed asks for the view while those who serve by
+// it take it.
+func TestAViewIsToldOnlyOnceItIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &scripted{steps: []func() (Batch, error){
+			func() (Batch, error) { return Batch{Full: true, Revision: 1, Changes: []Change{config(1)}}, nil },
+			func() (Batch, error) { return Batch{Revision: 1}, nil },
+		}}
+		var f *Follower
+		taken := make(chan bool, 1)
+		f = New(source, quiet(), Hooks{OnView: func(*catalog.View) {
+			taken <- f.View().Config == nil
+		}})
+		ctx, cancel := context.WithCancel(context.Background())
+		go f.Run(ctx)
+		require.True(t, <-taken, "told before it was served")
+		time.Sleep(time.Second)
+		require.NotNil(t, f.View().Config)
+		cancel()
+		time.Sleep(watchWait)
+	})
+}
+
 func TestCallsToAStoreThatIsDownGrowRare(t *testing.T) {
 	for failures := 1; failures < 40; failures++ {
 		d := backoff(failures)
