--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -14,8 +14,8 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/load"
-	"github.com/swiftvane/swiftvane/internal/load/experiment"
+	"github.com/swiftvane/swiftvane/internal/tool/load"
+	"github.com/swiftvane/swiftvane/internal/tool/load/experiment"
 )
 
 func main() {
--- a/cmd/experiment/table.go
+++ b/cmd/experiment/table.go
@@ -11,7 +11,7 @@
 	"github.com/samber/lo"
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/load/experiment"
+	"github.com/swiftvane/swiftvane/internal/tool/load/experiment"
 )
 
 func newTableCommand() *cobra.Command {
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -12,11 +12,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/platform"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/platform"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // runMainEnv makes the test binary run the program.
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -8,8 +8,8 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/internal/standin/platform"
 )
--- a/cmd/standin/targets.go
+++ b/cmd/standin/targets.go
@@ -10,7 +10,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/internal/standin/target"
 )
--- a/cmd/swiftvanectl/main.go
+++ b/cmd/swiftvanectl/main.go
@@ -5,7 +5,7 @@
 import (
 	"os"
 
-	"github.com/swiftvane/swiftvane/internal/cli"
+	"github.com/swiftvane/swiftvane/internal/tool/cli"
 )
 
 func main() {
--- a/cmd/swiftvaned/command.go
+++ b/cmd/swiftvaned/command.go
@@ -7,9 +7,9 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/exitcode"
-	"github.com/swiftvane/swiftvane/internal/settings"
-	"github.com/swiftvane/swiftvane/internal/version"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
+	"github.com/swiftvane/swiftvane/internal/support/settings"
+	"github.com/swiftvane/swiftvane/internal/support/version"
 	"github.com/swiftvane/swiftvane/platform"
 )
 
--- a/cmd/swiftvaned/main.go
+++ b/cmd/swiftvaned/main.go
@@ -9,7 +9,7 @@
 	"fmt"
 	"os"
 
-	"github.com/swiftvane/swiftvane/internal/exitcode"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
 )
 
 func main() {
--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -10,11 +10,11 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/edge"
-	"github.com/swiftvane/swiftvane/internal/exitcode"
-	"github.com/swiftvane/swiftvane/internal/extrabudget"
-	"github.com/swiftvane/swiftvane/internal/logging"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
+	"github.com/swiftvane/swiftvane/internal/support/logging"
+	"github.com/swiftvane/swiftvane/internal/wiring/edge"
 	"github.com/swiftvane/swiftvane/platform"
 )
 
--- a/cmd/swiftvaned/serve.go
+++ b/cmd/swiftvaned/serve.go
@@ -8,11 +8,11 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/daemon"
-	"github.com/swiftvane/swiftvane/internal/exitcode"
-	"github.com/swiftvane/swiftvane/internal/gctune"
-	"github.com/swiftvane/swiftvane/internal/logging"
-	"github.com/swiftvane/swiftvane/internal/settings"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
+	"github.com/swiftvane/swiftvane/internal/support/gctune"
+	"github.com/swiftvane/swiftvane/internal/support/logging"
+	"github.com/swiftvane/swiftvane/internal/support/settings"
+	"github.com/swiftvane/swiftvane/internal/wiring/daemon"
 )
 
 // serve runs the daemon until a signal or an operator asks it to stop.
--- a/internal/crashguard/guard.go
+++ b/internal/decision/crashguard/guard.go
@@ -13,7 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
 const (
--- a/internal/crashguard/guard_test.go
+++ b/internal/decision/crashguard/guard_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
 func request(id, uri string) *exchange.Request {
--- a/internal/ownership/owners.go
+++ b/internal/decision/ownership/owners.go
@@ -3,8 +3,8 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 // Build returns the owner and standby of each target. Hosts that are not live
--- a/internal/ownership/owners_test.go
+++ b/internal/decision/ownership/owners_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 func fleetOf(hosts, domains, regions, targets int) ([]model.Host, map[model.TargetID]*model.Target) {
--- a/internal/ownership/ranker.go
+++ b/internal/decision/ownership/ranker.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Ranker ranks a fixed set of hosts for any key.
--- a/internal/config/bench_test.go
+++ b/internal/domain/config/bench_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // largeDocument has 7,900 targets in one workload, two a shard.
--- a/internal/config/delta.go
+++ b/internal/domain/config/delta.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Delta is the difference between two documents, as changed and removed keys.
--- a/internal/config/delta_test.go
+++ b/internal/domain/config/delta_test.go
@@ -11,7 +11,7 @@
 	"github.com/leanovate/gopter/prop"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 const deltaSeed = 20261203
--- a/internal/config/document.go
+++ b/internal/domain/config/document.go
@@ -12,7 +12,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Document is a published configuration at one revision, not yet checked.
--- a/internal/config/parse.go
+++ b/internal/domain/config/parse.go
@@ -5,7 +5,7 @@
 	"sort"
 	"strings"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Names of document keys and their prefixes.
--- a/internal/config/problem.go
+++ b/internal/domain/config/problem.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Problem is one thing that is wrong with a document.
--- a/internal/config/resolve.go
+++ b/internal/domain/config/resolve.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Policy returns the policy for a workload, service and caller at a time: the
--- a/internal/config/reuse.go
+++ b/internal/domain/config/reuse.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"strings"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // reuse takes over the checked value of a key that did not change since the base
--- a/internal/configcheck/check.go
+++ b/internal/domain/configcheck/check.go
@@ -9,7 +9,7 @@
 	"errors"
 	"io"
 
-	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
 )
 
 // pathDocument stands for the document as a whole.
--- a/internal/configcheck/check_test.go
+++ b/internal/domain/configcheck/check_test.go
@@ -6,7 +6,7 @@
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
 )
 
 const defaults = `"defaults":{"deadline_default_ms":1000,"deadline_max_ms":2000,"straggler_wait_ms":100,
--- a/internal/exchange/callercodec.go
+++ b/internal/domain/exchange/callercodec.go
@@ -3,7 +3,7 @@
 import (
 	"bufio"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 // CallerCodec reads requests and writes answers as callers speak them.
--- a/internal/requestid/parse.go
+++ b/internal/domain/requestid/parse.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Names of the inputs that Parse blames.
--- a/internal/requestid/parse_test.go
+++ b/internal/domain/requestid/parse_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 var testNow = time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
--- a/internal/subquery/subquery.go
+++ b/internal/domain/subquery/subquery.go
@@ -5,8 +5,8 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Request is one sub-request.
--- a/internal/view/view.go
+++ b/internal/domain/view/view.go
@@ -8,8 +8,8 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // View is the fleet as this host sees it.
--- a/internal/admin/handlers.go
+++ b/internal/face/admin/handlers.go
@@ -6,9 +6,9 @@
 
 	"github.com/gofiber/fiber/v2"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/configcheck"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/configcheck"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
 )
 
 func (s *Server) getHealth(c *fiber.Ctx) error {
--- a/internal/admin/server.go
+++ b/internal/face/admin/server.go
@@ -18,8 +18,8 @@
 	"github.com/gofiber/fiber/v2/middleware/adaptor"
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 const (
--- a/internal/admin/server_test.go
+++ b/internal/face/admin/server_test.go
@@ -16,9 +16,9 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-	"github.com/swiftvane/swiftvane/internal/configcheck"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/configcheck"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
 )
 
 const (
--- a/internal/admin/sources.go
+++ b/internal/face/admin/sources.go
@@ -1,6 +1,6 @@
 package admin
 
-import "github.com/swiftvane/swiftvane/internal/adminapi"
+import "github.com/swiftvane/swiftvane/internal/face/adminapi"
 
 // StatusSource tells the fleet as this host sees it.
 type StatusSource interface {
--- a/internal/admin/tokens.go
+++ b/internal/face/admin/tokens.go
@@ -7,7 +7,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
 )
 
 // scope is what a token allows.
--- a/internal/admin/wait.go
+++ b/internal/face/admin/wait.go
@@ -8,8 +8,8 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/samber/lo"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
 )
 
 const (
--- a/internal/adminapi/config.go
+++ b/internal/face/adminapi/config.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Config is the configuration in force on one host.
--- a/internal/adminapi/quarantine.go
+++ b/internal/face/adminapi/quarantine.go
@@ -1,6 +1,6 @@
 package adminapi
 
-import "github.com/swiftvane/swiftvane/internal/model"
+import "github.com/swiftvane/swiftvane/internal/domain/model"
 
 // Quarantine is the list of quarantined requests.
 type Quarantine struct {
--- a/internal/adminapi/status.go
+++ b/internal/face/adminapi/status.go
@@ -2,7 +2,7 @@
 // daemon and the command-line tool share them.
 package adminapi
 
-import "github.com/swiftvane/swiftvane/internal/model"
+import "github.com/swiftvane/swiftvane/internal/domain/model"
 
 // The paths of the administration API.
 const (
--- a/internal/adminapi/target.go
+++ b/internal/face/adminapi/target.go
@@ -1,6 +1,6 @@
 package adminapi
 
-import "github.com/swiftvane/swiftvane/internal/model"
+import "github.com/swiftvane/swiftvane/internal/domain/model"
 
 // TargetState is what a host knows of a target.
 type TargetState string
--- a/internal/adminclient/client.go
+++ b/internal/face/adminclient/client.go
@@ -9,9 +9,9 @@
 	"strings"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-	"github.com/swiftvane/swiftvane/internal/httpjson"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
+	"github.com/swiftvane/swiftvane/internal/support/httpjson"
 )
 
 // waitMargin is added to a wait's length for the way there and back.
--- a/internal/callerapi/answer.go
+++ b/internal/face/callerapi/answer.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Answer is the body of a successful answer.
--- a/internal/callerapi/query.go
+++ b/internal/face/callerapi/query.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // PathQuery is where queries are posted.
--- a/internal/callerclient/client.go
+++ b/internal/face/callerclient/client.go
@@ -12,13 +12,13 @@
 	"strings"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/google/uuid"
 
-	"github.com/swiftvane/swiftvane/internal/httpjson"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/httpjson"
 )
 
 const (
--- a/internal/callerclient/client_test.go
+++ b/internal/face/callerclient/client_test.go
@@ -13,12 +13,12 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/httpjson"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/httpjson"
 )
 
 // script answers the nth request with the nth answer, and the last one for ever.
--- a/internal/entry/decode.go
+++ b/internal/face/entry/decode.go
@@ -8,10 +8,10 @@
 	"io"
 	"strings"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
-	"github.com/swiftvane/swiftvane/internal/requestid"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // wholeRequest is the field named by errors that no single field is to blame for.
--- a/internal/entry/fuzz_test.go
+++ b/internal/face/entry/fuzz_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // FuzzDecode checks that no input gets past the decoder without a workload and
--- a/internal/entry/handler.go
+++ b/internal/face/entry/handler.go
@@ -4,16 +4,16 @@
 	"context"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/gofiber/fiber/v2"
 
-	"github.com/swiftvane/swiftvane/internal/claim"
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/query"
-	"github.com/swiftvane/swiftvane/internal/requestid"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim"
+	"github.com/swiftvane/swiftvane/internal/querypath/query"
 )
 
 // call is one query on its way through the handler.
--- a/internal/entry/once.go
+++ b/internal/face/entry/once.go
@@ -9,9 +9,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v2"
 
-	"github.com/swiftvane/swiftvane/internal/claim"
-	"github.com/swiftvane/swiftvane/internal/requestid"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim"
 )
 
 // maxRecordedBytes bounds the answer that witnesses keep for a resend.
--- a/internal/entry/once_test.go
+++ b/internal/face/entry/once_test.go
@@ -6,13 +6,13 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/claim"
-	"github.com/swiftvane/swiftvane/internal/requestid"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim"
 )
 
 func orderWithID(t *testing.T) (id, body string) {
--- a/internal/entry/options.go
+++ b/internal/face/entry/options.go
@@ -6,13 +6,13 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/claim"
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/query"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim"
+	"github.com/swiftvane/swiftvane/internal/querypath/query"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // Executor runs one query to its answer.
--- a/internal/entry/server.go
+++ b/internal/face/entry/server.go
@@ -7,13 +7,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // stoppingRetryAfter is the time in which the balancer has surely noticed that
--- a/internal/entry/server_test.go
+++ b/internal/face/entry/server_test.go
@@ -11,21 +11,21 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/claim"
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/gather"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/query"
-	"github.com/swiftvane/swiftvane/internal/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim"
+	"github.com/swiftvane/swiftvane/internal/querypath/gather"
+	"github.com/swiftvane/swiftvane/internal/querypath/query"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
 )
 
 const maxBody = 4096
--- a/internal/entry/status.go
+++ b/internal/face/entry/status.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // statusOf maps the reasons that have an HTTP status of their own.
--- a/internal/entry/write.go
+++ b/internal/face/entry/write.go
@@ -6,14 +6,14 @@
 	"strconv"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/query"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/querypath/query"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 func (s *Server) writeAnswer(c *fiber.Ctx, id string, answer *query.Answer) error {
--- a/internal/front/conn.go
+++ b/internal/face/front/conn.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
 const (
--- a/internal/front/server.go
+++ b/internal/face/front/server.go
@@ -13,8 +13,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
-	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
 // Handler serves requests.
--- a/internal/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -10,8 +10,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
-	"github.com/swiftvane/swiftvane/internal/catalogsync"
-	"github.com/swiftvane/swiftvane/internal/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 )
 
 // outboxMessages is the number of messages that wait for a slow follower; one
--- a/internal/catalogshare/share_test.go
+++ b/internal/hosts/catalogshare/share_test.go
@@ -11,9 +11,9 @@
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/catalogsync"
-	"github.com/swiftvane/swiftvane/internal/crashguard"
-	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 )
 
 const limit = 10 * time.Second
--- a/internal/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -9,8 +9,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/catalogsync"
-	"github.com/swiftvane/swiftvane/internal/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 )
 
 const (
--- a/internal/catalogsync/follower.go
+++ b/internal/hosts/catalogsync/follower.go
@@ -13,7 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 const (
--- a/internal/catalogsync/follower_test.go
+++ b/internal/hosts/catalogsync/follower_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 // scripted answers calls from a list and then repeats the last.
--- a/internal/catalogsync/source.go
+++ b/internal/hosts/catalogsync/source.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 // ErrCompacted means that the history after a revision is gone and all entries
--- a/internal/catalogsync/state.go
+++ b/internal/hosts/catalogsync/state.go
@@ -5,7 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 // idleExpiry is the timer's period while nothing waits for it.
--- a/internal/catalogsync/state_test.go
+++ b/internal/hosts/catalogsync/state_test.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 func config(version int64) Change {
--- a/internal/claim/bench_test.go
+++ b/internal/hosts/claim/bench_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 const benchHosts = 7
--- a/internal/claim/chaos_test.go
+++ b/internal/hosts/claim/chaos_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/requestid"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 const (
--- a/internal/claim/claimant.go
+++ b/internal/hosts/claim/claimant.go
@@ -6,11 +6,11 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/requestid"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 const (
--- a/internal/claim/claimer.go
+++ b/internal/hosts/claim/claimer.go
@@ -11,7 +11,7 @@
 	"context"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
 )
 
 // Claimer claims request ids for this process.
--- a/internal/claim/claimmodel/apply.go
+++ b/internal/hosts/claim/claimmodel/apply.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
 )
 
 // apply returns the world after an event.
--- a/internal/claim/claimmodel/enabled.go
+++ b/internal/hosts/claim/claimmodel/enabled.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"slices"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
 )
 
 // enabled returns the events that may happen next.
--- a/internal/claim/claimmodel/message.go
+++ b/internal/hosts/claim/claimmodel/message.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
 )
 
 type messageKind uint8
--- a/internal/claim/claimmodel/omission.go
+++ b/internal/hosts/claim/claimmodel/omission.go
@@ -1,6 +1,6 @@
 package claimmodel
 
-import "github.com/swiftvane/swiftvane/internal/claim/rules"
+import "github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
 
 // Omission leaves one rule out of a scenario in which it is needed.
 type Omission struct {
--- a/internal/claim/claimmodel/process.go
+++ b/internal/hosts/claim/claimmodel/process.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
 )
 
 // process is one process of a host. It is copied before each change.
--- a/internal/claim/claimmodel/scenario.go
+++ b/internal/hosts/claim/claimmodel/scenario.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
 )
 
 // Limits of the modelled protocol: the same relations between the durations as
--- a/internal/claim/claimmodel/scenarios.go
+++ b/internal/hosts/claim/claimmodel/scenarios.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Names of the scenarios.
--- a/internal/claim/claimmodel/world.go
+++ b/internal/hosts/claim/claimmodel/world.go
@@ -6,8 +6,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
 )
 
 const (
--- a/internal/claim/confirm_test.go
+++ b/internal/hosts/claim/confirm_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 func TestAtMostOnceUnconfirmedListIsNotActedBy(t *testing.T) {
--- a/internal/claim/counters.go
+++ b/internal/hosts/claim/counters.go
@@ -3,8 +3,8 @@
 import (
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
-	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // counters are the service's metrics. Refusals are counted by reason under
--- a/internal/claim/fleet_test.go
+++ b/internal/hosts/claim/fleet_test.go
@@ -13,9 +13,9 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/requestid"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 // testFleet is a fleet of services over a memnet.
--- a/internal/claim/handle.go
+++ b/internal/hosts/claim/handle.go
@@ -3,10 +3,10 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // handleClaim passes a message of kind claim to the control goroutine.
--- a/internal/claim/lists.go
+++ b/internal/hosts/claim/lists.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
 )
 
 // lists is what claims read of the host lists: an immutable copy that the control
--- a/internal/claim/memnet_test.go
+++ b/internal/hosts/claim/memnet_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // memnet carries messages between hosts of one process, with faults.
--- a/internal/claim/message.go
+++ b/internal/hosts/claim/message.go
@@ -1,6 +1,6 @@
 package claim
 
-import "github.com/swiftvane/swiftvane/internal/claim/rules"
+import "github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
 
 // operation says what a message of kind claim asks for.
 type operation uint8
--- a/internal/claim/options.go
+++ b/internal/hosts/claim/options.go
@@ -5,12 +5,12 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/requestid"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 const (
--- a/internal/claim/outcome.go
+++ b/internal/hosts/claim/outcome.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Outcome is what became of a claimed request.
--- a/internal/claim/record.go
+++ b/internal/hosts/claim/record.go
@@ -3,8 +3,8 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // Record implements Claimer.
--- a/internal/claim/refusal.go
+++ b/internal/hosts/claim/refusal.go
@@ -5,10 +5,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/requestid"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // Times after which a refused caller may ask again.
--- a/internal/claim/rules/attempt.go
+++ b/internal/hosts/claim/rules/attempt.go
@@ -1,6 +1,6 @@
 package rules
 
-import "github.com/swiftvane/swiftvane/internal/model"
+import "github.com/swiftvane/swiftvane/internal/domain/model"
 
 // Attempt names one try of one process to claim one id. No two attempts are
 // equal: Seq only rises within an incarnation.
--- a/internal/claim/rules/bench_test.go
+++ b/internal/hosts/claim/rules/bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 func benchLimits() Limits {
--- a/internal/claim/rules/claim.go
+++ b/internal/hosts/claim/rules/claim.go
@@ -1,6 +1,6 @@
 package rules
 
-import "github.com/swiftvane/swiftvane/internal/model"
+import "github.com/swiftvane/swiftvane/internal/domain/model"
 
 // Claim asks a witness to grant an id to an attempt.
 type Claim struct {
--- a/internal/claim/rules/history.go
+++ b/internal/hosts/claim/rules/history.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // List is one host list as the claim protocol needs it.
--- a/internal/claim/rules/rank.go
+++ b/internal/hosts/claim/rules/rank.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // WitnessCount is the number of witnesses of an id in a fleet that has as many.
--- a/internal/claim/rules/snapshot.go
+++ b/internal/hosts/claim/rules/snapshot.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strconv"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // The methods of this file copy and name states for exhaustive exploration.
--- a/internal/claim/rules/tally.go
+++ b/internal/hosts/claim/rules/tally.go
@@ -1,6 +1,6 @@
 package rules
 
-import "github.com/swiftvane/swiftvane/internal/model"
+import "github.com/swiftvane/swiftvane/internal/domain/model"
 
 // Tally counts the votes on one attempt, on the claimant's side.
 type Tally struct {
--- a/internal/claim/rules/witness.go
+++ b/internal/hosts/claim/rules/witness.go
@@ -1,6 +1,6 @@
 package rules
 
-import "github.com/swiftvane/swiftvane/internal/model"
+import "github.com/swiftvane/swiftvane/internal/domain/model"
 
 // Known is what a host knows of the host lists at one moment.
 type Known struct {
--- a/internal/claim/service.go
+++ b/internal/hosts/claim/service.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
-	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 const (
--- a/internal/claim/service_test.go
+++ b/internal/hosts/claim/service_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"github.com/swiftvane/swiftvane/internal/requestid"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/claim/settle.go
+++ b/internal/hosts/claim/settle.go
@@ -1,9 +1,9 @@
 package claim
 
 import (
-	"github.com/swiftvane/swiftvane/internal/claim/rules"
-	"github.com/swiftvane/swiftvane/internal/requestid"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim/rules"
 )
 
 // Truthful returns what a caller may be told about a non-idempotent request that
--- a/internal/fleet/control.go
+++ b/internal/hosts/fleet/control.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 // control is the state of the fleet. Only the goroutine in run touches it.
--- a/internal/fleet/cut_test.go
+++ b/internal/hosts/fleet/cut_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // cuts says which links of a test fleet are cut, by direction of the dial.
--- a/internal/fleet/deltas.go
+++ b/internal/hosts/fleet/deltas.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
 )
 
 const (
--- a/internal/fleet/directory.go
+++ b/internal/hosts/fleet/directory.go
@@ -4,7 +4,7 @@
 	"maps"
 	"sync/atomic"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Directory maps hosts to their peer addresses. It is made before the transport
--- a/internal/fleet/document.go
+++ b/internal/hosts/fleet/document.go
@@ -1,6 +1,6 @@
 package fleet
 
-import "github.com/swiftvane/swiftvane/internal/config"
+import "github.com/swiftvane/swiftvane/internal/domain/config"
 
 // Document returns the configuration document in force as it was published, nil
 // until one was accepted. It must not be modified.
--- a/internal/fleet/events.go
+++ b/internal/hosts/fleet/events.go
@@ -1,8 +1,8 @@
 package fleet
 
 import (
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // event is something the control goroutine acts on.
--- a/internal/fleet/failure_test.go
+++ b/internal/hosts/fleet/failure_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/loopback"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
 )
 
 // restart replaces member i by a new process of the same host.
--- a/internal/fleet/fleet.go
+++ b/internal/hosts/fleet/fleet.go
@@ -6,9 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 // eventQueue is how many events may wait for the control goroutine.
--- a/internal/fleet/fleet_test.go
+++ b/internal/hosts/fleet/fleet_test.go
@@ -7,9 +7,9 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"github.com/swiftvane/swiftvane/internal/loopback"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
 )
 
 // generous bounds waits for a condition; it is no assertion on speed.
--- a/internal/fleet/gossip.go
+++ b/internal/hosts/fleet/gossip.go
@@ -7,8 +7,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 const (
--- a/internal/fleet/handlers.go
+++ b/internal/hosts/fleet/handlers.go
@@ -1,8 +1,8 @@
 package fleet
 
 import (
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // registerHandlers makes this host answer its peers.
--- a/internal/fleet/history.go
+++ b/internal/hosts/fleet/history.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // maxHistory bounds the host lists that are kept.
--- a/internal/fleet/hostlist.go
+++ b/internal/hosts/fleet/hostlist.go
@@ -8,8 +8,8 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/rotisserie/eris"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Prefixes of the keys of a host list that travels as a document.
--- a/internal/fleet/join.go
+++ b/internal/hosts/fleet/join.go
@@ -5,7 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 const (
--- a/internal/fleet/marks.go
+++ b/internal/hosts/fleet/marks.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // maxMarks bounds the marks that a host keeps.
--- a/internal/fleet/measure_test.go
+++ b/internal/hosts/fleet/measure_test.go
@@ -10,11 +10,11 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/ownership"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/decision/ownership"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 const (
--- a/internal/fleet/messages.go
+++ b/internal/hosts/fleet/messages.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // version names one state of a replicated document. Documents of one revision
--- a/internal/fleet/options.go
+++ b/internal/hosts/fleet/options.go
@@ -7,10 +7,10 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/platform"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
+	"github.com/swiftvane/swiftvane/internal/hosts/platform"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // Defaults of Options.
--- a/internal/fleet/platform_test.go
+++ b/internal/hosts/fleet/platform_test.go
@@ -14,9 +14,9 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 var errPlatformDown = errors.New("the platform is down")
--- a/internal/fleet/publish.go
+++ b/internal/hosts/fleet/publish.go
@@ -3,10 +3,10 @@
 import (
 	"maps"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/ownership"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/decision/ownership"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 // watchersPerDomain is how many hosts of a failure domain watch the platform.
--- a/internal/fleet/reader.go
+++ b/internal/hosts/fleet/reader.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 const (
--- a/internal/fleet/replica.go
+++ b/internal/hosts/fleet/replica.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
 )
 
 // outcome is what became of an offered document.
--- a/internal/fleet/status.go
+++ b/internal/hosts/fleet/status.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // Status is the state of a host, each fact with its source and age.
--- a/internal/fleet/transfer.go
+++ b/internal/hosts/fleet/transfer.go
@@ -3,9 +3,9 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // maxConcurrentPulls bounds the documents being encoded for peers at one time.
--- a/internal/peer/accepted.go
+++ b/internal/hosts/peer/accepted.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // accepted is a link that a peer dialed, with the calls that are being handled.
--- a/internal/peer/bench_test.go
+++ b/internal/hosts/peer/bench_test.go
@@ -5,12 +5,12 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/cputime"
+	"github.com/swiftvane/swiftvane/internal/support/cputime"
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // BenchmarkCall measures a sub-request to a peer and its answer, both ends in
--- a/internal/peer/counters.go
+++ b/internal/hosts/peer/counters.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // counters are the mesh's counters, looked up once.
--- a/internal/peer/dial.go
+++ b/internal/hosts/peer/dial.go
@@ -9,7 +9,7 @@
 	"github.com/fasthttp/websocket"
 	"github.com/rotisserie/eris"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 const (
--- a/internal/peer/failure_test.go
+++ b/internal/hosts/peer/failure_test.go
@@ -11,7 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // hold is a handler that answers nothing and shows what it got.
--- a/internal/peer/mesh.go
+++ b/internal/hosts/peer/mesh.go
@@ -12,8 +12,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Mesh links this host with its peers. It implements Transport and Registrar.
--- a/internal/peer/mesh_test.go
+++ b/internal/hosts/peer/mesh_test.go
@@ -11,8 +11,8 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // generous bounds waits for a condition; it is no assertion on speed.
--- a/internal/peer/options.go
+++ b/internal/hosts/peer/options.go
@@ -6,8 +6,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // Defaults of Options.
--- a/internal/peer/remote.go
+++ b/internal/hosts/peer/remote.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // remote is another host as this one dials it: at most one session at a time,
--- a/internal/peer/selfcall.go
+++ b/internal/hosts/peer/selfcall.go
@@ -7,7 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // callSelf handles a call that this host makes to itself, without a link.
--- a/internal/peer/session.go
+++ b/internal/hosts/peer/session.go
@@ -6,7 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // session is one dialed link to a remote host, from the start of the dial to
--- a/internal/peer/transport.go
+++ b/internal/hosts/peer/transport.go
@@ -6,7 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Kind tells a message's receiver which handler it is for.
--- a/internal/peer/wireerror.go
+++ b/internal/hosts/peer/wireerror.go
@@ -5,7 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // wireError is a *verdict.Error between processes.
--- a/internal/platform/client.go
+++ b/internal/hosts/platform/client.go
@@ -7,8 +7,8 @@
 	"context"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Client reads what the platform publishes. Each call counts as one against the
--- a/internal/platform/http.go
+++ b/internal/hosts/platform/http.go
@@ -11,8 +11,8 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Paths of the platform's service.
--- a/internal/admission/admission_test.go
+++ b/internal/querypath/admission/admission_test.go
@@ -9,9 +9,9 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 func testPolicy() *config.Policy {
--- a/internal/admission/callerstate.go
+++ b/internal/querypath/admission/callerstate.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // callerState is what is remembered of one caller.
--- a/internal/admission/controller.go
+++ b/internal/querypath/admission/controller.go
@@ -9,10 +9,10 @@
 	"hash/maphash"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // Options configure a Controller.
--- a/internal/admission/limiter.go
+++ b/internal/querypath/admission/limiter.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Limiter bounds each workload's queries in flight on this host by what its
--- a/internal/admission/workloadlimit.go
+++ b/internal/querypath/admission/workloadlimit.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 const (
--- a/internal/gather/counters.go
+++ b/internal/querypath/gather/counters.go
@@ -3,8 +3,8 @@
 import (
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // Counters count the sub-answers that were discarded, by reason.
--- a/internal/gather/coverage.go
+++ b/internal/querypath/gather/coverage.go
@@ -1,8 +1,8 @@
 package gather
 
 import (
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Answered names a shard that the answer covers.
--- a/internal/gather/gatherer.go
+++ b/internal/querypath/gather/gatherer.go
@@ -5,9 +5,9 @@
 package gather
 
 import (
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Outcome says what became of a sub-answer.
--- a/internal/gather/gatherer_test.go
+++ b/internal/querypath/gather/gatherer_test.go
@@ -6,9 +6,9 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 func newGatherer(shards int) (*Gatherer, tally.TestScope) {
--- a/internal/plan/holdings.go
+++ b/internal/querypath/plan/holdings.go
@@ -4,8 +4,8 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 )
 
 // Holdings tracks which snapshots of a workload each target last reported to
--- a/internal/plan/plan.go
+++ b/internal/querypath/plan/plan.go
@@ -5,9 +5,9 @@
 package plan
 
 import (
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 // Query says what to plan.
--- a/internal/plan/plan_test.go
+++ b/internal/querypath/plan/plan_test.go
@@ -6,11 +6,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 // shardMap has shards a and b of services sa and sb, on two targets each.
--- a/internal/plan/planner.go
+++ b/internal/querypath/plan/planner.go
@@ -4,10 +4,10 @@
 	"slices"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 // Options configure a Planner.
--- a/internal/query/answer.go
+++ b/internal/querypath/query/answer.go
@@ -1,9 +1,9 @@
 package query
 
 import (
-	"github.com/swiftvane/swiftvane/internal/gather"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/querypath/gather"
 )
 
 // Answer is the answer to one query. Every result comes from Snapshot.
--- a/internal/query/bench_test.go
+++ b/internal/querypath/query/bench_test.go
@@ -7,15 +7,15 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/cputime"
 	"github.com/swiftvane/swiftvane/internal/standin/instant"
+	"github.com/swiftvane/swiftvane/internal/support/cputime"
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/dispatch"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/targets/dispatch"
 )
 
 // ownAll makes self the owner of every target of the view.
--- a/internal/query/cluster_test.go
+++ b/internal/querypath/query/cluster_test.go
@@ -10,14 +10,14 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/dispatch"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/targets/dispatch"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // tier is one host on stand-in targets, without HTTP and peers.
--- a/internal/query/differential_test.go
+++ b/internal/querypath/query/differential_test.go
@@ -14,14 +14,14 @@
 	"github.com/leanovate/gopter/prop"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/naive"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	standin "github.com/swiftvane/swiftvane/internal/standin/target"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
+	"github.com/swiftvane/swiftvane/internal/tool/naive"
 )
 
 const (
--- a/internal/query/executor.go
+++ b/internal/querypath/query/executor.go
@@ -11,16 +11,16 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/admission"
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/gather"
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/plan"
-	"github.com/swiftvane/swiftvane/internal/scatter"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/querypath/admission"
+	"github.com/swiftvane/swiftvane/internal/querypath/gather"
+	"github.com/swiftvane/swiftvane/internal/querypath/plan"
+	"github.com/swiftvane/swiftvane/internal/querypath/scatter"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // Options configure an Executor.
--- a/internal/query/failure.go
+++ b/internal/querypath/query/failure.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/gather"
-	"github.com/swiftvane/swiftvane/internal/plan"
-	"github.com/swiftvane/swiftvane/internal/scatter"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/querypath/gather"
+	"github.com/swiftvane/swiftvane/internal/querypath/plan"
+	"github.com/swiftvane/swiftvane/internal/querypath/scatter"
 )
 
 const (
--- a/internal/query/faults_test.go
+++ b/internal/querypath/query/faults_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	standin "github.com/swiftvane/swiftvane/internal/standin/target"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
 )
 
 func TestCrashingRequestTakesTwoTargetsAtMost(t *testing.T) {
--- a/internal/query/fleet_test.go
+++ b/internal/querypath/query/fleet_test.go
@@ -8,23 +8,23 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/cputime"
+	"github.com/swiftvane/swiftvane/internal/support/cputime"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/dispatch"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/ownership"
-	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/decision/ownership"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	standin "github.com/swiftvane/swiftvane/internal/standin/target"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/targets/dispatch"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // hosts is several hosts in this process, on one set of stand-in targets.
--- a/internal/query/request.go
+++ b/internal/querypath/query/request.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Request is one caller's query, checked and admitted.
--- a/internal/query/scenario_test.go
+++ b/internal/querypath/query/scenario_test.go
@@ -11,12 +11,12 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/naive"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	standin "github.com/swiftvane/swiftvane/internal/standin/target"
-	"github.com/swiftvane/swiftvane/internal/target"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
+	"github.com/swiftvane/swiftvane/internal/tool/naive"
 )
 
 const (
--- a/internal/relay/account.go
+++ b/internal/querypath/relay/account.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/exchange"
-	"github.com/swiftvane/swiftvane/internal/targetpool"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
 // maxLegs bounds the legs in one account.
--- a/internal/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -4,11 +4,11 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
-	"github.com/swiftvane/swiftvane/internal/crashguard"
-	"github.com/swiftvane/swiftvane/internal/exchange"
-	"github.com/swiftvane/swiftvane/internal/replica"
-	"github.com/swiftvane/swiftvane/internal/targetpool"
+	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/replica"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
 // retryNoConfig is when a caller may ask a host again that knows no configuration.
--- a/internal/relay/kind.go
+++ b/internal/querypath/relay/kind.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
-	"github.com/swiftvane/swiftvane/internal/latency"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/support/latency"
 )
 
 const (
--- a/internal/relay/relay_test.go
+++ b/internal/querypath/relay/relay_test.go
@@ -11,8 +11,8 @@
 	"github.com/leanovate/gopter/prop"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
-	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
 // TestGreatestEqualsSorting compares the merge with sorting everything.
--- a/internal/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
-	"github.com/swiftvane/swiftvane/internal/exchange"
-	"github.com/swiftvane/swiftvane/internal/targetpool"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
 const (
--- a/internal/relay/schedule.go
+++ b/internal/querypath/relay/schedule.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
-	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
 const (
--- a/internal/relay/single.go
+++ b/internal/querypath/relay/single.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
-	"github.com/swiftvane/swiftvane/internal/exchange"
-	"github.com/swiftvane/swiftvane/internal/replica"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/decision/replica"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // retryNoRoom is when a caller may ask again after no target could take it.
--- a/internal/relay/split.go
+++ b/internal/querypath/relay/split.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 // splits spreads the requests of a route over its services by weight. Each
--- a/internal/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/exchange"
-	"github.com/swiftvane/swiftvane/internal/replica"
+	"github.com/swiftvane/swiftvane/internal/decision/replica"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
 // sweep is a run over many shards.
--- a/internal/scatter/choose.go
+++ b/internal/querypath/scatter/choose.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // choose returns the better of two random replicas that were not tried yet and
--- a/internal/scatter/counters.go
+++ b/internal/querypath/scatter/counters.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // counters count sub-requests sent and why extra ones were or were not.
--- a/internal/scatter/end_test.go
+++ b/internal/querypath/scatter/end_test.go
@@ -7,10 +7,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // stuckShard answers all shards but one.
--- a/internal/scatter/events.go
+++ b/internal/querypath/scatter/events.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/gather"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/querypath/gather"
 )
 
 // onReply takes in one sub-answer.
--- a/internal/scatter/fake_test.go
+++ b/internal/querypath/scatter/fake_test.go
@@ -10,13 +10,13 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/gather"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/plan"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/querypath/gather"
+	"github.com/swiftvane/swiftvane/internal/querypath/plan"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/scatter/group.go
+++ b/internal/querypath/scatter/group.go
@@ -4,9 +4,9 @@
 	"math"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/plan"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/querypath/plan"
 )
 
 // group is the shards of a query that one policy decides on: those of a service
--- a/internal/scatter/hedge_test.go
+++ b/internal/querypath/scatter/hedge_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/latency"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/support/latency"
 )
 
 // warm runs queries until every service has a latency quantile.
--- a/internal/scatter/mailbox.go
+++ b/internal/querypath/scatter/mailbox.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 )
 
 // reply is one sub-answer on its way to the event loop.
--- a/internal/scatter/outcome.go
+++ b/internal/querypath/scatter/outcome.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/gather"
+	"github.com/swiftvane/swiftvane/internal/querypath/gather"
 )
 
 // End says why a query was over.
--- a/internal/scatter/retry_test.go
+++ b/internal/querypath/scatter/retry_test.go
@@ -8,11 +8,11 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 // counterOf returns the value of a counter with a reason tag.
--- a/internal/scatter/run.go
+++ b/internal/querypath/scatter/run.go
@@ -5,10 +5,10 @@
 	"errors"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/gather"
-	"github.com/swiftvane/swiftvane/internal/latency"
-	"github.com/swiftvane/swiftvane/internal/plan"
-	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/querypath/gather"
+	"github.com/swiftvane/swiftvane/internal/querypath/plan"
+	"github.com/swiftvane/swiftvane/internal/support/latency"
 )
 
 // run is the event loop of one query under one plan. Only the goroutine that
--- a/internal/scatter/scatterer.go
+++ b/internal/querypath/scatter/scatterer.go
@@ -11,13 +11,13 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/gather"
-	"github.com/swiftvane/swiftvane/internal/latency"
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/plan"
-	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/querypath/gather"
+	"github.com/swiftvane/swiftvane/internal/querypath/plan"
+	"github.com/swiftvane/swiftvane/internal/support/latency"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // Options configure a Scatterer.
--- a/internal/scatter/send.go
+++ b/internal/querypath/scatter/send.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // launch sends the first attempt for every shard.
--- a/internal/scatter/shardstate.go
+++ b/internal/querypath/scatter/shardstate.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // noAttempt ends a shard's chain of attempts.
--- a/internal/scatter/table.go
+++ b/internal/querypath/scatter/table.go
@@ -4,7 +4,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Table holds the TargetStats of every target. Reads take no lock.
--- a/internal/scatter/targetstats.go
+++ b/internal/querypath/scatter/targetstats.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // TargetStats is what this host has learned about one target from answers. It
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -3,7 +3,7 @@
 package cluster
 
 import (
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/internal/standin/platform"
 	"github.com/swiftvane/swiftvane/internal/standin/target"
--- a/internal/standin/cluster/cluster_test.go
+++ b/internal/standin/cluster/cluster_test.go
@@ -6,7 +6,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"github.com/swiftvane/swiftvane/internal/platform"
+	"github.com/swiftvane/swiftvane/internal/hosts/platform"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 )
 
--- a/internal/standin/content/content.go
+++ b/internal/standin/content/content.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Result is the body of an answer.
--- a/internal/standin/instant/instant.go
+++ b/internal/standin/instant/instant.go
@@ -6,10 +6,10 @@
 	"context"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // Dialer opens connections to targets that answer at once, without I/O.
--- a/internal/standin/platform/admin.go
+++ b/internal/standin/platform/admin.go
@@ -5,7 +5,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Paths of the administration listener.
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Faults are what a platform does wrong.
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -12,8 +12,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/standin/httpserve"
 )
 
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	wire "github.com/swiftvane/swiftvane/internal/platform"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	wire "github.com/swiftvane/swiftvane/internal/hosts/platform"
 )
 
 const longWait = time.Minute
--- a/internal/standin/platform/read.go
+++ b/internal/standin/platform/read.go
@@ -7,9 +7,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	wire "github.com/swiftvane/swiftvane/internal/platform"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	wire "github.com/swiftvane/swiftvane/internal/hosts/platform"
 )
 
 // maxWait bounds a watch.
--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -1,6 +1,6 @@
 package target
 
-import "github.com/swiftvane/swiftvane/internal/model"
+import "github.com/swiftvane/swiftvane/internal/domain/model"
 
 // Faults are what a target does wrong. The zero value is a fast, healthy target.
 type Faults struct {
--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -8,7 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	wire "github.com/swiftvane/swiftvane/internal/target"
+	wire "github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // handle serves one request of the target protocol.
--- a/internal/standin/target/reply.go
+++ b/internal/standin/target/reply.go
@@ -7,7 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	wire "github.com/swiftvane/swiftvane/internal/target"
+	wire "github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // reply sends v whole.
--- a/internal/standin/target/runs.go
+++ b/internal/standin/target/runs.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // maxRuns bounds the runs that are kept one by one; totals count them all.
--- a/internal/standin/target/settings.go
+++ b/internal/standin/target/settings.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Defaults of Settings.
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -10,9 +10,9 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	"github.com/swiftvane/swiftvane/internal/standin/httpserve"
-	"github.com/swiftvane/swiftvane/internal/subquery"
 )
 
 // bindAttempts and bindPause bound the wait for the address after a crash.
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -9,11 +9,11 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/standin/content"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	wire "github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	wire "github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 const (
--- a/internal/logging/fields.go
+++ b/internal/support/logging/fields.go
@@ -3,8 +3,8 @@
 import (
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // The names of the fields that log lines share.
--- a/internal/logging/logger.go
+++ b/internal/support/logging/logger.go
@@ -11,7 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // DefaultLevel is the level of a daemon whose settings name none.
--- a/internal/logging/logging_test.go
+++ b/internal/support/logging/logging_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 func TestFailedRequestIsOneJSONLineWithTheSharedFields(t *testing.T) {
--- a/internal/metrics/reasons.go
+++ b/internal/support/metrics/reasons.go
@@ -5,7 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Reasons holds counters with a reason tag, so that the scope is not asked for
--- a/internal/metrics/root_test.go
+++ b/internal/support/metrics/root_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 func TestReasonCounterShowsInTheScrape(t *testing.T) {
--- a/internal/metrics/scope.go
+++ b/internal/support/metrics/scope.go
@@ -4,7 +4,7 @@
 import (
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Scope is where a component reports. It is tally's, under a name of ours so
--- a/internal/settings/reference_test.go
+++ b/internal/support/settings/reference_test.go
@@ -12,8 +12,8 @@
 var update = flag.Bool("update", false, "write the reference of settings to the operators' page")
 
 const (
-	page        = "../../docs/operations/settings.md"
-	beginMarker = "<!-- begin: made by go test ./internal/settings -update -->\n"
+	page        = "../../../docs/operations/settings.md"
+	beginMarker = "<!-- begin: made by go test ./internal/support/settings -update -->\n"
 	endMarker   = "<!-- end -->\n"
 )
 
--- a/internal/settings/seed.go
+++ b/internal/support/settings/seed.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Seed is a host known from the settings.
--- a/internal/settings/settings.go
+++ b/internal/support/settings/settings.go
@@ -8,8 +8,8 @@
 package settings
 
 import (
-	"github.com/swiftvane/swiftvane/internal/logging"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/support/logging"
 )
 
 // Settings is the daemon's checked settings.
--- a/internal/dispatch/admit.go
+++ b/internal/targets/dispatch/admit.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // submit queues the item or returns why it is refused.
--- a/internal/dispatch/batch.go
+++ b/internal/targets/dispatch/batch.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // take appends to batch the items of the next exchange, none if there is no work
--- a/internal/dispatch/batch_bench_test.go
+++ b/internal/targets/dispatch/batch_bench_test.go
@@ -8,10 +8,10 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	standin "github.com/swiftvane/swiftvane/internal/standin/target"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/target"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // BenchmarkBatch reports the sub-requests a second that one stand-in target of
--- a/internal/dispatch/causes.go
+++ b/internal/targets/dispatch/causes.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Causes that end an exchange before its answer.
--- a/internal/dispatch/connect.go
+++ b/internal/targets/dispatch/connect.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // connect makes sure that the worker has a connection. If it can't, the batch
--- a/internal/dispatch/connection_test.go
+++ b/internal/targets/dispatch/connection_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 func TestSilentConnectionIsFoundAndReplaced(t *testing.T) {
--- a/internal/dispatch/control.go
+++ b/internal/targets/dispatch/control.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 // control follows the view until Stop.
--- a/internal/dispatch/controlconn.go
+++ b/internal/targets/dispatch/controlconn.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/target"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // controlConn is the connection on which a pool cancels and probes while its
--- a/internal/dispatch/counters.go
+++ b/internal/targets/dispatch/counters.go
@@ -3,8 +3,8 @@
 import (
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // counters count what a Local does, by reason where there is one.
--- a/internal/dispatch/fake_test.go
+++ b/internal/targets/dispatch/fake_test.go
@@ -11,12 +11,12 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // fakeTargets is a target.Dialer to targets in memory. Fields are set before
--- a/internal/dispatch/item.go
+++ b/internal/targets/dispatch/item.go
@@ -4,8 +4,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // item is one sub-request in a pool.
--- a/internal/dispatch/local_test.go
+++ b/internal/targets/dispatch/local_test.go
@@ -9,9 +9,9 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/dispatch/observe.go
+++ b/internal/targets/dispatch/observe.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // defaultShedPause applies to a shedding target that gave no hint.
--- a/internal/dispatch/pool.go
+++ b/internal/targets/dispatch/pool.go
@@ -7,8 +7,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // pool holds this host's connections to one target and the sub-requests that
--- a/internal/dispatch/queue_test.go
+++ b/internal/targets/dispatch/queue_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // takes serves every sub-request in d, unless its context ends first.
--- a/internal/dispatch/receiver.go
+++ b/internal/targets/dispatch/receiver.go
@@ -6,9 +6,9 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // Receive registers the handler that runs other hosts' sub-requests on local.
--- a/internal/dispatch/remote.go
+++ b/internal/targets/dispatch/remote.go
@@ -5,10 +5,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // Remote hands sub-requests to the hosts that hold the targets.
--- a/internal/dispatch/remote_test.go
+++ b/internal/targets/dispatch/remote_test.go
@@ -6,17 +6,17 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/cputime"
+	"github.com/swiftvane/swiftvane/internal/support/cputime"
 
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // startPair starts host h0, which sends, and host h1, which owns the targets.
--- a/internal/dispatch/router.go
+++ b/internal/targets/dispatch/router.go
@@ -4,11 +4,11 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // RouterOptions configure a Router.
--- a/internal/dispatch/router_test.go
+++ b/internal/targets/dispatch/router_test.go
@@ -10,11 +10,11 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // fakeTransport answers or fails the calls to each host by a function. Only Go
--- a/internal/dispatch/state_test.go
+++ b/internal/targets/dispatch/state_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // eventually waits for a condition with a limit far above what it takes.
--- a/internal/dispatch/status.go
+++ b/internal/targets/dispatch/status.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // TargetStatus is what this host knows of a target that it dispatches to.
--- a/internal/dispatch/worker.go
+++ b/internal/targets/dispatch/worker.go
@@ -5,9 +5,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // worker runs the exchanges of one slot, one after the other, on one
--- a/internal/quarantine/control.go
+++ b/internal/targets/quarantine/control.go
@@ -6,8 +6,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // control is the state of the control goroutine. Only that one uses it.
--- a/internal/quarantine/counters.go
+++ b/internal/targets/quarantine/counters.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 type counters struct {
--- a/internal/quarantine/entry.go
+++ b/internal/targets/quarantine/entry.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Entry is a quarantined request as operators see it.
--- a/internal/quarantine/fingerprint.go
+++ b/internal/targets/quarantine/fingerprint.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Fingerprint names a request that may come again: the same caller sending the
--- a/internal/quarantine/fleet_test.go
+++ b/internal/targets/quarantine/fleet_test.go
@@ -12,10 +12,10 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // testNet hands messages from one service to another at once, unless the sender
--- a/internal/quarantine/guard.go
+++ b/internal/targets/quarantine/guard.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // retryAfterSuspect is when a suspect that may not run now may be sent again.
--- a/internal/quarantine/message.go
+++ b/internal/targets/quarantine/message.go
@@ -1,6 +1,6 @@
 package quarantine
 
-import "github.com/swiftvane/swiftvane/internal/model"
+import "github.com/swiftvane/swiftvane/internal/domain/model"
 
 // operation says what a message of kind quarantine note is for.
 type operation uint8
--- a/internal/quarantine/note.go
+++ b/internal/targets/quarantine/note.go
@@ -1,6 +1,6 @@
 package quarantine
 
-import "github.com/swiftvane/swiftvane/internal/model"
+import "github.com/swiftvane/swiftvane/internal/domain/model"
 
 // NoteID names a note; no two notes of the fleet are equal in it.
 type NoteID struct {
--- a/internal/quarantine/options.go
+++ b/internal/targets/quarantine/options.go
@@ -5,10 +5,10 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/metrics"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // Options are what a Service is made of. All but Clock are required.
--- a/internal/quarantine/pending.go
+++ b/internal/targets/quarantine/pending.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // pending is a suspect's sub-request that waits for its permit or runs.
--- a/internal/quarantine/permit.go
+++ b/internal/targets/quarantine/permit.go
@@ -6,8 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 // maxPermitLease bounds how long a lost permit keeps a suspect from running.
--- a/internal/quarantine/record.go
+++ b/internal/targets/quarantine/record.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // maxNotes bounds the notes kept of one request; two are enough to quarantine it.
--- a/internal/quarantine/record_test.go
+++ b/internal/targets/quarantine/record_test.go
@@ -8,7 +8,7 @@
 	"github.com/leanovate/gopter/prop"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 const testSeed = 20261203
--- a/internal/quarantine/service.go
+++ b/internal/targets/quarantine/service.go
@@ -6,10 +6,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
 const (
--- a/internal/target/bench_test.go
+++ b/internal/targets/target/bench_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	standin "github.com/swiftvane/swiftvane/internal/standin/target"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/target"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // BenchmarkSearch reports the time of an exchange by the size of its batch. It
--- a/internal/target/client.go
+++ b/internal/targets/target/client.go
@@ -16,8 +16,8 @@
 	"context"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 )
 
 // Exchange is one sub-request on its way to a target.
--- a/internal/target/conn.go
+++ b/internal/targets/target/conn.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 )
 
 const (
--- a/internal/target/dialer.go
+++ b/internal/targets/target/dialer.go
@@ -7,8 +7,8 @@
 	"net"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // UserTimeout bounds the time that sent bytes may stay unacknowledged before the
--- a/internal/target/reply_test.go
+++ b/internal/targets/target/reply_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // FuzzReply checks that a reply is used only if it answers exactly what was
--- a/internal/target/search.go
+++ b/internal/targets/target/search.go
@@ -12,8 +12,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // errNotIdle is returned when the target closed an idle connection or sent bytes
--- a/internal/target/status.go
+++ b/internal/targets/target/status.go
@@ -1,6 +1,6 @@
 package target
 
-import "github.com/swiftvane/swiftvane/internal/verdict"
+import "github.com/swiftvane/swiftvane/internal/domain/verdict"
 
 // Status says what the target did with an exchange.
 type Status uint8
--- a/internal/target/wire.go
+++ b/internal/targets/target/wire.go
@@ -3,9 +3,9 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Paths of the target protocol.
--- a/internal/targetpool/call.go
+++ b/internal/targets/targetpool/call.go
@@ -4,8 +4,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/exchange"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Call is one request on its way to one target.
--- a/internal/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -10,9 +10,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/exchange"
-	"github.com/swiftvane/swiftvane/internal/replica"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/decision/replica"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 const (
--- a/internal/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -7,9 +7,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
-	"github.com/swiftvane/swiftvane/internal/exchange"
-	"github.com/swiftvane/swiftvane/internal/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
 // Options are what a Directory needs.
--- a/internal/targetpool/group.go
+++ b/internal/targets/targetpool/group.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
-	"github.com/swiftvane/swiftvane/internal/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 // Group holds the pools of one service's targets that take new work.
--- a/internal/targetpool/placing.go
+++ b/internal/targets/targetpool/placing.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 const (
--- a/internal/targetpool/placing_test.go
+++ b/internal/targets/targetpool/placing_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 func TestSharesStayWithinWhatTargetsTake(t *testing.T) {
--- a/internal/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -6,10 +6,10 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
-	"github.com/swiftvane/swiftvane/internal/exchange"
-	"github.com/swiftvane/swiftvane/internal/replica"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/decision/replica"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Pool holds the connections to one target.
--- a/internal/targetpool/queue.go
+++ b/internal/targets/targetpool/queue.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // The calls of a pool that wait for a connection, by priority and then by age.
--- a/internal/capacity/claims.go
+++ b/internal/tool/capacity/claims.go
@@ -8,13 +8,13 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/claim"
-	"github.com/swiftvane/swiftvane/internal/loopback"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/requestid"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/requestid"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
 )
 
 const (
--- a/internal/capacity/command.go
+++ b/internal/tool/capacity/command.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/gctune"
+	"github.com/swiftvane/swiftvane/internal/support/gctune"
 )
 
 // NewCommand returns the capacity command.
--- a/internal/capacity/control.go
+++ b/internal/tool/capacity/control.go
@@ -5,11 +5,11 @@
 	"slices"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/cputime"
+	"github.com/swiftvane/swiftvane/internal/support/cputime"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 const (
--- a/internal/capacity/document.go
+++ b/internal/tool/capacity/document.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 )
 
--- a/internal/capacity/links.go
+++ b/internal/tool/capacity/links.go
@@ -8,9 +8,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/loopback"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
 )
 
 // linksMeasured is the number of links opened to tell the memory of one.
--- a/internal/capacity/memplatform.go
+++ b/internal/tool/capacity/memplatform.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/platform"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/platform"
 )
 
 // memPlatform is a platform.Client in this process, without I/O.
--- a/internal/capacity/oneview.go
+++ b/internal/tool/capacity/oneview.go
@@ -5,10 +5,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
-	"github.com/swiftvane/swiftvane/internal/view"
 )
 
 const (
--- a/internal/capacity/subrequest.go
+++ b/internal/tool/capacity/subrequest.go
@@ -11,12 +11,12 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/dispatch"
-	"github.com/swiftvane/swiftvane/internal/loopback"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/query"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
+	"github.com/swiftvane/swiftvane/internal/querypath/query"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
+	"github.com/swiftvane/swiftvane/internal/targets/dispatch"
 )
 
 const (
--- a/internal/capacity/usage.go
+++ b/internal/tool/capacity/usage.go
@@ -4,7 +4,7 @@
 	"runtime"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/cputime"
+	"github.com/swiftvane/swiftvane/internal/support/cputime"
 )
 
 // usedMemory returns the bytes in live heap objects and goroutine stacks.
--- a/internal/capacity/views.go
+++ b/internal/tool/capacity/views.go
@@ -4,10 +4,10 @@
 	"runtime"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/ownership"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/decision/ownership"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 // viewCost is what a host's picture of the fleet costs at the design size.
--- a/internal/cli/cli_test.go
+++ b/internal/tool/cli/cli_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-	"github.com/swiftvane/swiftvane/internal/exitcode"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
 )
 
 const token = "token-token-token-token"
--- a/internal/cli/config_check.go
+++ b/internal/tool/cli/config_check.go
@@ -6,9 +6,9 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-	"github.com/swiftvane/swiftvane/internal/configcheck"
-	"github.com/swiftvane/swiftvane/internal/exitcode"
+	"github.com/swiftvane/swiftvane/internal/domain/configcheck"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
 )
 
 func newConfigCheck(o *options) *cobra.Command {
--- a/internal/cli/config_diff.go
+++ b/internal/tool/cli/config_diff.go
@@ -10,9 +10,9 @@
 	"github.com/samber/lo"
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/configcheck"
-	"github.com/swiftvane/swiftvane/internal/exitcode"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/configcheck"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
 )
 
 // difference says how a candidate document differs from the one in force.
--- a/internal/cli/explain.go
+++ b/internal/tool/cli/explain.go
@@ -9,8 +9,8 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/exitcode"
-	"github.com/swiftvane/swiftvane/internal/explain"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
+	"github.com/swiftvane/swiftvane/internal/tool/explain"
 )
 
 func newExplain(o *options) *cobra.Command {
--- a/internal/cli/options.go
+++ b/internal/tool/cli/options.go
@@ -10,8 +10,8 @@
 
 	"github.com/spf13/pflag"
 
-	"github.com/swiftvane/swiftvane/internal/adminclient"
-	"github.com/swiftvane/swiftvane/internal/httpjson"
+	"github.com/swiftvane/swiftvane/internal/face/adminclient"
+	"github.com/swiftvane/swiftvane/internal/support/httpjson"
 )
 
 // The environment variables that stand in for flags.
--- a/internal/cli/query.go
+++ b/internal/tool/cli/query.go
@@ -7,16 +7,16 @@
 	"fmt"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/callerclient"
-	"github.com/swiftvane/swiftvane/internal/exitcode"
-	"github.com/swiftvane/swiftvane/internal/httpjson"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/face/callerclient"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
+	"github.com/swiftvane/swiftvane/internal/support/httpjson"
 )
 
 const (
--- a/internal/cli/root.go
+++ b/internal/tool/cli/root.go
@@ -10,10 +10,10 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/capacity"
-	"github.com/swiftvane/swiftvane/internal/demo"
-	"github.com/swiftvane/swiftvane/internal/exitcode"
-	"github.com/swiftvane/swiftvane/internal/load"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
+	"github.com/swiftvane/swiftvane/internal/tool/capacity"
+	"github.com/swiftvane/swiftvane/internal/tool/demo"
+	"github.com/swiftvane/swiftvane/internal/tool/load"
 )
 
 // NewRoot returns the command swiftvanectl with all its commands.
--- a/internal/cli/targets.go
+++ b/internal/tool/cli/targets.go
@@ -6,7 +6,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
 )
 
 func newTargets(o *options) *cobra.Command {
--- a/internal/cli/usage.go
+++ b/internal/tool/cli/usage.go
@@ -6,7 +6,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/exitcode"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
 )
 
 // needsCommand runs a command that only groups others: it prints its help, or an
--- a/internal/cli/version.go
+++ b/internal/tool/cli/version.go
@@ -4,7 +4,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/version"
+	"github.com/swiftvane/swiftvane/internal/support/version"
 )
 
 func newVersion(o *options) *cobra.Command {
--- a/internal/demo/command.go
+++ b/internal/tool/demo/command.go
@@ -9,10 +9,10 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
-	"github.com/swiftvane/swiftvane/internal/embedded"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/internal/standin/target"
+	"github.com/swiftvane/swiftvane/internal/tool/embedded"
 )
 
 const (
--- a/internal/demo/step.go
+++ b/internal/tool/demo/step.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/jedib0t/go-pretty/v6/table"
 )
--- a/internal/demo/tour.go
+++ b/internal/tool/demo/tour.go
@@ -7,16 +7,16 @@
 	"io"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/jedib0t/go-pretty/v6/table"
 	"github.com/rotisserie/eris"
 	"github.com/samber/lo"
 
-	"github.com/swiftvane/swiftvane/internal/callerclient"
-	"github.com/swiftvane/swiftvane/internal/embedded"
-	"github.com/swiftvane/swiftvane/internal/httpjson"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/face/callerclient"
+	"github.com/swiftvane/swiftvane/internal/support/httpjson"
+	"github.com/swiftvane/swiftvane/internal/tool/embedded"
 )
 
 const (
--- a/internal/embedded/tier.go
+++ b/internal/tool/embedded/tier.go
@@ -11,12 +11,12 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/daemon"
-	"github.com/swiftvane/swiftvane/internal/loopback"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/settings"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
+	"github.com/swiftvane/swiftvane/internal/support/settings"
+	"github.com/swiftvane/swiftvane/internal/wiring/daemon"
 )
 
 const (
--- a/internal/explain/explain.go
+++ b/internal/tool/explain/explain.go
@@ -8,7 +8,7 @@
 	"io"
 	"sort"
 
-	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
 // maxLine bounds one log line, in bytes.
--- a/internal/explain/explain_test.go
+++ b/internal/tool/explain/explain_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
 const logged = `  2.1 front-1 {"message":"started","host":"h"}
--- a/internal/load/experiment/core.go
+++ b/internal/tool/load/experiment/core.go
@@ -6,15 +6,15 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/loopback"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/load"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/query"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/querypath/query"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/tool/load"
 )
 
 // coreSubject is the entry and dispatch roles of hosts, without the callers'
--- a/internal/load/experiment/corehost.go
+++ b/internal/tool/load/experiment/corehost.go
@@ -8,15 +8,15 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/dispatch"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/ownership"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/query"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/decision/ownership"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
+	"github.com/swiftvane/swiftvane/internal/querypath/query"
+	"github.com/swiftvane/swiftvane/internal/targets/dispatch"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 const (
--- a/internal/load/experiment/naive.go
+++ b/internal/tool/load/experiment/naive.go
@@ -6,12 +6,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/load"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/naive"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
+	"github.com/swiftvane/swiftvane/internal/tool/load"
+	"github.com/swiftvane/swiftvane/internal/tool/naive"
 )
 
 // naiveSubject is a number of hosts that scatter directly.
--- a/internal/load/experiment/plan.go
+++ b/internal/tool/load/experiment/plan.go
@@ -16,10 +16,10 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/pelletier/go-toml/v2"
 
-	"github.com/swiftvane/swiftvane/internal/load"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/internal/standin/target"
+	"github.com/swiftvane/swiftvane/internal/tool/load"
 )
 
 // Plan is what an experiment file says.
--- a/internal/load/experiment/report.go
+++ b/internal/tool/load/experiment/report.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/load"
+	"github.com/swiftvane/swiftvane/internal/tool/load"
 )
 
 // Report is the outcome of an experiment.
--- a/internal/load/experiment/runner.go
+++ b/internal/tool/load/experiment/runner.go
@@ -11,10 +11,10 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/swiftvane/swiftvane/internal/load"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/internal/standin/target"
+	"github.com/swiftvane/swiftvane/internal/tool/load"
 )
 
 // subject is a running arm.
--- a/internal/load/experiment/tier.go
+++ b/internal/tool/load/experiment/tier.go
@@ -7,9 +7,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/embedded"
-	"github.com/swiftvane/swiftvane/internal/load"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
+	"github.com/swiftvane/swiftvane/internal/tool/embedded"
+	"github.com/swiftvane/swiftvane/internal/tool/load"
 )
 
 // readyTimeout bounds the start of an arm's hosts.
--- a/internal/load/experiment/wide_bench_test.go
+++ b/internal/tool/load/experiment/wide_bench_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/loopback"
-	"github.com/swiftvane/swiftvane/internal/query"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/querypath/query"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
 )
 
 // standinServicesEnv makes the test binary run stand-ins with this many
--- a/internal/load/http.go
+++ b/internal/tool/load/http.go
@@ -8,11 +8,11 @@
 	"net/url"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 const (
--- a/internal/load/load_test.go
+++ b/internal/tool/load/load_test.go
@@ -11,14 +11,14 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/standin/httpserve"
-	"github.com/swiftvane/swiftvane/internal/verdict"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/load/query.go
+++ b/internal/tool/load/query.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Query is one query of a run.
--- a/internal/load/recorder.go
+++ b/internal/tool/load/recorder.go
@@ -8,8 +8,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/samber/lo"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 const (
--- a/internal/load/report.go
+++ b/internal/tool/load/report.go
@@ -5,8 +5,8 @@
 	"os"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
 // Report is the outcome of a run.
--- a/internal/load/run.go
+++ b/internal/tool/load/run.go
@@ -15,7 +15,7 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/pelletier/go-toml/v2"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
 // Limits of a run.
--- a/internal/naive/naive_test.go
+++ b/internal/tool/naive/naive_test.go
@@ -7,13 +7,13 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/content"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	standin "github.com/swiftvane/swiftvane/internal/standin/target"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/naive/query.go
+++ b/internal/tool/naive/query.go
@@ -8,10 +8,10 @@
 	"slices"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/subquery"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // Query is one query.
--- a/internal/naive/scatter.go
+++ b/internal/tool/naive/scatter.go
@@ -7,9 +7,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // Scatter asks all shards at once on warm connections, as a host does that
--- a/internal/naive/sequential.go
+++ b/internal/tool/naive/sequential.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
 // Sequential asks the shards of x in turn, the first replica of each, on a new
--- a/internal/daemon/adminsources.go
+++ b/internal/wiring/daemon/adminsources.go
@@ -1,7 +1,7 @@
 package daemon
 
 import (
-	"github.com/swiftvane/swiftvane/internal/admin"
+	"github.com/swiftvane/swiftvane/internal/face/admin"
 )
 
 // adminOptions hands the components to the administration API.
--- a/internal/daemon/claims.go
+++ b/internal/wiring/daemon/claims.go
@@ -5,9 +5,9 @@
 
 	"github.com/samber/lo"
 
-	"github.com/swiftvane/swiftvane/internal/fleet"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/settings"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/hosts/fleet"
+	"github.com/swiftvane/swiftvane/internal/support/settings"
 )
 
 // hostLists returns the host lists of the retention window, newest last.
--- a/internal/daemon/configsource.go
+++ b/internal/wiring/daemon/configsource.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-	"github.com/swiftvane/swiftvane/internal/fleet"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
+	"github.com/swiftvane/swiftvane/internal/hosts/fleet"
 )
 
 // configSource tells the configuration in force.
--- a/internal/daemon/daemon.go
+++ b/internal/wiring/daemon/daemon.go
@@ -12,16 +12,16 @@
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/admin"
-	"github.com/swiftvane/swiftvane/internal/claim"
-	"github.com/swiftvane/swiftvane/internal/dispatch"
-	"github.com/swiftvane/swiftvane/internal/entry"
-	"github.com/swiftvane/swiftvane/internal/fleet"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/peer"
-	"github.com/swiftvane/swiftvane/internal/quarantine"
-	"github.com/swiftvane/swiftvane/internal/query"
-	"github.com/swiftvane/swiftvane/internal/settings"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/face/admin"
+	"github.com/swiftvane/swiftvane/internal/face/entry"
+	"github.com/swiftvane/swiftvane/internal/hosts/claim"
+	"github.com/swiftvane/swiftvane/internal/hosts/fleet"
+	"github.com/swiftvane/swiftvane/internal/hosts/peer"
+	"github.com/swiftvane/swiftvane/internal/querypath/query"
+	"github.com/swiftvane/swiftvane/internal/support/settings"
+	"github.com/swiftvane/swiftvane/internal/targets/dispatch"
+	"github.com/swiftvane/swiftvane/internal/targets/quarantine"
 )
 
 // Daemon is one host of the tier.
--- a/internal/daemon/quarantinestore.go
+++ b/internal/wiring/daemon/quarantinestore.go
@@ -3,8 +3,8 @@
 import (
 	"github.com/samber/lo"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-	"github.com/swiftvane/swiftvane/internal/quarantine"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
+	"github.com/swiftvane/swiftvane/internal/targets/quarantine"
 )
 
 // quarantineStore shows and releases quarantined requests.
--- a/internal/daemon/readiness.go
+++ b/internal/wiring/daemon/readiness.go
@@ -4,9 +4,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/verdict"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
 const (
--- a/internal/daemon/statussource.go
+++ b/internal/wiring/daemon/statussource.go
@@ -7,10 +7,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-	"github.com/swiftvane/swiftvane/internal/fleet"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/version"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
+	"github.com/swiftvane/swiftvane/internal/hosts/fleet"
+	"github.com/swiftvane/swiftvane/internal/support/version"
 )
 
 const (
--- a/internal/daemon/targetlister.go
+++ b/internal/wiring/daemon/targetlister.go
@@ -4,10 +4,10 @@
 	"cmp"
 	"slices"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-	"github.com/swiftvane/swiftvane/internal/dispatch"
-	"github.com/swiftvane/swiftvane/internal/model"
-	"github.com/swiftvane/swiftvane/internal/view"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/view"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
+	"github.com/swiftvane/swiftvane/internal/targets/dispatch"
 )
 
 // targetLister lists every published target with what this host knows of it.
--- a/internal/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -11,15 +11,15 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
-	"github.com/swiftvane/swiftvane/internal/catalogshare"
-	"github.com/swiftvane/swiftvane/internal/catalogsync"
-	"github.com/swiftvane/swiftvane/internal/crashguard"
-	"github.com/swiftvane/swiftvane/internal/exchange"
-	"github.com/swiftvane/swiftvane/internal/extrabudget"
-	"github.com/swiftvane/swiftvane/internal/front"
-	"github.com/swiftvane/swiftvane/internal/relay"
-	"github.com/swiftvane/swiftvane/internal/targetpool"
+	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/face/front"
+	"github.com/swiftvane/swiftvane/internal/hosts/catalogshare"
+	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
+	"github.com/swiftvane/swiftvane/internal/querypath/relay"
+	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
 // Options are a host's settings and its adapters to the platform.
--- a/internal/edge/metrics.go
+++ b/internal/wiring/edge/metrics.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/catalog"
-	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // MetricsPath is the path at which metrics are served.
--- a/internal/edge/observer.go
+++ b/internal/wiring/edge/observer.go
@@ -6,9 +6,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/swiftvane/swiftvane/internal/exchange"
-	"github.com/swiftvane/swiftvane/internal/logging"
-	"github.com/swiftvane/swiftvane/internal/metrics"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/support/logging"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 const (
--- a/internal/edge/readiness.go
+++ b/internal/wiring/edge/readiness.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
-	"github.com/swiftvane/swiftvane/internal/catalogsync"
+	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 )
 
 // readyTimeout bounds one question of the balancer.
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -16,11 +16,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/edge"
-	"github.com/swiftvane/swiftvane/internal/extrabudget"
-	"github.com/swiftvane/swiftvane/internal/loopback"
+	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
 	"github.com/swiftvane/swiftvane/internal/standin/searcher"
 	"github.com/swiftvane/swiftvane/internal/standin/store"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
+	"github.com/swiftvane/swiftvane/internal/wiring/edge"
 	"github.com/swiftvane/swiftvane/platform"
 )
 
--- a/test/harness/balancer.go
+++ b/test/harness/balancer.go
@@ -11,12 +11,12 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/samber/lo"
 
-	"github.com/swiftvane/swiftvane/internal/callerclient"
-	"github.com/swiftvane/swiftvane/internal/verdict"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/face/callerclient"
 )
 
 // balancerInterval is the time between two readiness checks.
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -6,12 +6,12 @@
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/faultproxy"
-	"github.com/swiftvane/swiftvane/internal/httpjson"
-	"github.com/swiftvane/swiftvane/internal/loopback"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/standin/faultproxy"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/internal/support/httpjson"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
 )
 
 // defaultLameDuckMS is the time in which the tests' balancer notices a host that
--- a/test/harness/host.go
+++ b/test/harness/host.go
@@ -9,15 +9,15 @@
 	"strings"
 	"testing"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/adminclient"
-	"github.com/swiftvane/swiftvane/internal/callerclient"
-	"github.com/swiftvane/swiftvane/internal/faultproxy"
-	"github.com/swiftvane/swiftvane/internal/httpjson"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/face/adminclient"
+	"github.com/swiftvane/swiftvane/internal/face/callerclient"
+	"github.com/swiftvane/swiftvane/internal/standin/faultproxy"
+	"github.com/swiftvane/swiftvane/internal/support/httpjson"
 )
 
 // The secrets of every fleet that tests start.
--- a/test/harness/platform.go
+++ b/test/harness/platform.go
@@ -9,10 +9,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/httpjson"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/standin/platform"
+	"github.com/swiftvane/swiftvane/internal/support/httpjson"
 )
 
 // Platform is a platform process.
--- a/test/harness/target.go
+++ b/test/harness/target.go
@@ -6,11 +6,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/faultproxy"
-	"github.com/swiftvane/swiftvane/internal/httpjson"
-	"github.com/swiftvane/swiftvane/internal/loopback"
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/standin/faultproxy"
 	"github.com/swiftvane/swiftvane/internal/standin/target"
+	"github.com/swiftvane/swiftvane/internal/support/httpjson"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
 )
 
 // Target is a target process.
--- a/test/harness/verify.go
+++ b/test/harness/verify.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
-	"github.com/swiftvane/swiftvane/internal/model"
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/standin/content"
 )
 
--- a/test/integration/admin_test.go
+++ b/test/integration/admin_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/test/harness"
 )
--- a/test/integration/ctl_test.go
+++ b/test/integration/ctl_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/callerclient"
-	"github.com/swiftvane/swiftvane/internal/exitcode"
+	"github.com/swiftvane/swiftvane/internal/face/callerclient"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/internal/standin/target"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
 	"github.com/swiftvane/swiftvane/test/harness"
 )
 
--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -9,15 +9,15 @@
 	"testing"
 	"time"
 
-	"github.com/swiftvane/swiftvane/internal/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/callerclient"
-	"github.com/swiftvane/swiftvane/internal/faultproxy"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/face/callerclient"
+	"github.com/swiftvane/swiftvane/internal/standin/faultproxy"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/internal/standin/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
 	"github.com/swiftvane/swiftvane/test/harness"
 )
 
--- a/test/integration/quarantine_test.go
+++ b/test/integration/quarantine_test.go
@@ -8,10 +8,10 @@
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/internal/standin/target"
-	"github.com/swiftvane/swiftvane/internal/verdict"
 	"github.com/swiftvane/swiftvane/test/harness"
 )
 
--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/exitcode"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
 	"github.com/swiftvane/swiftvane/test/harness"
 )
 
--- a/test/integration/target_test.go
+++ b/test/integration/target_test.go
@@ -5,9 +5,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/adminapi"
-	"github.com/swiftvane/swiftvane/internal/config"
-	"github.com/swiftvane/swiftvane/internal/faultproxy"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
+	"github.com/swiftvane/swiftvane/internal/standin/faultproxy"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/test/harness"
 )
--- a/test/operations/pages_test.go
+++ b/test/operations/pages_test.go
@@ -16,7 +16,7 @@
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/config"
+	"github.com/swiftvane/swiftvane/internal/domain/config"
 )
 
 const (
@@ -46,7 +46,7 @@
 }
 
 func TestExitCodesAreTheCodes(t *testing.T) {
-	file, err := parser.ParseFile(token.NewFileSet(), root+"/internal/exitcode/exitcode.go", nil, 0)
+	file, err := parser.ParseFile(token.NewFileSet(), root+"/internal/support/exitcode/exitcode.go", nil, 0)
 	require.NoError(t, err)
 	var rows []string
 	ast.Inspect(file, func(n ast.Node) bool {
--- a/test/operations/settings_test.go
+++ b/test/operations/settings_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/settings"
+	"github.com/swiftvane/swiftvane/internal/support/settings"
 )
 
 // selected returns the field and method names that the files use.
@@ -41,7 +41,7 @@
 
 // TestEverySettingHasAnEffect fails for a setting that the daemon never reads.
 func TestEverySettingHasAnEffect(t *testing.T) {
-	used := selected(t, "internal/daemon/*.go", "cmd/swiftvaned/*.go", "internal/settings/secrets.go")
+	used := selected(t, "internal/wiring/daemon/*.go", "cmd/swiftvaned/*.go", "internal/support/settings/secrets.go")
 	for _, section := range reflect.VisibleFields(reflect.TypeFor[settings.Settings]()) {
 		if section.Tag.Get("toml") == "-" {
 			continue
