Keep the targets' connections free for hosts that restart

Ruled out: an undersized limit or a long queue at the targets (20 connections a target from 59 hosts with one replica each, beside as many dead ones, fit into 52).

--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -74,7 +74,7 @@
 }
 
 // SetHosts tells the number of hosts that share the targets' connections and the
-// slack of their budgets.
+// slack of their budgets, 0 while it is not known.
 func (d *Directory) SetHosts(n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -88,8 +88,14 @@
 	d.rebuild()
 }
 
-// slack is this host's part of the slack of a service's budget.
-func (d *Directory) slack() float64 { return slackPart * d.opts.Extra.Slack / float64(max(d.hosts, 1)) }
+// slack is this host's part of the slack of a service's budget, none while the
+// number of hosts that share it is not known.
+func (d *Directory) slack() float64 {
+	if d.hosts <= 0 {
+		return 0
+	}
+	return slackPart * d.opts.Extra.Slack / float64(d.hosts)
+}
 
 // rebuild publishes a snapshot of the view. The lock is held.
 func (d *Directory) rebuild() {
--- a/internal/targets/targetpool/placing.go
+++ b/internal/targets/targetpool/placing.go
@@ -38,9 +38,14 @@
 
 // shareOf divides what each of a service's targets takes among the hosts. It
 // answers fleets whose hosts can't all connect to all targets: each host then
-// keeps one connection to some of the replicas.
+// keeps one connection to some of the replicas. While the number of hosts is not
+// known, which hosts 0 says, a host keeps to one replica: the loss of all hosts
+// leaves their dead connections at the targets, and there is room for as many
+// new ones only if no host takes more than in the largest fleet.
 func shareOf(maxConns, targets, hosts int) share {
-	hosts = max(hosts, 1)
+	if hosts <= 0 {
+		return share{targets: min(1, targets), conns: 1}
+	}
 	if float64(hosts) > fill*float64(maxConns) {
 		part := int(fill * float64(maxConns) * float64(targets) / float64(restarts*hosts))
 		return share{targets: min(max(part, 1), targets), conns: 1}
--- a/internal/targets/targetpool/placing_test.go
+++ b/internal/targets/targetpool/placing_test.go
@@ -24,6 +24,7 @@
 		}
 	}
 	require.Equal(t, share{targets: 2, conns: 2}, shareOf(26, 2, 7))
+	require.Equal(t, share{targets: 1, conns: 1}, shareOf(52, 3, 0), "the size is not known")
 	require.Equal(t, share{targets: 1, conns: 1}, shareOf(52, 3, 59))
 }
 
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -28,6 +28,8 @@
 	limit   int
 	warm    int
 	closed  bool
+	// trimming is set while a look for surplus connections is due.
+	trimming bool
 	// retryDial is when the next dial may start after one failed.
 	retryDial time.Time
 	// failures counts connections in a row that brought no reply.
@@ -56,8 +58,6 @@
 	// crowdedFor is how long a target that reset a new connection gets no more
 	// than one from this host: it holds others' connections, dead ones included.
 	crowdedFor = 8 * time.Second
-	// surplusFor is how long a connection beyond the warm ones stays idle.
-	surplusFor = 5 * time.Second
 	// freshConn is the age up to which the end of an unused connection means
 	// that the target does not take it; later it was merely idle.
 	freshConn = time.Second
@@ -222,11 +222,8 @@
 	if call == nil {
 		c.idleSince = now
 		p.idle = append(p.idle, c)
-		surplus := p.takeSurplus(now)
+		p.trimLater()
 		p.mu.Unlock()
-		if surplus != nil {
-			surplus.close()
-		}
 		return
 	}
 	p.assign(c, call, now)
@@ -234,18 +231,6 @@
 	c.send(call)
 }
 
-// takeSurplus returns the connection that was idle longest if the pool can do
-// without it.
-func (p *Pool) takeSurplus(now time.Time) *conn {
-	if len(p.conns) <= p.warm || now.Sub(p.idle[0].idleSince) < surplusFor {
-		return nil
-	}
-	c := p.idle[0]
-	p.idle = p.idle[1:]
-	delete(p.conns, c)
-	return c
-}
-
 // drop forgets a closed connection. One that never brought a reply counts as a
 // failed dial.
 func (p *Pool) drop(c *conn) {
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -96,7 +96,6 @@
 		Host:    opts.Host,
 		OnCrash: e.crashed,
 	})
-	e.directory.SetHosts(unknownHosts)
 	guard := crashguard.New()
 	e.hub = catalogshare.NewHub(guard, opts.Log)
 	firstWait := time.Duration(0)
