Tell of crashes of spare targets; let hosts that have run for a while use more of the slack

Half of the slack was kept for hosts that restart.

Change: a lost request leads to one new connection, also to a spare target.

--- /dev/null
+++ b/internal/targets/targetpool/crash_test.go
@@ -0,0 +1,54 @@
+package targetpool
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+)
+
+// crashDialer connects once to a target that ends on its first request; then
+// nothing listens there.
+type crashDialer struct{ dials atomic.Int32 }
+
+func (d *crashDialer) Dial(string, time.Duration) (net.Conn, error) {
+	if d.dials.Add(1) > 1 {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	go func() {
+		_, _ = bufio.NewReader(far).ReadString('\n')
+		time.Sleep(work)
+		_ = far.Close()
+	}()
+	return near, nil
+}
+
+// TestACrashOfASpareTargetIsTold: a host keeps no connection to spare targets,
+// yet what crashes one must be known.
+func TestACrashOfASpareTargetIsTold(t *testing.T) {
+	for _, warmConns := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			told := make(chan uint8, 8)
+			log := quiet()
+			p := NewPool(&catalog.Target{ID: "t-1", Addr: "t-1"}, &Options{
+				Codec: lineCodec{}, Dialer: &crashDialer{}, Log: log,
+				OnCrash: func(*exchange.Request, *catalog.Target) { told <- 1 },
+			})
+			p.Resize(1, warmConns)
+			deadline := time.Now().Add(time.Second)
+			p.Submit(&Call{Request: &exchange.Request{ID: "r"}, Deadline: deadline, OnTime: deadline, Done: func(Outcome) {}})
+			time.Sleep(crashWindow)
+			require.Len(t, told, 1, "%d warm connections", warmConns)
+			p.Close()
+		})
+	}
+}
--- a/internal/targets/targetpool/dial.go
+++ b/internal/targets/targetpool/dial.go
@@ -64,10 +64,19 @@
 	go p.connect()
 }
 
-// keepWarm opens connections up to the warm number. The caller holds the lock.
+// keepWarm opens connections up to the warm number, and one where a request was
+// lost with a connection: whether that can be opened tells if the target crashed.
+// The caller holds the lock.
 func (p *Pool) keepWarm() {
+	if p.moved {
+		return
+	}
+	wanted := p.warm
+	if len(p.lost) > 0 {
+		wanted = max(wanted, 1)
+	}
 	now := time.Now()
-	for n := len(p.conns) + p.dialing; n < p.warm && !p.moved; n++ {
+	for n := len(p.conns) + p.dialing; n < wanted; n++ {
 		p.dial(now)
 	}
 }
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -35,15 +35,14 @@
 	mu      sync.Mutex
 	view    *catalog.View
 	hosts   int
+	started time.Time
+	// slack is this host's part of the slack of each service's budget.
+	slack   float64
 	pools   map[catalog.TargetID]*Pool
 	budgets map[catalog.ServiceName]*guardedBudget
 	current atomic.Pointer[Snapshot]
 }
 
-// slackPart of a service's slack is divided among the hosts that are known; the
-// rest is for hosts that restarted and forgot what they had used.
-const slackPart = 0.5
-
 // Snapshot is a view together with the pools of its targets.
 type Snapshot struct {
 	View   *catalog.View
@@ -55,7 +54,10 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory(opts Options) *Directory {
-	d := &Directory{opts: opts, pools: map[catalog.TargetID]*Pool{}, budgets: map[catalog.ServiceName]*guardedBudget{}}
+	d := &Directory{
+		opts: opts, started: time.Now(),
+		pools: map[catalog.TargetID]*Pool{}, budgets: map[catalog.ServiceName]*guardedBudget{},
+	}
 	d.view = catalog.NewView(nil, 0, nil)
 	d.current.Store(&Snapshot{View: d.view})
 	return d
@@ -74,27 +76,27 @@
 }
 
 // SetHosts tells the number of hosts that share the targets' connections and the
-// slack of their budgets, 0 while it is not known.
+// slack of their budgets, 0 while it is not known. It is called now and then
+// even where the number stays, since the slack also grows with the host's age.
 func (d *Directory) SetHosts(n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.setSlack(slackOf(d.opts.Extra, n, time.Since(d.started)))
 	if n == d.hosts {
 		return
 	}
 	d.hosts = n
-	for _, b := range d.budgets {
-		b.setSlack(d.slack())
-	}
 	d.rebuild()
 }
 
-// slack is this host's part of the slack of a service's budget, none while the
-// number of hosts that share it is not known.
-func (d *Directory) slack() float64 {
-	if d.hosts <= 0 {
-		return 0
+func (d *Directory) setSlack(slack float64) {
+	if slack == d.slack {
+		return
+	}
+	d.slack = slack
+	for _, b := range d.budgets {
+		b.setSlack(slack)
 	}
-	return slackPart * d.opts.Extra.Slack / float64(d.hosts)
 }
 
 // rebuild publishes a snapshot of the view. The lock is held.
@@ -155,7 +157,7 @@
 	budget, ok := d.budgets[name]
 	if !ok {
 		limit := d.opts.Extra
-		limit.Slack = d.slack()
+		limit.Slack = d.slack
 		budget = &guardedBudget{budget: extrabudget.New(limit, time.Now())}
 		d.budgets[name] = budget
 	}
--- a/internal/targets/targetpool/surplus_test.go
+++ b/internal/targets/targetpool/surplus_test.go
@@ -56,9 +56,14 @@
 	return near, nil
 }
 
-func echoPool(d echoDialer, limit, warm int) *Pool {
+func quiet() *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	return log
+}
+
+func echoPool(d echoDialer, limit, warm int) *Pool {
+	log := quiet()
 	target := &catalog.Target{ID: "t-1", Service: "s", Addr: "t-1"}
 	p := NewPool(target, &Options{Codec: lineCodec{}, Dialer: d, Log: log})
 	p.Resize(limit, warm)
