Send a hedge that needs a new connection earlier, by what such exchanges take

Cause: in large fleets a host keeps one connection to one replica of each shard, so a hedge first opens a connection (round trip, 6 ms at the target). Hedges for short objectives were sent 1.5 usual times before the end and came back too late.

Change: the times of exchanges that opened their connection are kept apart for each route; where no other target has an idle connection the hedge leaves that much before the end, but not before 1.5 usual times.

--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -62,9 +62,11 @@
 	// Stalled is how long the target has answered nothing while it had
 	// something to answer.
 	Stalled time.Duration
-	// Waiting counts calls that wait for a connection; Limit is the number of
+	// Idle counts the connections that a call could use at once. Waiting counts
+	// calls that wait for a connection; Limit is the number of
 	// connections that the host may have and Room what of it is free, less the
 	// calls that wait.
+	Idle        int
 	Waiting     int
 	Limit       int
 	Room        int
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -96,6 +96,8 @@
 type choice struct {
 	pool *targetpool.Pool
 	load replica.Load
+	// otherReady is set where another target has an idle connection.
+	otherReady bool
 }
 
 // choose returns the best target of a group that is not in tried; its pool is
@@ -123,7 +125,11 @@
 	if best < 0 {
 		return choice{}
 	}
-	return choice{pool: left[best], load: candidates[best].Load}
+	chosen := choice{pool: left[best], load: candidates[best].Load}
+	for i := range candidates {
+		chosen.otherReady = chosen.otherReady || i != best && candidates[i].Load.Idle > 0
+	}
+	return chosen
 }
 
 func contains(pools []*targetpool.Pool, p *targetpool.Pool) bool {
--- a/internal/querypath/relay/kind.go
+++ b/internal/querypath/relay/kind.go
@@ -6,6 +6,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/support/latency"
+	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
 const (
@@ -28,19 +29,29 @@
 	usual time.Duration
 	// straggler is the time after which a sub-request counts as late.
 	straggler time.Duration
+	// connecting is the usual time of a sub-request that needs a connection first.
+	connecting time.Duration
 }
 
 // kind is what is known of one route's sub-requests.
 type kind struct {
 	times latency.Histogram
+	// connecting holds the times of those that needed a connection first.
+	connecting latency.Histogram
 
 	mu      sync.Mutex
 	cached  pace
 	expires time.Time
 }
 
-// observe notes the time of an attempt that was answered.
-func (k *kind) observe(took time.Duration, now time.Time) { k.times.Observe(took, now) }
+// observe notes the time of an attempt that was answered; begun is when it was
+// given to the target's pool.
+func (k *kind) observe(begun time.Time, o targetpool.Outcome) {
+	k.times.Observe(o.Ended.Sub(o.Sent), o.Ended)
+	if o.Connected {
+		k.connecting.Observe(o.Ended.Sub(begun), o.Ended)
+	}
+}
 
 // pace returns the route's pace at now.
 func (k *kind) pace(route *catalog.Route, now time.Time) pace {
@@ -50,17 +61,27 @@
 		return k.cached
 	}
 	k.expires = now.Add(paceRefresh)
-	usual, ok := k.times.Quantile(usualQuantile, now)
-	if !ok {
-		usual = time.Duration(guessShare * float64(route.Objective))
-		k.cached = pace{usual: usual, straggler: time.Duration(guessFactor * float64(usual))}
-		return k.cached
-	}
-	late, _ := k.times.Quantile(stragglerQuantile, now)
-	k.cached = pace{usual: usual, straggler: late}
+	k.cached = k.measure(route, now)
 	return k.cached
 }
 
+// measure computes the pace, with guesses while there are too few samples.
+func (k *kind) measure(route *catalog.Route, now time.Time) pace {
+	p := pace{usual: time.Duration(guessShare * float64(route.Objective))}
+	if usual, ok := k.times.Quantile(usualQuantile, now); ok {
+		p.usual = usual
+	}
+	p.straggler = time.Duration(guessFactor * float64(p.usual))
+	if late, ok := k.times.Quantile(stragglerQuantile, now); ok {
+		p.straggler = late
+	}
+	p.connecting = time.Duration(guessFactor * float64(p.usual))
+	if connecting, ok := k.connecting.Quantile(usualQuantile, now); ok {
+		p.connecting = connecting
+	}
+	return p
+}
+
 // kinds holds the kinds by route name.
 type kinds struct {
 	mu    sync.Mutex
--- a/internal/querypath/relay/relay_test.go
+++ b/internal/querypath/relay/relay_test.go
@@ -51,7 +51,21 @@
 	require.Equal(t, arrived.Add(400*time.Millisecond), s.deadline)
 	require.True(t, s.onTime.Before(arrived.Add(route.Objective)))
 	p := pace{usual: 10 * time.Millisecond, straggler: 30 * time.Millisecond}
-	require.Equal(t, arrived.Add(30*time.Millisecond), s.hedgeTime(arrived, p))
+	require.Equal(t, arrived.Add(30*time.Millisecond), s.hedgeTime(arrived, p, true))
 	p.straggler = 200 * time.Millisecond
-	require.Equal(t, s.onTime.Add(-15*time.Millisecond), s.hedgeTime(arrived, p))
+	require.Equal(t, s.onTime.Add(-15*time.Millisecond), s.hedgeTime(arrived, p, true))
+}
+
+// TestAHedgeOverANewConnectionIsSentSoMuchEarlier answers large fleets, whose
+// hosts are connected to one replica of each shard.
+func TestAHedgeOverANewConnectionIsSentSoMuchEarlier(t *testing.T) {
+	arrived := time.Now()
+	route := &catalog.Route{Objective: 100 * time.Millisecond, Timeout: time.Second}
+	s := newSchedule(route, &exchange.Request{Arrived: arrived, Patience: 400 * time.Millisecond})
+	p := pace{usual: 10 * time.Millisecond, straggler: 200 * time.Millisecond, connecting: 40 * time.Millisecond}
+	require.Equal(t, s.onTime.Add(-p.connecting), s.hedgeTime(arrived, p, false))
+	p.straggler = 20 * time.Millisecond
+	require.Equal(t, arrived.Add(20*time.Millisecond), s.hedgeTime(arrived, p, false), "a straggler needs no earlier hedge")
+	p.straggler, p.connecting = 200*time.Millisecond, 95*time.Millisecond
+	require.Equal(t, arrived.Add(15*time.Millisecond), s.hedgeTime(arrived, p, false), "the first target has its usual time")
 }
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -59,8 +59,9 @@
 }
 
 type attempt struct {
-	call *targetpool.Call
-	pool *targetpool.Pool
+	call  *targetpool.Call
+	pool  *targetpool.Pool
+	begun time.Time
 }
 
 // event is an attempt's outcome.
@@ -76,12 +77,12 @@
 	if chosen.pool == nil {
 		return false
 	}
-	r.sendTo(chosen.pool, l, index, now)
+	r.sendTo(chosen, l, index, now)
 	return true
 }
 
 // sendTo sends one more attempt of a leg to a target.
-func (r *run) sendTo(pool *targetpool.Pool, l *leg, index int, now time.Time) {
+func (r *run) sendTo(to choice, l *leg, index int, now time.Time) {
 	number := len(l.attempts)
 	call := &targetpool.Call{
 		Request:  r.request,
@@ -91,11 +92,11 @@
 		Expected: r.pace.usual,
 		Done:     func(o targetpool.Outcome) { r.events <- event{leg: index, attempt: number, outcome: o} },
 	}
-	l.attempts = append(l.attempts, attempt{call: call, pool: pool})
-	l.tried = append(l.tried, pool)
+	l.attempts = append(l.attempts, attempt{call: call, pool: to.pool, begun: now})
+	l.tried = append(l.tried, to.pool)
 	l.open++
-	l.hedgeAt = r.times.hedgeTime(now, r.pace)
-	pool.Submit(call)
+	l.hedgeAt = r.times.hedgeTime(now, r.pace, to.otherReady)
+	to.pool.Submit(call)
 }
 
 // hedge sends a second attempt beside one that is late, where a target with a
@@ -114,7 +115,7 @@
 		return
 	}
 	l.hedges++
-	r.sendTo(chosen.pool, l, index, now)
+	r.sendTo(chosen, l, index, now)
 }
 
 // again sends another attempt after one that failed, if the route, the
@@ -149,7 +150,7 @@
 		l.ran++
 	}
 	if o.Reply != nil && o.Reply.Success() {
-		r.kind.observe(o.Ended.Sub(o.Sent), o.Ended)
+		r.kind.observe(l.attempts[ev.attempt].begun, o)
 		l.reply = o.Reply
 		l.settled = true
 		return true
--- a/internal/querypath/relay/schedule.go
+++ b/internal/querypath/relay/schedule.go
@@ -18,6 +18,9 @@
 	// hedgeLead is how many usual times before the objective passes a hedge
 	// must be sent to be of use.
 	hedgeLead = 1.5
+	// hedgeEarliest is how many usual times a sub-request has at least before a
+	// hedge that needs a connection first is sent.
+	hedgeEarliest = 1.5
 )
 
 // schedule holds the times that matter to one request.
@@ -45,10 +48,18 @@
 }
 
 // hedgeTime is when a sub-request that was sent at sent gets a second target:
-// once it counts as late, but early enough for the second to be on time.
-func (s schedule) hedgeTime(sent time.Time, p pace) time.Time {
+// once it counts as late, but early enough for the second to be on time. ready
+// says that another target can be asked without opening a connection.
+func (s schedule) hedgeTime(sent time.Time, p pace, ready bool) time.Time {
 	late := sent.Add(p.straggler)
 	latest := s.onTime.Add(-time.Duration(hedgeLead * float64(p.usual)))
+	if !ready {
+		latest = s.onTime.Add(-max(p.connecting, time.Duration(hedgeLead*float64(p.usual))))
+		earliest := sent.Add(time.Duration(hedgeEarliest * float64(p.usual)))
+		if latest.Before(earliest) {
+			latest = earliest
+		}
+	}
 	if latest.Before(late) && latest.After(sent.Add(p.usual)) {
 		return latest
 	}
--- a/internal/querypath/relay/single.go
+++ b/internal/querypath/relay/single.go
@@ -56,7 +56,7 @@
 	if replica.Overrun(chosen.load, r.pace.usual, r.times.final.Sub(now)) {
 		return refuse(exchange.NoRoom, min(replica.Estimate(chosen.load, r.pace.usual), retryLongest))
 	}
-	r.sendTo(chosen.pool, &s.leg, 0, now)
+	r.sendTo(chosen, &s.leg, 0, now)
 	s.leg.group.CountRequest(now)
 	answer := s.wait()
 	grace := loserGrace
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		s.legs[i].group.CountRequest(now)
-		s.sendTo(c.pool, &s.legs[i], i, now)
+		s.sendTo(c, &s.legs[i], i, now)
 	}
 	return nil
 }
--- a/internal/targets/targetpool/call.go
+++ b/internal/targets/targetpool/call.go
@@ -38,6 +38,8 @@
 	Verdict verdict.Verdict
 	// Err says why there is no reply.
 	Err error
+	// Connected is set where the call was the first on its connection.
+	Connected bool
 	// Sent is zero if no byte left the host.
 	Sent  time.Time
 	Ended time.Time
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -143,6 +143,7 @@
 	p.mu.Lock()
 	p.stats.Ended(now, exchangeOf(call, resultOf(reply)))
 	c.idleTimeout = reply.IdleTimeout
+	first := c.replies == 0
 	c.replies++
 	p.regained()
 	if reply.OtherTarget {
@@ -153,7 +154,7 @@
 		delete(p.conns, c)
 	}
 	p.mu.Unlock()
-	finish(call, Outcome{Reply: reply, Verdict: verdictOf(reply), Ended: now})
+	finish(call, Outcome{Reply: reply, Verdict: verdictOf(reply), Connected: first, Ended: now})
 	if !good {
 		return false
 	}
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -92,6 +92,7 @@
 	defer p.mu.Unlock()
 	load := p.stats.Load(now)
 	load.Waiting = len(p.waiting)
+	load.Idle = len(p.idle)
 	load.Limit = p.room(now)
 	load.Room = load.Limit - p.busy()
 	load.Unreachable = p.unreachable()
