--- a/internal/querypath/relay/relay_test.go
+++ b/internal/querypath/relay/relay_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
 // TestGreatestEqualsSorting compares the merge with sorting everything.
@@ -69,3 +70,26 @@
 	p.straggler, p.connecting = 200*time.Millisecond, 95*time.Millisecond
 	require.Equal(t, arrived.Add(15*time.Millisecond), s.hedgeTime(arrived, p, false), "the first target has its usual time")
 }
+
+// TestShardsAreHedgedOnceHalfHaveAnswered: a host that is itself slow sees all
+// shards late, and must not double its own work.
+func TestShardsAreHedgedOnceHalfHaveAnswered(t *testing.T) {
+	now := time.Now()
+	r := &run{executor: NewExecutor(Options{}), route: &catalog.Route{Idempotent: true, MaxAttempts: 2}}
+	r.pace = pace{usual: 8 * time.Millisecond}
+	r.times = schedule{onTime: now.Add(time.Second), final: now.Add(time.Second)}
+	s := &sweep{run: r, legs: make([]leg, 4)}
+	for i := range s.legs {
+		s.legs[i] = leg{hedgeAt: now, group: &targetpool.Group{}}
+	}
+	s.settle(0)
+	s.hedge(now)
+	for i := range s.legs {
+		require.False(t, s.legs[i].hedged)
+	}
+	require.Equal(t, now.Add(2*time.Millisecond), s.nextTime(now))
+	s.settle(1)
+	s.hedge(now)
+	require.False(t, s.legs[1].hedged)
+	require.True(t, s.legs[2].hedged && s.legs[3].hedged)
+}
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -8,6 +8,14 @@
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
+const (
+	// hedgeQuorum is the share of the shards that must have answered before
+	// those that have not count as late.
+	hedgeQuorum = 0.5
+	// hedgeRecheck is the time until the next look, in usual times.
+	hedgeRecheck = 0.25
+)
+
 // sweep is a run over many shards.
 type sweep struct {
 	*run
@@ -18,6 +26,8 @@
 	settled int
 	// ran is set once any attempt may have run.
 	ran bool
+	// hedgeFrom is when the next look at late shards is due.
+	hedgeFrom time.Time
 }
 
 // sweep asks each shard of the route and merges the parts.
@@ -120,7 +130,11 @@
 		case ev := <-s.events:
 			s.outcome(ev, time.Now())
 		case <-timer.C:
+			s.drain()
 			now = time.Now()
+			if answer := s.decide(now); answer != nil {
+				return answer
+			}
 			s.hedge(now)
 			timer.Reset(max(s.nextTime(now).Sub(now), time.Millisecond))
 		case <-s.gone:
@@ -129,6 +143,18 @@
 	}
 }
 
+// drain takes the outcomes that are there already.
+func (s *sweep) drain() {
+	for {
+		select {
+		case ev := <-s.events:
+			s.outcome(ev, time.Now())
+		default:
+			return
+		}
+	}
+}
+
 // decide returns the answer once waiting longer serves the caller no better:
 // all shards are settled, the objective is about to pass with enough of them,
 // or the time is over.
@@ -166,8 +192,14 @@
 	s.settle(ev.leg)
 }
 
-// hedge sends a second attempt for each shard whose answer is late.
+// hedge sends a second attempt for each shard whose answer is late, once most
+// others have answered. While few have, the delay is this host's own or common to
+// all targets; second attempts would add to it and help no one.
 func (s *sweep) hedge(now time.Time) {
+	if float64(s.settled) < hedgeQuorum*float64(len(s.legs)) {
+		s.hedgeFrom = now.Add(max(time.Duration(hedgeRecheck*float64(s.pace.usual)), time.Millisecond))
+		return
+	}
 	for i := range s.legs {
 		l := &s.legs[i]
 		if l.settled || l.hedged || now.Before(l.hedgeAt) {
@@ -185,8 +217,15 @@
 	}
 	for i := range s.legs {
 		l := &s.legs[i]
-		if !l.settled && !l.hedged && l.hedgeAt.Before(next) {
-			next = l.hedgeAt
+		if l.settled || l.hedged {
+			continue
+		}
+		at := l.hedgeAt
+		if at.Before(s.hedgeFrom) {
+			at = s.hedgeFrom
+		}
+		if at.Before(next) {
+			next = at
 		}
 	}
 	return next
