Send a request that reached no target to the next one without the budget

No byte of these attempts had left the host, so the next attempt is the first that arrives.

Change: an attempt is charged to the service's bound only if an earlier one of the same shard may have arrived. The new test (one of two targets takes no connection, no budget) fails without: no_room.

--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -42,6 +42,8 @@
 	// open counts attempts without an outcome, ran those that may have run.
 	open    int
 	ran     int
+	// arrived counts attempts with an outcome that a target may have seen.
+	arrived int
 	hedgeAt time.Time
 	hedged  bool
 	settled bool
@@ -119,12 +121,14 @@
 }
 
 // again sends another attempt after one that failed, if the route, the
-// service's bound on extra load and the targets allow it.
+// service's bound on extra load and the targets allow it. Where none has reached
+// a target yet, the next attempt is no extra load.
 func (r *run) again(l *leg, index int, now time.Time) bool {
 	if !r.mayRepeat(l) || len(l.tried) >= len(l.group.Pools)+len(l.group.Spare) {
 		return false
 	}
-	if !l.group.TakeRetry(now) {
+	extra := l.arrived+l.open > 0
+	if extra && !l.group.TakeRetry(now) {
 		l.denied++
 		return false
 	}
@@ -146,6 +150,9 @@
 	l.open--
 	o := ev.outcome
 	l.noteEnd(o)
+	if !o.Sent.IsZero() {
+		l.arrived++
+	}
 	if o.Verdict != verdict.NotRun {
 		l.ran++
 	}
--- /dev/null
+++ b/internal/querypath/relay/unreached_test.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
+)
+
+// lineCodec exchanges single lines.
+type lineCodec struct{}
+
+func (lineCodec) AppendRequest(dst []byte, r *exchange.Request, _ string, _ time.Duration) []byte {
+	return append(append(dst, r.ID...), '\n')
+}
+
+func (lineCodec) ReadReply(in *bufio.Reader, _ bool) (*exchange.Reply, error) {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	return &exchange.Reply{Status: 200, ID: line[:len(line)-1], Signature: "s"}, nil
+}
+
+// halfDialer connects to one of two targets; the other takes no connection.
+type halfDialer struct{}
+
+func (halfDialer) Dial(addr string, _ time.Duration) (net.Conn, error) {
+	time.Sleep(time.Millisecond)
+	if addr == "full" {
+		return nil, errors.New("connection reset")
+	}
+	near, far := net.Pipe()
+	go func() {
+		lines := bufio.NewReader(far)
+		for {
+			line, err := lines.ReadString('\n')
+			if err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond)
+			if _, err := far.Write([]byte(line)); err != nil {
+				return
+			}
+		}
+	}()
+	return near, nil
+}
+
+// TestARequestThatReachedNoTargetIsSentToTheNextWithoutBudget answers the second
+// after the loss of all hosts: targets still count their dead connections and
+// take few new ones, and no host has any extra load to spend yet.
+func TestARequestThatReachedNoTargetIsSentToTheNextWithoutBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		route := &catalog.Route{
+			Name: "r", Prefix: "/", Host: "h", Timeout: time.Second, Objective: 100 * time.Millisecond,
+			MaxAttempts: 2, Split: []catalog.WeightedService{{Service: "s", Weight: 1}},
+		}
+		config := catalog.NewConfig(1, []*catalog.Route{route}, map[catalog.ServiceName]catalog.Service{"s": {Name: "s", MaxConns: 8}}, catalog.Limits{})
+		view := catalog.NewView(config, 1, map[catalog.TargetID]*catalog.Target{
+			"a": {ID: "a", Service: "s", Addr: "full"}, "b": {ID: "b", Service: "s", Addr: "open"},
+		})
+		for i := range 20 {
+			directory := targetpool.NewDirectory(targetpool.Options{
+				Codec: lineCodec{}, Dialer: halfDialer{}, Log: log, Host: "host",
+				Extra: extrabudget.Limit{Window: 10 * time.Second},
+			})
+			directory.Update(view)
+			executor := NewExecutor(Options{Snapshots: directory, Guard: crashguard.New()})
+			request := &exchange.Request{ID: "q", Method: "POST", Host: "h", URI: "/", Arrived: time.Now(), Patience: time.Second}
+			answer := executor.Serve(request, nil)
+			require.Equal(t, 200, answer.Status, "round %d: %s", i, answer.Reason)
+			directory.Update(catalog.NewView(config, 2, nil))
+			time.Sleep(time.Second)
+		}
+	})
+}
