Let hosts with few requests have their part of the extra load

Cause: each host rounds its bound down. On the grown sites a host has 6 to 9 requests for a shard in a window and a bound of 1.9 to 3, so a third of what the service allows was never used, and a host that has just started could not hedge or retry at all.

Change: the bound is rounded with an offset that differs by host and service, so that the right part of the hosts has one more; 0.1 of the slack is kept for the chance that the offsets are uneven, and where that is less than three deviations there are none. A test spends all that fleets of 1 to 300 hosts have, before and after a restart, and checks the sum (it failed for 6 hosts with a slack of 33 until offsets depended on the reserve).

--- a/internal/decision/extrabudget/window.go
+++ b/internal/decision/extrabudget/window.go
@@ -15,11 +15,16 @@
 	// of the service.
 	Slack  float64
 	Window time.Duration
+	// Offset is added before the bound is rounded down, from 0 to less than 1.
+	// Hosts with few requests have a bound below 1 each; offsets that are spread
+	// evenly over the hosts let the right part of them have one.
+	Offset float64
 }
 
 // Budget counts one service's requests and extra sub-requests on one host. Its
 // owner guards it. Since each host bounds its extra load by its own requests,
-// the sum over all hosts holds whatever they know of each other.
+// the sum over all hosts holds whatever they know of each other; their offsets
+// cancel out against the rounding.
 type Budget struct {
 	limit    Limit
 	requests [slices + 1]int
@@ -32,8 +37,12 @@
 // New returns an empty budget.
 func New(limit Limit, now time.Time) *Budget { return &Budget{limit: limit, began: now} }
 
-// SetSlack changes the slack, as hosts come and go.
-func (b *Budget) SetSlack(slack float64) { b.limit.Slack = slack }
+// SetShare changes the host's part of the slack and its offset, as hosts come
+// and go.
+func (b *Budget) SetShare(slack, offset float64) {
+	b.limit.Slack = slack
+	b.limit.Offset = offset
+}
 
 // Request counts one request.
 func (b *Budget) Request(now time.Time) {
@@ -60,7 +69,7 @@
 		requests += b.requests[i]
 		extras += b.extras[i]
 	}
-	if float64(extras+1) > part*(b.limit.Ratio*float64(requests)+b.limit.Slack) {
+	if float64(extras+1) > part*(b.limit.Ratio*float64(requests)+b.limit.Slack)+b.limit.Offset {
 		return false
 	}
 	b.extras[b.index(b.slice)]++
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -40,8 +40,8 @@
 	attempts []attempt
 	tried    []*targetpool.Pool
 	// open counts attempts without an outcome, ran those that may have run.
-	open    int
-	ran     int
+	open int
+	ran  int
 	// arrived counts attempts with an outcome that a target may have seen.
 	arrived int
 	hedgeAt time.Time
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -81,24 +81,24 @@
 func (d *Directory) SetHosts(n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.setSlack(slackOf(d.opts.Extra, n, time.Since(d.started)))
-	if n == d.hosts {
+	slack := slackOf(d.opts.Extra, n, time.Since(d.started))
+	if n == d.hosts && slack == d.slack {
 		return
 	}
-	d.hosts = n
-	d.rebuild()
-}
-
-func (d *Directory) setSlack(slack float64) {
-	if slack == d.slack {
-		return
+	changed := n != d.hosts
+	d.hosts, d.slack = n, slack
+	for name, b := range d.budgets {
+		b.setShare(slack, d.offset(name))
 	}
-	d.slack = slack
-	for _, b := range d.budgets {
-		b.setSlack(slack)
+	if changed {
+		d.rebuild()
 	}
 }
 
+func (d *Directory) offset(name catalog.ServiceName) float64 {
+	return offsetOf(d.opts.Extra, d.opts.Host, name, d.hosts)
+}
+
 // rebuild publishes a snapshot of the view. The lock is held.
 func (d *Directory) rebuild() {
 	v := d.view
@@ -158,6 +158,7 @@
 	if !ok {
 		limit := d.opts.Extra
 		limit.Slack = d.slack
+		limit.Offset = d.offset(name)
 		budget = &guardedBudget{budget: extrabudget.New(limit, time.Now())}
 		d.budgets[name] = budget
 	}
--- a/internal/targets/targetpool/group.go
+++ b/internal/targets/targetpool/group.go
@@ -32,10 +32,10 @@
 	return g.Spare[i-len(g.Pools)], true
 }
 
-func (b *guardedBudget) setSlack(slack float64) {
+func (b *guardedBudget) setShare(slack, offset float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget.SetSlack(slack)
+	b.budget.SetShare(slack, offset)
 }
 
 // CountRequest counts one request for the service.
--- a/internal/targets/targetpool/slack_test.go
+++ b/internal/targets/targetpool/slack_test.go
@@ -1,12 +1,15 @@
 package targetpool
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 // TestHostsThatAllRestartKeepToTheSlack lets each host use all it may until it
@@ -25,3 +28,47 @@
 	}
 	require.Zero(t, slackOf(limit, 0, time.Hour), "the size is not known")
 }
+
+// TestAllHostsTogetherKeepToTheBound lets each host of a fleet spend all that its
+// rounded bound allows, for many services with few requests, before and after a
+// restart of all hosts.
+func TestAllHostsTogetherKeepToTheBound(t *testing.T) {
+	const ratio, safety = 0.2, 0.9
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, fleet := range []struct {
+		hosts int
+		slack float64
+	}{{1, 10}, {6, 33}, {6, 52}, {7, 54}, {20, 10}, {20, 54}, {59, 158}, {91, 222}, {300, 222}} {
+		limit := extrabudget.Limit{Ratio: ratio * safety, Slack: fleet.slack, Window: 10 * time.Second}
+		for shard := range 400 {
+			service := catalog.ServiceName(fmt.Sprintf("s-%d", shard))
+			requests, extras := 0, 0
+			for h := range fleet.hosts {
+				host := fmt.Sprintf("host-%d", h)
+				for _, age := range []time.Duration{time.Hour, time.Second} {
+					own := random.IntN(8)
+					requests += own
+					extras += spendAll(limit, host, service, fleet.hosts, own, age)
+				}
+			}
+			allowed := ratio*float64(requests) + fleet.slack
+			require.LessOrEqual(t, float64(extras), allowed, "%d hosts, %s", fleet.hosts, service)
+		}
+	}
+}
+
+// spendAll returns how many extra sub-requests a host's budget grants.
+func spendAll(limit extrabudget.Limit, host string, service catalog.ServiceName, hosts, requests int, age time.Duration) int {
+	now := time.Now()
+	limit.Offset = offsetOf(limit, host, service, hosts)
+	limit.Slack = slackOf(limit, hosts, age)
+	budget := extrabudget.New(limit, now)
+	for range requests {
+		budget.Request(now)
+	}
+	granted := 0
+	for budget.TakeRetry(now) {
+		granted++
+	}
+	return granted
+}
