Soak hosts as separate processes under faults from outside of them

Cause: the users ask for a randomized soak of the real programs; the tests so far ran the platform's mode inside the test's own process.

Change: test/soak starts daemons with the platform's settings file against the stand-ins of the store and of targets, with a proxy before each store link, each link between hosts and each target.

Its own first fault: a daemon was started while its settings were the wrong ones.

--- a/test/edge/sweep_test.go
+++ b/test/edge/sweep_test.go
@@ -1,9 +1,7 @@
 package edge_test
 
 import (
-	"bytes"
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -23,25 +21,14 @@
 	missing, err := strconv.Atoi(r.header.Get("Missing-Parts"))
 	require.NoError(t, err)
 	require.Equal(t, shards, len(signatures)+missing)
-	var all [][]byte
-	seen := map[string]bool{}
-	for _, s := range signatures {
-		_, service, ok := strings.Cut(s, ".")
-		require.True(t, ok)
-		require.False(t, seen[service], "two parts of one shard")
-		seen[service] = true
-		valid := false
-		for i := range replicas {
-			valid = valid || s == searcher.Signature(service, fmt.Sprintf("%s-%d", service, i), id)
-		}
-		require.True(t, valid, "signature %s is of another request", s)
-		part := searcher.Records(service, id, nil, records)
-		for ; len(part) > 0; part = part[16:] {
-			all = append(all, part[:16])
+	targets := map[string][]string{}
+	for i := range shards {
+		for k := range replicas {
+			targets[shardName(i)] = append(targets[shardName(i)], fmt.Sprintf("%s-%d", shardName(i), k))
 		}
 	}
-	slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
-	require.Equal(t, bytes.Join(all[:topK], nil), r.body)
+	sweep := searcher.Sweep{ID: id, Signatures: signatures, Missing: missing, Body: r.body}
+	require.NoError(t, sweep.Check(targets, topK, records))
 	return missing
 }
 
--- /dev/null
+++ b/test/soak/host_test.go
@@ -0,0 +1,177 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/standin/faultproxy"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
+	"github.com/swiftvane/swiftvane/platform"
+	"github.com/swiftvane/swiftvane/test/harness"
+)
+
+const (
+	// grace is the time that a host has between SIGTERM and its end.
+	grace = 3 * time.Second
+	// readers is the number of hosts that the settings name as readers of the store.
+	readers = 2
+)
+
+// host is one daemon, its settings and the ways to it.
+type host struct {
+	world *world
+	name  string
+	// caller and ready are its listeners.
+	caller string
+	ready  string
+	file   string
+	good   []byte
+	// store and peer are the proxies before the store and before its listener
+	// for other hosts.
+	store *faultproxy.Proxy
+	peer  *faultproxy.Proxy
+
+	mu      sync.Mutex
+	process *harness.Process
+	started bool
+	// asked is set while the process was told to end.
+	asked bool
+	logs  []*harness.Process
+}
+
+func (w *world) addHosts(n int) {
+	control := loopback.Addrs(n)
+	for i := range n {
+		addrs := loopback.Addrs(2)
+		h := &host{world: w, name: fmt.Sprintf("host-%d", i), caller: addrs[0], ready: addrs[1]}
+		h.store = w.proxy(w.store.Addr())
+		h.peer = w.proxy(control[i])
+		h.file = filepath.Join(w.t.TempDir(), "node.json")
+		w.hosts = append(w.hosts, h)
+	}
+	for i, h := range w.hosts {
+		h.writeSettings(control[i])
+		h.start()
+	}
+}
+
+func (w *world) proxy(server string) *faultproxy.Proxy {
+	p, err := faultproxy.Start(server)
+	require.NoError(w.t, err)
+	w.t.Cleanup(p.Close)
+	return p
+}
+
+func (h *host) writeSettings(control string) {
+	ip, _, err := net.SplitHostPort(h.caller)
+	require.NoError(h.world.t, err)
+	var seeds []string
+	for _, other := range h.world.hosts[:min(readers, len(h.world.hosts))] {
+		seeds = append(seeds, other.peer.Addr())
+	}
+	raw, err := json.Marshal(map[string]any{
+		"node_name": h.name, "ip": ip, "zone": "z-1", "seeds": seeds, "bootstrap": false,
+		"listen_addrs": map[string]string{"front": h.caller, "ready": h.ready, "control": control},
+		"limits":       map[string]any{"memory_mb": 1024},
+		"bounds": map[string]any{
+			"grace_s": grace.Seconds(), "retry_budget_ratio": ratio, "budget_window_s": window.Seconds(), "retry_budget_slack": slack,
+		},
+		"platform": map[string]any{"address": h.store.Addr()},
+	})
+	require.NoError(h.world.t, err)
+	h.good = raw
+	h.setFile(raw)
+}
+
+func (h *host) setFile(raw []byte) { require.NoError(h.world.t, os.WriteFile(h.file, raw, 0o600)) }
+
+// start runs the daemon unless it runs, with settings that are right.
+func (h *host) start() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.started {
+		return
+	}
+	h.setFile(h.good)
+	h.process = harness.StartDaemon(h.world.t, h.name, platform.SettingsVariable+"="+h.file)
+	h.logs = append(h.logs, h.process)
+	h.started, h.asked = true, false
+}
+
+// kill ends the daemon at once.
+func (h *host) kill() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.started {
+		return
+	}
+	h.asked = true
+	h.process.Kill(h.world.t)
+	h.started = false
+}
+
+// terminate asks the daemon to end and waits for it.
+func (h *host) terminate() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.started {
+		return
+	}
+	h.asked = true
+	h.process.Terminate(h.world.t)
+	require.Zero(h.world.t, h.process.ExitCode(h.world.t), "%s after SIGTERM", h.name)
+	h.started = false
+}
+
+// signal sends a signal to the daemon if it runs.
+func (h *host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.started {
+		h.process.Signal(h.world.t, s)
+	}
+}
+
+func (h *host) isReady() bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + h.ready + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (w *world) allReady() bool {
+	for _, h := range w.hosts {
+		if !h.isReady() {
+			return false
+		}
+	}
+	return true
+}
+
+// checkProcesses checks that no daemon ended by itself and that each wrote lines
+// of JSON only.
+func (w *world) checkProcesses() {
+	for _, h := range w.hosts {
+		require.False(w.t, h.process.Exited(), "%s ended by itself", h.name)
+		for _, p := range h.logs {
+			lines := strings.Split(strings.TrimSpace(p.Log()), "\n")
+			for i, line := range lines {
+				cut := i == len(lines)-1
+				require.True(w.t, json.Valid([]byte(line)) || cut, "%s wrote: %s", h.name, line)
+			}
+		}
+	}
+}
