--- a/test/edge/sweep_test.go
+++ b/test/edge/sweep_test.go
@@ -21,10 +21,14 @@
 	missing, err := strconv.Atoi(r.header.Get("Missing-Parts"))
 	require.NoError(t, err)
 	require.Equal(t, shards, len(signatures)+missing)
+	name := shardName
+	if strings.Contains(signatures[0], ".new-") {
+		name = newShardName
+	}
 	targets := map[string][]string{}
 	for i := range shards {
 		for k := range replicas {
-			targets[shardName(i)] = append(targets[shardName(i)], fmt.Sprintf("%s-%d", shardName(i), k))
+			targets[name(i)] = append(targets[name(i)], fmt.Sprintf("%s-%d", name(i), k))
 		}
 	}
 	sweep := searcher.Sweep{ID: id, Signatures: signatures, Missing: missing, Body: r.body}
@@ -32,6 +36,9 @@
 	return missing
 }
 
+// newShardName names the shards of a repartition.
+func newShardName(i int) string { return "new-" + strconv.Itoa(i) }
+
 func TestASweepIsTheGreatestRecordsOfAllShards(t *testing.T) {
 	c := start(t, options{work: time.Millisecond})
 	caller := c.hosts[0].caller()
@@ -120,7 +127,7 @@
 	next := c.config(false)
 	gather := []string{}
 	for i := range shards {
-		name := "new-" + strconv.Itoa(i)
+		name := newShardName(i)
 		c.addService(name, replicas, time.Millisecond)
 		gather = append(gather, name)
 	}
