Share what hosts see of targets, so that slow ones are left at once

Cause: in large fleets a host sends a target less than one request a second.

Ruled out: a shorter memory or a higher weight of one sample, since a pause of 100 ms in 2.4 s would then drive hosts away from well targets.

Change: hosts of fleets from 16 on report good and bad exchanges by target each 0.4 s to the reader that they follow; a board (package targethealth) names a target once three exchanges and half of all in 1.2 s were bad, unless most targets are; the reader tells all its followers, who count the target as dearer for 2 to 4 s. Pauses don't name a target. Tests of the board, the way over the links, the pools and the choice.

Also: a reader says whether it counts on the number of hosts, and a host that restarts alone takes that number at once; one without readers is alone at once.

--- a/internal/decision/replica/choose.go
+++ b/internal/decision/replica/choose.go
@@ -32,6 +32,9 @@
 	spareCost = 0.7
 	// fullCost is the added cost of a target without a free connection.
 	fullCost = 3
+	// distrustCost is the added cost of a target that other hosts found slow or
+	// failing. It is more than that of a spare one.
+	distrustCost = 3
 	// unreachableCost is that of a target with no connection at all.
 	unreachableCost = 1000
 	// jitter spreads equal targets, as a share of the cost.
@@ -57,6 +60,9 @@
 	if stalled(l, expected) {
 		cost += stallCost
 	}
+	if l.Distrusted {
+		cost += distrustCost
+	}
 	if l.Room <= 0 {
 		cost += fullCost * float64(1-l.Room)
 	}
--- a/internal/decision/replica/replica_test.go
+++ b/internal/decision/replica/replica_test.go
@@ -75,3 +75,16 @@
 	require.True(t, Overrun(queued, usual, 3*usual))
 	require.False(t, Overrun(queued, usual, 5*usual))
 }
+
+// TestAWarningOfOtherHostsCountsMoreThanAConnection: a spare target is dearer
+// than one that is at hand, but not than one that others found slow.
+func TestAWarningOfOtherHostsCountsMoreThanAConnection(t *testing.T) {
+	own := Candidate{Load: Load{Slowness: 1, Room: 1, Limit: 1}}
+	spare := own
+	spare.Spare = true
+	require.Equal(t, 0, Choose([]Candidate{own, spare}, usual, never))
+	own.Load.Distrusted = true
+	require.Equal(t, 1, Choose([]Candidate{own, spare}, usual, never))
+	spare.Load.Distrusted = true
+	require.Equal(t, 0, Choose([]Candidate{own, spare}, usual, never))
+}
--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -71,6 +71,8 @@
 	Limit       int
 	Room        int
 	Unreachable bool
+	// Distrusted is set while other hosts found the target slow or failing.
+	Distrusted bool
 	// Moved is set where another process has the target's address.
 	Moved bool
 }
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 )
 
@@ -31,8 +32,13 @@
 	// others has the number of hosts that each other reader stands for.
 	others map[string]count
 	guard  *crashguard.Guard
-	// told is the number of hosts that the host's own upstream knows.
-	told int
+	board  targethealth.Board
+	onBad  func(targets []string)
+	// told is the number of hosts that the host's own upstream knows, toldSettled
+	// whether that one counts on it.
+	told        int
+	toldSettled bool
+	settled     bool
 }
 
 type count struct {
@@ -56,6 +62,10 @@
 	}
 }
 
+// OnBad sets what is told of targets that many hosts found bad. It is called
+// before the hub runs; the function must not block.
+func (h *Hub) OnBad(f func(targets []string)) { h.onBad = f }
+
 // Serve accepts links until the listener is closed.
 func (h *Hub) Serve(l net.Listener) error {
 	server := &fasthttp.Server{Handler: h.handle, NoDefaultServerHeader: true, ReadTimeout: linkTimeout}
@@ -71,15 +81,41 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			h.mu.Lock()
-			if len(h.followers) > 0 {
-				h.broadcast(h.beat())
-			}
-			h.mu.Unlock()
+			h.hear(h.pulse())
 		}
 	}
 }
 
+// pulse sends a beat with the targets that look bad and returns these.
+func (h *Hub) pulse() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	bad := h.board.Bad(time.Now())
+	if len(h.followers) > 0 {
+		m := h.beat()
+		m.Bad = bad
+		h.broadcast(m)
+	}
+	return bad
+}
+
+// hear passes on which targets many hosts found bad.
+func (h *Hub) hear(bad []string) {
+	if len(bad) > 0 && h.onBad != nil {
+		h.onBad(bad)
+	}
+}
+
+// collect takes what a host saw of targets.
+func (h *Hub) collect(samples []targethealth.Sample) {
+	if len(samples) == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.board.Add(time.Now(), samples)
+}
+
 // Publish takes a batch in and passes it on.
 func (h *Hub) Publish(b catalogsync.Batch) {
 	h.mu.Lock()
@@ -129,11 +165,18 @@
 }
 
 // Hosts is the number of hosts in the fleet as far as this one knows, at least
-// the one itself.
-func (h *Hub) Hosts() int {
+// the one itself, and whether a reader that it follows counts on that number.
+func (h *Hub) Hosts() (n int, settled bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.hosts()
+	return h.hosts(), h.toldSettled
+}
+
+// Settle notes whether the host itself counts on the number of hosts.
+func (h *Hub) Settle(settled bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.settled = settled
 }
 
 func (h *Hub) hosts() int {
@@ -164,15 +207,17 @@
 }
 
 // tell notes what the upstream knows of the fleet.
-func (h *Hub) tell(hosts int) {
+func (h *Hub) tell(hosts int, settled bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.told = hosts
+	h.told, h.toldSettled = hosts, settled
 }
 
 // beat is a message without entries. The lock is held.
 func (h *Hub) beat() *message {
-	return &message{Revision: h.revision, AgeMS: time.Since(h.asOf).Milliseconds(), Own: h.own(), Hosts: h.hosts()}
+	return &message{
+		Revision: h.revision, AgeMS: time.Since(h.asOf).Milliseconds(), Own: h.own(), Hosts: h.hosts(), Settled: h.settled,
+	}
 }
 
 // full is a message with all entries. The lock is held.
@@ -270,6 +315,7 @@
 			return
 		}
 		h.noteAll(m.Notes)
+		h.collect(m.Samples)
 	}
 }
 
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 )
 
 const (
@@ -46,8 +47,14 @@
 	// that follow it. Hosts is the number in the fleet as far as it knows.
 	Own   int `cbor:"6,keyasint"`
 	Hosts int `cbor:"7,keyasint"`
+	// Settled is set once the sender counts on that number.
+	Settled bool `cbor:"11,keyasint,omitempty"`
 	// Notes tell of requests that crash targets.
 	Notes []crashguard.Note `cbor:"8,keyasint,omitempty"`
+	// Samples are what a follower saw of targets, Bad the targets that a reader
+	// found bad by the samples of all its followers.
+	Samples []targethealth.Sample `cbor:"9,keyasint,omitempty"`
+	Bad     []string              `cbor:"10,keyasint,omitempty"`
 }
 
 func encode(m *message) ([]byte, error) { return cbor.Marshal(m) }
--- a/internal/hosts/catalogshare/share_test.go
+++ b/internal/hosts/catalogshare/share_test.go
@@ -53,6 +53,11 @@
 	return hub, l.Addr().String(), stop
 }
 
+func known(h *Hub) int {
+	n, _ := h.Hosts()
+	return n
+}
+
 func newSource(readers ...string) (*Source, *countingStore) {
 	log, _ := test.NewNullLogger()
 	store := &countingStore{calls: make(chan string, 1000)}
@@ -91,8 +96,17 @@
 	require.True(t, batch.Returned, "the follower must hold what lapsed with the store, too")
 	require.EqualValues(t, 9, batch.Revision)
 	require.Empty(t, store.calls)
-	require.Equal(t, 2, hub.Hosts())
-	require.Equal(t, 2, source.opts.Hub.Hosts())
+	require.Equal(t, 2, known(hub))
+	hosts, settled := source.opts.Hub.Hosts()
+	require.Equal(t, 2, hosts)
+	require.False(t, settled)
+	hub.Settle(true)
+	for !settled {
+		_, err = source.Watch(9, time.Second)
+		require.NoError(t, err)
+		hosts, settled = source.opts.Hub.Hosts()
+	}
+	require.Equal(t, 2, hosts)
 }
 
 func TestAHostWithoutAReaderCallsTheStore(t *testing.T) {
@@ -170,7 +184,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go reader.Observe(ctx)
-	require.Eventually(t, func() bool { return reader.opts.Hub.Hosts() == 3 }, limit, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return known(reader.opts.Hub) == 3 }, limit, 10*time.Millisecond)
 }
 
 // TestACrashNoteReachesFollowersOfAllReaders goes from a follower over its
@@ -193,7 +207,7 @@
 	listener, _ := newSource(addrB)
 	_, err = listener.Read()
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return hubB.Hosts() == 4 }, limit, time.Millisecond, "the readers see each other")
+	require.Eventually(t, func() bool { return known(hubB) == 4 }, limit, time.Millisecond, "the readers see each other")
 	bad := &exchange.Request{Method: "GET", Host: "h", URI: "/bad"}
 	teller.Tell(crashguard.Note{Request: crashguard.Of(bad), Target: "t-1", AgeMS: 5000})
 	teller.Tell(crashguard.Note{Request: crashguard.Of(bad), Target: "t-2"})
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 )
 
@@ -112,6 +113,18 @@
 	}
 }
 
+// Report gives what this host saw of targets to the one that collects it: the
+// reader that it follows, or its own hub.
+func (s *Source) Report(samples []targethealth.Sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != nil {
+		s.current.send(&message{Samples: samples})
+		return
+	}
+	s.opts.Hub.collect(samples)
+}
+
 // setLink changes the link that notes are sent on.
 func (s *Source) setLink(l *link) {
 	s.link = l
@@ -132,8 +145,9 @@
 	if m.Revision < revision {
 		return catalogsync.Batch{}, errStale
 	}
-	s.opts.Hub.tell(m.Hosts)
+	s.opts.Hub.tell(m.Hosts, m.Settled)
 	s.opts.Hub.noteAll(m.Notes)
+	s.opts.Hub.hear(m.Bad)
 	batch := catalogsync.Batch{
 		Full: m.Full, Revision: m.Revision, Returned: m.Returned,
 		AsOf: time.Now().Add(-time.Duration(m.AgeMS) * time.Millisecond),
--- a/internal/querypath/relay/unreached_test.go
+++ b/internal/querypath/relay/unreached_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -16,24 +15,10 @@
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/standin/echo"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
-// lineCodec exchanges single lines.
-type lineCodec struct{}
-
-func (lineCodec) AppendRequest(dst []byte, r *exchange.Request, _ string, _ time.Duration) []byte {
-	return append(append(dst, r.ID...), '\n')
-}
-
-func (lineCodec) ReadReply(in *bufio.Reader, _ bool) (*exchange.Reply, error) {
-	line, err := in.ReadString('\n')
-	if err != nil {
-		return nil, err
-	}
-	return &exchange.Reply{Status: 200, ID: line[:len(line)-1], Signature: "s"}, nil
-}
-
 // halfDialer connects to one of two targets; the other takes no connection.
 type halfDialer struct{}
 
@@ -42,21 +27,7 @@
 	if addr == "full" {
 		return nil, errors.New("connection reset")
 	}
-	near, far := net.Pipe()
-	go func() {
-		lines := bufio.NewReader(far)
-		for {
-			line, err := lines.ReadString('\n')
-			if err != nil {
-				return
-			}
-			time.Sleep(time.Millisecond)
-			if _, err := far.Write([]byte(line)); err != nil {
-				return
-			}
-		}
-	}()
-	return near, nil
+	return echo.Connect(time.Millisecond, nil), nil
 }
 
 // TestARequestThatReachedNoTargetIsSentToTheNextWithoutBudget answers the second
@@ -76,7 +47,7 @@
 		})
 		for i := range 20 {
 			directory := targetpool.NewDirectory(targetpool.Options{
-				Codec: lineCodec{}, Dialer: halfDialer{}, Log: log, Host: "host",
+				Codec: echo.Codec{}, Dialer: halfDialer{}, Log: log, Host: "host",
 				Extra: extrabudget.Limit{Window: 10 * time.Second},
 			})
 			directory.Update(view)
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -141,7 +141,7 @@
 	now := time.Now()
 	p := c.pool
 	p.mu.Lock()
-	p.stats.Ended(now, exchangeOf(call, resultOf(reply)))
+	p.ended(now, exchangeOf(call, resultOf(reply)))
 	c.idleTimeout = reply.IdleTimeout
 	first := c.replies == 0
 	c.replies++
@@ -201,7 +201,7 @@
 		} else {
 			p.lost = append(p.lost, lostCall{request: call.Request, at: now})
 		}
-		p.stats.Ended(now, exchangeOf(call, result))
+		p.ended(now, exchangeOf(call, result))
 	}
 	p.mu.Unlock()
 	c.close()
--- a/internal/targets/targetpool/crash_test.go
+++ b/internal/targets/targetpool/crash_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/standin/echo"
 )
 
 // crashDialer connects once to a target that ends on its first request; then
@@ -40,7 +41,7 @@
 			told := make(chan uint8, 8)
 			log := quiet()
 			p := NewPool(&catalog.Target{ID: "t-1", Addr: "t-1"}, &Options{
-				Codec: lineCodec{}, Dialer: &crashDialer{}, Log: log,
+				Codec: echo.Codec{}, Dialer: &crashDialer{}, Log: log,
 				OnCrash: func(*exchange.Request, *catalog.Target) { told <- 1 },
 			})
 			p.Resize(1, warmConns)
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/replica"
+	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
@@ -39,6 +40,10 @@
 	// moved is set once another process was found at the target's address.
 	moved bool
 	stats replica.Stats
+	// sample counts the exchanges since the last report to other hosts.
+	sample targethealth.Sample
+	// distrustedUntil is when a warning of other hosts ends.
+	distrustedUntil time.Time
 	// lost has the requests whose connection broke since the last dial.
 	lost    []lostCall
 	onCrash func(*exchange.Request, *catalog.Target)
@@ -96,6 +101,7 @@
 	load.Limit = p.room(now)
 	load.Room = load.Limit - p.busy()
 	load.Unreachable = p.unreachable()
+	load.Distrusted = now.Before(p.distrustedUntil)
 	load.Moved = p.moved
 	return load
 }
--- a/internal/targets/targetpool/surplus_test.go
+++ b/internal/targets/targetpool/surplus_test.go
@@ -1,7 +1,6 @@
 package targetpool
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"testing"
@@ -13,23 +12,9 @@
 
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/standin/echo"
 )
 
-// lineCodec exchanges single lines.
-type lineCodec struct{}
-
-func (lineCodec) AppendRequest(dst []byte, r *exchange.Request, _ string, _ time.Duration) []byte {
-	return append(append(dst, r.ID...), '\n')
-}
-
-func (lineCodec) ReadReply(in *bufio.Reader, _ bool) (*exchange.Reply, error) {
-	line, err := in.ReadString('\n')
-	if err != nil {
-		return nil, err
-	}
-	return &exchange.Reply{Status: 200, ID: line[:len(line)-1]}, nil
-}
-
 // work is how long an echo takes.
 const work = time.Millisecond
 
@@ -38,22 +23,7 @@
 type echoDialer struct{ ended chan time.Time }
 
 func (d echoDialer) Dial(string, time.Duration) (net.Conn, error) {
-	near, far := net.Pipe()
-	go func() {
-		lines := bufio.NewReader(far)
-		for {
-			line, err := lines.ReadString('\n')
-			if err != nil {
-				d.ended <- time.Now()
-				return
-			}
-			time.Sleep(work)
-			if _, err := far.Write([]byte(line)); err != nil {
-				return
-			}
-		}
-	}()
-	return near, nil
+	return echo.Connect(work, func() { d.ended <- time.Now() }), nil
 }
 
 func quiet() *logrus.Logger {
@@ -65,12 +35,12 @@
 func echoPool(d echoDialer, limit, warm int) *Pool {
 	log := quiet()
 	target := &catalog.Target{ID: "t-1", Service: "s", Addr: "t-1"}
-	p := NewPool(target, &Options{Codec: lineCodec{}, Dialer: d, Log: log})
+	p := NewPool(target, &Options{Codec: echo.Codec{}, Dialer: d, Log: log})
 	p.Resize(limit, warm)
 	return p
 }
 
-func echo(t *testing.T, p *Pool, id string) {
+func ask(t *testing.T, p *Pool, id string) {
 	t.Helper()
 	done := make(chan Outcome, 1)
 	deadline := time.Now().Add(time.Second)
@@ -88,10 +58,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := echoDialer{ended: make(chan time.Time, 8)}
 		p := echoPool(d, 1, 0)
-		echo(t, p, "r-1")
+		ask(t, p, "r-1")
 		used := time.Now()
 		require.WithinDuration(t, used.Add(surplusFor), <-d.ended, time.Second)
-		echo(t, p, "r-2")
+		ask(t, p, "r-2")
 		p.Close()
 	})
 }
@@ -101,7 +71,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := echoDialer{ended: make(chan time.Time, 8)}
 		p := echoPool(d, 2, 1)
-		echo(t, p, "r-1")
+		ask(t, p, "r-1")
 		time.Sleep(10 * surplusFor)
 		require.Empty(t, d.ended)
 		p.Close()
@@ -114,7 +84,7 @@
 		d := echoDialer{ended: make(chan time.Time, 8)}
 		p := echoPool(d, 1, 0)
 		for range 10 {
-			echo(t, p, "r")
+			ask(t, p, "r")
 			time.Sleep(surplusFor * 3 / 4)
 		}
 		require.Empty(t, d.ended)
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -79,6 +79,8 @@
 	metrics   *metricsServer
 	callers   net.Listener
 	cancel    context.CancelFunc
+	// reported is when targets were last reported on; one goroutine uses it.
+	reported time.Time
 }
 
 // New builds a host; nothing runs yet.
@@ -98,6 +100,7 @@
 	})
 	guard := crashguard.New()
 	e.hub = catalogshare.NewHub(guard, opts.Log)
+	e.hub.OnBad(e.distrust)
 	firstWait := time.Duration(0)
 	if opts.FirstStart {
 		firstWait = firstStartWait
@@ -172,14 +175,18 @@
 	ticker := time.NewTicker(sizeEvery)
 	defer ticker.Stop()
 	var size fleetSize
+	now := time.Now()
 	for {
+		known, settled := e.hub.Hosts()
+		hosts := size.see(known, settled || len(e.opts.Readers()) == 0, now)
+		e.hub.Settle(hosts > 0)
+		e.directory.SetHosts(hosts)
+		e.metrics.fleet(hosts, e.follower.View())
+		e.reportHealth(hosts, now)
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			hosts := size.see(e.hub.Hosts(), now)
-			e.directory.SetHosts(hosts)
-			e.metrics.fleet(hosts, e.follower.View())
+		case now = <-ticker.C:
 		}
 	}
 }
--- a/internal/wiring/edge/fleetsize.go
+++ b/internal/wiring/edge/fleetsize.go
@@ -27,10 +27,10 @@
 	risenAt time.Time
 }
 
-// see takes the number of hosts known now, 1 if no other is, and returns the
-// number to count on, 0 for unknown.
-func (f *fleetSize) see(known int, now time.Time) int {
-	if f.value == 0 && !f.settled(known, now) {
+// see takes the number of hosts known now, 1 if no other is, and whether it is
+// known to be right. It returns the number to count on, 0 for unknown.
+func (f *fleetSize) see(known int, right bool, now time.Time) int {
+	if f.value == 0 && !right && !f.settled(known, now) {
 		return 0
 	}
 	if known <= 1 && f.value == 0 {
