Let the stand-ins of the platform speak its wire through package platform

Cause: the stand-ins of the store and of the searchers, test/edge and the soak each wrote the platform's names themselves, so an error in a name could stand on both sides.

--- a/internal/standin/searcher/searcher.go
+++ b/internal/standin/searcher/searcher.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/swiftvane/swiftvane/platform"
 )
 
 // Fault is what happens to a request.
@@ -143,14 +145,14 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Searcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Request-Id")
+	id := r.Header.Get(platform.HeaderRequestID)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
 	s.note(s.sent, id)
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != s.opts.ID {
-		w.Header().Set("Instance-Id", s.opts.ID)
+	if expected := r.Header.Get(platform.HeaderExpectTarget); expected != "" && expected != s.opts.ID {
+		w.Header().Set(platform.HeaderTarget, s.opts.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -159,8 +161,8 @@
 		fault = s.opts.Fault(id)
 	}
 	if fault == Shed || !s.acquire(r) {
-		w.Header().Set("Not-Executed", "1")
-		w.Header().Set("Request-Id", id)
+		w.Header().Set(platform.HeaderNotRun, "1")
+		w.Header().Set(platform.HeaderRequestID, id)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -192,7 +194,7 @@
 		defer s.mu.Unlock()
 		s.waiting--
 	}()
-	ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms"))
+	ms, err := strconv.Atoi(r.Header.Get(platform.HeaderDeadline))
 	if err != nil {
 		ms = 1000
 	}
@@ -262,12 +264,12 @@
 		})
 		return
 	case FailRun:
-		w.Header().Set("Response-Stamp", signature)
+		w.Header().Set(platform.HeaderSignature, signature)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set("Request-Id", id)
-	w.Header().Set("Response-Stamp", signature)
+	w.Header().Set(platform.HeaderRequestID, id)
+	w.Header().Set(platform.HeaderSignature, signature)
 	w.Header().Set("Content-Length", strconv.Itoa(len(reply)))
 	_, _ = w.Write(reply)
 }
@@ -287,7 +289,7 @@
 }
 
 func writeRaw(rw *bufio.ReadWriter, id, signature string, length int, body []byte) {
-	_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: %s\r\n", id, signature)
+	_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", platform.HeaderRequestID, id, platform.HeaderSignature, signature)
 	if length >= 0 {
 		_, _ = fmt.Fprintf(rw, "Content-Length: %d\r\n", length)
 	}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/swiftvane/swiftvane/platform"
 )
 
 // pageItems is the size of one page of a range.
@@ -65,8 +67,8 @@
 	}
 	s := &Store{listener: l, items: map[string]item{}, changed: make(chan struct{}), revision: 1}
 	mux := http.NewServeMux()
-	mux.HandleFunc("/kv-range", s.faulty(s.serveRange))
-	mux.HandleFunc("/kv-watch", s.faulty(s.serveWatch))
+	mux.HandleFunc(platform.RangePath, s.faulty(s.serveRange))
+	mux.HandleFunc(platform.WatchPath, s.faulty(s.serveWatch))
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
--- a/test/edge/callers_test.go
+++ b/test/edge/callers_test.go
@@ -12,13 +12,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/swiftvane/swiftvane/internal/standin/deployment"
 	"github.com/swiftvane/swiftvane/internal/standin/searcher"
 	"github.com/swiftvane/swiftvane/internal/standin/store"
 )
 
 func TestBadRequestsAreRefusedAndTheConnectionIsClosed(t *testing.T) {
 	c := start(t, options{work: time.Millisecond})
-	head := "POST /one/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: bad\r\n"
+	head := "POST /read/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: bad\r\n"
 	for name, tc := range map[string]struct {
 		sent   string
 		status int
@@ -26,16 +27,16 @@
 		"two lengths":           {head + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400},
 		"two different lengths": {head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc", 400},
 		"length and chunks":     {head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
-		"bare line feed":        {"GET /one/x HTTP/1.1\r\nHost: a.example\nRequest-Id: bad\r\n\r\n", 400},
-		"only line feeds":       {"GET /one/x HTTP/1.1\nHost: a.example\n\n", 400},
-		"space before colon":    {"GET /one/x HTTP/1.1\r\nHost : a.example\r\n\r\n", 400},
+		"bare line feed":        {"GET /read/x HTTP/1.1\r\nHost: a.example\nRequest-Id: bad\r\n\r\n", 400},
+		"only line feeds":       {"GET /read/x HTTP/1.1\nHost: a.example\n\n", 400},
+		"space before colon":    {"GET /read/x HTTP/1.1\r\nHost : a.example\r\n\r\n", 400},
 		"folded header":         {head + "X: a\r\n b\r\n\r\n", 400},
 		"odd coding":            {head + "Transfer-Encoding: xchunked\r\n\r\n", 400},
 		"two hosts":             {head + "Host: b.example\r\n\r\n", 400},
-		"no id":                 {"GET /one/x HTTP/1.1\r\nHost: a.example\r\n\r\n", 400},
+		"no id":                 {"GET /read/x HTTP/1.1\r\nHost: a.example\r\n\r\n", 400},
 		"large header":          {head + "X: " + strings.Repeat("a", 5000) + "\r\n\r\n", 431},
 		"large body":            {head + "Content-Length: 70000\r\n\r\n", 413},
-		"slow header":           {"GET /one/x HTTP/1.1\r\nHost:", 408},
+		"slow header":           {"GET /read/x HTTP/1.1\r\nHost:", 408},
 		"no request":            {"hello\r\n\r\n", 400},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -51,7 +52,7 @@
 			require.NoError(t, err, "the connection ends")
 		})
 	}
-	for _, s := range c.searchers["single"] {
+	for _, s := range c.Searchers["single"] {
 		require.Empty(t, s.Arrivals())
 	}
 }
@@ -66,7 +67,7 @@
 func TestMethodPathBodyAndHeadersGoOnUnchanged(t *testing.T) {
 	c := start(t, options{work: time.Millisecond})
 	body := []byte("some body")
-	r, err := c.hosts[0].caller().ask("POST", "/one/a%20b//c?x=%2f", "same", body)
+	r, err := c.hosts[0].caller().ask("POST", "/read/a%20b//c?x=%2f", "same", body)
 	require.NoError(t, err)
 	require.Equal(t, 200, r.status)
 	require.Equal(t, searcher.Records("single", "same", body, records), r.body)
@@ -77,8 +78,8 @@
 	c := start(t, options{work: time.Millisecond})
 	conn := c.hosts[0].dial(t)
 	head := "Host: a.example\r\nDeadline-Ms: 900\r\n"
-	_, err := io.WriteString(conn, "POST /one/x HTTP/1.1\r\n"+head+"Request-Id: p1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"+
-		"GET /one/x HTTP/1.1\r\n"+head+"Request-Id: p2\r\n\r\n")
+	_, err := io.WriteString(conn, "POST /read/x HTTP/1.1\r\n"+head+"Request-Id: p1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"+
+		"GET /read/x HTTP/1.1\r\n"+head+"Request-Id: p2\r\n\r\n")
 	require.NoError(t, err)
 	reader := bufio.NewReader(conn)
 	for i, body := range [][]byte{[]byte("abc"), nil} {
@@ -96,11 +97,11 @@
 func TestACallerThatLeavesEndsTheTargetsWork(t *testing.T) {
 	c := start(t, options{work: 1200 * time.Millisecond})
 	conn := c.hosts[0].dial(t)
-	_, err := io.WriteString(conn, "GET /one/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: left\r\nDeadline-Ms: 5000\r\n\r\n")
+	_, err := io.WriteString(conn, "GET /read/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: left\r\nDeadline-Ms: 5000\r\n\r\n")
 	require.NoError(t, err)
 	running := func() int {
 		n := 0
-		for _, s := range c.searchers["single"] {
+		for _, s := range c.Searchers["single"] {
 			n += s.Runs()["left"]
 		}
 		return n
@@ -109,7 +110,7 @@
 	require.NoError(t, conn.Close())
 	require.Eventually(t, func() bool {
 		cut := 0
-		for _, s := range c.searchers["single"] {
+		for _, s := range c.Searchers["single"] {
 			cut += s.Cut()
 		}
 		return cut == running()
@@ -167,17 +168,17 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := start(t, options{work: time.Millisecond})
-			c.store.SetFault(fault)
+			c.Store.SetFault(fault)
 			require.Eventually(t, func() bool { return strings.Contains(c.hosts[0].log.String(), "store lost") }, limit, 10*time.Millisecond)
 			r, err := c.hosts[0].caller().ask("GET", "/sweep/x", "away", nil)
 			require.NoError(t, err)
 			require.Zero(t, requireWhole(t, "away", r))
 			require.True(t, c.hosts[0].isReady())
-			c.store.SetFault(store.None)
-			c.store.Compact()
-			next := c.config(false)
-			next["routes"].([]map[string]any)[1]["prefix"] = "/two/"
-			c.putConfig(next)
+			c.Store.SetFault(store.None)
+			c.Store.Compact()
+			next := c.Config()
+			next.Routes[1].Prefix = "/two/"
+			c.publish(next)
 			require.Eventually(t, func() bool {
 				r, err := c.hosts[0].caller().ask("GET", "/two/", "back", nil)
 				return err == nil && r.status == 200
@@ -189,8 +190,8 @@
 
 func TestAnUnreadableEntryChangesNothingElse(t *testing.T) {
 	c := start(t, options{work: time.Millisecond})
-	c.store.Put("op/config", []byte("{"))
-	c.store.Put("servers/forged", []byte(`{"service":7}`))
+	c.Store.Put("op/config", []byte("{"))
+	c.Store.Put("servers/forged", []byte(`{"service":7}`))
 	require.Eventually(t, func() bool {
 		log := c.hosts[0].log.String()
 		return strings.Contains(log, "configuration is unreadable") && strings.Contains(log, "servers/forged")
@@ -202,13 +203,13 @@
 
 func TestALeavingTargetGetsNoNewWork(t *testing.T) {
 	c := start(t, options{work: time.Millisecond})
-	leaving := c.searchers["single"][0]
-	c.putTarget("single", "single-0", leaving.Addr(), "draining")
+	leaving := c.Searchers["single"][0]
+	require.NoError(t, c.Enter(deployment.Single, "single-0", leaving.Addr(), true))
 	require.Eventually(t, func() bool { return strings.Contains(c.hosts[0].log.String(), `"leaving":true`) }, limit, 5*time.Millisecond)
 	before := len(leaving.Arrivals())
 	caller := c.hosts[0].caller()
 	for i := range 30 {
-		r, err := caller.ask("GET", "/one/x", fmt.Sprintf("drain-%d", i), nil)
+		r, err := caller.ask("GET", "/read/x", fmt.Sprintf("drain-%d", i), nil)
 		require.NoError(t, err)
 		require.Equal(t, 200, r.status)
 	}
@@ -220,8 +221,8 @@
 // meets the other process must be the last.
 func TestAnAddressThatPassedOnGetsNoMoreRequests(t *testing.T) {
 	c := start(t, options{work: time.Millisecond})
-	c.store.SetFault(store.Busy)
-	gone := c.searchers[shardName(2)][0]
+	c.Store.SetFault(store.Busy)
+	gone := c.Searchers[shardName(2)][0]
 	addr := gone.Addr()
 	gone.Close()
 	other, err := searcher.Start(addr, searcher.Options{ID: "other-1", Service: "other", Slots: 2, Queue: 12, Records: records})
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -17,8 +16,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/standin/deployment"
 	"github.com/swiftvane/swiftvane/internal/standin/searcher"
-	"github.com/swiftvane/swiftvane/internal/standin/store"
 	"github.com/swiftvane/swiftvane/internal/support/loopback"
 	"github.com/swiftvane/swiftvane/internal/wiring/edge"
 	"github.com/swiftvane/swiftvane/platform"
@@ -33,15 +33,11 @@
 	limit = 10 * time.Second
 )
 
-// cluster is a store, searchers and hosts.
+// cluster is a stand-in of the platform, and hosts.
 type cluster struct {
+	*deployment.Deployment
 	t     *testing.T
-	store *store.Store
-	// searchers by service.
-	searchers map[string][]*searcher.Searcher
-	hosts     []*host
-	version   int64
-	fault     func(service, id string) searcher.Fault
+	hosts []*host
 }
 
 type host struct {
@@ -71,88 +67,33 @@
 
 // options change a cluster; the zero value is a calm one.
 type options struct {
-	hosts  int
-	work   time.Duration
-	unsafe bool
-	fault  func(service, id string) searcher.Fault
+	hosts int
+	work  time.Duration
+	fault func(service, id string) searcher.Fault
 }
 
-func shardName(i int) string { return fmt.Sprintf("shard-%02d", i) }
+func shardName(i int) string { return deployment.Shard(i) }
 
 func start(t *testing.T, o options) *cluster {
 	t.Helper()
 	t.Parallel()
-	s, err := store.Start()
+	d, err := deployment.Start(deployment.Options{
+		Shards: shards, Replicas: replicas, Singles: 3, Work: o.work, Records: records, TopK: topK, Fault: o.fault,
+		Timeout: 10 * time.Second, Objective: 5 * time.Second, LeastCoverage: 0.75,
+		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 500 * time.Millisecond, IdleTimeout: 5 * time.Second},
+	})
 	require.NoError(t, err)
-	t.Cleanup(s.Close)
-	c := &cluster{t: t, store: s, searchers: map[string][]*searcher.Searcher{}, fault: o.fault, version: 1}
-	for i := range shards {
-		c.addService(shardName(i), replicas, o.work)
-	}
-	c.addService("single", 3, o.work)
-	c.putConfig(c.config(o.unsafe))
+	t.Cleanup(d.Close)
+	c := &cluster{Deployment: d, t: t}
 	for i := range max(o.hosts, 1) {
 		c.addHost(i)
 	}
 	return c
 }
 
-func (c *cluster) addService(name string, n int, work time.Duration) {
-	for i := range n {
-		c.addSearcher(name, fmt.Sprintf("%s-%d", name, i), "127.0.0.1:0", work)
-	}
-}
-
-func (c *cluster) addSearcher(service, id, addr string, work time.Duration) *searcher.Searcher {
+func (c *cluster) publish(config *catalog.Config) {
 	c.t.Helper()
-	s, err := searcher.Start(addr, searcher.Options{
-		ID: id, Service: service, Slots: 2, Queue: 12, Work: work, Records: records,
-		Fault: func(request string) searcher.Fault {
-			if c.fault == nil {
-				return searcher.None
-			}
-			return c.fault(service, request)
-		},
-	})
-	require.NoError(c.t, err)
-	c.t.Cleanup(s.Close)
-	c.searchers[service] = append(c.searchers[service], s)
-	c.putTarget(service, id, s.Addr(), "ready")
-	return s
-}
-
-func (c *cluster) putTarget(service, id, addr, state string) {
-	c.store.PutJSON("servers/"+id, map[string]any{
-		"service": service, "address": addr, "zone": "z-1", "version": "v1", "concurrency": 2,
-		"state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
-	})
-}
-
-func (c *cluster) config(unsafe bool) map[string]any {
-	gather := make([]string, shards)
-	services := []map[string]any{{"name": "single", "max_conns": 100}}
-	for i := range shards {
-		gather[i] = shardName(i)
-		services = append(services, map[string]any{"name": gather[i], "max_conns": 26})
-	}
-	kind := "safe"
-	if unsafe {
-		kind = "unsafe"
-	}
-	return map[string]any{
-		"version": c.version,
-		"routes": []map[string]any{
-			{"name": "sweep", "host": "a.example", "prefix": "/sweep/", "type": "safe", "timeout_ms": 10000, "slo_ms": 5000, "priority": 1, "gather": gather, "attempts": 2, "top_k": topK, "oldest_version": 0.75},
-			{"name": "one", "host": "a.example", "prefix": "/one/", "type": kind, "timeout_ms": 10000, "slo_ms": 5000, "priority": 2, "service": "single", "attempts": 2},
-		},
-		"services": services,
-		"limits":   map[string]any{"max_header_bytes": 4096, "max_body_bytes": 65536, "header_timeout_ms": 500, "idle_timeout_ms": 5000},
-	}
-}
-
-func (c *cluster) putConfig(config map[string]any) {
-	c.store.PutJSON("op/config", config)
-	c.version++
+	require.NoError(c.t, c.Publish(config))
 }
 
 func (c *cluster) addHost(i int) *host {
@@ -169,7 +110,7 @@
 		StopWithin:  3 * time.Second,
 		Extra:       extrabudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Readers:     func() []string { return nil },
-		Store:       platform.NewStore(c.store.Addr()),
+		Store:       platform.NewStore(c.Store.Addr()),
 		Decode:      platform.Decode,
 		CallerCodec: platform.CallerCodec{},
 		TargetCodec: platform.TargetCodec{},
@@ -219,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Host = "a.example"
+	req.Host = deployment.HostName
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", "9000")
 	resp, err := c.client.Do(req)
--- a/test/edge/crash_test.go
+++ b/test/edge/crash_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/swiftvane/swiftvane/internal/standin/deployment"
 	"github.com/swiftvane/swiftvane/internal/standin/searcher"
 )
 
@@ -27,12 +28,13 @@
 		return searcher.LoseAnswer
 	}})
 	for i := range 5 {
-		c.addSearcher("single", fmt.Sprintf("more-%d", i), "127.0.0.1:0", time.Millisecond)
+		_, err := c.AddSearcher(deployment.Single, fmt.Sprintf("more-%d", i), "127.0.0.1:0")
+		require.NoError(t, err)
 	}
 	crashed := 0
 	mu.Lock()
 	crash = func(id string) {
-		for _, s := range c.searchers["single"] {
+		for _, s := range c.Searchers["single"] {
 			if s.Arrivals()[id] > 0 {
 				crashed++
 				go s.Close()
@@ -43,21 +45,21 @@
 	caller := c.hosts[0].caller()
 	require.Eventually(t, func() bool { return strings.Contains(c.hosts[0].log.String(), "more-4") }, limit, time.Millisecond)
 	for i := range 2 {
-		r, err := caller.ask("GET", "/one/poison", fmt.Sprintf("poison-%d", i), nil)
+		r, err := caller.ask("GET", "/read/poison", fmt.Sprintf("poison-%d", i), nil)
 		require.NoError(t, err)
 		require.Equal(t, 502, r.status)
 		time.Sleep(700 * time.Millisecond)
 	}
 	before := crashed
 	require.LessOrEqual(t, before, 6)
-	r, err := caller.ask("GET", "/one/poison", "poison-last", nil)
+	r, err := caller.ask("GET", "/read/poison", "poison-last", nil)
 	require.NoError(t, err)
 	require.Equal(t, 503, r.status)
 	require.NotEmpty(t, r.header.Get("Retry-After"))
-	for _, s := range c.searchers["single"] {
+	for _, s := range c.Searchers["single"] {
 		require.Zero(t, s.Arrivals()["poison-last"])
 	}
-	r, err = caller.ask("GET", "/one/other", "innocent", nil)
+	r, err = caller.ask("GET", "/read/other", "innocent", nil)
 	require.NoError(t, err)
 	require.Equal(t, 200, r.status)
 }
--- a/test/edge/overload_test.go
+++ b/test/edge/overload_test.go
@@ -41,7 +41,7 @@
 		if status != 503 {
 			continue
 		}
-		for _, list := range c.searchers {
+		for _, list := range c.Searchers {
 			for _, s := range list {
 				require.Zero(t, s.Arrivals()[id], "%s was refused and reached a target", id)
 			}
--- a/test/edge/sweep_test.go
+++ b/test/edge/sweep_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/standin/searcher"
 )
 
@@ -74,7 +75,7 @@
 func TestAPausedTargetIsHedged(t *testing.T) {
 	c := start(t, options{work: time.Millisecond})
 	caller := c.hosts[0].caller()
-	resume := c.searchers[shardName(3)][0].Pause()
+	resume := c.Searchers[shardName(3)][0].Pause()
 	defer resume()
 	for i := range 10 {
 		id := fmt.Sprintf("pause-%d", i)
@@ -86,7 +87,7 @@
 
 func TestALostShardIsSaidToBeMissing(t *testing.T) {
 	c := start(t, options{work: time.Millisecond})
-	for _, s := range c.searchers[shardName(5)] {
+	for _, s := range c.Searchers[shardName(5)] {
 		s.Close()
 	}
 	caller := c.hosts[0].caller()
@@ -101,7 +102,7 @@
 func TestASweepBelowTheLeastCoverageIsRefusedUnrun(t *testing.T) {
 	c := start(t, options{work: time.Millisecond})
 	for i := range 3 {
-		for _, s := range c.searchers[shardName(i)] {
+		for _, s := range c.Searchers[shardName(i)] {
 			s.Close()
 		}
 	}
@@ -114,7 +115,7 @@
 	require.NoError(t, err)
 	require.Equal(t, 503, r.status)
 	require.NotEmpty(t, r.header.Get("Retry-After"))
-	for _, list := range c.searchers {
+	for _, list := range c.Searchers {
 		for _, s := range list {
 			require.Zero(t, s.Arrivals()["refused-1"], "a refused sweep reaches no target")
 		}
@@ -123,21 +124,19 @@
 
 func TestARepartitionNeverMixesVersions(t *testing.T) {
 	c := start(t, options{work: time.Millisecond})
-	old := c.config(false)
-	next := c.config(false)
-	gather := []string{}
+	next := c.Config()
+	gather := []catalog.ServiceName{}
 	for i := range shards {
 		name := newShardName(i)
-		c.addService(name, replicas, time.Millisecond)
-		gather = append(gather, name)
+		require.NoError(t, c.AddService(name, replicas))
+		gather = append(gather, catalog.ServiceName(name))
 	}
-	next["routes"].([]map[string]any)[0]["gather"] = gather
-	next["version"] = old["version"].(int64) + 1
+	next.Routes[0].Shards = gather
 	caller := c.hosts[0].caller()
 	changed := false
 	for i := range 200 {
 		if i == 20 {
-			c.putConfig(next)
+			c.publish(next)
 		}
 		id := fmt.Sprintf("part-%d", i)
 		r, err := caller.ask("GET", "/sweep/x", id, nil)
--- a/test/edge/unsafe_test.go
+++ b/test/edge/unsafe_test.go
@@ -22,14 +22,14 @@
 		searcher.None, searcher.None, searcher.None, searcher.Shed, searcher.FailRun,
 		searcher.LoseAnswer, searcher.CutAnswer, searcher.TwoAnswers, searcher.NoLength,
 	}
-	c := start(t, options{hosts: 2, work: time.Millisecond, unsafe: true, fault: func(string, string) searcher.Fault {
+	c := start(t, options{hosts: 2, work: time.Millisecond, fault: func(string, string) searcher.Fault {
 		mu.Lock()
 		defer mu.Unlock()
 		return faults[random.IntN(len(faults))]
 	}})
 	outcomes := sendUnsafe(c, 300)
 	runs := map[string]int{}
-	for _, s := range c.searchers["single"] {
+	for _, s := range c.Searchers["single"] {
 		for id, n := range s.Runs() {
 			runs[id] += n
 		}
@@ -58,7 +58,7 @@
 			for i := range n / callers {
 				id := fmt.Sprintf("unsafe-%d-%d", k, i)
 				status := 0
-				if r, err := caller.ask("POST", "/one/x", id, []byte("body")); err == nil {
+				if r, err := caller.ask("POST", "/order/x", id, []byte("body")); err == nil {
 					status = r.status
 				}
 				mu.Lock()
@@ -68,7 +68,7 @@
 		})
 	}
 	time.Sleep(100 * time.Millisecond)
-	c.searchers["single"][0].Close()
+	c.Searchers["single"][0].Close()
 	time.Sleep(50 * time.Millisecond)
 	c.hosts[1].edge.Stop()
 	all.Wait()
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"os"
 	"os/exec"
@@ -72,6 +73,14 @@
 	require.NoError(tb, p.cmd.Process.Signal(signal), p.Name)
 }
 
+// SignalIfRunning sends a signal unless the process has ended.
+func (p *Process) SignalIfRunning(tb testing.TB, signal syscall.Signal) {
+	tb.Helper()
+	if err := p.cmd.Process.Signal(signal); !errors.Is(err, os.ErrProcessDone) {
+		require.NoError(tb, err, p.Name)
+	}
+}
+
 // Kill ends the process with SIGKILL and waits for its end.
 func (p *Process) Kill(tb testing.TB) {
 	tb.Helper()
--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -41,12 +41,14 @@
 	store *faultproxy.Proxy
 	peer  *faultproxy.Proxy
 
+	// changing is held while the daemon is started or ended. One that is to end
+	// may be stopped and must still be told to go on, so signals don't need it.
+	changing sync.Mutex
+	started  bool
+
 	mu      sync.Mutex
 	process *harness.Process
-	started bool
-	// asked is set while the process was told to end.
-	asked bool
-	logs  []*harness.Process
+	all     []*harness.Process
 }
 
 func (w *world) addHosts(n int) {
@@ -97,37 +99,38 @@
 
 // start runs the daemon unless it runs, with settings that are right.
 func (h *host) start() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+	h.changing.Lock()
+	defer h.changing.Unlock()
 	if h.started {
 		return
 	}
 	h.setFile(h.good)
-	h.process = harness.StartDaemon(h.world.t, h.name, platform.SettingsVariable+"="+h.file)
-	h.logs = append(h.logs, h.process)
-	h.started, h.asked = true, false
+	process := harness.StartDaemon(h.world.t, h.name, platform.SettingsVariable+"="+h.file)
+	h.started = true
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.process = process
+	h.all = append(h.all, process)
 }
 
 // kill ends the daemon at once.
 func (h *host) kill() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+	h.changing.Lock()
+	defer h.changing.Unlock()
 	if !h.started {
 		return
 	}
-	h.asked = true
 	h.process.Kill(h.world.t)
 	h.started = false
 }
 
 // terminate asks the daemon to end and waits for it.
 func (h *host) terminate() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+	h.changing.Lock()
+	defer h.changing.Unlock()
 	if !h.started {
 		return
 	}
-	h.asked = true
 	h.process.Terminate(h.world.t)
 	require.Zero(h.world.t, h.process.ExitCode(h.world.t), "%s after SIGTERM", h.name)
 	h.started = false
@@ -137,9 +140,7 @@
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.started {
-		h.process.Signal(h.world.t, s)
-	}
+	h.process.SignalIfRunning(h.world.t, s)
 }
 
 func (h *host) isReady() bool {
@@ -166,7 +167,7 @@
 func (w *world) checkProcesses() {
 	for _, h := range w.hosts {
 		require.False(w.t, h.process.Exited(), "%s ended by itself", h.name)
-		for _, p := range h.logs {
+		for _, p := range h.all {
 			lines := strings.Split(strings.TrimSpace(p.Log()), "\n")
 			for i, line := range lines {
 				cut := i == len(lines)-1
