--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -85,15 +85,6 @@
 	return s.write(item{Key: key, Value: base64.StdEncoding.EncodeToString(value)})
 }
 
-// PutJSON writes a key with a value encoded as JSON.
-func (s *Store) PutJSON(key string, value any) int64 {
-	raw, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	return s.Put(key, raw)
-}
-
 // Delete removes a key.
 func (s *Store) Delete(key string) int64 { return s.write(item{Key: key, Deleted: true}) }
 
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -8,6 +8,9 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/swiftvane/swiftvane/internal/standin/deployment"
+	"github.com/swiftvane/swiftvane/platform"
 )
 
 const (
@@ -85,9 +88,9 @@
 		a.err = err
 		return a
 	}
-	req.Host = "a.example"
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	req.Host = deployment.HostName
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(patience.Milliseconds(), 10))
 	resp, err := client.Do(req)
 	if err != nil {
 		a.err = err
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/swiftvane/swiftvane/internal/standin/deployment"
 	"github.com/swiftvane/swiftvane/internal/standin/searcher"
+	"github.com/swiftvane/swiftvane/platform"
 	"github.com/swiftvane/swiftvane/test/harness"
 )
 
@@ -26,7 +28,7 @@
 			for _, route := range []string{"sweep", "read", "order"} {
 				a := w.ask(client, h, route, fmt.Sprintf("%s-after-%s-%d", route, h.name, n))
 				w.ledger.add(a)
-				ok = ok && a.err == nil && a.status == 200 && (route != "sweep" || a.header.Get("Missing-Parts") == "0")
+				ok = ok && a.err == nil && a.status == 200 && (route != "sweep" || a.header.Get(platform.HeaderMissingParts) == "0")
 			}
 			whole++
 			if !ok {
@@ -41,7 +43,7 @@
 func (w *world) check() {
 	w.checkProcesses()
 	ids := w.allIDs()
-	runs := w.sum(single, (*searcher.Searcher).Runs)
+	runs := w.sum(deployment.Single, (*searcher.Searcher).Runs)
 	served := map[string]int{}
 	for _, a := range w.ledger.attempts {
 		if a.err == nil && a.status == 200 {
@@ -70,27 +72,27 @@
 
 // checkAnswer checks that an answer is one to its request and whole.
 func (w *world) checkAnswer(a attempt, ids map[string][]string) {
-	require.Equal(w.t, a.id, a.header.Get("Request-Id"))
+	require.Equal(w.t, a.id, a.header.Get(platform.HeaderRequestID))
 	if a.route == "sweep" {
 		w.checkSweep(a, ids)
 		return
 	}
 	signed := false
-	for _, id := range ids[single] {
-		signed = signed || a.header.Get("Response-Stamp") == searcher.Signature(single, id, a.id)
+	for _, id := range ids[deployment.Single] {
+		signed = signed || a.header.Get(platform.HeaderSignature) == searcher.Signature(deployment.Single, id, a.id)
 	}
 	require.True(w.t, signed, "the signature of %s is not of this request", a.id)
-	require.Equal(w.t, searcher.Records(single, a.id, nil, records), a.body, a.id)
+	require.Equal(w.t, searcher.Records(deployment.Single, a.id, nil, records), a.body, a.id)
 }
 
 func (w *world) checkSweep(a attempt, ids map[string][]string) {
-	missing, err := strconv.Atoi(a.header.Get("Missing-Parts"))
+	missing, err := strconv.Atoi(a.header.Get(platform.HeaderMissingParts))
 	require.NoError(w.t, err, a.id)
 	sweep := searcher.Sweep{ID: a.id, Missing: missing, Body: a.body}
-	sweep.Signatures = strings.Split(a.header.Get("Part-Stamps"), ", ")
+	sweep.Signatures = strings.Split(a.header.Get(platform.HeaderPartSignatures), ", ")
 	targets := map[string][]string{}
 	for i := range shards {
-		targets[shardName(i)] = ids[shardName(i)]
+		targets[deployment.Shard(i)] = ids[deployment.Shard(i)]
 	}
 	require.NoError(w.t, sweep.Check(targets, topK, records), a.id)
 	require.LessOrEqual(w.t, missing, shards/2, a.id)
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -66,12 +66,12 @@
 	// The store fails for all.
 	func(w *world) func() {
 		kinds := []store.Fault{store.Busy, store.TooMany, store.Silent, store.Garbled}
-		w.store.SetFault(kinds[w.pick(len(kinds))])
-		return func() { w.store.SetFault(store.None) }
+		w.platform.Store.SetFault(kinds[w.pick(len(kinds))])
+		return func() { w.platform.Store.SetFault(store.None) }
 	},
 	// The store forgets its history.
 	func(w *world) func() {
-		w.store.Compact()
+		w.platform.Store.Compact()
 		return nothing
 	},
 	// Links break: one host's to the store, hosts' among each other, a target's.
@@ -98,7 +98,7 @@
 	// The configuration changes several times.
 	func(w *world) func() {
 		for range 1 + w.pick(4) {
-			w.putConfig()
+			w.publish()
 		}
 		return nothing
 	},
--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/swiftvane/swiftvane/internal/standin/deployment"
 	"github.com/swiftvane/swiftvane/internal/standin/faultproxy"
 	"github.com/swiftvane/swiftvane/internal/support/loopback"
 	"github.com/swiftvane/swiftvane/platform"
@@ -56,7 +57,7 @@
 	for i := range n {
 		addrs := loopback.Addrs(2)
 		h := &host{world: w, name: fmt.Sprintf("host-%d", i), caller: addrs[0], ready: addrs[1]}
-		h.store = w.proxy(w.store.Addr())
+		h.store = w.proxy(w.platform.Store.Addr())
 		h.peer = w.proxy(control[i])
 		h.file = filepath.Join(w.t.TempDir(), "node.json")
 		w.hosts = append(w.hosts, h)
@@ -82,7 +83,7 @@
 		seeds = append(seeds, other.peer.Addr())
 	}
 	raw, err := json.Marshal(map[string]any{
-		"node_name": h.name, "ip": ip, "zone": "z-1", "seeds": seeds, "bootstrap": false,
+		"node_name": h.name, "ip": ip, "zone": deployment.FailureDomain, "seeds": seeds, "bootstrap": false,
 		"listen_addrs": map[string]string{"front": h.caller, "ready": h.ready, "control": control},
 		"limits":       map[string]any{"memory_mb": 1024},
 		"bounds": map[string]any{
--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -31,10 +31,7 @@
 	defer t.mu.Unlock()
 	t.starts++
 	id := fmt.Sprintf("%s-start-%d", t.name, t.starts)
-	s, err := searcher.Start("127.0.0.1:0", searcher.Options{
-		ID: id, Service: t.service, Slots: 2, Queue: 12, Work: work, Records: records,
-		Fault: func(string) searcher.Fault { return t.world.lie() },
-	})
+	s, err := t.world.platform.RunSearcher(t.service, id, "127.0.0.1:0")
 	require.NoError(t.world.t, err)
 	t.world.t.Cleanup(s.Close)
 	t.current = s
@@ -49,10 +46,7 @@
 }
 
 func (t *target) register() {
-	t.world.store.PutJSON("servers/"+t.id(), map[string]any{
-		"service": t.service, "address": t.proxy.Addr(), "zone": "z-1", "version": "v1", "concurrency": 2,
-		"state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
-	})
+	require.NoError(t.world.t, t.world.platform.Enter(t.service, t.id(), t.proxy.Addr(), false))
 }
 
 // replace ends the searcher and starts another one at the same address.
@@ -60,7 +54,7 @@
 	old := t.id()
 	t.current.Close()
 	t.proxy.Cut()
-	t.world.store.Delete("servers/" + old)
+	t.world.platform.Remove(old)
 	t.start()
 	t.proxy.SetServer(t.current.Addr())
 	t.register()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -9,9 +9,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/standin/deployment"
 	"github.com/swiftvane/swiftvane/internal/standin/faultproxy"
 	"github.com/swiftvane/swiftvane/internal/standin/searcher"
-	"github.com/swiftvane/swiftvane/internal/standin/store"
 	"github.com/swiftvane/swiftvane/test/harness"
 )
 
@@ -22,8 +23,9 @@
 	records  = 12
 	topK     = 10
 	work     = 2 * time.Millisecond
-	// single is the service of requests that go to one target.
-	single = "single"
+	// objective and leastCoverage are those of the routes.
+	objective     = 300 * time.Millisecond
+	leastCoverage = 0.5
 	// ratio, window and slack bound the extra load of a service.
 	ratio  = 0.2
 	window = 10 * time.Second
@@ -32,32 +34,36 @@
 
 // world is everything outside of the hosts, and the hosts.
 type world struct {
-	t       *testing.T
-	store   *store.Store
-	targets []*target
-	hosts   []*host
-	ledger  ledger
-	began   time.Time
+	t *testing.T
+	// platform is the store and the configuration; the searchers are targets'.
+	platform *deployment.Deployment
+	targets  []*target
+	hosts    []*host
+	ledger   ledger
+	began    time.Time
 
-	mu      sync.Mutex
-	random  *rand.Rand
-	version int64
+	mu     sync.Mutex
+	random *rand.Rand
 	// lies is the share of the requests at targets that meet a fault.
 	lies float64
 }
 
 // soak plays one seed.
 func soak(t *testing.T, seed uint64, hosts int, lasting time.Duration) {
-	w := &world{t: t, random: rand.New(rand.NewPCG(seed, seed)), version: 1, began: time.Now()}
+	w := &world{t: t, random: rand.New(rand.NewPCG(seed, seed)), began: time.Now()}
 	var err error
-	w.store, err = store.Start()
+	w.platform, err = deployment.Start(deployment.Options{
+		Shards: shards, Work: work, Records: records, TopK: topK,
+		Timeout: timeout, Objective: objective, LeastCoverage: leastCoverage,
+		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 2 * time.Second, IdleTimeout: 5 * time.Second},
+		Fault:  func(string, string) searcher.Fault { return w.lie() },
+	})
 	require.NoError(t, err)
-	t.Cleanup(w.store.Close)
+	t.Cleanup(w.platform.Close)
 	for i := range shards {
-		w.addTargets(shardName(i), replicas)
+		w.addTargets(deployment.Shard(i), replicas)
 	}
-	w.addTargets(single, singles)
-	w.putConfig()
+	w.addTargets(deployment.Single, singles)
 	w.addHosts(hosts)
 	harness.Eventually(t, "all hosts are ready", w.allReady)
 	stop := w.startCallers()
@@ -67,7 +73,13 @@
 	w.check()
 }
 
-func shardName(i int) string { return fmt.Sprintf("shard-%d", i) }
+// publish puts the configuration in force under the next version. Faults that
+// publish may overlap.
+func (w *world) publish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	require.NoError(w.t, w.platform.Publish(w.platform.Config()))
+}
 
 // pick returns a number from 0 to n-1.
 func (w *world) pick(n int) int {
@@ -112,34 +124,3 @@
 	defer w.mu.Unlock()
 	w.lies = share
 }
-
-// putConfig publishes the configuration under the next version.
-func (w *world) putConfig() {
-	w.mu.Lock()
-	version := w.version
-	w.version++
-	w.mu.Unlock()
-	services := []map[string]any{{"name": single, "max_conns": 40}}
-	gather := make([]string, shards)
-	for i := range gather {
-		gather[i] = shardName(i)
-		services = append(services, map[string]any{"name": gather[i], "max_conns": 40})
-	}
-	one := func(name, kind string) map[string]any {
-		return map[string]any{
-			"name": name, "host": "a.example", "prefix": "/" + name + "/", "type": kind, "service": single,
-			"timeout_ms": timeout.Milliseconds(), "slo_ms": 300, "priority": 2, "attempts": 3,
-		}
-	}
-	w.store.PutJSON("op/config", map[string]any{
-		"version": version, "services": services,
-		"routes": []map[string]any{
-			{
-				"name": "sweep", "host": "a.example", "prefix": "/sweep/", "type": "safe", "gather": gather,
-				"timeout_ms": timeout.Milliseconds(), "slo_ms": 300, "priority": 1, "attempts": 2, "top_k": topK, "oldest_version": 0.5,
-			},
-			one("read", "safe"), one("order", "unsafe"),
-		},
-		"limits": map[string]any{"max_header_bytes": 4096, "max_body_bytes": 65536, "header_timeout_ms": 2000, "idle_timeout_ms": 5000},
-	})
-}
