Let readers look for each other each 0.4 s

Ruled out: the fleet's size rising later (it is held back until it stands still for 1.5 s).

Change: 0.4 s.

--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -24,7 +24,7 @@
 	firstLinkRetry = 100 * time.Millisecond
 	// observeEvery is the pause before a reader that can't be observed is
 	// dialled again.
-	observeEvery = 2 * time.Second
+	observeEvery = 400 * time.Millisecond
 )
 
 // Decoder translates an entry into a change.
