--- a/internal/targets/targetpool/dial.go
+++ b/internal/targets/targetpool/dial.go
@@ -71,11 +71,14 @@
 	if p.moved {
 		return
 	}
-	wanted := p.warm
+	now := time.Now()
+	wanted := 0
+	if !now.Before(p.warmFrom) {
+		wanted = p.warm
+	}
 	if len(p.lost) > 0 {
 		wanted = max(wanted, 1)
 	}
-	now := time.Now()
 	for n := len(p.conns) + p.dialing; n < wanted; n++ {
 		p.dial(now)
 	}
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -1,6 +1,7 @@
 package targetpool
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -134,6 +135,9 @@
 		pool, ok := d.pools[t.ID]
 		if !ok {
 			pool = NewPool(t, &d.opts)
+			if spread := warmSpread(d.hosts); spread > 0 {
+				pool.warmLater(rand.N(spread))
+			}
 			d.pools[t.ID] = pool
 		}
 		if i < own.targets {
--- a/internal/targets/targetpool/placing.go
+++ b/internal/targets/targetpool/placing.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,6 +24,11 @@
 	// fewConns lets a second request start while the first is delayed, where
 	// the target takes that many from each host.
 	fewConns = 2
+	// crowd is the size of a fleet from which on hosts that start together spread
+	// their connections over crowdSpread: each costs a target about as much as a
+	// request, and a target whose queue is long takes fewer.
+	crowd       = 16
+	crowdSpread = 500 * time.Millisecond
 	// fill is the part of a target's connections that the hosts plan with; the
 	// rest is for hosts that don't know of each other yet.
 	fill = 0.9
@@ -57,6 +63,15 @@
 	return share{targets: targets, conns: min(max(conns, 1), mostConns)}
 }
 
+// warmSpread is the time over which a host opens connections that no call waits
+// for yet. A fleet whose size is not known may be large.
+func warmSpread(hosts int) time.Duration {
+	if hosts > 0 && hosts < crowd {
+		return 0
+	}
+	return crowdSpread
+}
+
 // rank orders a service's targets by rendezvous hashing, so that the hosts'
 // shares are spread evenly and change little as targets come and go.
 func rank(host string, targets []*catalog.Target) []*catalog.Target {
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -31,6 +31,8 @@
 	closed  bool
 	// trimming is set while a look for surplus connections is due.
 	trimming bool
+	// warmFrom is when the pool begins to keep connections open without a call.
+	warmFrom time.Time
 	// retryDial is when the next dial may start after one failed.
 	retryDial time.Time
 	// failures counts connections in a row that brought no reply.
@@ -80,6 +82,13 @@
 	}
 }
 
+// warmLater puts the connections that no call waits for off. It is called before
+// the pool is used.
+func (p *Pool) warmLater(after time.Duration) {
+	p.warmFrom = time.Now().Add(after)
+	time.AfterFunc(after, p.redial)
+}
+
 // Target returns the target that the pool is for.
 func (p *Pool) Target() *catalog.Target { return p.target }
 
--- a/internal/wiring/edge/fleetsize.go
+++ b/internal/wiring/edge/fleetsize.go
@@ -33,7 +33,7 @@
 	if f.value == 0 && !right && !f.settled(known, now) {
 		return 0
 	}
-	if known <= 1 && f.value == 0 {
+	if known <= 1 && f.value == 0 && !right {
 		return aloneHosts
 	}
 	if known >= f.value || now.Sub(f.since) > sizeHold {
--- a/internal/wiring/edge/fleetsize_test.go
+++ b/internal/wiring/edge/fleetsize_test.go
@@ -28,6 +28,8 @@
 func TestAHostThatRestartsAloneTakesTheSizeThatOthersCountOn(t *testing.T) {
 	var f fleetSize
 	require.Equal(t, 59, f.see(59, true, time.Now()))
+	var alone fleetSize
+	require.Equal(t, 1, alone.see(1, true, time.Now()), "nobody else is in the settings")
 }
 
 // TestASizeThatStillRisesIsNotCountedOn: after the loss of all hosts they hear
