--- a/internal/tool/demo/command.go
+++ b/internal/tool/demo/command.go
@@ -29,23 +29,32 @@
 
 // NewCommand returns the demo command.
 func NewCommand() *cobra.Command {
-	return &cobra.Command{
+	onPlatform := false
+	cmd := &cobra.Command{
 		Use:   "demo",
 		Short: "Run the whole path in one process on embedded stand-ins",
 		Long: "demo starts a stand-in platform, the 40 targets of a diff review, 4 targets of\n" +
 			"an archive and 3 hosts of the tier in this process. It asks a sweep, a quick\n" +
-			"check and a filing that must not repeat, and prints what came of them.",
+			"check and a filing that must not repeat, and prints what came of them.\n" +
+			"With --platform it shows the mode for the users' platform instead: a store, 44\n" +
+			"targets and 3 hosts, sweeps while targets stand still and end, reads and orders.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return run(cmd.Context(), cmd.OutOrStdout(), cmd.ErrOrStderr())
+			ctx := cmd.Context()
+			if ctx == nil {
+				ctx = context.Background()
+			}
+			if onPlatform {
+				return runPlatform(ctx, cmd.OutOrStdout(), cmd.ErrOrStderr())
+			}
+			return run(ctx, cmd.OutOrStdout(), cmd.ErrOrStderr())
 		},
 	}
+	cmd.Flags().BoolVar(&onPlatform, "platform", false, "show the mode for the users' platform")
+	return cmd
 }
 
 func run(ctx context.Context, out, progress io.Writer) error {
-	if ctx == nil {
-		ctx = context.Background()
-	}
 	say(progress, "starting a platform, 44 targets and %d hosts in this process", demoHosts)
 	starting, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
--- a/internal/tool/demo/demo_test.go
+++ b/internal/tool/demo/demo_test.go
@@ -16,3 +16,12 @@
 	require.Regexp(t, regexp.MustCompile(`baseline sweep .*\| 20 of 20 \|`), out.String())
 	require.Regexp(t, regexp.MustCompile(`filing, sent twice .*\| 1 of 1 .*\| 1 +\|\n`), out.String())
 }
+
+// TestThePlatformsDemoServesAllAndRepeatsNothing checks each row: 200 answers,
+// and no order that ran twice. Which shards miss the objective while a target
+// stands still depends on the machine and is not checked.
+func TestThePlatformsDemoServesAllAndRepeatsNothing(t *testing.T) {
+	var out bytes.Buffer
+	require.NoError(t, runPlatform(t.Context(), &out, io.Discard))
+	require.Len(t, regexp.MustCompile(`\| 200 of 200 +\|.*\| +0 \|\n`).FindAllString(out.String(), -1), len(scenes()), out.String())
+}
--- /dev/null
+++ b/internal/tool/demo/rawcaller.go
@@ -0,0 +1,52 @@
+package demo
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/swiftvane/swiftvane/internal/standin/deployment"
+	"github.com/swiftvane/swiftvane/platform"
+)
+
+// rawAnswer is what a caller of the platform got.
+type rawAnswer struct {
+	status  int
+	missing int
+}
+
+// rawCaller sends requests to one host as the platform's callers do.
+type rawCaller struct {
+	addr   string
+	client *http.Client
+}
+
+func newRawCaller(addr string) *rawCaller { return &rawCaller{addr: addr, client: &http.Client{}} }
+
+func (c *rawCaller) ask(ctx context.Context, route, id string) (rawAnswer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addr+"/"+route+"/x", nil)
+	if err != nil {
+		return rawAnswer{}, eris.Wrap(err, "request")
+	}
+	req.Host = deployment.HostName
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(demoTimeout.Milliseconds(), 10))
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return rawAnswer{}, eris.Wrap(err, "ask")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return rawAnswer{}, eris.Wrap(err, "read the answer")
+	}
+	a := rawAnswer{status: resp.StatusCode}
+	if text := resp.Header.Get(platform.HeaderMissingParts); text != "" {
+		if a.missing, err = strconv.Atoi(text); err != nil {
+			return rawAnswer{}, eris.Wrap(err, "number of missing shards")
+		}
+	}
+	return a, nil
+}
