Keep a floor to measure placing and hedging against

SWIFTVANE_POLICY=floor takes any reachable replica and hedges at 0.35 of the objective; all else stays: the bound on extra load, connections, partial answers. An unknown name is refused at the start.

--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -8,10 +8,12 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
 	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/querypath/relay"
 	"github.com/swiftvane/swiftvane/internal/support/exitcode"
 	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/wiring/edge"
@@ -19,6 +21,8 @@
 )
 
 const (
+	// policyVariable names the policy of placing and hedging, for measurements.
+	policyVariable = "SWIFTVANE_POLICY"
 	// heapShare of the memory limit is the runtime's own limit.
 	heapShare = 0.6
 	// gcPercent lets the heap grow to this many percent of what is in use.
@@ -33,6 +37,10 @@
 	if err != nil {
 		return exitcode.With(exitcode.Usage, err)
 	}
+	policy, err := relay.ParsePolicy(os.Getenv(policyVariable))
+	if err != nil {
+		return exitcode.With(exitcode.Usage, eris.Wrap(err, policyVariable))
+	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(heapShare * float64(node.MemoryBytes)))
 	out := logging.NewBounded(os.Stdout)
@@ -47,7 +55,9 @@
 	defer cancel()
 	file := newNodeFile(path, node, log)
 	go file.run(ctx)
-	host := edge.New(edgeOptions(node, file, log))
+	options := edgeOptions(node, file, log)
+	options.Policy = policy
+	host := edge.New(options)
 	if err := host.Start(); err != nil {
 		return err
 	}
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
@@ -28,6 +27,8 @@
 	Snapshots Snapshots
 	// FailureDomain is the host's own.
 	FailureDomain string
+	// Policy is Adaptive but for measurements.
+	Policy Policy
 	// Guard knows the requests that crash targets.
 	Guard *crashguard.Guard
 }
@@ -121,7 +122,7 @@
 		left = append(left, p)
 		candidates = append(candidates, c)
 	}
-	best := replica.Choose(candidates, usual, rand.Float64)
+	best := e.opts.Policy.pick(candidates, usual)
 	if best < 0 {
 		return choice{}
 	}
--- a/internal/querypath/relay/relay_test.go
+++ b/internal/querypath/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"github.com/leanovate/gopter/prop"
 	"github.com/stretchr/testify/require"
 
+	"github.com/swiftvane/swiftvane/internal/decision/replica"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
@@ -93,3 +94,22 @@
 	require.False(t, s.legs[1].hedged)
 	require.True(t, s.legs[2].hedged && s.legs[3].hedged)
 }
+
+// TestTheFloorTakesAnyTargetAndHedgesAtAFixedTime pins what the policy is
+// measured against.
+func TestTheFloorTakesAnyTargetAndHedgesAtAFixedTime(t *testing.T) {
+	slow := replica.Candidate{Load: replica.Load{Slowness: 10, Room: 1, Limit: 1}}
+	well := replica.Candidate{Load: replica.Load{Slowness: 1, Room: 1, Limit: 1}}
+	taken := map[int]int{}
+	for range 200 {
+		taken[Floor.pick([]replica.Candidate{slow, well}, time.Millisecond)]++
+		require.Equal(t, 1, Adaptive.pick([]replica.Candidate{slow, well}, time.Millisecond))
+	}
+	require.Greater(t, taken[0], 50)
+	require.Equal(t, -1, Floor.pick(nil, time.Millisecond))
+	sent := time.Now()
+	route := &catalog.Route{Objective: 100 * time.Millisecond}
+	require.Equal(t, sent.Add(35*time.Millisecond), Floor.hedgeTime(schedule{}, route, sent, pace{}, true))
+	_, err := ParsePolicy("none")
+	require.Error(t, err)
+}
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -97,7 +97,7 @@
 	l.attempts = append(l.attempts, attempt{call: call, pool: to.pool, begun: now})
 	l.tried = append(l.tried, to.pool)
 	l.open++
-	l.hedgeAt = r.times.hedgeTime(now, r.pace, to.otherReady)
+	l.hedgeAt = r.executor.opts.Policy.hedgeTime(r.times, r.route, now, r.pace, to.otherReady)
 	to.pool.Submit(call)
 }
 
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -196,7 +196,7 @@
 // others have answered. While few have, the delay is this host's own or common to
 // all targets; second attempts would add to it and help no one.
 func (s *sweep) hedge(now time.Time) {
-	if float64(s.settled) < hedgeQuorum*float64(len(s.legs)) {
+	if float64(s.settled) < s.executor.opts.Policy.quorum()*float64(len(s.legs)) {
 		s.hedgeFrom = now.Add(max(time.Duration(hedgeRecheck*float64(s.pace.usual)), time.Millisecond))
 		return
 	}
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -37,6 +37,8 @@
 	// returns the addresses of the hosts that read the store for the others.
 	PeerAddr string
 	Readers  func() []string
+	// Policy is the adaptive one but for measurements.
+	Policy relay.Policy
 	// FirstStart is set where the whole fleet starts and no caller waits yet.
 	FirstStart bool
 	// Store and Decode read the platform's store.
@@ -110,7 +112,7 @@
 	})
 	e.follower = catalogsync.New(e.source, opts.Log, catalogsync.Hooks{OnView: e.directory.Update, OnBatch: e.hub.Publish})
 	executor := relay.NewExecutor(relay.Options{
-		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard,
+		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard, Policy: opts.Policy,
 	})
 	e.server = front.New(front.Options{
 		Codec: opts.CallerCodec, Handler: executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
