Connect first to the replica in the host's own failure domain, where all hosts of it fit

Ruled out: always the near one, since a domain with most of the hosts would fill its targets.

Change: readers count hosts by failure domain and tell it on the links; a host takes the near replica if its domain's hosts, and their part of those without a near one, need at most half of what the target takes, and while the fleet is not known yet.

--- a/internal/hosts/catalogshare/health_test.go
+++ b/internal/hosts/catalogshare/health_test.go
@@ -54,7 +54,7 @@
 	hub.Publish(first)
 	log, _ := test.NewNullLogger()
 	for range 100 {
-		l, err := dial(addr, false, log)
+		l, err := dial(addr, "z-1", false, log)
 		require.NoError(t, err)
 		<-l.messages
 		go func() {
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -21,7 +21,9 @@
 
 // Hub serves a host's entries to the hosts that follow it.
 type Hub struct {
-	log      logrus.FieldLogger
+	log logrus.FieldLogger
+	// domain is the host's own failure domain.
+	domain   string
 	upgrader websocket.FastHTTPUpgrader
 
 	mu        sync.Mutex
@@ -34,16 +36,18 @@
 	guard  *crashguard.Guard
 	board  targethealth.Board
 	onBad  func(targets []string)
-	// told is the number of hosts that the host's own upstream knows, toldSettled
-	// whether that one counts on it.
+	// told is the number of hosts that the host's own upstream knows, toldDomains
+	// the same by failure domain, toldSettled whether that one counts on it.
 	told        int
+	toldDomains map[string]int
 	toldSettled bool
 	settled     bool
 }
 
 type count struct {
-	hosts int
-	at    time.Time
+	hosts   int
+	domains map[string]int
+	at      time.Time
 }
 
 // countFor is how long a count is used after it was last told.
@@ -51,13 +55,15 @@
 
 type follower struct {
 	out     chan []byte
+	domain  string
 	observe bool
 }
 
-// NewHub returns a hub without entries whose notes go to guard.
-func NewHub(guard *crashguard.Guard, log logrus.FieldLogger) *Hub {
+// NewHub returns a hub without entries, of a host in a failure domain, whose
+// notes go to guard.
+func NewHub(domain string, guard *crashguard.Guard, log logrus.FieldLogger) *Hub {
 	return &Hub{
-		log: log, guard: guard, entries: map[string]entry{}, followers: map[*follower]bool{}, others: map[string]count{},
+		log: log, domain: domain, guard: guard, entries: map[string]entry{}, followers: map[*follower]bool{}, others: map[string]count{},
 		upgrader: websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }},
 	}
 }
@@ -164,59 +170,11 @@
 	}
 }
 
-// Hosts is the number of hosts in the fleet as far as this one knows, at least
-// the one itself, and whether a reader that it follows counts on that number.
-func (h *Hub) Hosts() (n int, settled bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.hosts(), h.toldSettled
-}
-
-// Settle notes whether the host itself counts on the number of hosts.
-func (h *Hub) Settle(settled bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.settled = settled
-}
-
-func (h *Hub) hosts() int {
-	sum := h.own()
-	for _, other := range h.others {
-		if time.Since(other.at) < countFor {
-			sum += other.hosts
-		}
-	}
-	return max(sum, h.told)
-}
-
-func (h *Hub) own() int {
-	n := 1
-	for f := range h.followers {
-		if !f.observe {
-			n++
-		}
-	}
-	return n
-}
-
-// observed notes what another reader tells of itself.
-func (h *Hub) observed(addr string, hosts int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.others[addr] = count{hosts: hosts, at: time.Now()}
-}
-
-// tell notes what the upstream knows of the fleet.
-func (h *Hub) tell(hosts int, settled bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.told, h.toldSettled = hosts, settled
-}
-
 // beat is a message without entries. The lock is held.
 func (h *Hub) beat() *message {
 	return &message{
-		Revision: h.revision, AgeMS: time.Since(h.asOf).Milliseconds(), Own: h.own(), Hosts: h.hosts(), Settled: h.settled,
+		Revision: h.revision, AgeMS: time.Since(h.asOf).Milliseconds(), Settled: h.settled,
+		Own: h.own(), OwnDomains: h.ownDomains(), Hosts: h.hosts(), Domains: h.domains(),
 	}
 }
 
@@ -261,15 +219,17 @@
 		ctx.Error("not found", fasthttp.StatusNotFound)
 		return
 	}
-	observe := ctx.QueryArgs().Has(observeQuery)
-	if err := h.upgrader.Upgrade(ctx, func(conn *websocket.Conn) { h.follow(conn, observe) }); err != nil {
+	f := &follower{
+		out: make(chan []byte, outboxMessages), observe: ctx.QueryArgs().Has(observeQuery),
+		domain: string(ctx.QueryArgs().Peek(domainQuery)),
+	}
+	if err := h.upgrader.Upgrade(ctx, func(conn *websocket.Conn) { h.follow(conn, f) }); err != nil {
 		h.log.WithError(err).Info("catalog link refused")
 	}
 }
 
 // follow serves one link in its goroutine.
-func (h *Hub) follow(conn *websocket.Conn, observe bool) {
-	f := &follower{out: make(chan []byte, outboxMessages), observe: observe}
+func (h *Hub) follow(conn *websocket.Conn, f *follower) {
 	h.mu.Lock()
 	if h.revision == 0 {
 		// Nothing is known yet; the host asks another one.
@@ -278,7 +238,7 @@
 		return
 	}
 	first := h.beat()
-	if !observe {
+	if !f.observe {
 		first = h.full()
 	}
 	h.followers[f] = true
--- a/internal/hosts/catalogshare/link.go
+++ b/internal/hosts/catalogshare/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/url"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -24,15 +25,15 @@
 }
 
 // dial opens a link whose messages are read by a goroutine until it ends.
-func dial(addr string, observe bool, log logrus.FieldLogger) (*link, error) {
+func dial(addr, domain string, observe bool, log logrus.FieldLogger) (*link, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	url := "ws://" + addr + sharePath
+	target := "ws://" + addr + sharePath + "?" + domainQuery + "=" + url.QueryEscape(domain)
 	if observe {
-		url += "?" + observeQuery
+		target += "&" + observeQuery
 	}
 	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout}
-	conn, resp, err := dialer.DialContext(ctx, url, nil)
+	conn, resp, err := dialer.DialContext(ctx, target, nil)
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close() //nolint:errcheck // an upgrade's response has no body to lose
 	}
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -14,6 +14,8 @@
 	sharePath = "/catalog"
 	// observeQuery asks for no entries but only for the counts of hosts.
 	observeQuery = "observe"
+	// domainQuery has the failure domain of the host that asks.
+	domainQuery = "domain"
 	// beatEvery is the time between two messages on a link without changes.
 	beatEvery = 400 * time.Millisecond
 	// linkTimeout is how long a link may be silent.
@@ -47,6 +49,9 @@
 	// that follow it. Hosts is the number in the fleet as far as it knows.
 	Own   int `cbor:"6,keyasint"`
 	Hosts int `cbor:"7,keyasint"`
+	// OwnDomains and Domains divide these hosts by their failure domain.
+	OwnDomains map[string]int `cbor:"12,keyasint,omitempty"`
+	Domains    map[string]int `cbor:"13,keyasint,omitempty"`
 	// Settled is set once the sender counts on that number.
 	Settled bool `cbor:"11,keyasint,omitempty"`
 	// Notes tell of requests that crash targets.
--- a/internal/hosts/catalogshare/share_test.go
+++ b/internal/hosts/catalogshare/share_test.go
@@ -42,7 +42,7 @@
 func serve(t *testing.T) (*Hub, string, func()) {
 	t.Helper()
 	log, _ := test.NewNullLogger()
-	hub := NewHub(crashguard.New(), log)
+	hub := NewHub("z-1", crashguard.New(), log)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -62,7 +62,7 @@
 	log, _ := test.NewNullLogger()
 	store := &countingStore{calls: make(chan string, 1000)}
 	return NewSource(Options{
-		Store: store, Decode: plain, Hub: NewHub(crashguard.New(), log), Self: "self",
+		Store: store, Decode: plain, Hub: NewHub("z-1", crashguard.New(), log), Self: "self",
 		Readers: func() []string { return readers }, FirstWait: time.Second, Log: log,
 	}), store
 }
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -145,7 +145,7 @@
 	if m.Revision < revision {
 		return catalogsync.Batch{}, errStale
 	}
-	s.opts.Hub.tell(m.Hosts, m.Settled)
+	s.opts.Hub.tell(m)
 	s.opts.Hub.noteAll(m.Notes)
 	s.opts.Hub.hear(m.Bad)
 	batch := catalogsync.Batch{
@@ -209,7 +209,7 @@
 		if addr == s.opts.Self {
 			continue
 		}
-		l, err := dial(addr, false, s.opts.Log)
+		l, err := dial(addr, s.opts.Hub.domain, false, s.opts.Log)
 		if err == nil {
 			return l
 		}
@@ -246,9 +246,9 @@
 }
 
 func (s *Source) observe(ctx context.Context, addr string, ended chan<- string) {
-	if l, err := dial(addr, true, s.opts.Log); err == nil {
+	if l, err := dial(addr, s.opts.Hub.domain, true, s.opts.Log); err == nil {
 		for m := range l.messages {
-			s.opts.Hub.observed(addr, m.Own)
+			s.opts.Hub.observed(addr, m)
 			s.opts.Hub.noteAll(m.Notes)
 		}
 	}
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -24,8 +24,10 @@
 	// OnCrash is told of each request that a target had when it crashed. It must
 	// not block; it may be nil.
 	OnCrash func(*exchange.Request, *catalog.Target)
-	// Host names this host; it decides which replicas it connects to.
-	Host string
+	// Host names this host; with its failure domain it decides which replicas it
+	// connects to.
+	Host          string
+	FailureDomain string
 }
 
 // Directory holds the pools of all targets of the current view. Traffic reads
@@ -35,7 +37,7 @@
 
 	mu      sync.Mutex
 	view    *catalog.View
-	hosts   int
+	fleet   Fleet
 	started time.Time
 	// slack is this host's part of the slack of each service's budget.
 	slack   float64
@@ -76,18 +78,18 @@
 	d.rebuild()
 }
 
-// SetHosts tells the number of hosts that share the targets' connections and the
-// slack of their budgets, 0 while it is not known. It is called now and then
-// even where the number stays, since the slack also grows with the host's age.
-func (d *Directory) SetHosts(n int) {
+// SetFleet tells the hosts that share the targets' connections and the slack of
+// their budgets. It is called now and then even where these stay, since the
+// slack also grows with the host's age.
+func (d *Directory) SetFleet(f Fleet) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	slack := slackOf(d.opts.Extra, n, time.Since(d.started))
-	if n == d.hosts && slack == d.slack {
+	slack := slackOf(d.opts.Extra, f.Hosts, time.Since(d.started))
+	changed := !f.equal(d.fleet)
+	if !changed && slack == d.slack {
 		return
 	}
-	changed := n != d.hosts
-	d.hosts, d.slack = n, slack
+	d.fleet, d.slack = f, slack
 	for name, b := range d.budgets {
 		b.setShare(slack, d.offset(name))
 	}
@@ -97,7 +99,7 @@
 }
 
 func (d *Directory) offset(name catalog.ServiceName) float64 {
-	return offsetOf(d.opts.Extra, d.opts.Host, name, d.hosts)
+	return offsetOf(d.opts.Extra, d.opts.Host, name, d.fleet.Hosts)
 }
 
 // rebuild publishes a snapshot of the view. The lock is held.
@@ -127,15 +129,19 @@
 // fill opens the pools of a service's targets and divides them into the host's
 // own share and the spare ones.
 func (d *Directory) fill(g *Group, targets []*catalog.Target) {
-	own := shareOf(d.maxConns(g.Service), len(targets), d.hosts)
+	maxConns := d.maxConns(g.Service)
+	own := shareOf(maxConns, len(targets), d.fleet.Hosts)
 	if own.targets < len(targets) {
 		targets = rank(d.opts.Host, targets)
+		if d.fleet.nearFits(d.opts.FailureDomain, targets, maxConns) {
+			targets = nearFirst(d.opts.FailureDomain, targets)
+		}
 	}
 	for i, t := range targets {
 		pool, ok := d.pools[t.ID]
 		if !ok {
 			pool = NewPool(t, &d.opts)
-			if spread := warmSpread(d.hosts); spread > 0 {
+			if spread := warmSpread(d.fleet.Hosts); spread > 0 {
 				pool.warmLater(rand.N(spread))
 			}
 			d.pools[t.ID] = pool
--- a/internal/targets/targetpool/warm_test.go
+++ b/internal/targets/targetpool/warm_test.go
@@ -35,7 +35,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			dialer := &timedDialer{dials: map[string]time.Time{}}
 			d := NewDirectory(Options{Codec: echo.Codec{}, Dialer: dialer, Log: quiet(), Host: "h"})
-			d.SetHosts(hosts)
+			d.SetFleet(Fleet{Hosts: hosts})
 			all := map[catalog.TargetID]*catalog.Target{}
 			for i := range targets {
 				id := catalog.TargetID(fmt.Sprintf("t-%d", i))
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -97,11 +97,11 @@
 			Slack:  opts.Extra.Slack,
 			Window: opts.Extra.Window,
 		},
-		Host:    opts.Host,
+		Host: opts.Host, FailureDomain: opts.FailureDomain,
 		OnCrash: e.crashed,
 	})
 	guard := crashguard.New()
-	e.hub = catalogshare.NewHub(guard, opts.Log)
+	e.hub = catalogshare.NewHub(opts.FailureDomain, guard, opts.Log)
 	e.hub.OnBad(e.distrust)
 	firstWait := time.Duration(0)
 	if opts.FirstStart {
@@ -177,12 +177,13 @@
 	ticker := time.NewTicker(sizeEvery)
 	defer ticker.Stop()
 	var size fleetSize
+	var domains domainSizes
 	now := time.Now()
 	for {
 		known, settled := e.hub.Hosts()
 		hosts := size.see(known, settled || len(e.opts.Readers()) == 0, now)
 		e.hub.Settle(hosts > 0)
-		e.directory.SetHosts(hosts)
+		e.directory.SetFleet(targetpool.Fleet{Hosts: hosts, Domains: domains.see(e.hub.Domains(), now)})
 		e.metrics.fleet(hosts, e.follower.View())
 		e.reportHealth(hosts, now)
 		select {
--- a/internal/wiring/edge/fleetsize_test.go
+++ b/internal/wiring/edge/fleetsize_test.go
@@ -44,3 +44,11 @@
 	now = now.Add(sizeSettles)
 	require.Equal(t, 59, f.see(59, false, now))
 }
+
+func TestDomainsFallLate(t *testing.T) {
+	now := time.Now()
+	var d domainSizes
+	require.Equal(t, map[string]int{"a": 2}, d.see(map[string]int{"a": 2}, now))
+	require.Equal(t, map[string]int{"a": 2, "b": 1}, d.see(map[string]int{"a": 1, "b": 1}, now.Add(time.Second)))
+	require.Equal(t, map[string]int{"b": 1}, d.see(map[string]int{"b": 1}, now.Add(2*sizeHold)))
+}
