Don't end on a reload that is asked for during the start

With the exit state in the failure: signal: hangup. SIGHUP came before the daemon waited for signals.

Change: in the platform's mode SIGHUP is ignored from the first line of main until the handler is there, which is now before the settings are read; they are read after it, so nothing is missed. The soak fails at once with the exit state and the log when a daemon ends by itself, and no longer waits a minute.

--- a/cmd/swiftvaned/main.go
+++ b/cmd/swiftvaned/main.go
@@ -8,11 +8,19 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/swiftvane/swiftvane/internal/support/exitcode"
+	"github.com/swiftvane/swiftvane/platform"
 )
 
 func main() {
+	if os.Getenv(platform.SettingsVariable) != "" {
+		// A reload asked for before the settings are read needs nothing more, and
+		// must not end the process.
+		signal.Ignore(syscall.SIGHUP)
+	}
 	err := newCommand().Execute()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "swiftvaned:", err)
--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -33,6 +33,9 @@
 
 // servePlatform runs a host on the users' platform until a signal asks it to stop.
 func servePlatform(path string) error {
+	// First of all: a signal that comes before would end the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	node, err := platform.LoadNode(path)
 	if err != nil {
 		return exitcode.With(exitcode.Usage, err)
@@ -49,8 +52,6 @@
 	if err != nil {
 		return exitcode.With(exitcode.Usage, err)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	file := newNodeFile(path, node, log)
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -114,6 +114,14 @@
 	}
 }
 
+// State says how the process ended, or that it runs.
+func (p *Process) State() string {
+	if !p.Exited() {
+		return "runs"
+	}
+	return p.cmd.ProcessState.String()
+}
+
 // Log returns what the process wrote to standard error.
 func (p *Process) Log() string {
 	content, err := os.ReadFile(p.log)
--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -121,6 +121,7 @@
 	if !h.started {
 		return
 	}
+	h.requireRunning()
 	h.process.Kill(h.world.t)
 	h.started = false
 }
@@ -132,6 +133,7 @@
 	if !h.started {
 		return
 	}
+	h.requireRunning()
 	h.process.Terminate(h.world.t)
 	code := h.process.ExitCode(h.world.t)
 	h.started = false
@@ -142,6 +144,12 @@
 	}
 }
 
+// requireRunning fails the run if the daemon ended without being told to.
+func (h *host) requireRunning() {
+	state := h.process.State()
+	require.Equal(h.world.t, "runs", state, "%s ended by itself; its log: %s", h.name, h.process.Log())
+}
+
 // signal sends a signal to the daemon if it runs.
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
@@ -172,7 +180,7 @@
 // of JSON only.
 func (w *world) checkProcesses() {
 	for _, h := range w.hosts {
-		require.False(w.t, h.process.Exited(), "%s ended by itself", h.name)
+		h.requireRunning()
 		for _, p := range h.all {
 			lines := strings.Split(strings.TrimSpace(p.Log()), "\n")
 			for i, line := range lines {
