--- a/internal/tool/cli/cli_test.go
+++ b/internal/tool/cli/cli_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/face/adminapi"
 	"github.com/swiftvane/swiftvane/internal/support/exitcode"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
 )
 
 const token = "token-token-token-token"
@@ -60,6 +61,20 @@
 	require.Contains(t, stderr, "not_found")
 }
 
+// TestWhereNoHostAnswersTheToolSaysWhatToUseOnThePlatform: hosts there have no
+// administration API.
+func TestWhereNoHostAnswersTheToolSaysWhatToUseOnThePlatform(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "token")
+	require.NoError(t, os.WriteFile(file, []byte("secret"), 0o600))
+	for _, args := range [][]string{{"status"}, {"targets"}, {"quarantine", "list"}, {"drain"}} {
+		var out, errs bytes.Buffer
+		args = append(args, "--admin", "http://"+loopback.Addr(), "--token-file", file)
+		code := Execute(args, Streams{In: strings.NewReader(""), Out: &out, Err: &errs})
+		require.NotEqual(t, exitcode.OK, code)
+		require.Contains(t, errs.String(), "explain reads its logs", "%v", args)
+	}
+}
+
 func TestStatusAsJSONAndAsTable(t *testing.T) {
 	bodies := map[string]string{"GET " + adminapi.PathStatus: `{
 		"self":{"id":"h1","state":"live"},"config":{"revision":7,"digest":"00000000000000aa"},
--- a/internal/tool/cli/options.go
+++ b/internal/tool/cli/options.go
@@ -63,11 +63,15 @@
 	return nil
 }
 
+// noAdministration says what to use where no host answers.
+const noAdministration = "A host on the\nusers' platform serves no administration API and no /v1/query: there the platform's store\n" +
+	"holds the configuration, SIGTERM drains a host, its metrics address has its state, and\nexplain reads its logs."
+
 // adminClient returns a client for the administration API. It fails if the token
 // can't be read.
 func (o *options) adminClient() (*adminclient.Client, error) {
 	if o.tokenFile == "" {
-		return nil, usagef("--token-file or $%s is needed", envTokenFile)
+		return nil, usagef("--token-file or $%s is needed. %s", envTokenFile, noAdministration)
 	}
 	token, err := os.ReadFile(o.tokenFile)
 	if err != nil {
--- a/internal/tool/cli/root.go
+++ b/internal/tool/cli/root.go
@@ -6,7 +6,9 @@
 package cli
 
 import (
+	"errors"
 	"fmt"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -20,8 +22,10 @@
 func NewRoot(streams Streams) *cobra.Command {
 	opts := &options{streams: streams}
 	root := &cobra.Command{
-		Use:           "swiftvanectl",
-		Short:         "Ask and operate a swiftvane query tier",
+		Use:   "swiftvanectl",
+		Short: "Ask and operate a swiftvane query tier",
+		Long: "swiftvanectl asks and operates hosts of swiftvane's own interface. " + noAdministration + "\n" +
+			"demo --platform shows that mode.",
 		SilenceErrors: true,
 		SilenceUsage:  true,
 		Args:          cobra.ArbitraryArgs,
@@ -54,5 +58,8 @@
 		return exitcode.OK
 	}
 	_, _ = fmt.Fprintln(streams.Err, "swiftvanectl:", err)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		_, _ = fmt.Fprintln(streams.Err, noAdministration)
+	}
 	return exitcode.Of(err)
 }
