--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogshare"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 	"github.com/swiftvane/swiftvane/internal/querypath/relay"
+	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
@@ -83,11 +84,12 @@
 	cancel    context.CancelFunc
 	// reported is when targets were last reported on; one goroutine uses it.
 	reported time.Time
+	warnings *logging.Budget
 }
 
 // New builds a host; nothing runs yet.
 func New(opts Options) *Edge {
-	e := &Edge{opts: opts, metrics: newMetricsServer(opts.Log)}
+	e := &Edge{opts: opts, metrics: newMetricsServer(opts.Log), warnings: logging.NewBudget(warningLines)}
 	e.directory = targetpool.NewDirectory(targetpool.Options{
 		Codec:  opts.TargetCodec,
 		Dialer: targetpool.TCPDialer{},
