--- a/internal/hosts/catalogshare/doc.go
+++ b/internal/hosts/catalogshare/doc.go
@@ -3,7 +3,8 @@
 //
 // The hosts that the seeds name read the store; each other host keeps one
 // WebSocket link to one of them, on which CBOR messages come. A host without a
-// fresh link calls the store itself. A Hub has one goroutine that sends what
+// fresh link calls the store itself. The links also carry the number of hosts,
+// notes of requests that crash targets, and what hosts saw of targets. A Hub has one goroutine that sends what
 // keeps links alive and one for each link; a Source has one while it dials or
 // has a link.
 package catalogshare
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -34,8 +34,10 @@
 	// others has the number of hosts that each other reader stands for.
 	others map[string]count
 	guard  *crashguard.Guard
-	board  targethealth.Board
-	onBad  func(targets []string)
+	// board has the samples of this host and its followers; onBad is told of the
+	// targets that they, or those of an upstream, found bad.
+	board targethealth.Board
+	onBad func(targets []string)
 	// told is the number of hosts that the host's own upstream knows, toldDomains
 	// the same by failure domain, toldSettled whether that one counts on it.
 	told        int
