Take an empty list of readers for a fleet of one only where others can't reach the host

The platform's list may lag; a host that serves the others' port would have taken all connections and the whole slack until the list comes. Change: alone means no such port and no readers; else the size is unknown, then assumed.

--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -183,7 +183,7 @@
 	now := time.Now()
 	for {
 		known, settled := e.hub.Hosts()
-		hosts := size.see(known, settled || len(e.opts.Readers()) == 0, now)
+		hosts := size.see(known, settled || e.alone(), now)
 		e.hub.Settle(hosts > 0)
 		e.directory.SetFleet(targetpool.Fleet{Hosts: hosts, Domains: domains.see(e.hub.Domains(), now)})
 		e.metrics.fleet(hosts, e.follower.View())
@@ -196,6 +196,10 @@
 	}
 }
 
+// alone reports whether the settings leave no way to or from other hosts. An
+// empty list of readers alone may be filled later.
+func (e *Edge) alone() bool { return e.opts.PeerAddr == "" && len(e.opts.Readers()) == 0 }
+
 // Stop ends the host in order: not ready, then connections close behind their
 // next answer, then idle ones close. It reports whether no request was cut.
 func (e *Edge) Stop() bool {
