--- a/test/edge/overload_test.go
+++ b/test/edge/overload_test.go
@@ -9,12 +9,13 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestOverloadIsRefusedUnrunAndTheRestIsServed sends far more sweeps at once
-// than the targets' slots carry. Those that would wait too long are refused
+// TestOverloadIsRefusedUnrunAndTheRestIsServed sends twice as many sweeps at once
+// as the targets' slots carry within the objective: four slots of a shard and 200 ms
+// of work give 100 in 5 s. Those that would wait too long are refused
 // before any target sees them, and none is held until its time is over.
 func TestOverloadIsRefusedUnrunAndTheRestIsServed(t *testing.T) {
-	const callers = 120
-	c := start(t, options{work: 60 * time.Millisecond})
+	const callers = 200
+	c := start(t, options{work: 200 * time.Millisecond})
 	var mu sync.Mutex
 	statuses := map[string]int{}
 	var all sync.WaitGroup
