--- a/internal/decision/replica/choose.go
+++ b/internal/decision/replica/choose.go
@@ -37,6 +37,9 @@
 	// distrustCost is the added cost of a target that other hosts report as slow or
 	// failing. It exceeds spareCost, so that a healthy spare target is preferred.
 	distrustCost = 3
+	// leavingCost is the added cost of a target that is leaving. It exceeds all others
+	// of a target that can answer, so that a leaving target is the last choice.
+	leavingCost = 100
 	// unreachableCost is the added cost of a target that accepts no connection.
 	unreachableCost = 1000
 	// jitter is the largest random increase of a cost, relative to the cost. It
@@ -69,6 +72,9 @@
 	if l.Room <= 0 {
 		cost += fullCost * float64(1-l.Room)
 	}
+	if l.Leaving {
+		cost += leavingCost
+	}
 	if l.Unreachable {
 		cost += unreachableCost
 	}
--- a/internal/decision/replica/estimate.go
+++ b/internal/decision/replica/estimate.go
@@ -3,15 +3,28 @@
 import "time"
 
 // Estimate returns the expected time until a target answers a request sent now.
-// It depends on the target's speed and on the calls that wait for its connections
-// on this host.
+//
+// It answers the load of callers that arrive faster than the target serves them. With
+// calls in the host's queue, the rate at which the target has worked off the queue so
+// far counts. Until that is known, the target is assumed to take the usual time for
+// each call and to serve as many at once as it has slots and the host connections.
 func Estimate(l Load, usual time.Duration) time.Duration {
 	work := l.Slowness * float64(usual)
 	if l.Room > 0 || l.Limit <= 0 {
 		return time.Duration(work)
 	}
-	rounds := float64(1-l.Room) / float64(l.Limit)
-	return time.Duration(work * (1 + rounds))
+	calls := 1 - l.Room
+	if l.DrainInterval > 0 {
+		return time.Duration(calls+l.Limit) * l.DrainInterval
+	}
+	atOnce := l.Limit
+	if l.Slots > 0 {
+		atOnce = min(l.Limit, l.Slots)
+	}
+	ahead := calls + l.Limit - atOnce
+	// The first slowness of a target is relative to a default and may be far too low.
+	work = max(l.Slowness, 1) * float64(usual)
+	return time.Duration(work * (1 + float64(ahead)/float64(atOnce)))
 }
 
 // QueueExceeds reports whether a request sent now would wait in this host's queue
--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -28,6 +28,8 @@
 	// Expected is the usual response time of such a request.
 	Expected time.Duration
 	Result   Result
+	// Queued is set if calls waited for a connection to the target when it ended.
+	Queued bool
 }
 
 const (
@@ -46,6 +48,9 @@
 
 // Stats holds the statistics of one target. It is not safe for concurrent use.
 type Stats struct {
+	// Slots is the number of requests that the target processes concurrently, 0 if it
+	// is unknown.
+	Slots int
 	// slowness is the moving average of response time over expected response time,
 	// or 0 before the first sample.
 	slowness    float64
@@ -56,6 +61,7 @@
 	// none was in flight.
 	silentSince time.Time
 	outstanding int
+	drain       drain
 }
 
 // Load is a snapshot of the state of a target.
@@ -66,12 +72,18 @@
 	Outstanding int
 	// Stalled is the time without any reply while requests were in flight.
 	Stalled time.Duration
+	// DrainInterval is the mean interval between two replies while calls wait for a
+	// connection, 0 if it is unknown.
+	DrainInterval time.Duration
 	// Idle is the number of connections that a call can use at once.
 	Idle int
 	// Waiting is the number of calls that wait for a connection.
 	Waiting int
-	// Limit is the number of connections that the host may have to the target.
+	// Limit is the number of connections that the host may have to the target, and
+	// Slots the number of requests that the target processes concurrently, 0 if it is
+	// unknown.
 	Limit int
+	Slots int
 	// Room is Limit less the connections in use and the waiting calls. It is
 	// negative if more calls wait than connections are free.
 	Room int
@@ -81,6 +93,17 @@
 	Distrusted bool
 	// Moved is set if another process uses the target's address.
 	Moved bool
+	// Leaving is set if the target has reported that it is leaving, and Left once it
+	// must not be used any more.
+	Leaving bool
+	Left    bool
+	// PauseLeft is the rest of the time for which the target wants no request.
+	PauseLeft time.Duration
+}
+
+// Usable reports whether a request may be sent to the target at all.
+func (l *Load) Usable() bool {
+	return !l.Unreachable && !l.Moved && !l.Left && l.PauseLeft <= 0
 }
 
 // Sent records the start of an exchange.
@@ -95,6 +118,7 @@
 func (s *Stats) Ended(now time.Time, e Exchange) {
 	s.outstanding--
 	s.decay(now)
+	s.drain.ended(now, e.Result, e.Queued, s.Slots)
 	if e.Result != Silent {
 		s.silentSince = now
 	}
@@ -145,7 +169,7 @@
 // are left zero for the caller to set.
 func (s *Stats) Load(now time.Time) Load {
 	idle := now.Sub(s.updated)
-	load := Load{Slowness: 1, Outstanding: s.outstanding}
+	load := Load{Slowness: 1, Outstanding: s.outstanding, Slots: s.Slots, DrainInterval: s.drain.interval()}
 	if s.slowness > 0 {
 		load.Slowness = 1 + (s.slowness-1)*decayFactor(idle)
 	}
--- a/internal/face/entry/once.go
+++ b/internal/face/entry/once.go
@@ -21,10 +21,19 @@
 // recorded outcome yet.
 const outcomeRetryAfter = time.Second
 
+const (
+	// outcomeWait bounds how long a resend waits for the outcome of an earlier attempt,
+	// whose answer may reach the caller before the outcome reaches the witnesses.
+	outcomeWait = 500 * time.Millisecond
+	// outcomePollFirst is the pause before the first further claim of such a resend; each
+	// later pause is twice as long.
+	outcomePollFirst = 20 * time.Millisecond
+)
+
 // executeAtMostOnce claims the query's id before anything is sent to a target,
 // executes the query and records its outcome for resends.
 func (s *Server) executeAtMostOnce(ctx context.Context, c *fiber.Ctx, q *call) error {
-	err := s.opts.Claims.Claim(ctx, q.id, q.fingerprint(), q.deadline)
+	err := s.claim(ctx, q)
 	if duplicate, ok := errors.AsType[*claim.Duplicate](err); ok {
 		return s.writeDuplicate(c, q.id.Value, duplicate)
 	}
@@ -47,6 +56,38 @@
 	return s.writeAnswer(c, q.id.Value, answer)
 }
 
+// claim claims the query's id. If the id is held by an earlier attempt without an
+// outcome, it claims again for at most outcomeWait and within the query's deadline.
+func (s *Server) claim(ctx context.Context, q *call) error {
+	until := time.Now().Add(outcomeWait)
+	if q.deadline.Before(until) {
+		until = q.deadline
+	}
+	for pause := outcomePollFirst; ; pause *= 2 {
+		err := s.opts.Claims.Claim(ctx, q.id, q.fingerprint(), q.deadline)
+		duplicate, ok := errors.AsType[*claim.Duplicate](err)
+		if !ok || duplicate.Outcome != nil || !sleepUntil(ctx, time.Now().Add(pause), until) {
+			return err
+		}
+	}
+}
+
+// sleepUntil waits until the given time. It returns false at once if that is after
+// limit, and when ctx ends.
+func sleepUntil(ctx context.Context, at, limit time.Time) bool {
+	if at.After(limit) {
+		return false
+	}
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // outcomeOf returns a function that encodes a failure as the recorded outcome of id.
 func outcomeOf(id requestid.ID) func(*verdict.Error) claim.Outcome {
 	return func(failure *verdict.Error) claim.Outcome {
--- a/internal/face/entry/once_test.go
+++ b/internal/face/entry/once_test.go
@@ -47,6 +47,23 @@
 	require.Len(t, f.executed, 1)
 }
 
+// TestAtMostOnceResendWaitsForOutcomeOnItsWayToWitnesses covers a resend that comes
+// right after the first answer, before its outcome has reached the witnesses.
+func TestAtMostOnceResendWaitsForOutcomeOnItsWayToWitnesses(t *testing.T) {
+	f := &fakes{}
+	s := newTestServer(f)
+	id, body := orderWithID(t)
+	status, _, first := post(t, s, body)
+	require.Equal(t, 200, status)
+	outcome := f.recorded[id]
+
+	f.unresolved, f.claimErr = 3, &claim.Duplicate{Outcome: &outcome}
+	status, _, second := post(t, s, body)
+	require.Equal(t, 200, status)
+	require.JSONEq(t, string(first), string(second))
+	require.Len(t, f.executed, 1)
+}
+
 func TestAtMostOnceResendOfUnfinishedRequestIsUnknown(t *testing.T) {
 	f := &fakes{claimErr: &claim.Duplicate{}}
 	_, body := orderWithID(t)
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -14,6 +14,8 @@
 	Shapes []fixture.Shape
 	// Hosts is the host list that is published at the start; nil for an empty one.
 	Hosts *model.HostList
+	// FullCoverage lists the workloads whose answers must cover every shard.
+	FullCoverage []model.WorkloadName
 	// Faults are set on every target at the start.
 	Faults target.Faults
 	// QueueLimit is the queue limit of each target; zero selects the default.
@@ -54,6 +56,10 @@
 	if err != nil {
 		return err
 	}
+	for _, workload := range options.FullCoverage {
+		key, exception := fixture.FullCoverage(workload)
+		doc.Keys[key] = exception
+	}
 	c.Platform, err = platform.Start(platform.Settings{Document: doc, Hosts: options.Hosts})
 	return err
 }
--- a/internal/tool/demo/command.go
+++ b/internal/tool/demo/command.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/standin/cluster"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/internal/standin/target"
@@ -58,10 +59,13 @@
 	printProgress(progress, "starting a platform, 44 targets and %d hosts in this process", demoHosts)
 	starting, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
+	sweeps := fixture.DiffReview()
 	tier, err := embedded.Start(starting, embedded.Options{
 		Hosts: demoHosts,
 		Cluster: cluster.Options{
-			Shapes: []fixture.Shape{fixture.DiffReview(), fixture.AuditArchive()},
+			Shapes: []fixture.Shape{sweeps, fixture.AuditArchive()},
+			// Without it, a slow machine gets answers without the stragglers.
+			FullCoverage: []model.WorkloadName{sweeps.Workload},
 			Faults: target.Faults{
 				LatencyMedianUS: latencyMedianUS,
 				LatencySigma:    latencySigma,
--- a/internal/tool/demo/querydemo.go
+++ b/internal/tool/demo/querydemo.go
@@ -23,7 +23,7 @@
 	// queriesPerStep is the number of queries of each sweep or check step, enough for
 	// hedging to estimate the latency of the services.
 	queriesPerStep = 200
-	deadline       = 2 * time.Second
+	deadline       = 10 * time.Second
 	maxAttempts    = 3
 )
 
