--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -88,6 +88,7 @@
 		ReadyAddr:     node.ReadyAddr,
 		ReadyPath:     platform.ReadyPath,
 		StopWithin:    node.StopWithin,
+		DrainWithin:   node.DrainWithin,
 		Extra:         extrabudget.Limit{Ratio: node.Extra.Ratio, Slack: node.Extra.Slack, Window: node.Extra.Window},
 		PeerAddr:      node.PeerAddr,
 		FirstStart:    node.FirstStart,
--- a/internal/domain/catalog/view.go
+++ b/internal/domain/catalog/view.go
@@ -7,8 +7,8 @@
 type View struct {
 	// Config is nil until a configuration has been read.
 	Config *Config
-	// Revision is the store revision that the view reflects.
-	Revision int64
+	// Position is the store position that the view reflects.
+	Position Position
 	// ByService lists the targets that take new work, sorted by ID.
 	ByService map[ServiceName][]*Target
 	// Targets holds all known targets, including leaving ones.
@@ -17,8 +17,8 @@
 
 // NewView returns a view of targets, grouped by service. The view keeps the map,
 // which must not change afterwards.
-func NewView(config *Config, revision int64, targets map[TargetID]*Target) *View {
-	v := &View{Config: config, Revision: revision, ByService: map[ServiceName][]*Target{}, Targets: targets}
+func NewView(config *Config, position Position, targets map[TargetID]*Target) *View {
+	v := &View{Config: config, Position: position, ByService: map[ServiceName][]*Target{}, Targets: targets}
 	for _, t := range targets {
 		if !t.Leaving {
 			v.ByService[t.Service] = append(v.ByService[t.Service], t)
--- a/internal/domain/exchange/account.go
+++ b/internal/domain/exchange/account.go
@@ -1,6 +1,10 @@
 package exchange
 
-import "time"
+import (
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+)
 
 // Trace records how a request was served. Every answer to a request whose serving
 // began has one. Legs is filled in only if the answer failed, was late or lacks a
@@ -8,10 +12,10 @@
 type Trace struct {
 	Route string
 	Sweep bool
-	// ConfigVersion and Revision are the configuration version and the store
-	// revision under which the request was served.
+	// ConfigVersion and Position are the configuration version and the store
+	// position under which the request was served.
 	ConfigVersion int64
-	Revision      int64
+	Position      catalog.Position
 	Objective     time.Duration
 	// Hedges counts additional attempts sent while an earlier one was late, Retries
 	// those sent after a failed one, and Denied those that the bound on extra load
--- a/internal/domain/exchange/answer.go
+++ b/internal/domain/exchange/answer.go
@@ -36,6 +36,7 @@
 	TooSlow         Reason = "request_too_slow"
 	NoTarget        Reason = "no_target"
 	NoRoom          Reason = "no_room"
+	TargetsPaused   Reason = "targets_paused"
 	TargetFailed    Reason = "target_failed"
 	TargetSilent    Reason = "target_silent"
 	LowCoverage     Reason = "low_coverage"
--- a/internal/domain/exchange/reply.go
+++ b/internal/domain/exchange/reply.go
@@ -23,6 +23,12 @@
 	Body    []byte
 	// Closes is set if the target closes the connection after the reply.
 	Closes bool
+	// Leaving is set if the target reported that it is leaving.
+	Leaving bool
+	// Pause is how long the target wants no further request, in a reply that refuses
+	// one; zero if it does not say. InvalidPause is set if it said so unreadably.
+	Pause        time.Duration
+	InvalidPause bool
 	// IdleTimeout is how long the target keeps an idle connection open; zero if
 	// the reply does not state it.
 	IdleTimeout time.Duration
--- a/internal/hosts/catalogshare/health_test.go
+++ b/internal/hosts/catalogshare/health_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 // TestUnhealthyTargetIsReportedFromSamplesOfSeveralFollowers reports one bad
@@ -25,7 +26,7 @@
 		source, _ := newSource(addr)
 		notified := make(chan []string, 100)
 		source.opts.Hub.OnUnhealthyTargets(func(targets []string) { notified <- targets })
-		_, err := source.Read()
+		_, err := source.Read(catalog.Position{})
 		require.NoError(t, err)
 		sources, notifications = append(sources, source), append(notifications, notified)
 	}
@@ -36,7 +37,7 @@
 	for i, source := range sources {
 		require.Eventually(t, func() bool {
 			source.Report(append(healthy, targethealth.Sample{Target: "slow", Bad: 1}))
-			_, err := source.Watch(7, time.Second)
+			_, err := source.Watch(at(7), time.Second)
 			require.NoError(t, err)
 			return i < len(sources)-1 || len(notifications[i]) > 0
 		}, eventuallyTimeout, time.Millisecond)
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -12,6 +12,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 )
 
@@ -27,9 +28,11 @@
 	domain   string
 	upgrader websocket.FastHTTPUpgrader
 
-	mu        sync.Mutex
-	entries   map[string]entry
-	revision  int64
+	mu       sync.Mutex
+	entries  map[string]entry
+	position catalog.Position
+	// config is the newest configuration seen; its Config is nil before the first.
+	config    catalogsync.Change
 	asOf      time.Time
 	followers map[*follower]bool
 	// readerCounts has the latest counts of each other reader, by its address.
@@ -40,6 +43,10 @@
 	// this host follows, reports as unhealthy.
 	health      targethealth.Aggregator
 	onUnhealthy func(targets []string)
+	// leaving has the targets reported as leaving, with the time of the report.
+	// onLeaving is called with each new one.
+	leaving   map[LeavingTarget]time.Time
+	onLeaving func(LeavingTarget)
 	// The upstream fields are the latest counts of the reader that this host
 	// follows, and whether that reader considers them settled.
 	upstreamHosts   int
@@ -74,6 +81,7 @@
 func NewHub(domain string, guard *crashguard.Guard, log logrus.FieldLogger) *Hub {
 	return &Hub{
 		log: log, domain: domain, guard: guard, entries: map[string]entry{}, followers: map[*follower]bool{}, readerCounts: map[string]hostCount{},
+		leaving:  map[LeavingTarget]time.Time{},
 		upgrader: websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }},
 	}
 }
@@ -143,25 +151,41 @@
 	}
 	m := h.newMessage()
 	for i := range b.Changes {
-		c := &b.Changes[i]
-		e := entry{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}
-		m.Entries = append(m.Entries, e)
-		if c.Deleted {
-			delete(h.entries, c.Key)
-		} else {
-			h.entries[c.Key] = e
-		}
+		m.Entries = append(m.Entries, h.applyChange(&b.Changes[i]))
+	}
+	if _, listed := h.entries[h.config.Key]; b.Full && !listed && h.config.Config != nil {
+		m.Entries = append(m.Entries, h.applyChange(&h.config))
 	}
-	h.revision = max(h.revision, b.Revision)
+	h.position = h.position.Later(b.Position)
 	h.asOf = b.AsOf
 	if len(h.followers) == 0 || len(m.Entries) == 0 && !b.AfterOutage {
 		return
 	}
-	m.Full, m.AfterOutage, m.Revision = b.Full, b.AfterOutage, h.revision
+	m.Full, m.AfterOutage = b.Full, b.AfterOutage
+	m.Era, m.Revision = h.position.Era, h.position.Revision
 	m.AgeMS = time.Since(h.asOf).Milliseconds()
 	h.broadcast(m)
 }
 
+// applyChange applies a change to the hub's entries and returns its entry. The newest
+// configuration takes the place of an older one, which a store that came back from an
+// older copy returns. The caller holds the lock.
+func (h *Hub) applyChange(c *catalogsync.Change) entry {
+	if c.Config != nil && (h.config.Config == nil || c.Config.Version > h.config.Config.Version) {
+		h.config = *c
+	}
+	if c.Kind == catalogsync.ConfigChange && h.config.Config != nil {
+		c = &h.config
+	}
+	e := entry{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}
+	if c.Deleted {
+		delete(h.entries, c.Key)
+	} else {
+		h.entries[c.Key] = e
+	}
+	return e
+}
+
 // AddCrashReport adds a crash report to the guard and, if it is new, sends it to
 // the followers.
 func (h *Hub) AddCrashReport(report crashguard.CrashReport) {
@@ -186,7 +210,7 @@
 // holds the lock.
 func (h *Hub) newMessage() *message {
 	return &message{
-		Revision: h.revision, AgeMS: time.Since(h.asOf).Milliseconds(), Settled: h.settled,
+		Era: h.position.Era, Revision: h.position.Revision, AgeMS: time.Since(h.asOf).Milliseconds(), Settled: h.settled,
 		OwnHosts: h.ownHosts(), OwnDomains: h.ownDomains(), Hosts: h.hosts(), Domains: h.domains(),
 	}
 }
@@ -198,6 +222,9 @@
 	for _, e := range h.entries {
 		m.Entries = append(m.Entries, e)
 	}
+	for t := range h.leaving {
+		m.Leaving = append(m.Leaving, t)
+	}
 	return m
 }
 
@@ -247,7 +274,7 @@
 // serveLink writes to one link until it ends.
 func (h *Hub) serveLink(conn *websocket.Conn, f *follower) {
 	h.mu.Lock()
-	if h.revision == 0 {
+	if h.position.IsZero() {
 		// There are no entries yet: closing makes the peer try another reader.
 		h.mu.Unlock()
 		closeLink(conn, h.log)
@@ -295,6 +322,7 @@
 			return
 		}
 		h.addCrashReports(m.CrashReports)
+		h.addLeaving(m.Leaving)
 		h.addSamples(m.Samples)
 	}
 }
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 const (
@@ -37,12 +38,22 @@
 	Deleted  bool   `cbor:"4,keyasint,omitempty"`
 }
 
+// LeavingTarget identifies a start of a target that has reported in an answer that it
+// is leaving.
+type LeavingTarget struct {
+	Target string `cbor:"1,keyasint"`
+	// Born distinguishes starts under one id, see catalog.Target.
+	Born int64 `cbor:"2,keyasint,omitempty"`
+}
+
 // message is sent in both directions of a link. A hub fills all fields but
-// Samples; a follower sends only CrashReports and Samples.
+// Samples; a follower sends only CrashReports, Leaving and Samples.
 type message struct {
 	// Full messages hold all entries, others only changed ones.
-	Full     bool    `cbor:"1,keyasint,omitempty"`
+	Full bool `cbor:"1,keyasint,omitempty"`
+	// Revision and Era are the sender's position in the store's history.
 	Revision int64   `cbor:"2,keyasint"`
+	Era      int64   `cbor:"14,keyasint,omitempty"`
 	Entries  []entry `cbor:"3,keyasint,omitempty"`
 	// AgeMS is the age of the sender's data, in milliseconds since its last
 	// successful call to the store.
@@ -60,6 +71,8 @@
 	Settled bool `cbor:"11,keyasint,omitempty"`
 	// CrashReports are new reports of requests that crashed targets.
 	CrashReports []crashguard.CrashReport `cbor:"8,keyasint,omitempty"`
+	// Leaving are targets that have newly reported that they are leaving.
+	Leaving []LeavingTarget `cbor:"15,keyasint,omitempty"`
 	// Samples are a follower's counts of good and bad exchanges by target.
 	// Unhealthy lists the targets that a reader found unhealthy from its followers'
 	// samples.
@@ -67,6 +80,11 @@
 	Unhealthy []string              `cbor:"10,keyasint,omitempty"`
 }
 
+// position returns the sender's position in the store's history.
+func (m *message) position() catalog.Position {
+	return catalog.Position{Era: m.Era, Revision: m.Revision}
+}
+
 func encode(m *message) ([]byte, error) { return cbor.Marshal(m) }
 
 func decode(raw []byte) (*message, error) {
--- a/internal/hosts/catalogshare/share_test.go
+++ b/internal/hosts/catalogshare/share_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 )
@@ -25,20 +26,23 @@
 	fail  error
 }
 
-func (s *countingStore) Read() (catalogsync.Batch, error) {
+func (s *countingStore) Read(catalog.Position) (catalogsync.Batch, error) {
 	s.calls <- "read"
-	return catalogsync.Batch{Full: true, Direct: true, Revision: 1, AsOf: time.Now()}, s.fail
+	return catalogsync.Batch{Full: true, Direct: true, Position: at(1), AsOf: time.Now()}, s.fail
 }
 
-func (s *countingStore) Watch(revision int64, _ time.Duration) (catalogsync.Batch, error) {
-	s.calls <- "watch " + strconv.FormatInt(revision, 10)
-	return catalogsync.Batch{Direct: true, Revision: revision, AsOf: time.Now()}, s.fail
+func (s *countingStore) Watch(after catalog.Position, _ time.Duration) (catalogsync.Batch, error) {
+	s.calls <- "watch " + strconv.FormatInt(after.Revision, 10)
+	return catalogsync.Batch{Direct: true, Position: after, AsOf: time.Now()}, s.fail
 }
 
 func decodePlain(key string, value []byte, revision int64, deleted bool) catalogsync.Change {
 	return catalogsync.Change{Key: key, Value: value, Revision: revision, Deleted: deleted}
 }
 
+// at returns a position of a store that reports no era.
+func at(revision int64) catalog.Position { return catalog.Position{Revision: revision} }
+
 // serve runs a hub on a free port and returns it with its address and a function
 // that stops it.
 func serve(t *testing.T) (*Hub, string, func()) {
@@ -70,7 +74,7 @@
 }
 
 func newBatch(revision int64, keys ...string) catalogsync.Batch {
-	b := catalogsync.Batch{Revision: revision, AsOf: time.Now()}
+	b := catalogsync.Batch{Position: at(revision), AsOf: time.Now()}
 	for _, key := range keys {
 		b.Changes = append(b.Changes, decodePlain(key, []byte(key), revision, false))
 	}
@@ -83,20 +87,20 @@
 	first.Full = true
 	hub.Publish(first)
 	source, store := newSource(addr)
-	batch, err := source.Read()
+	batch, err := source.Read(catalog.Position{})
 	require.NoError(t, err)
 	require.True(t, batch.Full)
 	require.Len(t, batch.Changes, 2)
-	require.EqualValues(t, 7, batch.Revision)
-	removal := catalogsync.Batch{Revision: 9, AsOf: time.Now(), AfterOutage: true, Changes: []catalogsync.Change{{Key: "a", Deleted: true}}}
+	require.EqualValues(t, 7, batch.Position.Revision)
+	removal := catalogsync.Batch{Position: at(9), AsOf: time.Now(), AfterOutage: true, Changes: []catalogsync.Change{{Key: "a", Deleted: true}}}
 	hub.Publish(removal)
 	for len(batch.Changes) != 1 {
-		batch, err = source.Watch(7, time.Second)
+		batch, err = source.Watch(at(7), time.Second)
 		require.NoError(t, err)
 	}
 	require.True(t, batch.Changes[0].Deleted)
 	require.True(t, batch.AfterOutage, "the follower must delay removals after a store outage as well")
-	require.EqualValues(t, 9, batch.Revision)
+	require.EqualValues(t, 9, batch.Position.Revision)
 	require.Empty(t, store.calls)
 	require.Equal(t, 2, knownHosts(hub))
 	hosts, settled := source.opts.Hub.Hosts()
@@ -104,7 +108,7 @@
 	require.False(t, settled)
 	hub.SetSettled(true)
 	for !settled {
-		_, err = source.Watch(9, time.Second)
+		_, err = source.Watch(at(9), time.Second)
 		require.NoError(t, err)
 		hosts, settled = source.opts.Hub.Hosts()
 	}
@@ -113,10 +117,10 @@
 
 func TestHostWithoutReaderCallsStore(t *testing.T) {
 	source, store := newSource("127.0.0.1:1")
-	_, err := source.Read()
+	_, err := source.Read(catalog.Position{})
 	require.NoError(t, err)
 	require.Equal(t, "read", <-store.calls)
-	_, err = source.Watch(5, time.Second)
+	_, err = source.Watch(at(5), time.Second)
 	require.NoError(t, err)
 	require.Equal(t, "watch 5", <-store.calls)
 }
@@ -136,11 +140,11 @@
 			first.Full = true
 			hub.Publish(first)
 			source, store := newSource(addr)
-			_, err := source.Read()
+			_, err := source.Read(catalog.Position{})
 			require.NoError(t, err)
 			breakReader(hub, stop)
 			require.Eventually(t, func() bool {
-				_, err := source.Watch(7, time.Second)
+				_, err := source.Watch(at(7), time.Second)
 				require.NoError(t, err)
 				return len(store.calls) > 0
 			}, eventuallyTimeout, time.Millisecond)
@@ -155,9 +159,9 @@
 	first.Full = true
 	hub.Publish(first)
 	source, store := newSource(addr)
-	_, err := source.Read()
+	_, err := source.Read(catalog.Position{})
 	require.NoError(t, err)
-	_, err = source.Watch(20, time.Second)
+	_, err = source.Watch(at(20), time.Second)
 	require.NoError(t, err)
 	require.Equal(t, "watch 20", <-store.calls)
 }
@@ -166,11 +170,11 @@
 	hub, addr, _ := serve(t)
 	hub.Publish(newBatch(7, "a"))
 	source, store := newSource(addr, "self")
-	_, err := source.Read()
+	_, err := source.Read(catalog.Position{})
 	require.NoError(t, err)
 	require.Equal(t, "read", <-store.calls)
 	store.fail = errors.New("down")
-	_, err = source.Watch(1, time.Second)
+	_, err = source.Watch(at(1), time.Second)
 	require.Error(t, err)
 }
 
@@ -180,7 +184,7 @@
 	first.Full = true
 	hub.Publish(first)
 	follower, _ := newSource(addr)
-	_, err := follower.Read()
+	_, err := follower.Read(catalog.Position{})
 	require.NoError(t, err)
 	reader, _ := newSource(addr, "self")
 	ctx, cancel := context.WithCancel(context.Background())
@@ -204,17 +208,17 @@
 	defer cancel()
 	go observer.Observe(ctx)
 	sender, _ := newSource(addrA)
-	_, err := sender.Read()
+	_, err := sender.Read(catalog.Position{})
 	require.NoError(t, err)
 	receiver, _ := newSource(addrB)
-	_, err = receiver.Read()
+	_, err = receiver.Read(catalog.Position{})
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return knownHosts(hubB) == 4 }, eventuallyTimeout, time.Millisecond, "the observer counts the hosts of both readers")
 	bad := &exchange.Request{Method: "GET", Host: "h", URI: "/bad"}
 	sender.SendCrashReport(crashguard.CrashReport{Request: crashguard.FingerprintOf(bad), Target: "t-1", AgeMS: 5000})
 	sender.SendCrashReport(crashguard.CrashReport{Request: crashguard.FingerprintOf(bad), Target: "t-2"})
 	require.Eventually(t, func() bool {
-		_, err := receiver.Watch(7, time.Second)
+		_, err := receiver.Watch(at(7), time.Second)
 		require.NoError(t, err)
 		return receiver.opts.Hub.guard.Blocks(bad, time.Now())
 	}, eventuallyTimeout, time.Millisecond)
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -11,6 +11,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 )
 
@@ -51,7 +52,7 @@
 
 // Source reads entries from a reader while it has a link to one, and from the
 // store otherwise. Read and Watch are called from one goroutine; SendCrashReport,
-// Report and Observe are safe for concurrent use.
+// SendLeaving, Report and Observe are safe for concurrent use.
 type Source struct {
 	opts Options
 	link *link
@@ -73,7 +74,7 @@
 
 // Read implements catalogsync.Source. It drops the current link and tries for a
 // limited time to get all entries from a reader before it reads the store.
-func (s *Source) Read() (catalogsync.Batch, error) {
+func (s *Source) Read(known catalog.Position) (catalogsync.Batch, error) {
 	s.dropLink()
 	until := time.Now().Add(max(s.opts.FirstWait, minFirstWait))
 	for !s.isReader() && time.Now().Before(until) {
@@ -84,20 +85,20 @@
 			time.Sleep(min(firstLinkRetryPause, max(time.Until(until), 0)))
 			continue
 		}
-		if batch, err := s.nextBatch(0); err == nil {
+		if batch, err := s.nextBatch(known); err == nil {
 			return batch, nil
 		}
 		s.dropLink()
 	}
-	return s.opts.Store.Read()
+	return s.opts.Store.Read(known)
 }
 
 // Watch implements catalogsync.Source. It returns the link's next message, or
 // calls the store if there is no link or the link fails.
-func (s *Source) Watch(revision int64, wait time.Duration) (catalogsync.Batch, error) {
+func (s *Source) Watch(after catalog.Position, wait time.Duration) (catalogsync.Batch, error) {
 	s.adoptLink()
 	if s.link != nil {
-		batch, err := s.nextBatch(revision)
+		batch, err := s.nextBatch(after)
 		if err == nil {
 			return batch, nil
 		}
@@ -106,7 +107,7 @@
 		s.retryAt = time.Now().Add(linkRetryPause/2 + rand.N(linkRetryPause))
 	}
 	s.dialInBackground()
-	return s.opts.Store.Watch(revision, wait)
+	return s.opts.Store.Watch(after, wait)
 }
 
 // SendCrashReport sends a crash report of this host to the followers of its hub
@@ -120,6 +121,16 @@
 	}
 }
 
+// SendLeaving tells the fleet that a target has reported that it is leaving.
+func (s *Source) SendLeaving(t LeavingTarget) {
+	s.opts.Hub.AddLeaving(t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sharedLink != nil {
+		s.sharedLink.send(&message{Leaving: []LeavingTarget{t}})
+	}
+}
+
 // Report sends this host's health samples to the reader that it follows or, if it
 // follows none, adds them to its own hub.
 func (s *Source) Report(samples []targethealth.Sample) {
@@ -144,22 +155,23 @@
 func (s *Source) isReader() bool { return slices.Contains(s.opts.Readers(), s.opts.Self) }
 
 // nextBatch returns the link's next message as a batch. It fails with errStale if
-// the message is older than revision, since the caller already has newer entries;
+// the message is older than known, since the caller already has newer entries;
 // otherwise it also passes the message's counts, crash reports and unhealthy targets
 // to the hub.
-func (s *Source) nextBatch(revision int64) (catalogsync.Batch, error) {
+func (s *Source) nextBatch(known catalog.Position) (catalogsync.Batch, error) {
 	m, err := s.link.next()
 	if err != nil {
 		return catalogsync.Batch{}, err
 	}
-	if m.Revision < revision {
+	if m.position().Before(known) {
 		return catalogsync.Batch{}, errStale
 	}
 	s.opts.Hub.recordUpstream(m)
 	s.opts.Hub.addCrashReports(m.CrashReports)
+	s.opts.Hub.addLeaving(m.Leaving)
 	s.opts.Hub.notifyUnhealthy(m.Unhealthy)
 	batch := catalogsync.Batch{
-		Full: m.Full, Revision: m.Revision, AfterOutage: m.AfterOutage,
+		Full: m.Full, Position: m.position(), AfterOutage: m.AfterOutage,
 		AsOf: time.Now().Add(-time.Duration(m.AgeMS) * time.Millisecond),
 	}
 	for _, e := range m.Entries {
@@ -266,6 +278,7 @@
 		for m := range l.messages {
 			s.opts.Hub.recordReaderCounts(addr, m)
 			s.opts.Hub.addCrashReports(m.CrashReports)
+			s.opts.Hub.addLeaving(m.Leaving)
 		}
 	}
 	timer := time.NewTimer(observeInterval)
--- a/internal/hosts/catalogsync/follower.go
+++ b/internal/hosts/catalogsync/follower.go
@@ -54,7 +54,7 @@
 // New returns a follower with an empty view; it does nothing until Run is called.
 func New(source Source, log logrus.FieldLogger, hooks Hooks) *Follower {
 	f := &Follower{source: source, log: log, updates: make(chan Batch), hooks: hooks}
-	f.view.Store(catalog.NewView(nil, 0, nil))
+	f.view.Store(catalog.NewView(nil, catalog.Position{}, nil))
 	return f
 }
 
@@ -69,42 +69,35 @@
 
 // poll reads all entries once and then watches for changes.
 func (f *Follower) poll(ctx context.Context) {
-	revision, failures := int64(0), 0
+	p := progress{log: f.log}
 	for ctx.Err() == nil {
 		began := time.Now()
-		batch, err := f.fetch(revision)
+		batch, err := f.fetch(p.position)
+		if err == nil {
+			batch, err = p.accept(batch)
+		}
 		switch {
 		case errors.Is(err, ErrCompacted):
-			f.log.WithField("revision", revision).Warn("store dropped its history; reading all entries again")
-			revision = 0
+			p.forget(err)
 			continue
 		case err != nil:
-			failures++
-			if failures == 1 {
-				f.log.WithError(err).WithField("revision", revision).Warn("store lost; the last view stays in force")
-			}
-			pause(ctx, backoff(failures))
+			pause(ctx, p.failed(err))
 			continue
 		}
-		if failures > 0 {
-			f.log.WithField("failed_calls", failures).Info("store regained")
-		}
-		batch.AfterOutage = batch.AfterOutage || failures > 0
 		f.deliver(ctx, batch)
-		failures = 0
-		revision = max(revision, batch.Revision)
 		if batch.Direct && !batch.Full {
 			pause(ctx, minWatchInterval-time.Since(began))
 		}
 	}
 }
 
-// fetch reads all entries for revision 0 and changes after it otherwise.
-func (f *Follower) fetch(revision int64) (Batch, error) {
-	if revision == 0 {
-		return f.source.Read()
+// fetch reads all entries while there is no position to continue from, and the
+// changes after it otherwise.
+func (f *Follower) fetch(position catalog.Position) (Batch, error) {
+	if position.IsZero() {
+		return f.source.Read(position)
 	}
-	return f.source.Watch(revision, watchWait)
+	return f.source.Watch(position, watchWait)
 }
 
 // deliver passes a batch to the hook and to the goroutine that owns the state.
--- a/internal/hosts/catalogsync/follower_test.go
+++ b/internal/hosts/catalogsync/follower_test.go
@@ -41,9 +41,9 @@
 	return append([]string(nil), s.calls[:n]...)
 }
 
-func (s *scripted) Read() (Batch, error) { return s.next("read") }
+func (s *scripted) Read(catalog.Position) (Batch, error) { return s.next("read") }
 
-func (s *scripted) Watch(_ int64, wait time.Duration) (Batch, error) {
+func (s *scripted) Watch(_ catalog.Position, wait time.Duration) (Batch, error) {
 	batch, err := s.next("watch")
 	if err == nil && len(batch.Changes) == 0 {
 		time.Sleep(wait)
@@ -56,9 +56,9 @@
 		succeeds := func(b Batch) func() (Batch, error) { return func() (Batch, error) { return b, nil } }
 		fails := func(err error) func() (Batch, error) { return func() (Batch, error) { return Batch{}, err } }
 		source := &scripted{steps: []func() (Batch, error){
-			fails(errors.New("down")), succeeds(Batch{Full: true, Revision: 3, Changes: []Change{config(1), target("a")}}),
-			fails(errors.New("down")), succeeds(Batch{Revision: 4, Changes: []Change{removal("a")}}),
-			fails(ErrCompacted), succeeds(Batch{Full: true, Revision: 9, Changes: []Change{config(2)}}), succeeds(Batch{Revision: 9}),
+			fails(errors.New("down")), succeeds(Batch{Full: true, Position: at(3), Changes: []Change{config(1), target("a")}}),
+			fails(errors.New("down")), succeeds(Batch{Position: at(4), Changes: []Change{removal("a")}}),
+			fails(ErrCompacted), succeeds(Batch{Full: true, Position: at(9), Changes: []Change{config(2)}}), succeeds(Batch{Position: at(9)}),
 		}}
 		f := New(source, nullLogger(), Hooks{OnView: func(*catalog.View) {}})
 		require.Nil(t, f.View().Config)
@@ -82,8 +82,8 @@
 func TestViewIsReportedAfterItIsInstalled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &scripted{steps: []func() (Batch, error){
-			func() (Batch, error) { return Batch{Full: true, Revision: 1, Changes: []Change{config(1)}}, nil },
-			func() (Batch, error) { return Batch{Revision: 1}, nil },
+			func() (Batch, error) { return Batch{Full: true, Position: at(1), Changes: []Change{config(1)}}, nil },
+			func() (Batch, error) { return Batch{Position: at(1)}, nil },
 		}}
 		var f *Follower
 		viewUnchanged := make(chan bool, 1)
--- a/internal/hosts/catalogsync/state.go
+++ b/internal/hosts/catalogsync/state.go
@@ -17,7 +17,7 @@
 type state struct {
 	log      logrus.FieldLogger
 	config   *catalog.Config
-	revision int64
+	position catalog.Position
 	targets  map[catalog.TargetID]*catalog.Target
 	// pendingRemovals has the targets whose entries disappeared during a store
 	// outage, with the time at which they are removed.
@@ -25,10 +25,11 @@
 	// delayUntil is the end of the period after the store's return in which
 	// removals are delayed.
 	delayUntil time.Time
+	restore    restore
 }
 
 func newState(log logrus.FieldLogger) *state {
-	return &state{log: log, targets: map[catalog.TargetID]*catalog.Target{}, pendingRemovals: map[catalog.TargetID]time.Time{}}
+	return &state{log: log, targets: map[catalog.TargetID]*catalog.Target{}, pendingRemovals: map[catalog.TargetID]time.Time{}, restore: newRestore()}
 }
 
 // apply applies a batch and reports whether the view changed.
@@ -36,8 +37,11 @@
 	if batch.AfterOutage {
 		s.delayUntil = now.Add(removalDelay)
 	}
-	changed := s.revision == 0
-	s.revision = max(s.revision, batch.Revision)
+	changed := s.position.IsZero()
+	if batch.Position.Era > s.position.Era && !changed {
+		s.restore.begin(batch.Position, now)
+	}
+	s.position = s.position.Later(batch.Position)
 	seen := map[catalog.TargetID]bool{}
 	for i := range batch.Changes {
 		c := &batch.Changes[i]
@@ -47,6 +51,7 @@
 		changed = s.applyChange(c, now) || changed
 	}
 	if batch.Full {
+		s.restore.keepOnly(seen)
 		for id := range s.targets {
 			if !seen[id] {
 				changed = s.remove(id, "entry is missing", now) || changed
@@ -93,8 +98,12 @@
 		return s.remove(id, "entry was removed", now)
 	}
 	t := c.Target
-	delete(s.pendingRemovals, t.ID)
 	old, known := s.targets[t.ID]
+	if s.restore.outdated(c, old, now) {
+		return s.applyOutdated(t, known)
+	}
+	delete(s.pendingRemovals, t.ID)
+	s.restore.written(t, now)
 	s.targets[t.ID] = t
 	if known && old.SameStart(t) && old.Leaving == t.Leaving && old.FailureDomain == t.FailureDomain && old.Slots == t.Slots {
 		return false
@@ -103,9 +112,23 @@
 	return true
 }
 
+// applyOutdated applies an entry that the copy has of a target which has left, is
+// leaving or has restarted since: the host keeps what it knows. A target that it no
+// longer knows is held back.
+func (s *state) applyOutdated(t *catalog.Target, known bool) bool {
+	if known {
+		delete(s.pendingRemovals, t.ID)
+		return false
+	}
+	s.restore.hold(t)
+	s.log.WithFields(logrus.Fields{"target": t.ID, "service": t.Service, "store_era": s.position.Era}).Info("target of the older copy is held back")
+	return false
+}
+
 // remove removes a target at once or, shortly after a store outage, marks it for
 // delayed removal. It reports whether the view changed.
 func (s *state) remove(id catalog.TargetID, why string, now time.Time) bool {
+	delete(s.restore.held, id)
 	if _, known := s.targets[id]; !known {
 		return false
 	}
@@ -116,11 +139,17 @@
 		s.pendingRemovals[id] = s.delayUntil
 		return false
 	}
-	s.log.WithFields(logrus.Fields{"target": id, "reason": why, "revision": s.revision}).Info("target gone")
-	delete(s.targets, id)
+	s.log.WithFields(logrus.Fields{"target": id, "reason": why, "revision": s.position.Revision, "store_era": s.position.Era}).Info("target gone")
+	s.drop(id, now)
 	return true
 }
 
+// drop removes a target and remembers that it is gone.
+func (s *state) drop(id catalog.TargetID, now time.Time) {
+	s.restore.gone(s.targets[id], now)
+	delete(s.targets, id)
+}
+
 // expire removes the targets whose delay has passed and reports whether there was
 // one.
 func (s *state) expire(now time.Time) bool {
@@ -130,19 +159,28 @@
 			continue
 		}
 		delete(s.pendingRemovals, id)
-		delete(s.targets, id)
+		s.drop(id, now)
 		s.log.WithFields(logrus.Fields{"target": id, "reason": "entry was not rewritten after the store outage"}).Info("target gone")
 		changed = true
 	}
+	for _, t := range s.restore.release(now) {
+		s.log.WithFields(logrus.Fields{"target": t.ID, "reason": "entry of the older copy is still there"}).Info("target is used again")
+		s.targets[t.ID] = t
+		changed = true
+	}
 	return changed
 }
 
 // nextExpiry returns the time until expire must run again.
 func (s *state) nextExpiry(now time.Time) time.Duration {
-	if len(s.pendingRemovals) == 0 {
-		return idleExpiry
+	next := idleExpiry
+	if len(s.pendingRemovals) > 0 {
+		next = s.delayUntil.Sub(now)
+	}
+	if len(s.restore.held) > 0 {
+		next = min(next, s.restore.until.Sub(now))
 	}
-	return max(s.delayUntil.Sub(now), time.Millisecond)
+	return max(next, time.Millisecond)
 }
 
 // view returns an immutable copy of the state.
@@ -151,7 +189,7 @@
 	for id, t := range s.targets {
 		targets[id] = t
 	}
-	return catalog.NewView(s.config, s.revision, targets)
+	return catalog.NewView(s.config, s.position, targets)
 }
 
 // targetIDOf returns the part of a key after its last slash.
--- a/internal/hosts/catalogsync/state_test.go
+++ b/internal/hosts/catalogsync/state_test.go
@@ -22,6 +22,9 @@
 
 func removal(id string) Change { return Change{Kind: TargetChange, Key: "t/" + id, Deleted: true} }
 
+// at returns a position of a store that reports no era.
+func at(revision int64) catalog.Position { return catalog.Position{Revision: revision} }
+
 func nullLogger() logrus.FieldLogger {
 	log, _ := test.NewNullLogger()
 	return log
@@ -30,44 +33,44 @@
 func TestLowerOrUnreadableVersionIsIgnored(t *testing.T) {
 	s := newState(nullLogger())
 	now := time.Now()
-	s.apply(Batch{Revision: 5, Changes: []Change{config(7)}}, now)
-	require.False(t, s.apply(Batch{Revision: 6, Changes: []Change{config(6)}}, now))
-	require.False(t, s.apply(Batch{Revision: 7, Changes: []Change{{Kind: ConfigChange, Err: errors.New("x")}}}, now))
+	s.apply(Batch{Position: at(5), Changes: []Change{config(7)}}, now)
+	require.False(t, s.apply(Batch{Position: at(6), Changes: []Change{config(6)}}, now))
+	require.False(t, s.apply(Batch{Position: at(7), Changes: []Change{{Kind: ConfigChange, Err: errors.New("x")}}}, now))
 	require.EqualValues(t, 7, s.view().Config.Version)
-	require.True(t, s.apply(Batch{Revision: 8, Changes: []Change{config(9)}}, now))
+	require.True(t, s.apply(Batch{Position: at(8), Changes: []Change{config(9)}}, now))
 	require.EqualValues(t, 9, s.view().Config.Version)
 }
 
 func TestRemovedEntryIsDroppedAtOnceWithoutStoreOutage(t *testing.T) {
 	s := newState(nullLogger())
 	now := time.Now()
-	s.apply(Batch{Full: true, Revision: 1, Changes: []Change{target("a"), target("b")}}, now)
-	require.True(t, s.apply(Batch{Revision: 2, Changes: []Change{removal("a")}}, now))
+	s.apply(Batch{Full: true, Position: at(1), Changes: []Change{target("a"), target("b")}}, now)
+	require.True(t, s.apply(Batch{Position: at(2), Changes: []Change{removal("a")}}, now))
 	require.Len(t, s.view().Targets, 1)
-	require.True(t, s.apply(Batch{Full: true, Revision: 3}, now))
+	require.True(t, s.apply(Batch{Full: true, Position: at(3)}, now))
 	require.Empty(t, s.view().Targets)
 }
 
 func TestRemovalIsDelayedAfterStoreOutage(t *testing.T) {
 	s := newState(nullLogger())
 	now := time.Now()
-	s.apply(Batch{Full: true, Revision: 1, Changes: []Change{target("a"), target("b"), target("c")}}, now)
-	require.False(t, s.apply(Batch{AfterOutage: true, Revision: 4, Changes: []Change{removal("a"), removal("b")}}, now))
+	s.apply(Batch{Full: true, Position: at(1), Changes: []Change{target("a"), target("b"), target("c")}}, now)
+	require.False(t, s.apply(Batch{AfterOutage: true, Position: at(4), Changes: []Change{removal("a"), removal("b")}}, now))
 	require.Len(t, s.view().ByService["s"], 3)
-	s.apply(Batch{Revision: 5, Changes: []Change{target("a")}}, now.Add(time.Second))
+	s.apply(Batch{Position: at(5), Changes: []Change{target("a")}}, now.Add(time.Second))
 	require.False(t, s.expire(now.Add(removalDelay-time.Millisecond)))
 	require.True(t, s.expire(now.Add(removalDelay)))
 	require.Len(t, s.view().ByService["s"], 2, "a was rewritten, c was never removed, b is gone")
-	require.True(t, s.apply(Batch{Revision: 6, Changes: []Change{removal("c")}}, now.Add(removalDelay+time.Second)))
+	require.True(t, s.apply(Batch{Position: at(6), Changes: []Change{removal("c")}}, now.Add(removalDelay+time.Second)))
 }
 
 func TestLeavingTargetIsDroppedAtOnceAfterStoreOutage(t *testing.T) {
 	s := newState(nullLogger())
 	now := time.Now()
-	s.apply(Batch{Full: true, Revision: 1, Changes: []Change{target("a")}}, now)
+	s.apply(Batch{Full: true, Position: at(1), Changes: []Change{target("a")}}, now)
 	leaving := target("a")
 	leaving.Target.Leaving = true
-	require.True(t, s.apply(Batch{AfterOutage: true, Revision: 2, Changes: []Change{leaving}}, now))
+	require.True(t, s.apply(Batch{AfterOutage: true, Position: at(2), Changes: []Change{leaving}}, now))
 	require.Empty(t, s.view().ByService["s"])
 }
 
@@ -75,17 +78,17 @@
 	s := newState(nullLogger())
 	now := time.Now()
 	unreadable := Change{Kind: TargetChange, Key: "t/a", Err: errors.New("fields are missing")}
-	s.apply(Batch{Full: true, Revision: 1, Changes: []Change{target("a"), target("b")}}, now)
-	require.True(t, s.apply(Batch{Revision: 2, Changes: []Change{unreadable}}, now))
+	s.apply(Batch{Full: true, Position: at(1), Changes: []Change{target("a"), target("b")}}, now)
+	require.True(t, s.apply(Batch{Position: at(2), Changes: []Change{unreadable}}, now))
 	require.Len(t, s.view().ByService["s"], 1)
 }
 
 func TestOnlyNewStartOfTargetChangesView(t *testing.T) {
 	s := newState(nullLogger())
 	now := time.Now()
-	s.apply(Batch{Full: true, Revision: 1, Changes: []Change{target("a")}}, now)
-	require.False(t, s.apply(Batch{Revision: 2, Changes: []Change{target("a")}}, now))
+	s.apply(Batch{Full: true, Position: at(1), Changes: []Change{target("a")}}, now)
+	require.False(t, s.apply(Batch{Position: at(2), Changes: []Change{target("a")}}, now))
 	restarted := target("a")
 	restarted.Target.Born = 5
-	require.True(t, s.apply(Batch{Revision: 3, Changes: []Change{restarted}}, now))
+	require.True(t, s.apply(Batch{Position: at(3), Changes: []Change{restarted}}, now))
 }
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -78,11 +78,6 @@
 	return run.single(e.splits.pick(route))
 }
 
-// refuse returns the answer for a request that has not run on any target.
-func refuse(reason exchange.Reason, after time.Duration) *exchange.Answer {
-	return &exchange.Answer{Status: 503, Reason: reason, RetryAfter: after}
-}
-
 // candidate returns the state of a pool's target for the choice of a replica.
 func (e *Executor) candidate(p *targetpool.Pool, now time.Time) replica.Candidate {
 	t := p.Target()
@@ -102,8 +97,8 @@
 }
 
 // choose returns the best target of a group that is not in tried, or a choice with
-// a nil pool if there is none. Targets that are unreachable or have moved are
-// excluded. Spare targets have a higher cost, so they are used only while those of the
+// a nil pool if there is none. Targets that are unreachable, have moved or paused are
+// excluded, and leaving ones after the first attempt. Spare targets have a higher cost, so they are used only while those of the
 // host's own share are slow, failing or gone.
 func (e *Executor) choose(g *targetpool.Group, tried []*targetpool.Pool, usual time.Duration, now time.Time) choice {
 	size := len(g.Pools) + len(g.Spare)
@@ -115,7 +110,7 @@
 			continue
 		}
 		c := e.candidate(p, now)
-		if c.Load.Moved || c.Load.Unreachable {
+		if !c.Load.Usable() || c.Load.Leaving && len(tried) > 0 {
 			continue
 		}
 		c.Spare = spare
--- /dev/null
+++ b/internal/querypath/relay/refusal.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
+)
+
+// refuse returns the answer for a request that has not run on any target.
+func refuse(reason exchange.Reason, after time.Duration) *exchange.Answer {
+	return &exchange.Answer{Status: 503, Reason: reason, RetryAfter: after}
+}
+
+// refuseUnserved refuses a request that no target of the group can take. If targets
+// have asked for a pause, the caller is told when the first one ends; otherwise the
+// refusal has the given reason.
+func (r *run) refuseUnserved(g *targetpool.Group, reason exchange.Reason, now time.Time) *exchange.Answer {
+	if g != nil && !r.available(g, now) {
+		if left := g.PauseLeft(now); left > 0 {
+			return refuse(exchange.TargetsPaused, left)
+		}
+	}
+	return refuse(reason, retryNoRoom)
+}
+
+// available reports whether a target of the group can take a request.
+func (r *run) available(g *targetpool.Group, now time.Time) bool {
+	return r.executor.choose(g, nil, r.expectedTimes.usual, now).pool != nil
+}
+
+// refuseUnserved refuses a sweep for which too few shards have a target. If enough
+// shards would have one after the pauses that targets have asked for, the caller is
+// told when; otherwise the refusal has the given reason.
+func (s *sweep) refuseUnserved(reason exchange.Reason, now time.Time) *exchange.Answer {
+	available := 0
+	var pauses []time.Duration
+	for i := range s.legs {
+		g := s.legs[i].group
+		switch {
+		case g == nil:
+		case s.available(g, now):
+			available++
+		default:
+			if left := g.PauseLeft(now); left > 0 {
+				pauses = append(pauses, left)
+			}
+		}
+	}
+	missing := s.minShards - available
+	if missing <= 0 || missing > len(pauses) {
+		return refuse(reason, retryNoRoom)
+	}
+	slices.Sort(pauses)
+	return refuse(exchange.TargetsPaused, pauses[missing-1])
+}
--- a/internal/querypath/relay/retry.go
+++ b/internal/querypath/relay/retry.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/decision/replica"
@@ -41,12 +42,29 @@
 	if other.pool != nil && r.inTime(other.load, now) {
 		return other
 	}
+	if same := r.lastReplica(l, ev, other, now); same.pool != nil {
+		return same
+	}
 	if same := r.retrySame(l, ev, now); same.pool != nil {
 		return same
 	}
 	return other
 }
 
+// lastReplica returns the target again that took a call from its queue because it is
+// leaving, if no other can take the call and it may still be used.
+func (r *run) lastReplica(l *leg, ev event, other choice, now time.Time) choice {
+	if other.pool != nil || !errors.Is(ev.outcome.Err, targetpool.ErrLeaving) || l.retriedSame {
+		return choice{}
+	}
+	pool := l.attempts[ev.attempt].pool
+	load := pool.Load(now)
+	if !load.Usable() {
+		return choice{}
+	}
+	return choice{pool: pool, load: load}
+}
+
 // retrySame returns the target whose reply was lost if it may be tried once more.
 // This requires an idempotent route, a target that is likely to answer in time and
 // no earlier retry of the leg at the same target.
@@ -57,7 +75,7 @@
 		return choice{}
 	}
 	load := pool.Load(now)
-	if load.Unreachable || load.Moved || !r.inTime(load, now) {
+	if !load.Usable() || load.Leaving || !r.inTime(load, now) {
 		return choice{}
 	}
 	return choice{pool: pool, load: load}
--- a/internal/querypath/relay/retry_test.go
+++ b/internal/querypath/relay/retry_test.go
@@ -62,7 +62,7 @@
 			MaxAttempts: 2, Split: []catalog.WeightedService{{Service: "s", Weight: 1}},
 		}
 		config := catalog.NewConfig(1, []*catalog.Route{route}, map[catalog.ServiceName]catalog.Service{"s": {Name: "s", MaxConns: 8}}, catalog.Limits{})
-		view := catalog.NewView(config, 1, map[catalog.TargetID]*catalog.Target{
+		view := catalog.NewView(config, catalog.Position{Revision: 1}, map[catalog.TargetID]*catalog.Target{
 			"a": {ID: "a", Service: "s", Addr: "lossy"}, "b": {ID: "b", Service: "s", Addr: "slow"},
 		})
 		directory := targetpool.NewDirectory(targetpool.Options{
@@ -85,7 +85,7 @@
 		}
 		// The slow target still gets an occasional request, which detects its recovery.
 		require.LessOrEqual(t, late, 3)
-		directory.Update(catalog.NewView(config, 2, nil))
+		directory.Update(catalog.NewView(config, catalog.Position{Revision: 2}, nil))
 		time.Sleep(time.Minute)
 	})
 }
--- a/internal/querypath/relay/single.go
+++ b/internal/querypath/relay/single.go
@@ -52,7 +52,7 @@
 	}
 	chosen := r.executor.choose(s.leg.group, nil, r.expectedTimes.usual, now)
 	if chosen.pool == nil {
-		return refuse(exchange.NoTarget, retryNoRoom)
+		return r.refuseUnserved(s.leg.group, exchange.NoTarget, now)
 	}
 	s.leg.reachable = true
 	if replica.QueueExceeds(chosen.load, r.expectedTimes.usual, r.times.final.Sub(now)) {
@@ -116,7 +116,7 @@
 func (s *single) failed(ev event) *exchange.Answer {
 	switch {
 	case s.leg.ran == 0:
-		return refuse(exchange.NoRoom, retryNoRoom)
+		return s.refuseUnserved(s.leg.group, exchange.NoRoom, time.Now())
 	case s.leg.failure != nil && s.leg.failure.Status >= 300:
 		return &exchange.Answer{Status: s.leg.failure.Status, Relayed: s.leg.failure}
 	case ev.outcome.Reply == nil:
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -63,7 +63,7 @@
 	chosen := make([]choice, len(s.legs))
 	reached, tooLate := s.choose(chosen, now)
 	if reached < s.minShards {
-		return refuse(exchange.LowCoverage, retryNoRoom)
+		return s.refuseUnserved(exchange.LowCoverage, now)
 	}
 	if reached-tooLate < s.minShards {
 		return refuse(exchange.NoRoom, s.retryDelay(chosen))
@@ -265,6 +265,6 @@
 	case ran:
 		return &exchange.Answer{Status: 502, Reason: reason}
 	default:
-		return refuse(reason, retryNoRoom)
+		return s.refuseUnserved(reason, time.Now())
 	}
 }
--- a/internal/querypath/relay/trace.go
+++ b/internal/querypath/relay/trace.go
@@ -14,7 +14,7 @@
 func (r *run) trace(legs []leg, now time.Time) *exchange.Trace {
 	t := &exchange.Trace{
 		Route: r.route.Name, Sweep: r.route.Sweep(), Objective: r.route.Objective,
-		ConfigVersion: r.snapshot.View.Config.Version, Revision: r.snapshot.View.Revision,
+		ConfigVersion: r.snapshot.View.Config.Version, Position: r.snapshot.View.Position,
 		Shards: len(legs), Late: now.After(r.request.Arrived.Add(r.route.Objective)),
 	}
 	for i := range legs {
--- a/internal/querypath/relay/unreached_test.go
+++ b/internal/querypath/relay/unreached_test.go
@@ -46,7 +46,7 @@
 			MaxAttempts: 2, Split: []catalog.WeightedService{{Service: "s", Weight: 1}},
 		}
 		config := catalog.NewConfig(1, []*catalog.Route{route}, map[catalog.ServiceName]catalog.Service{"s": {Name: "s", MaxConns: 8}}, catalog.Limits{})
-		view := catalog.NewView(config, 1, map[catalog.TargetID]*catalog.Target{
+		view := catalog.NewView(config, catalog.Position{Revision: 1}, map[catalog.TargetID]*catalog.Target{
 			"a": {ID: "a", Service: "s", Addr: "full"}, "b": {ID: "b", Service: "s", Addr: "open"},
 		})
 		for i := range 20 {
@@ -59,7 +59,7 @@
 			request := &exchange.Request{ID: "q", Method: "POST", Host: "h", URI: "/", Arrived: time.Now(), CallerTimeout: time.Second}
 			answer := executor.Serve(request, nil)
 			require.Equal(t, 200, answer.Status, "round %d: %s", i, answer.Reason)
-			directory.Update(catalog.NewView(config, 2, nil))
+			directory.Update(catalog.NewView(config, catalog.Position{Revision: 2}, nil))
 			time.Sleep(time.Second)
 		}
 	})
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -1,6 +1,6 @@
 // Package store is a stand-in for the metadata store of the users' platform. It has
-// keys with revisions, paged ranges, watches, a history that can be compacted, and
-// injected faults.
+// keys with revisions, paged ranges, watches, a history that can be compacted, eras,
+// and injected faults.
 package store
 
 import (
@@ -55,9 +55,12 @@
 	oldest   int64
 	items    map[string]item
 	history  []item
-	changed  chan struct{}
-	fault    Fault
-	calls    int
+	// writes has all writes of the current state, also those dropped from history.
+	writes  []item
+	era     int64
+	changed chan struct{}
+	fault   Fault
+	calls   int
 }
 
 // Start starts a store on a free loopback port.
@@ -66,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{listener: l, items: map[string]item{}, changed: make(chan struct{}), revision: 1}
+	s := &Store{listener: l, items: map[string]item{}, changed: make(chan struct{}), revision: 1, era: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.RangePath, s.withFault(s.serveRange))
 	mux.HandleFunc(platform.WatchPath, s.withFault(s.serveWatch))
@@ -100,6 +103,7 @@
 		s.items[it.Key] = it
 	}
 	s.history = append(s.history, it)
+	s.writes = append(s.writes, it)
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.revision
@@ -113,6 +117,39 @@
 	s.history = nil
 }
 
+// Revision returns the current revision.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// Restore brings the store back from a copy that was made at the revision: later
+// writes are gone, their revisions are given out again and the era rises by one.
+func (s *Store) Restore(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := s.writes[:0]
+	s.items = map[string]item{}
+	for _, it := range s.writes {
+		if it.Revision > revision {
+			break
+		}
+		kept = append(kept, it)
+		if it.Deleted {
+			delete(s.items, it.Key)
+		} else {
+			s.items[it.Key] = it
+		}
+	}
+	s.writes = kept
+	s.history = append([]item(nil), kept...)
+	s.revision, s.oldest = revision, 0
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // SetFault sets the fault of new calls. Watches in progress fail unless f is None.
 func (s *Store) SetFault(f Fault) {
 	s.mu.Lock()
@@ -133,8 +170,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.calls++
-		fault := s.fault
+		fault, era := s.fault, s.era
 		s.mu.Unlock()
+		w.Header().Set(platform.HeaderEra, strconv.FormatInt(era, 10))
 		switch fault {
 		case Busy:
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -180,7 +218,8 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		compacted := after < s.oldest
+		unavailable := after < s.oldest || after > s.revision
+		w.Header().Set(platform.HeaderEra, strconv.FormatInt(s.era, 10))
 		events := s.eventsAfter(query.Get("prefix"), after)
 		revision, changed, fault := s.revision, s.changed, s.fault
 		s.mu.Unlock()
@@ -188,7 +227,7 @@
 		case fault != None:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
-		case compacted:
+		case unavailable:
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0:
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -148,7 +148,7 @@
 	now := time.Now()
 	p := c.pool
 	p.mu.Lock()
-	p.recordExchange(now, exchangeOf(call, resultOf(reply)))
+	p.recordExchange(now, p.exchangeOf(call, resultOf(reply)))
 	c.idleTimeout = reply.IdleTimeout
 	first := c.replies == 0
 	c.replies++
@@ -161,7 +161,9 @@
 	if !good {
 		delete(p.conns, c)
 	}
+	withdrawn := p.noteWithdrawal(reply, now)
 	p.mu.Unlock()
+	p.endWithdrawn(withdrawn, now)
 	finish(call, Outcome{Reply: reply, Verdict: verdictOf(reply), FirstOnConn: first, Ended: now})
 	if !good {
 		return false
@@ -173,8 +175,9 @@
 	return true
 }
 
-func exchangeOf(call *Call, result replica.Result) replica.Exchange {
-	return replica.Exchange{Sent: call.sent, Expected: call.Expected, Result: result}
+// exchangeOf describes the end of a call's exchange. The lock is held.
+func (p *Pool) exchangeOf(call *Call, result replica.Result) replica.Exchange {
+	return replica.Exchange{Sent: call.sent, Expected: call.Expected, Result: result, Queued: len(p.waiting) > 0}
 }
 
 func resultOf(reply *exchange.Reply) replica.Result {
@@ -210,7 +213,7 @@
 		} else {
 			p.lost = append(p.lost, lostCall{request: call.Request, at: now})
 		}
-		p.recordExchange(now, exchangeOf(call, result))
+		p.recordExchange(now, p.exchangeOf(call, result))
 	}
 	p.mu.Unlock()
 	c.close()
--- a/internal/targets/targetpool/dial.go
+++ b/internal/targets/targetpool/dial.go
@@ -72,10 +72,10 @@
 // its connection it opens at least one: if that fails, the target counts as
 // crashed. The caller holds the lock.
 func (p *Pool) keepWarm() {
-	if p.moved {
+	now := time.Now()
+	if p.refusal(now) != nil {
 		return
 	}
-	now := time.Now()
 	wanted := 0
 	if !now.Before(p.warmFrom) {
 		wanted = p.warm
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -9,8 +9,10 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/decision/withdrawal"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // Options configure a Directory.
@@ -24,6 +26,14 @@
 	// OnCrash is called for each request that was in flight at a target when it
 	// crashed. It must not block and may be nil.
 	OnCrash func(*exchange.Request, *catalog.Target)
+	// OnLeaving is called once for each start of a target that reports in an answer
+	// that it is leaving. It must not block and may be nil.
+	OnLeaving func(*catalog.Target)
+	// DrainWithin is how long a leaving target may be used where no other replica can
+	// take a request.
+	DrainWithin time.Duration
+	// Scope gets the counters; nil for none.
+	Scope metrics.Scope
 	// Host is this host's id. The id and the failure domain determine the replicas
 	// that the host connects to.
 	Host          string
@@ -41,10 +51,13 @@
 	fleet   Fleet
 	started time.Time
 	// slack is this host's part of the slack in each service's budget.
-	slack   float64
-	pools   map[catalog.TargetID]*Pool
-	budgets map[catalog.ServiceName]*guardedBudget
-	current atomic.Pointer[Snapshot]
+	slack float64
+	pools map[catalog.TargetID]*Pool
+	// withdrawn has what targets without a pool have said. It outlasts the entry of a
+	// target in the store, which may vanish and return.
+	withdrawn map[targetStart]withdrawal.State
+	budgets   map[catalog.ServiceName]*guardedBudget
+	current   atomic.Pointer[Snapshot]
 }
 
 // Snapshot is a view together with the pools of its targets that take new work.
@@ -62,9 +75,9 @@
 func NewDirectory(opts Options) *Directory {
 	d := &Directory{
 		opts: opts, started: time.Now(),
-		pools: map[catalog.TargetID]*Pool{}, budgets: map[catalog.ServiceName]*guardedBudget{},
+		pools: map[catalog.TargetID]*Pool{}, withdrawn: map[targetStart]withdrawal.State{}, budgets: map[catalog.ServiceName]*guardedBudget{},
 	}
-	d.view = catalog.NewView(nil, 0, nil)
+	d.view = catalog.NewView(nil, catalog.Position{}, nil)
 	d.current.Store(&Snapshot{View: d.view})
 	return d
 }
@@ -115,6 +128,7 @@
 	for id, pool := range d.pools {
 		if t, ok := v.Targets[id]; !ok || !t.SameStart(pool.target) {
 			delete(d.pools, id)
+			d.keepWithdrawal(pool)
 			pool.Close()
 		}
 	}
@@ -148,6 +162,7 @@
 		pool, ok := d.pools[t.ID]
 		if !ok {
 			pool = NewPool(t, &d.opts)
+			pool.withdrawal = d.withdrawn[startOf(t)]
 			if spread := warmSpread(d.fleet.Hosts); spread > 0 {
 				pool.delayWarm(rand.N(spread))
 			}
--- a/internal/targets/targetpool/errors.go
+++ b/internal/targets/targetpool/errors.go
@@ -6,6 +6,8 @@
 var (
 	ErrUnreachable = errors.New("no connection to the target")
 	ErrClosed      = errors.New("the target is no longer in use")
+	ErrLeaving     = errors.New("the target is leaving")
+	ErrPaused      = errors.New("the target asked for a pause")
 	ErrExpired     = errors.New("the deadline passed before a connection was free")
 	errNoReply     = errors.New("the connection ended before any reply")
 	errStrayBytes  = errors.New("unexpected bytes on an idle connection")
--- a/internal/targets/targetpool/health_test.go
+++ b/internal/targets/targetpool/health_test.go
@@ -15,7 +15,7 @@
 func TestSamplesAreTakenOnceAndDistrustExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := NewDirectory(Options{Codec: echo.Codec{}, Dialer: echoDialer{ended: make(chan time.Time, 8)}, Log: discardLogger(), Host: "h"})
-		d.Update(catalog.NewView(nil, 1, map[catalog.TargetID]*catalog.Target{
+		d.Update(catalog.NewView(nil, catalog.Position{Revision: 1}, map[catalog.TargetID]*catalog.Target{
 			"a": {ID: "a", Service: "s", Addr: "a"}, "b": {ID: "b", Service: "s", Addr: "b"},
 		}))
 		require.Empty(t, d.TakeSamples())
@@ -27,6 +27,6 @@
 		require.True(t, d.pools["b"].Load(time.Now()).Distrusted)
 		time.Sleep(2 * distrustFor)
 		require.False(t, d.pools["b"].Load(time.Now()).Distrusted, "the distrust has expired")
-		d.Update(catalog.NewView(nil, 2, nil))
+		d.Update(catalog.NewView(nil, catalog.Position{Revision: 2}, nil))
 	})
 }
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -8,9 +8,11 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/replica"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
+	"github.com/swiftvane/swiftvane/internal/decision/withdrawal"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
 // Pool holds the connections to one target.
@@ -46,7 +48,9 @@
 	connRefusedAt time.Time
 	// moved is set once another process answers at the target's address.
 	moved bool
-	stats replica.Stats
+	// withdrawal is whether the target is leaving or has asked for a pause.
+	withdrawal withdrawal.State
+	stats      replica.Stats
 	// sample counts the exchanges since the last takeSample.
 	sample targethealth.Sample
 	// distrustedUntil is when the last report of other hosts that the target is
@@ -55,6 +59,10 @@
 	// lost holds the requests whose connection broke since the last dial.
 	lost    []lostCall
 	onCrash func(*exchange.Request, *catalog.Target)
+	// onLeaving is called, without the lock, once the target reports that it leaves.
+	onLeaving func(*catalog.Target)
+	drain     time.Duration
+	scope     metrics.Scope
 }
 
 // lostCall is a request that was in flight on a connection that broke.
@@ -89,8 +97,9 @@
 func NewPool(target *catalog.Target, opts *Options) *Pool {
 	return &Pool{
 		target: target, codec: opts.Codec, dialer: opts.Dialer, limit: 1, onCrash: opts.OnCrash,
+		onLeaving: opts.OnLeaving, drain: opts.DrainWithin, scope: scopeOf(opts),
 		log:   opts.Log.WithFields(logrus.Fields{"target": target.ID, "service": target.Service, "addr": target.Addr}),
-		conns: map[*conn]bool{},
+		conns: map[*conn]bool{}, stats: replica.Stats{Slots: target.Slots},
 	}
 }
 
@@ -110,6 +119,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit, p.warm = max(limit, 1), min(warm, limit)
+	if p.withdrawal.Leaving() {
+		p.warm = 0
+	}
 	p.keepWarm()
 }
 
@@ -125,6 +137,8 @@
 	load.Unreachable = p.unreachable()
 	load.Distrusted = now.Before(p.distrustedUntil)
 	load.Moved = p.moved
+	load.Leaving, load.Left = p.withdrawal.Leaving(), p.withdrawal.Left(now)
+	load.PauseLeft = p.withdrawal.PauseLeft(now)
 	return load
 }
 
@@ -148,9 +162,9 @@
 func (p *Pool) Submit(call *Call) {
 	now := time.Now()
 	p.mu.Lock()
-	if p.closed || p.moved {
+	if err := p.refusal(now); err != nil {
 		p.mu.Unlock()
-		call.Done(Outcome{Verdict: verdict.NotRun, Err: ErrClosed, Ended: now})
+		call.Done(Outcome{Verdict: verdict.NotRun, Err: err, Ended: now})
 		return
 	}
 	if c := p.takeIdle(now); c != nil {
@@ -172,6 +186,20 @@
 	p.mu.Unlock()
 }
 
+// refusal returns why the pool takes no call, or nil. The caller holds the lock.
+func (p *Pool) refusal(now time.Time) error {
+	switch {
+	case p.closed, p.moved:
+		return ErrClosed
+	case p.withdrawal.Left(now):
+		return ErrLeaving
+	case p.withdrawal.PauseLeft(now) > 0:
+		return ErrPaused
+	default:
+		return nil
+	}
+}
+
 // Cancel cancels a call. A waiting call is removed from the queue. For a call
 // that was sent, the connection closes unless the reply arrives within the given
 // time; closing it ends the target's work on the request. Done is not called any
--- a/internal/targets/targetpool/warm_test.go
+++ b/internal/targets/targetpool/warm_test.go
@@ -43,7 +43,7 @@
 				all[id] = &catalog.Target{ID: id, Service: catalog.ServiceName("s-" + id), Addr: string(id)}
 			}
 			began := time.Now()
-			d.Update(catalog.NewView(nil, 1, all))
+			d.Update(catalog.NewView(nil, catalog.Position{Revision: 1}, all))
 			submitAndWait(t, d.pools["t-0"], "r")
 			require.WithinDuration(t, began, time.Now(), 2*echoTime, "a call opens its connection at once")
 			synctest.Wait()
@@ -53,7 +53,7 @@
 			require.Equal(t, targets, dialer.count())
 			require.Equal(t, hosts == 7, early == targets, "%d hosts", hosts)
 			require.True(t, hosts == 7 || early < targets/5, "%d connections at once", early)
-			d.Update(catalog.NewView(nil, 2, nil))
+			d.Update(catalog.NewView(nil, catalog.Position{Revision: 2}, nil))
 		})
 	}
 }
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -32,6 +32,9 @@
 	ReadyPath     string
 	// StopWithin is the time from the stop signal until the process is killed.
 	StopWithin time.Duration
+	// DrainWithin is how long a target that reports that it is leaving may still be
+	// used.
+	DrainWithin time.Duration
 	// Extra bounds the extra sub-requests of a service, summed over all hosts.
 	Extra extrabudget.Limit
 	// PeerAddr is the listen address for links of other hosts; empty for none.
@@ -105,11 +108,12 @@
 			Window: opts.Extra.Window,
 		},
 		Host: opts.Host, FailureDomain: opts.FailureDomain,
-		OnCrash: e.reportCrash,
+		OnCrash: e.reportCrash, OnLeaving: e.reportLeaving, DrainWithin: opts.DrainWithin, Scope: e.metrics.scope,
 	})
 	guard := crashguard.New()
 	e.hub = catalogshare.NewHub(opts.FailureDomain, guard, opts.Log)
 	e.hub.OnUnhealthyTargets(e.handleUnhealthyTargets)
+	e.hub.OnLeavingTarget(e.handleLeavingTarget)
 	firstWait := time.Duration(0)
 	if opts.FirstStart {
 		firstWait = firstStartWait
@@ -159,6 +163,17 @@
 	e.source.SendCrashReport(crashguard.CrashReport{Request: crashguard.FingerprintOf(r), Target: string(t.ID)})
 }
 
+// reportLeaving tells the fleet that a target has reported that it is leaving. It is
+// called on the goroutine that reads the target's answers.
+func (e *Edge) reportLeaving(t *catalog.Target) {
+	go e.source.SendLeaving(catalogshare.LeavingTarget{Target: string(t.ID), Born: t.Born})
+}
+
+// handleLeavingTarget records that another host found a target leaving.
+func (e *Edge) handleLeavingTarget(t catalogshare.LeavingTarget) {
+	e.directory.MarkLeaving(catalog.TargetID(t.Target), t.Born, time.Now())
+}
+
 // listenPeers starts to track the fleet's size and, with a PeerAddr, to accept the
 // links of other hosts.
 func (e *Edge) listenPeers(ctx context.Context) error {
--- a/internal/wiring/edge/observer.go
+++ b/internal/wiring/edge/observer.go
@@ -119,7 +119,8 @@
 		fields[logging.FieldRetryAfter] = a.RetryAfter.Milliseconds()
 	}
 	if t := a.Trace; t != nil {
-		fields["route"], fields["config_version"], fields["store_revision"] = t.Route, t.ConfigVersion, t.Revision
+		fields["route"], fields["config_version"] = t.Route, t.ConfigVersion
+		fields["store_era"], fields["store_revision"] = t.Position.Era, t.Position.Revision
 		fields["objective_ms"] = t.Objective.Milliseconds()
 		fields["shards"], fields["parts"] = t.Shards, t.Parts
 		fields["hedges"], fields["retries"], fields["extra_denied"] = t.Hedges, t.Retries, t.Denied
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -15,6 +15,8 @@
 	// minFaultDuration and maxFaultDuration bound the duration of a fault.
 	minFaultDuration = 100 * time.Millisecond
 	maxFaultDuration = 1500 * time.Millisecond
+	// maxLostWrites bounds the writes that a restore of the store loses.
+	maxLostWrites = 8
 )
 
 // fault starts a fault and returns a function that clears it.
@@ -76,6 +78,12 @@
 		e.platform.Store.Compact()
 		return noop
 	},
+	// The store comes back from a copy that lacks the last writes, which operator and
+	// targets write again.
+	func(e *environment) func() {
+		e.platform.Store.Restore(max(e.platform.Store.Revision()-int64(e.pick(maxLostWrites)), 1))
+		return e.writeAgain
+	},
 	// A link fails: between one host and the store, between hosts, or to a target.
 	func(e *environment) func() { return e.breakLink(e.anyHost().store) },
 	func(e *environment) func() { return e.breakLink(e.anyHost().peer) },
@@ -92,6 +100,17 @@
 		e.anyTarget().replace()
 		return noop
 	},
+	// A target answers that it is leaving and is then replaced.
+	func(e *environment) func() {
+		t := e.anyTarget()
+		t.running().Leave()
+		return t.replace
+	},
+	// A target asks for a pause.
+	func(e *environment) func() {
+		e.anyTarget().running().RefuseFor(e.between(minFaultDuration, maxFaultDuration))
+		return noop
+	},
 	// Targets shed requests, fail, and truncate, lose or duplicate answers.
 	func(e *environment) func() {
 		e.setFaultShare(0.3)
@@ -124,6 +143,14 @@
 	return func() { p.SetRule(faultproxy.Rule{}) }
 }
 
+// writeAgain lets the operator and all targets write again what a restore lost.
+func (e *environment) writeAgain() {
+	e.publish()
+	for _, t := range e.targets {
+		t.registerAgain()
+	}
+}
+
 func (e *environment) anyHost() *host { return e.hosts[e.pick(len(e.hosts))] }
 
 func (e *environment) anyTarget() *target { return e.targets[e.pick(len(e.targets))] }
--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -24,6 +24,8 @@
 const (
 	// grace is the time a host may take to exit after SIGTERM.
 	grace = 3 * time.Second
+	// drain is the time within which hosts must stop using a leaving target.
+	drain = 2 * time.Second
 	// readers is the number of hosts that the settings list as seeds, the readers of the
 	// store.
 	readers = 2
@@ -89,7 +91,7 @@
 		"listen_addrs": map[string]string{"front": h.caller, "ready": h.ready, "control": control},
 		"limits":       map[string]any{"memory_mb": 1024},
 		"bounds": map[string]any{
-			"grace_s": grace.Seconds(), "retry_budget_ratio": ratio, "budget_window_s": window.Seconds(), "retry_budget_slack": slack,
+			"grace_s": grace.Seconds(), "drain_ms": drain.Milliseconds(), "retry_budget_ratio": ratio, "budget_window_s": window.Seconds(), "retry_budget_slack": slack,
 		},
 		"platform": map[string]any{"address": h.store.Addr()},
 	})
--- a/test/soak/seeds_test.go
+++ b/test/soak/seeds_test.go
@@ -7,4 +7,5 @@
 }{
 	{seed: 1},
 	{seed: 2},
+	{seed: 5036, cause: "two hosts that followed each other kept the entries of the era before a restore"},
 }
--- a/test/soak/target_test.go
+++ b/test/soak/target_test.go
@@ -17,6 +17,9 @@
 	name    string
 	proxy   *faultproxy.Proxy
 
+	// lifecycle is held while the searcher is replaced or its entry is written again.
+	lifecycle sync.Mutex
+
 	mu      sync.Mutex
 	starts  int
 	current *searcher.Searcher
@@ -45,14 +48,29 @@
 	return t.ids[len(t.ids)-1]
 }
 
+func (t *target) running() *searcher.Searcher {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current
+}
+
 func (t *target) register() {
 	require.NoError(t.env.t, t.env.platform.WriteEntry(t.service, t.id(), t.proxy.Addr(), false))
 }
 
+// registerAgain writes the entry of the running searcher again.
+func (t *target) registerAgain() {
+	t.lifecycle.Lock()
+	defer t.lifecycle.Unlock()
+	t.register()
+}
+
 // replace stops the searcher and starts another one at the same address.
 func (t *target) replace() {
+	t.lifecycle.Lock()
+	defer t.lifecycle.Unlock()
 	old := t.id()
-	t.current.Close()
+	t.running().Close()
 	t.proxy.Cut()
 	t.env.platform.RemoveEntry(old)
 	t.start()
