--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -93,6 +93,7 @@
 		PeerAddr:      node.PeerAddr,
 		FirstStart:    node.FirstStart,
 		Readers:       file.seeds,
+		Capacity:      node.Capacity,
 		Store:         platform.NewStore(node.StoreAddr),
 		Decode:        platform.Decode,
 		CallerCodec:   platform.CallerCodec{},
--- a/internal/decision/extrabudget/window.go
+++ b/internal/decision/extrabudget/window.go
@@ -42,12 +42,9 @@
 // New returns an empty budget.
 func New(limit Limit, now time.Time) *Budget { return &Budget{limit: limit, began: now} }
 
-// SetShare sets the host's share of the slack and its offset, both of which
-// depend on the number of hosts.
-func (b *Budget) SetShare(slack, offset float64) {
-	b.limit.Slack = slack
-	b.limit.Offset = offset
-}
+// SetLimit sets the host's bound, which depends on the number of hosts. The window must
+// stay the same.
+func (b *Budget) SetLimit(limit Limit) { b.limit = limit }
 
 // AddRequest counts one request, not including its extra sub-requests.
 func (b *Budget) AddRequest(now time.Time) {
--- /dev/null
+++ b/internal/decision/gathering/select_test.go
@@ -0,0 +1,83 @@
+package gathering
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fleet returns hosts in six failure domains, every tenth one large.
+func fleet(n int) []Member {
+	members := make([]Member, n)
+	for i := range members {
+		members[i] = Member{Addr: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), FailureDomain: fmt.Sprint("z-", i%6), Capacity: 192}
+		if i%10 == 0 {
+			members[i].Capacity = 800
+		}
+	}
+	return members
+}
+
+func TestGatherersAreSpreadOverDomainsAndLargestFirst(t *testing.T) {
+	require.Zero(t, Count(MinHosts-1))
+	selected := Select(fleet(195), Count(195))
+	require.Len(t, selected, MaxGatherers)
+	perDomain := map[string]int{}
+	for _, m := range selected {
+		perDomain[m.FailureDomain]++
+	}
+	for domain, n := range perDomain {
+		require.Equal(t, 2, n, domain)
+	}
+	large := 0
+	for _, m := range selected {
+		if m.Capacity == 800 {
+			large++
+		}
+	}
+	require.Equal(t, 6, large, "only three domains have large hosts, two of them are taken in each")
+}
+
+// TestSelectionDependsOnSetAndChangesLittle shuffles the members and removes some of
+// them: hosts that know the same members select the same gatherers, and the loss of one
+// host replaces at most that host.
+func TestSelectionDependsOnSetAndChangesLittle(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		members := fleet(17 + random.IntN(180))
+		n := Count(len(members))
+		selected := Select(members, n)
+		require.Len(t, selected, n)
+		shuffled := slices.Clone(members)
+		random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		require.Equal(t, selected, Select(shuffled, n))
+		lost := random.IntN(len(members))
+		rest := slices.Delete(slices.Clone(members), lost, lost+1)
+		kept := 0
+		for _, m := range Select(rest, n) {
+			if slices.Contains(selected, m) {
+				kept++
+			}
+		}
+		require.GreaterOrEqual(t, kept, n-1)
+	}
+	require.Empty(t, Select(nil, 4))
+}
+
+func TestHostsPreferNearGatherersAndSpreadOverThem(t *testing.T) {
+	selected := Select(fleet(195), Count(195))
+	first := map[string]int{}
+	for i := range 195 {
+		domain := fmt.Sprint("z-", i%6)
+		ordered := Order(fmt.Sprint("host-", i), domain, selected)
+		require.Len(t, ordered, len(selected))
+		require.Equal(t, domain, ordered[0].FailureDomain)
+		first[ordered[0].Addr]++
+	}
+	for addr, n := range first {
+		require.Less(t, n, 195*2/MaxGatherers, addr)
+	}
+}
--- a/internal/domain/catalog/config.go
+++ b/internal/domain/catalog/config.go
@@ -41,6 +41,7 @@
 func NewConfig(version int64, routes []*Route, services map[ServiceName]Service, limits Limits) *Config {
 	c := &Config{Version: version, Routes: routes, Services: services, Limits: limits, byHostName: map[string][]*Route{}}
 	for _, r := range routes {
+		r.Fingerprint = fingerprintOf(r)
 		hostName := strings.ToLower(r.Host)
 		c.byHostName[hostName] = append(c.byHostName[hostName], r)
 	}
@@ -72,6 +73,17 @@
 	return nil
 }
 
+// Shards returns the services that are shards of a sweep.
+func (c *Config) Shards() map[ServiceName]bool {
+	shards := map[ServiceName]bool{}
+	for _, r := range c.Routes {
+		for _, s := range r.Shards {
+			shards[s] = true
+		}
+	}
+	return shards
+}
+
 // InUse returns the services that at least one route refers to.
 func (c *Config) InUse() map[ServiceName]bool {
 	used := map[ServiceName]bool{}
--- a/internal/domain/catalog/route.go
+++ b/internal/domain/catalog/route.go
@@ -28,6 +28,10 @@
 	TopK int
 	// LeastCoverage is the minimum share of shards that a sweep's answer needs.
 	LeastCoverage float64
+	// Fingerprint identifies how a sweep is served: two hosts whose routes for a
+	// request have the same one send it to the same shards under the same bounds. It is
+	// set by NewConfig.
+	Fingerprint uint64
 }
 
 // WeightedService is a service with its weight in a traffic split.
--- a/internal/domain/exchange/account.go
+++ b/internal/domain/exchange/account.go
@@ -12,6 +12,9 @@
 type Trace struct {
 	Route string
 	Sweep bool
+	// Gatherer is the address of the host that gathered a sweep for this one; empty if
+	// this host did.
+	Gatherer string
 	// ConfigVersion and Position are the configuration version and the store
 	// position under which the request was served.
 	ConfigVersion int64
--- a/internal/domain/exchange/answer.go
+++ b/internal/domain/exchange/answer.go
@@ -39,6 +39,7 @@
 	TargetsPaused   Reason = "targets_paused"
 	TargetFailed    Reason = "target_failed"
 	TargetSilent    Reason = "target_silent"
+	GathererLost    Reason = "gatherer_lost"
 	LowCoverage     Reason = "low_coverage"
 	TimedOut        Reason = "timed_out"
 	CallerLeft      Reason = "caller_left"
--- a/internal/hosts/catalogshare/counting.go
+++ b/internal/hosts/catalogshare/counting.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/swiftvane/swiftvane/internal/decision/gathering"
 )
 
 // Hosts returns the number of hosts known in the fleet, this one included, and
@@ -49,15 +51,27 @@
 func (h *Hub) recordReaderCounts(addr string, m *message) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.readerCounts[addr] = hostCount{hosts: m.OwnHosts, domains: m.OwnDomains, at: time.Now()}
+	h.readerCounts[addr] = hostCount{hosts: m.OwnHosts, domains: m.OwnDomains, members: h.membersOf(addr, m), at: time.Now()}
 }
 
-// recordUpstream stores the host counts in a message of the reader that this host
+// membersOf returns the members of another reader: those in its message or, if it has
+// none, those known. The caller holds the lock.
+func (h *Hub) membersOf(addr string, m *message) []gathering.Member {
+	if m.Members != nil {
+		return m.Members
+	}
+	return h.readerCounts[addr].members
+}
+
+// recordUpstream stores the host counts and gatherers in a message of the reader that this host
 // follows.
 func (h *Hub) recordUpstream(m *message) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.upstreamHosts, h.upstreamDomains, h.upstreamSettled = m.Hosts, m.Domains, m.Settled
+	if m.Gatherers != nil {
+		h.gatherers = m.Gatherers
+	}
 }
 
 // Domains returns the number of known hosts by failure domain.
@@ -87,7 +101,7 @@
 
 // ownDomains is ownHosts by failure domain. The caller holds the lock.
 func (h *Hub) ownDomains() map[string]int {
-	n := map[string]int{h.domain: 1}
+	n := map[string]int{h.self.FailureDomain: 1}
 	for f := range h.followers {
 		if !f.observe {
 			n[f.domain]++
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/gathering"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
@@ -24,8 +24,8 @@
 // concurrent use.
 type Hub struct {
 	log logrus.FieldLogger
-	// domain is the host's own failure domain.
-	domain   string
+	// self is this host as a candidate for gatherers.
+	self     gathering.Member
 	upgrader websocket.FastHTTPUpgrader
 
 	mu       sync.Mutex
@@ -47,6 +47,11 @@
 	// onLeaving is called with each new one.
 	leaving   map[LeavingTarget]time.Time
 	onLeaving func(LeavingTarget)
+	// gatherers is the current selection. The sent fields are what the last heartbeat
+	// with them had.
+	gatherers     []gathering.Member
+	sentGatherers []gathering.Member
+	sentMembers   []gathering.Member
 	// The upstream fields are the latest counts of the reader that this host
 	// follows, and whether that reader considers them settled.
 	upstreamHosts   int
@@ -60,6 +65,7 @@
 type hostCount struct {
 	hosts   int
 	domains map[string]int
+	members []gathering.Member
 	// at is the time of receipt.
 	at time.Time
 }
@@ -71,16 +77,18 @@
 type follower struct {
 	out    chan []byte
 	domain string
+	// member is the follower as a candidate for gatherers; its Addr may be empty.
+	member gathering.Member
 	// observe is set for links of other readers, which get counts and crash
 	// reports but no entries and aren't counted as hosts.
 	observe bool
 }
 
-// NewHub returns a hub without entries for a host in the given failure domain.
-// Crash reports are added to guard.
-func NewHub(domain string, guard *crashguard.Guard, log logrus.FieldLogger) *Hub {
+// NewHub returns a hub without entries for the host self. Crash reports are added to
+// guard.
+func NewHub(self gathering.Member, guard *crashguard.Guard, log logrus.FieldLogger) *Hub {
 	return &Hub{
-		log: log, domain: domain, guard: guard, entries: map[string]entry{}, followers: map[*follower]bool{}, readerCounts: map[string]hostCount{},
+		log: log, self: self, guard: guard, entries: map[string]entry{}, followers: map[*follower]bool{}, readerCounts: map[string]hostCount{},
 		leaving:  map[LeavingTarget]time.Time{},
 		upgrader: websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }},
 	}
@@ -91,12 +99,6 @@
 // must not block.
 func (h *Hub) OnUnhealthyTargets(f func(targets []string)) { h.onUnhealthy = f }
 
-// Serve accepts links until the listener is closed.
-func (h *Hub) Serve(l net.Listener) error {
-	server := &fasthttp.Server{Handler: h.handle, NoDefaultServerHeader: true, ReadTimeout: linkTimeout}
-	return server.Serve(l)
-}
-
 // Run sends heartbeats on all links until ctx ends.
 func (h *Hub) Run(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatInterval)
@@ -120,6 +122,7 @@
 	if len(h.followers) > 0 {
 		m := h.newMessage()
 		m.Unhealthy = unhealthy
+		h.addMembers(m, false)
 		h.broadcast(m)
 	}
 	return unhealthy
@@ -257,15 +260,11 @@
 	}
 }
 
-func (h *Hub) handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != sharePath {
-		ctx.Error("not found", fasthttp.StatusNotFound)
-		return
-	}
-	f := &follower{
-		out: make(chan []byte, outboxCapacity), observe: ctx.QueryArgs().Has(observeQuery),
-		domain: string(ctx.QueryArgs().Peek(domainQuery)),
-	}
+// Handle accepts a link.
+func (h *Hub) Handle(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	f := &follower{out: make(chan []byte, outboxCapacity), observe: args.Has(observeQuery), domain: string(args.Peek(domainQuery))}
+	f.member = gathering.Member{Addr: string(args.Peek(addrQuery)), FailureDomain: f.domain, Capacity: args.GetUintOrZero(capacityQuery)}
 	if err := h.upgrader.Upgrade(ctx, func(conn *websocket.Conn) { h.serveLink(conn, f) }); err != nil {
 		h.log.WithError(err).Info("catalog link upgrade failed")
 	}
@@ -284,6 +283,7 @@
 	if !f.observe {
 		first = h.fullMessage()
 	}
+	h.addMembers(first, true)
 	h.followers[f] = true
 	h.mu.Unlock()
 	var reading sync.WaitGroup
@@ -307,8 +307,8 @@
 	}
 }
 
-// readFollower handles a follower's crash reports and samples until the link ends.
-// It then closes the link, which makes the next write on it fail.
+// readFollower handles a follower's crash reports and samples until the link ends, or a
+// follower that reports periodically is silent for reportTimeout. It then closes the link, which makes the next write on it fail.
 func (h *Hub) readFollower(conn *websocket.Conn) {
 	defer closeLink(conn, h.log)
 	for {
@@ -324,6 +324,12 @@
 		h.addCrashReports(m.CrashReports)
 		h.addLeaving(m.Leaving)
 		h.addSamples(m.Samples)
+		if !m.Reports {
+			continue
+		}
+		if err := conn.SetReadDeadline(time.Now().Add(reportTimeout)); err != nil {
+			return
+		}
 	}
 }
 
--- a/internal/hosts/catalogshare/link.go
+++ b/internal/hosts/catalogshare/link.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/fasthttp/websocket"
 	"github.com/sirupsen/logrus"
+
+	"github.com/swiftvane/swiftvane/internal/decision/gathering"
 )
 
 var (
@@ -26,13 +29,14 @@
 
 // dial opens a link and starts the goroutine that reads its messages. If observe
 // is set, the link carries counts and crash reports but no entries.
-func dial(addr, domain string, observe bool, log logrus.FieldLogger) (*link, error) {
+func dial(addr string, self gathering.Member, observe bool, log logrus.FieldLogger) (*link, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	target := "ws://" + addr + sharePath + "?" + domainQuery + "=" + url.QueryEscape(domain)
+	query := url.Values{domainQuery: {self.FailureDomain}, addrQuery: {self.Addr}, capacityQuery: {strconv.Itoa(self.Capacity)}}
 	if observe {
-		target += "&" + observeQuery
+		query.Set(observeQuery, "")
 	}
+	target := "ws://" + addr + Path + "?" + query.Encode()
 	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout}
 	conn, resp, err := dialer.DialContext(ctx, target, nil)
 	if resp != nil && resp.Body != nil {
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -6,21 +6,28 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/gathering"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
 const (
-	// sharePath is the path at which a hub accepts links.
-	sharePath = "/catalog"
+	// Path is the path at which a hub accepts links.
+	Path = "/catalog"
 	// observeQuery is the query parameter of a link without entries.
 	observeQuery = "observe"
 	// domainQuery is the query parameter with the dialing host's failure domain.
 	domainQuery = "domain"
+	// addrQuery and capacityQuery are those with its address for links of other hosts
+	// and its processor capacity in thousandths of a core.
+	addrQuery     = "addr"
+	capacityQuery = "capacity"
 	// heartbeatInterval is the time between two messages on a link without changes.
 	heartbeatInterval = 400 * time.Millisecond
 	// linkTimeout is how long a link may be silent before it is closed.
 	linkTimeout = 1200 * time.Millisecond
+	// reportTimeout is how long a follower that reports periodically may be silent.
+	reportTimeout = 1500 * time.Millisecond
 	// maxReadAge is the greatest accepted age of a reader's data, counted from its
 	// last successful call to the store.
 	maxReadAge = 2600 * time.Millisecond
@@ -71,6 +78,10 @@
 	Settled bool `cbor:"11,keyasint,omitempty"`
 	// CrashReports are new reports of requests that crashed targets.
 	CrashReports []crashguard.CrashReport `cbor:"8,keyasint,omitempty"`
+	// Members are the sender and its followers as candidates for gatherers; they are
+	// sent when they change. Gatherers are those that the sender selected or got.
+	Members   []gathering.Member `cbor:"16,keyasint,omitempty"`
+	Gatherers []gathering.Member `cbor:"17,keyasint,omitempty"`
 	// Leaving are targets that have newly reported that they are leaving.
 	Leaving []LeavingTarget `cbor:"15,keyasint,omitempty"`
 	// Samples are a follower's counts of good and bad exchanges by target.
@@ -78,6 +89,9 @@
 	// samples.
 	Samples   []targethealth.Sample `cbor:"9,keyasint,omitempty"`
 	Unhealthy []string              `cbor:"10,keyasint,omitempty"`
+	// Reports is set by a follower that sends its samples periodically, even if there
+	// are none: the reader takes its silence for its end.
+	Reports bool `cbor:"18,keyasint,omitempty"`
 }
 
 // position returns the sender's position in the store's history.
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -77,7 +77,7 @@
 func (s *Source) Read(known catalog.Position) (catalogsync.Batch, error) {
 	s.dropLink()
 	until := time.Now().Add(max(s.opts.FirstWait, minFirstWait))
-	for !s.isReader() && time.Now().Before(until) {
+	for !s.IsReader() && time.Now().Before(until) {
 		s.retryAt = time.Time{}
 		s.dialInBackground()
 		s.awaitDial(time.Until(until))
@@ -137,7 +137,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.sharedLink != nil {
-		s.sharedLink.send(&message{Samples: samples})
+		s.sharedLink.send(&message{Samples: samples, Reports: true})
 		return
 	}
 	s.opts.Hub.addSamples(samples)
@@ -151,8 +151,8 @@
 	s.sharedLink = l
 }
 
-// isReader reports whether this host is one of the readers.
-func (s *Source) isReader() bool { return slices.Contains(s.opts.Readers(), s.opts.Self) }
+// IsReader reports whether this host is one of the readers.
+func (s *Source) IsReader() bool { return slices.Contains(s.opts.Readers(), s.opts.Self) }
 
 // nextBatch returns the link's next message as a batch. It fails with errStale if
 // the message is older than known, since the caller already has newer entries;
@@ -219,7 +219,7 @@
 // dialInBackground dials a reader without delaying calls to the store. It does
 // nothing on a reader, during another dial and before retryAt.
 func (s *Source) dialInBackground() {
-	if s.dialing || s.isReader() || time.Now().Before(s.retryAt) {
+	if s.dialing || s.IsReader() || time.Now().Before(s.retryAt) {
 		return
 	}
 	s.dialing = true
@@ -235,7 +235,7 @@
 		if addr == s.opts.Self {
 			continue
 		}
-		l, err := dial(addr, s.opts.Hub.domain, false, s.opts.Log)
+		l, err := dial(addr, s.opts.Hub.self, false, s.opts.Log)
 		if err == nil {
 			return l
 		}
@@ -250,7 +250,7 @@
 	running := map[string]bool{}
 	ended := make(chan string)
 	for {
-		if s.isReader() {
+		if s.IsReader() {
 			for _, addr := range s.opts.Readers() {
 				if addr != s.opts.Self && !running[addr] {
 					running[addr] = true
@@ -274,7 +274,7 @@
 // observe handles one link to another reader until it ends, then sends the
 // reader's address on ended after a pause.
 func (s *Source) observe(ctx context.Context, addr string, ended chan<- string) {
-	if l, err := dial(addr, s.opts.Hub.domain, true, s.opts.Log); err == nil {
+	if l, err := dial(addr, s.opts.Hub.self, true, s.opts.Log); err == nil {
 		for m := range l.messages {
 			s.opts.Hub.recordReaderCounts(addr, m)
 			s.opts.Hub.addCrashReports(m.CrashReports)
--- /dev/null
+++ b/internal/hosts/gatherlink/client.go
@@ -0,0 +1,155 @@
+package gatherlink
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/swiftvane/swiftvane/internal/decision/gathering"
+	"github.com/swiftvane/swiftvane/internal/support/logging"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
+)
+
+const (
+	// linksPerHost is the number of gatherers that a host is linked to.
+	linksPerHost = 3
+	// linesPerSecond bounds the log lines of each reason.
+	linesPerSecond = 5
+	// maintainInterval is the time between two checks of the links, before jitter.
+	maintainInterval = 300 * time.Millisecond
+)
+
+// Client passes sweeps on to gatherers. It is safe for concurrent use.
+type Client struct {
+	opts Options
+
+	mu sync.Mutex
+	// preferred are the gatherers in the order of preference, at most linksPerHost.
+	preferred []gathering.Member
+	links     map[string]*link
+	dialing   map[string]bool
+	budget    *budget
+	// lines bounds the log lines of each reason that a gatherer did not serve a sweep.
+	lines *logging.Budget
+	wake  chan struct{}
+}
+
+// Options configure a Client.
+type Options struct {
+	// Self is this host; it is never linked to itself.
+	Self gathering.Member
+	Log  logrus.FieldLogger
+	// AcceptTimeout is how long a gatherer may take to accept or refuse a sweep; zero
+	// means defaultAcceptTimeout.
+	AcceptTimeout time.Duration
+	// Scope gets the counters; nil for none.
+	Scope metrics.Scope
+}
+
+// NewClient returns a client without links.
+func NewClient(opts Options) *Client {
+	if opts.AcceptTimeout == 0 {
+		opts.AcceptTimeout = defaultAcceptTimeout
+	}
+	if opts.Scope == nil {
+		opts.Scope = tally.NoopScope
+	}
+	return &Client{
+		opts: opts, links: map[string]*link{}, dialing: map[string]bool{}, budget: newBudget(),
+		lines: logging.NewBudget(linesPerSecond), wake: make(chan struct{}, 1),
+	}
+}
+
+// SetGatherers sets the hosts that gather, none if this host serves all sweeps itself.
+func (c *Client) SetGatherers(gatherers []gathering.Member) {
+	others := slices.DeleteFunc(slices.Clone(gatherers), func(m gathering.Member) bool { return m.Addr == c.opts.Self.Addr })
+	ordered := gathering.Order(c.opts.Self.Addr, c.opts.Self.FailureDomain, others)
+	if len(others) < len(gatherers) {
+		// This host gathers itself.
+		ordered = nil
+	}
+	ordered = ordered[:min(linksPerHost, len(ordered))]
+	c.mu.Lock()
+	changed := !slices.Equal(ordered, c.preferred)
+	c.preferred = ordered
+	c.mu.Unlock()
+	if changed {
+		select {
+		case c.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run maintains the links until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	for {
+		c.maintain()
+		timer := time.NewTimer(maintainInterval + rand.N(maintainInterval))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-c.wake:
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// maintain dials the preferred gatherers without a link and closes links to others.
+func (c *Client) maintain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, l := range c.links {
+		if l.isEnded() {
+			c.opts.Log.WithField("gatherer", addr).Info("gather link lost")
+			delete(c.links, addr)
+			continue
+		}
+		if !slices.ContainsFunc(c.preferred, func(m gathering.Member) bool { return m.Addr == addr }) {
+			delete(c.links, addr)
+			// Sweeps on their way may still be answered.
+			time.AfterFunc(retireAfter, l.end)
+		}
+	}
+	for _, m := range c.preferred {
+		if c.links[m.Addr] == nil && !c.dialing[m.Addr] {
+			c.dialing[m.Addr] = true
+			go c.dial(m.Addr)
+		}
+	}
+}
+
+// retireAfter is how long a link that is no longer preferred stays open.
+const retireAfter = 3 * time.Second
+
+func (c *Client) dial(addr string) {
+	l, err := dialLink(addr, c.opts.Log)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.dialing, addr)
+	if err != nil {
+		c.opts.Log.WithError(err).WithField("gatherer", addr).Debug("dialing a gatherer failed")
+		return
+	}
+	c.links[addr] = l
+}
+
+// pick returns the most preferred usable link that is not in tried, or nil.
+func (c *Client) pick(tried []*link, now time.Time) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.preferred {
+		l := c.links[m.Addr]
+		if l != nil && !slices.Contains(tried, l) && l.usable(now) {
+			return l
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/hosts/gatherlink/frame.go
@@ -0,0 +1,138 @@
+package gatherlink
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+)
+
+// Path is the path at which a Server accepts links.
+const Path = "/gather"
+
+const (
+	// heartbeatInterval is the time between two heartbeats of a server on a link.
+	heartbeatInterval = 500 * time.Millisecond
+	// linkTimeout is how long a link may be silent before the client closes it.
+	linkTimeout = 1300 * time.Millisecond
+	// writeTimeout bounds the writing of one frame.
+	writeTimeout = time.Second
+)
+
+// frameKind is the type of a frame.
+type frameKind uint8
+
+const (
+	// kindHeartbeat shows that the server's process runs.
+	kindHeartbeat frameKind = iota
+	// kindSweep asks for a sweep, kindCancel withdraws it.
+	kindSweep
+	kindCancel
+	// kindAccepted and kindRefused answer a kindSweep at once; after the first,
+	// kindAnswer follows unless the sweep is withdrawn.
+	kindAccepted
+	kindRefused
+	kindAnswer
+)
+
+// frame is one message of a link.
+type frame struct {
+	Kind frameKind `cbor:"1,keyasint"`
+	// ID identifies a sweep on its link.
+	ID     uint64  `cbor:"2,keyasint,omitempty"`
+	Sweep  *sweep  `cbor:"3,keyasint,omitempty"`
+	Answer *answer `cbor:"4,keyasint,omitempty"`
+}
+
+// sweep is a caller's request for a sweep.
+type sweep struct {
+	RequestID string `cbor:"1,keyasint"`
+	Method    string `cbor:"2,keyasint"`
+	Host      string `cbor:"3,keyasint"`
+	URI       string `cbor:"4,keyasint"`
+	Forward   []byte `cbor:"5,keyasint,omitempty"`
+	Body      []byte `cbor:"6,keyasint,omitempty"`
+	HasBody   bool   `cbor:"7,keyasint,omitempty"`
+	// CallerTimeoutUS is how long the caller waits, ElapsedUS how much of that has
+	// passed, in microseconds.
+	CallerTimeoutUS int64 `cbor:"8,keyasint"`
+	ElapsedUS       int64 `cbor:"9,keyasint"`
+	// Fingerprint identifies the route, see catalog.Route.
+	Fingerprint uint64 `cbor:"10,keyasint"`
+}
+
+// answer is the answer to a sweep.
+type answer struct {
+	Status       int             `cbor:"1,keyasint"`
+	Signatures   []string        `cbor:"2,keyasint,omitempty"`
+	Missing      int             `cbor:"3,keyasint,omitempty"`
+	Body         []byte          `cbor:"4,keyasint,omitempty"`
+	RetryAfterUS int64           `cbor:"5,keyasint,omitempty"`
+	Reason       exchange.Reason `cbor:"6,keyasint,omitempty"`
+	Trace        *exchange.Trace `cbor:"7,keyasint,omitempty"`
+}
+
+// hopTime is the time that passing a sweep on and its answer back take, which is missing
+// to the gatherer.
+const hopTime = 2500 * time.Microsecond
+
+func sweepOf(r *exchange.Request, fingerprint uint64, now time.Time) *sweep {
+	return &sweep{
+		RequestID: r.ID, Method: r.Method, Host: r.Host, URI: r.URI, Forward: r.Forward, Body: r.Body, HasBody: r.HasBody,
+		CallerTimeoutUS: r.CallerTimeout.Microseconds(), ElapsedUS: now.Sub(r.Arrived).Microseconds(), Fingerprint: fingerprint,
+	}
+}
+
+// request returns the caller's request as the gatherer serves it.
+func (s *sweep) request(now time.Time) *exchange.Request {
+	elapsed := time.Duration(s.ElapsedUS)*time.Microsecond + hopTime
+	return &exchange.Request{
+		ID: s.RequestID, Method: s.Method, Host: s.Host, URI: s.URI, Forward: s.Forward, Body: s.Body, HasBody: s.HasBody,
+		CallerTimeout: time.Duration(s.CallerTimeoutUS) * time.Microsecond, Arrived: now.Add(-elapsed),
+	}
+}
+
+func answerOf(a *exchange.Answer) *answer {
+	return &answer{
+		Status: a.Status, Signatures: a.Signatures, Missing: a.Missing, Body: a.Body,
+		RetryAfterUS: a.RetryAfter.Microseconds(), Reason: a.Reason, Trace: a.Trace,
+	}
+}
+
+func (a *answer) answer() *exchange.Answer {
+	return &exchange.Answer{
+		Status: a.Status, Signatures: a.Signatures, Missing: a.Missing, Body: a.Body,
+		RetryAfter: time.Duration(a.RetryAfterUS) * time.Microsecond, Reason: a.Reason, Trace: a.Trace,
+	}
+}
+
+// frameWriter writes frames to a link from several goroutines.
+type frameWriter struct {
+	mu   sync.Mutex
+	conn *websocket.Conn
+}
+
+func (w *frameWriter) write(f *frame) error {
+	raw, err := cbor.Marshal(f)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return w.conn.WriteMessage(websocket.BinaryMessage, raw)
+}
+
+func readFrame(conn *websocket.Conn) (*frame, error) {
+	_, raw, err := conn.ReadMessage()
+	if err != nil {
+		return nil, err
+	}
+	f := &frame{}
+	return f, cbor.Unmarshal(raw, f)
+}
--- /dev/null
+++ b/internal/hosts/gatherlink/gatherlink_test.go
@@ -0,0 +1,257 @@
+package gatherlink
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/decision/gathering"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+)
+
+const (
+	eventuallyTimeout = 10 * time.Second
+	// acceptTimeout is long enough for a slow machine.
+	acceptTimeout = 5 * time.Second
+)
+
+func route() *catalog.Route {
+	r := &catalog.Route{
+		Name: "sweep", Host: "h", Prefix: "/", Timeout: time.Minute, Objective: 30 * time.Second,
+		Shards: []catalog.ServiceName{"a", "b"}, Idempotent: true, MaxAttempts: 2,
+	}
+	catalog.NewConfig(1, []*catalog.Route{r}, nil, catalog.Limits{})
+	return r
+}
+
+func request(id string) *exchange.Request {
+	return &exchange.Request{ID: id, Method: "GET", Host: "h", URI: "/x", Forward: []byte("A: b\r\n"), Arrived: time.Now(), CallerTimeout: time.Minute}
+}
+
+// fakeGatherer gathers sweeps with a function.
+type fakeGatherer struct {
+	accepts bool
+	gather  func(r *exchange.Request, gone <-chan struct{}) *exchange.Answer
+
+	mu       sync.Mutex
+	requests []*exchange.Request
+}
+
+func (g *fakeGatherer) Accepts(_ *exchange.Request, fingerprint uint64) bool {
+	return g.accepts && fingerprint == route().Fingerprint
+}
+
+func (g *fakeGatherer) Gather(r *exchange.Request, gone <-chan struct{}) *exchange.Answer {
+	g.mu.Lock()
+	g.requests = append(g.requests, r)
+	g.mu.Unlock()
+	return g.gather(r, gone)
+}
+
+func (g *fakeGatherer) served() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.requests)
+}
+
+// serve runs a gatherer and returns its member and a function that ends it and its links.
+func (g *fakeGatherer) serve(t *testing.T) (gathering.Member, *Server, func()) {
+	t.Helper()
+	log, _ := test.NewNullLogger()
+	s := NewServer(g, log)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	links := &linkListener{Listener: l}
+	go func() { _ = fasthttp.Serve(links, s.Handle) }()
+	end := func() { _ = l.Close(); links.closeAll() }
+	t.Cleanup(end)
+	return gathering.Member{Addr: l.Addr().String()}, s, end
+}
+
+// linkListener keeps the accepted connections, to close them like the end of a process.
+type linkListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *linkListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		l.conns = append(l.conns, c)
+		l.mu.Unlock()
+	}
+	return c, err
+}
+
+func (l *linkListener) closeAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		_ = c.Close()
+	}
+}
+
+func answering(status int) func(*exchange.Request, <-chan struct{}) *exchange.Answer {
+	return func(r *exchange.Request, _ <-chan struct{}) *exchange.Answer {
+		return &exchange.Answer{Status: status, Signatures: []string{r.ID}, Body: []byte("records"), Trace: &exchange.Trace{Route: "sweep", Sweep: true}}
+	}
+}
+
+// newClient returns a client with links to all gatherers, which it prefers in this order.
+func newClient(t *testing.T, gatherers ...gathering.Member) *Client {
+	t.Helper()
+	log, _ := test.NewNullLogger()
+	c := NewClient(Options{Self: gathering.Member{Addr: "self"}, Log: log, AcceptTimeout: acceptTimeout})
+	c.SetExtra(extrabudget.Limit{Ratio: 0.2, Slack: 2, Window: 10 * time.Second})
+	c.SetGatherers(gatherers)
+	c.mu.Lock()
+	c.preferred = gatherers
+	c.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	require.Eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.links) == len(gatherers)
+	}, eventuallyTimeout, time.Millisecond)
+	return c
+}
+
+func TestSweepIsAnsweredByPreferredGatherer(t *testing.T) {
+	first := &fakeGatherer{accepts: true, gather: answering(200)}
+	second := &fakeGatherer{accepts: true, gather: answering(200)}
+	m1, _, _ := first.serve(t)
+	m2, _, _ := second.serve(t)
+	c := newClient(t, m1, m2)
+	for i := range 20 {
+		id := fmt.Sprint("r-", i)
+		a := c.Sweep(request(id), route(), nil)
+		require.Equal(t, 200, a.Status)
+		require.Equal(t, []string{id}, a.Signatures)
+		require.Equal(t, "records", string(a.Body))
+		require.Equal(t, m1.Addr, a.Trace.Gatherer)
+	}
+	require.Equal(t, 20, first.served())
+	require.Zero(t, second.served())
+	got := first.requests[0]
+	require.Equal(t, "A: b\r\n", string(got.Forward))
+	require.Equal(t, time.Minute, got.CallerTimeout)
+	require.True(t, got.Arrived.Before(time.Now().Add(-hopTime)))
+}
+
+// TestRefusedSweepGoesToOtherGathererOrBackToHost covers gatherers that are stopping or
+// have another configuration: they refuse before anything is sent to a target.
+func TestRefusedSweepGoesToOtherGathererOrBackToHost(t *testing.T) {
+	refusing := &fakeGatherer{gather: answering(200)}
+	stopping := &fakeGatherer{accepts: true, gather: answering(200)}
+	m1, _, _ := refusing.serve(t)
+	m2, s2, _ := stopping.serve(t)
+	c := newClient(t, m1, m2)
+	require.Equal(t, 200, c.Sweep(request("r-1"), route(), nil).Status)
+	s2.Stop()
+	require.Nil(t, c.Sweep(request("r-2"), route(), nil), "the host serves it itself")
+	require.Zero(t, refusing.served())
+	require.Equal(t, 1, stopping.served())
+}
+
+// TestSweepOfLostGathererIsPassedOnWithinBudget ends a gatherer while it has sweeps.
+// Each is passed on again only within the bound on extra load.
+func TestSweepOfLostGathererIsPassedOnWithinBudget(t *testing.T) {
+	const callers = 12
+	var begun sync.WaitGroup
+	begun.Add(callers)
+	lost := &fakeGatherer{accepts: true, gather: func(_ *exchange.Request, gone <-chan struct{}) *exchange.Answer {
+		begun.Done()
+		<-gone
+		return &exchange.Answer{Status: 499}
+	}}
+	other := &fakeGatherer{accepts: true, gather: answering(200)}
+	m1, _, endLost := lost.serve(t)
+	m2, _, _ := other.serve(t)
+	c := newClient(t, m1, m2)
+	statuses := make(chan int, callers)
+	for i := range callers {
+		go func() { statuses <- c.Sweep(request(fmt.Sprint("r-", i)), route(), nil).Status }()
+	}
+	begun.Wait()
+	endLost()
+	counts := map[int]int{}
+	for range callers {
+		counts[<-statuses]++
+	}
+	require.Equal(t, 4, counts[200], "a slack of 2 and a fifth of 12: %v", counts)
+	require.Equal(t, callers-4, counts[502], "%v", counts)
+	require.Equal(t, 4, other.served())
+}
+
+// TestSilentGathererIsLeft covers a gatherer that neither accepts nor refuses, as one
+// that is frozen or cut off.
+func TestSilentGathererIsLeft(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	frozen := make(chan struct{})
+	t.Cleanup(func() { close(frozen) })
+	silent := &fakeGatherer{accepts: true, gather: answering(200)}
+	log, _ := test.NewNullLogger()
+	server := NewServer(&silentHandler{fakeGatherer: silent, frozen: frozen}, log)
+	go func() { _ = fasthttp.Serve(l, server.Handle) }()
+	other := &fakeGatherer{accepts: true, gather: answering(200)}
+	m2, _, _ := other.serve(t)
+	c := newClient(t, gathering.Member{Addr: l.Addr().String()}, m2)
+	for i := range 2 {
+		require.Equal(t, 200, c.Sweep(request(fmt.Sprint("r-", i)), route(), nil).Status)
+	}
+	require.Equal(t, 2, other.served())
+}
+
+// silentHandler blocks the reading of a link, as a frozen process does.
+type silentHandler struct {
+	*fakeGatherer
+	frozen chan struct{}
+}
+
+func (h *silentHandler) Accepts(*exchange.Request, uint64) bool {
+	<-h.frozen
+	return false
+}
+
+// TestCallerThatLeavesWithdrawsSweep checks that the gatherer's work ends.
+func TestCallerThatLeavesWithdrawsSweep(t *testing.T) {
+	ended := make(chan struct{})
+	g := &fakeGatherer{accepts: true, gather: func(_ *exchange.Request, gone <-chan struct{}) *exchange.Answer {
+		<-gone
+		close(ended)
+		return &exchange.Answer{Status: 499}
+	}}
+	m, _, _ := g.serve(t)
+	c := newClient(t, m)
+	gone := make(chan struct{})
+	go func() {
+		for g.served() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		close(gone)
+	}()
+	require.Equal(t, 499, c.Sweep(request("r-1"), route(), gone).Status)
+	<-ended
+}
+
+func TestHostWithoutGatherersServesSweepsItself(t *testing.T) {
+	c := newClient(t)
+	require.Nil(t, c.Sweep(request("r-1"), route(), nil))
+	c.SetGatherers([]gathering.Member{{Addr: "self"}, {Addr: "127.0.0.1:1"}})
+	require.Empty(t, c.preferred, "a gatherer passes nothing on")
+}
--- /dev/null
+++ b/internal/hosts/gatherlink/link.go
@@ -0,0 +1,163 @@
+package gatherlink
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/sirupsen/logrus"
+)
+
+// dialTimeout bounds the set-up of a link, handshake included.
+const dialTimeout = 600 * time.Millisecond
+
+var errLinkEnded = errors.New("the gather link ended")
+
+// outcome is what became of a sweep on a link.
+type outcome struct {
+	kind   frameKind
+	answer *answer
+	err    error
+}
+
+// link is a client's link to one gatherer.
+type link struct {
+	frameWriter
+	addr string
+	log  logrus.FieldLogger
+
+	mu sync.Mutex
+	// pending gets the outcomes of each sweep on the link: accepted or refused, then
+	// the answer, or an error.
+	pending map[uint64]chan outcome
+	lastID  uint64
+	ended   bool
+	// avoidUntil is when a gatherer is asked again that refused a sweep or did not
+	// accept one in time.
+	avoidUntil time.Time
+}
+
+// dialLink opens a link and starts the goroutine that reads it.
+func dialLink(addr string, log logrus.FieldLogger) (*link, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout}
+	conn, resp, err := dialer.DialContext(ctx, "ws://"+addr+Path, nil)
+	if resp != nil && resp.Body != nil {
+		_ = resp.Body.Close() //nolint:errcheck // an upgrade's response has no body to lose
+	}
+	if err != nil {
+		return nil, err
+	}
+	l := &link{frameWriter: frameWriter{conn: conn}, addr: addr, log: log, pending: map[uint64]chan outcome{}}
+	go l.read()
+	return l, nil
+}
+
+// read passes on outcomes until the link ends or is silent for linkTimeout.
+func (l *link) read() {
+	defer l.end()
+	for {
+		if err := l.conn.SetReadDeadline(time.Now().Add(linkTimeout)); err != nil {
+			return
+		}
+		f, err := readFrame(l.conn)
+		if err != nil {
+			return
+		}
+		if f.Kind != kindHeartbeat {
+			l.pass(f.ID, outcome{kind: f.Kind, answer: f.Answer})
+		}
+	}
+}
+
+// pass gives an outcome to the sweep that waits for it, if there still is one.
+func (l *link) pass(id uint64, o outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	waiting, ok := l.pending[id]
+	if !ok {
+		return
+	}
+	select {
+	case waiting <- o:
+	default:
+		l.log.WithField("gatherer", l.addr).Warn("gatherer sent more frames than a sweep has")
+	}
+}
+
+// end closes the link and ends the sweeps on it.
+func (l *link) end() {
+	l.mu.Lock()
+	l.ended = true
+	for id, waiting := range l.pending {
+		delete(l.pending, id)
+		select {
+		case waiting <- outcome{err: errLinkEnded}:
+		default:
+		}
+	}
+	l.mu.Unlock()
+	if err := l.conn.Close(); err != nil {
+		l.log.WithError(err).Debug("closing a gather link failed")
+	}
+}
+
+// maxOutcomes is the number of outcomes that a sweep can have on one link.
+const maxOutcomes = 4
+
+// send passes a sweep on and returns the channel of its outcomes and its id.
+func (l *link) send(s *sweep) (<-chan outcome, uint64, error) {
+	waiting := make(chan outcome, maxOutcomes)
+	l.mu.Lock()
+	if l.ended {
+		l.mu.Unlock()
+		return nil, 0, errLinkEnded
+	}
+	l.lastID++
+	id := l.lastID
+	l.pending[id] = waiting
+	l.mu.Unlock()
+	if err := l.write(&frame{Kind: kindSweep, ID: id, Sweep: s}); err != nil {
+		l.forget(id)
+		return nil, 0, err
+	}
+	return waiting, id, nil
+}
+
+// forget drops a sweep.
+func (l *link) forget(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pending, id)
+}
+
+// withdraw drops a sweep and tells the gatherer.
+func (l *link) withdraw(id uint64) {
+	l.forget(id)
+	if err := l.write(&frame{Kind: kindCancel, ID: id}); err != nil {
+		l.log.WithError(err).WithField("gatherer", l.addr).Debug("withdrawing a sweep failed")
+	}
+}
+
+// avoid makes usable return false for the given time.
+func (l *link) avoid(now time.Time, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.avoidUntil = now.Add(d)
+}
+
+// usable reports whether the link is open and its gatherer not avoided.
+func (l *link) usable(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.ended && !now.Before(l.avoidUntil)
+}
+
+func (l *link) isEnded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended
+}
--- /dev/null
+++ b/internal/hosts/gatherlink/server.go
@@ -0,0 +1,166 @@
+package gatherlink
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fasthttp/websocket"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+)
+
+// Handler serves sweeps of other hosts.
+type Handler interface {
+	// Accepts reports whether this host serves the request as the host that passed it
+	// on would, by the fingerprint of that host's route.
+	Accepts(r *exchange.Request, fingerprint uint64) bool
+	// Gather returns the answer to a request; gone is closed when it is withdrawn.
+	Gather(r *exchange.Request, gone <-chan struct{}) *exchange.Answer
+}
+
+// Server serves sweeps that other hosts pass on. It is safe for concurrent use.
+type Server struct {
+	handler  Handler
+	log      logrus.FieldLogger
+	upgrader websocket.FastHTTPUpgrader
+	stopping atomic.Bool
+}
+
+// NewServer returns a server without links.
+func NewServer(handler Handler, log logrus.FieldLogger) *Server {
+	return &Server{
+		handler: handler, log: log,
+		upgrader: websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }},
+	}
+}
+
+// Stop makes the server refuse further sweeps, which then go to other gatherers.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Handle accepts a link.
+func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	if err := s.upgrader.Upgrade(ctx, s.serve); err != nil {
+		s.log.WithError(err).Info("gather link upgrade failed")
+	}
+}
+
+// serve handles one link until it ends.
+func (s *Server) serve(conn *websocket.Conn) {
+	l := &serverLink{server: s, frameWriter: frameWriter{conn: conn}, sweeps: map[uint64]chan struct{}{}}
+	ended := make(chan struct{})
+	var beating sync.WaitGroup
+	beating.Go(func() { l.sendHeartbeats(ended) })
+	l.read()
+	close(ended)
+	l.withdrawAll()
+	if err := conn.Close(); err != nil {
+		s.log.WithError(err).Debug("closing a gather link failed")
+	}
+	beating.Wait()
+	// The server reuses the connection's buffers once this function returns.
+	l.serving.Wait()
+}
+
+// serverLink is one incoming link.
+type serverLink struct {
+	frameWriter
+	server  *Server
+	serving sync.WaitGroup
+
+	sweepsMu sync.Mutex
+	// sweeps has a channel for each sweep being served, closed when it is withdrawn.
+	sweeps map[uint64]chan struct{}
+}
+
+// sendHeartbeats sends heartbeats until the link ends or a write fails.
+func (l *serverLink) sendHeartbeats(ended <-chan struct{}) {
+	ticker := time.NewTicker(heartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case <-ticker.C:
+			if l.write(&frame{Kind: kindHeartbeat}) != nil {
+				_ = l.conn.Close() //nolint:errcheck // the failed write was the news
+				return
+			}
+		}
+	}
+}
+
+// read handles the client's frames until the link ends.
+func (l *serverLink) read() {
+	for {
+		f, err := readFrame(l.conn)
+		if err != nil {
+			return
+		}
+		switch f.Kind {
+		case kindSweep:
+			l.begin(f)
+		case kindCancel:
+			l.withdraw(f.ID)
+		}
+	}
+}
+
+// begin accepts or refuses a sweep.
+func (l *serverLink) begin(f *frame) {
+	if f.Sweep == nil {
+		return
+	}
+	request := f.Sweep.request(time.Now())
+	if l.server.stopping.Load() || !l.server.handler.Accepts(request, f.Sweep.Fingerprint) {
+		l.reply(&frame{Kind: kindRefused, ID: f.ID})
+		return
+	}
+	gone := make(chan struct{})
+	l.sweepsMu.Lock()
+	l.sweeps[f.ID] = gone
+	l.sweepsMu.Unlock()
+	l.reply(&frame{Kind: kindAccepted, ID: f.ID})
+	l.serving.Go(func() {
+		a := l.server.handler.Gather(request, gone)
+		if l.end(f.ID) {
+			l.reply(&frame{Kind: kindAnswer, ID: f.ID, Answer: answerOf(a)})
+		}
+	})
+}
+
+// end removes a sweep and reports whether it was not withdrawn.
+func (l *serverLink) end(id uint64) bool {
+	l.sweepsMu.Lock()
+	defer l.sweepsMu.Unlock()
+	_, wanted := l.sweeps[id]
+	delete(l.sweeps, id)
+	return wanted
+}
+
+func (l *serverLink) withdraw(id uint64) {
+	l.sweepsMu.Lock()
+	defer l.sweepsMu.Unlock()
+	if gone, ok := l.sweeps[id]; ok {
+		delete(l.sweeps, id)
+		close(gone)
+	}
+}
+
+func (l *serverLink) withdrawAll() {
+	l.sweepsMu.Lock()
+	defer l.sweepsMu.Unlock()
+	for id, gone := range l.sweeps {
+		delete(l.sweeps, id)
+		close(gone)
+	}
+}
+
+// reply writes a frame; the link's end is noticed by its reader.
+func (l *serverLink) reply(f *frame) {
+	if err := l.write(f); err != nil {
+		l.server.log.WithError(err).Debug("writing to a gather link failed")
+	}
+}
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -22,6 +22,12 @@
 	Snapshot() *targetpool.Snapshot
 }
 
+// Gatherers passes sweeps on to other hosts.
+type Gatherers interface {
+	// Sweep returns the answer to a sweep, or nil if this host has to serve it itself.
+	Sweep(r *exchange.Request, route *catalog.Route, callerGone <-chan struct{}) *exchange.Answer
+}
+
 // Options configure an Executor.
 type Options struct {
 	Snapshots Snapshots
@@ -29,6 +35,9 @@
 	FailureDomain string
 	// Policy is Adaptive except in comparisons with the baseline.
 	Policy Policy
+	// Gatherers passes sweeps on to hosts that gather them; nil if this host serves all
+	// itself.
+	Gatherers Gatherers
 	// Guard identifies requests that crash targets; required.
 	Guard *crashguard.Guard
 }
@@ -67,15 +76,57 @@
 	if e.opts.Guard.Blocks(r, time.Now()) {
 		return refuse(exchange.CrashesTargets, retryCrashing)
 	}
+	if !route.Sweep() {
+		return e.newRun(snapshot, route, r, callerGone).single(e.splits.pick(route))
+	}
+	if e.opts.Gatherers != nil {
+		if answer := e.opts.Gatherers.Sweep(r, route, callerGone); answer != nil {
+			return answer
+		}
+	}
+	return e.newRun(snapshot, route, r, callerGone).sweep()
+}
+
+// Accepts reports whether this host would serve a sweep of another host as that one
+// does, whose route has the fingerprint.
+func (e *Executor) Accepts(r *exchange.Request, fingerprint uint64) bool {
+	route := e.sweepRoute(e.opts.Snapshots.Snapshot(), r)
+	return route != nil && route.Fingerprint == fingerprint
+}
+
+// Gather returns the answer to a sweep of another host. callerGone is closed when that
+// host withdraws it.
+func (e *Executor) Gather(r *exchange.Request, callerGone <-chan struct{}) *exchange.Answer {
+	snapshot := e.opts.Snapshots.Snapshot()
+	route := e.sweepRoute(snapshot, r)
+	if route == nil {
+		return refuse(exchange.NoRoute, retryNoConfig)
+	}
+	if e.opts.Guard.Blocks(r, time.Now()) {
+		return refuse(exchange.CrashesTargets, retryCrashing)
+	}
+	return e.newRun(snapshot, route, r, callerGone).sweep()
+}
+
+// sweepRoute returns the route of a sweep, nil if there is none.
+func (e *Executor) sweepRoute(snapshot *targetpool.Snapshot, r *exchange.Request) *catalog.Route {
+	config := snapshot.View.Config
+	if config == nil {
+		return nil
+	}
+	route := config.Match(r.Host, r.URI)
+	if route == nil || !route.Sweep() {
+		return nil
+	}
+	return route
+}
+
+func (e *Executor) newRun(snapshot *targetpool.Snapshot, route *catalog.Route, r *exchange.Request, callerGone <-chan struct{}) *run {
 	stats := e.statsByRoute.of(route)
-	run := &run{
+	return &run{
 		executor: e, snapshot: snapshot, route: route, request: r, callerGone: callerGone,
 		routeStats: stats, expectedTimes: stats.expectedTimes(route, time.Now()), times: newSchedule(route, r),
 	}
-	if route.Sweep() {
-		return run.sweep()
-	}
-	return run.single(e.splits.pick(route))
 }
 
 // candidate returns the state of a pool's target for the choice of a replica.
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -50,9 +50,11 @@
 	view    *catalog.View
 	fleet   Fleet
 	started time.Time
-	// slack is this host's part of the slack in each service's budget.
-	slack float64
-	pools map[catalog.TargetID]*Pool
+	// running is set once the host has run for one window of the budgets.
+	running bool
+	// shards has the services of the view that are shards of a sweep.
+	shards map[catalog.ServiceName]bool
+	pools  map[catalog.TargetID]*Pool
 	// withdrawn has what targets without a pool have said. It outlasts the entry of a
 	// target in the store, which may vanish and return.
 	withdrawn map[targetStart]withdrawal.State
@@ -102,23 +104,28 @@
 func (d *Directory) SetFleet(f Fleet) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	slack := slackOf(d.opts.Extra, f.Hosts, time.Since(d.started))
-	changed := !f.equal(d.fleet)
-	if !changed && slack == d.slack {
+	running := time.Since(d.started) >= d.opts.Extra.Window
+	if f.equal(d.fleet) && running == d.running {
 		return
 	}
-	d.fleet, d.slack = f, slack
-	for name, b := range d.budgets {
-		b.setShare(slack, d.offset(name))
-	}
-	if changed {
-		d.rebuild()
-	}
+	d.fleet, d.running = f, running
+	d.rebuild()
 }
 
-// offset returns the rounding offset of this host's budget for a service.
-func (d *Directory) offset(name catalog.ServiceName) float64 {
-	return offsetOf(d.opts.Extra, d.opts.Host, name, d.fleet.Hosts)
+// limitOf returns this host's bound on the extra sub-requests of a service. The lock is
+// held.
+func (d *Directory) limitOf(name catalog.ServiceName) extrabudget.Limit {
+	age := time.Duration(0)
+	if d.running {
+		age = d.opts.Extra.Window
+	}
+	if d.fleet.Gatherers == 0 || !d.shards[name] {
+		return hostLimit(d.opts.Extra, d.opts.Host, name, d.fleet.Hosts, age)
+	}
+	if d.fleet.Gathers {
+		return hostLimit(partOf(d.opts.Extra, gatheredPart), d.opts.Host, name, d.fleet.Gatherers, age)
+	}
+	return hostLimit(partOf(d.opts.Extra, directPart), d.opts.Host, name, d.fleet.Hosts, age)
 }
 
 // rebuild closes the pools of removed and restarted targets and publishes a
@@ -133,8 +140,12 @@
 		}
 	}
 	used := map[catalog.ServiceName]bool{}
+	d.shards = map[catalog.ServiceName]bool{}
 	if v.Config != nil {
-		used = v.Config.InUse()
+		used, d.shards = v.Config.InUse(), v.Config.Shards()
+	}
+	for name, b := range d.budgets {
+		b.setLimit(d.limitOf(name))
 	}
 	groups := map[catalog.ServiceName]*Group{}
 	for name := range used {
@@ -151,7 +162,7 @@
 // share to Pools and the others to Spare. It opens missing pools. The lock is held.
 func (d *Directory) fill(g *Group, targets []*catalog.Target) {
 	maxConns := d.maxConns(g.Service)
-	own := shareOf(maxConns, len(targets), d.fleet.Hosts)
+	own := d.shareOf(g.Service, maxConns, len(targets))
 	if own.targets < len(targets) {
 		targets = rank(d.opts.Host, targets)
 		if d.fleet.sameDomainFits(d.opts.FailureDomain, targets, maxConns) {
@@ -179,6 +190,20 @@
 	}
 }
 
+// shareOf returns this host's share of the connections to the targets of a service.
+// Where a few hosts gather sweeps for all, only these keep connections to shards. The
+// lock is held.
+func (d *Directory) shareOf(name catalog.ServiceName, maxConns, targets int) share {
+	switch {
+	case d.fleet.Gatherers == 0 || !d.shards[name]:
+		return shareOf(maxConns, targets, d.fleet.Hosts)
+	case d.fleet.Gathers:
+		return shareOf(maxConns, targets, d.fleet.Gatherers)
+	default:
+		return share{}
+	}
+}
+
 // maxConns returns the connection limit of each target of a service. It is 1 while
 // no configuration is known, and 0 if the configuration does not list the service.
 func (d *Directory) maxConns(name catalog.ServiceName) int {
@@ -191,10 +216,7 @@
 func (d *Directory) group(name catalog.ServiceName) *Group {
 	budget, ok := d.budgets[name]
 	if !ok {
-		limit := d.opts.Extra
-		limit.Slack = d.slack
-		limit.Offset = d.offset(name)
-		budget = &guardedBudget{budget: extrabudget.New(limit, time.Now())}
+		budget = &guardedBudget{budget: extrabudget.New(d.limitOf(name), time.Now())}
 		d.budgets[name] = budget
 	}
 	return &Group{Service: name, extra: budget}
--- a/internal/targets/targetpool/fleet.go
+++ b/internal/targets/targetpool/fleet.go
@@ -13,10 +13,14 @@
 	Hosts int
 	// Domains is the number of hosts in each failure domain; it may be empty.
 	Domains map[string]int
+	// Gatherers is the number of hosts that gather sweeps for all, 0 if each host
+	// serves its sweeps itself. Gathers is set if this host is one of them.
+	Gatherers int
+	Gathers   bool
 }
 
 func (f Fleet) equal(other Fleet) bool {
-	return f.Hosts == other.Hosts && maps.Equal(f.Domains, other.Domains)
+	return f.Hosts == other.Hosts && f.Gatherers == other.Gatherers && f.Gathers == other.Gathers && maps.Equal(f.Domains, other.Domains)
 }
 
 // sameDomainFits reports whether the targets in a failure domain can hold a
--- a/internal/targets/targetpool/group.go
+++ b/internal/targets/targetpool/group.go
@@ -33,10 +33,10 @@
 	return g.Spare[i-len(g.Pools)], true
 }
 
-func (b *guardedBudget) setShare(slack, offset float64) {
+func (b *guardedBudget) setLimit(limit extrabudget.Limit) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget.SetShare(slack, offset)
+	b.budget.SetLimit(limit)
 }
 
 // CountRequest counts one request to the service.
--- a/internal/targets/targetpool/slack.go
+++ b/internal/targets/targetpool/slack.go
@@ -28,6 +28,39 @@
 	startingFraction = 0.2
 )
 
+// The parts of the extra load of a shard's service in a fleet with gatherers. The first
+// is divided among the gatherers, the others among all hosts: for the sweeps that a host
+// serves itself since it reaches no gatherer, and for those that it passes on again.
+const (
+	gatheredPart = 0.45
+	directPart   = 0.05
+	passedPart   = 0.5
+	// passedRatio is the part of the ratio, instead of the slack, for sweeps that are
+	// passed on again; the rest is for hedges and retries.
+	passedRatio = 0.15
+)
+
+// partOf returns the part of a bound for hedges and retries of sub-requests.
+func partOf(limit extrabudget.Limit, part float64) extrabudget.Limit {
+	limit.Ratio *= 1 - passedRatio
+	limit.Slack *= part
+	return limit
+}
+
+// PassLimit returns one host's bound on sweeps that it passes on again.
+func PassLimit(limit extrabudget.Limit, host string, hosts int, age time.Duration) extrabudget.Limit {
+	limit.Ratio *= passedRatio
+	limit.Slack *= passedPart
+	return hostLimit(limit, host, "", hosts, age)
+}
+
+// hostLimit returns one host's bound, of which limit is the bound of all hosts.
+func hostLimit(limit extrabudget.Limit, host string, service catalog.ServiceName, hosts int, age time.Duration) extrabudget.Limit {
+	limit.Offset = offsetOf(limit, host, service, hosts)
+	limit.Slack = slackOf(limit, hosts, age)
+	return limit
+}
+
 // slackOf returns one host's part of the slack of a service's budget, or 0 while
 // the number of hosts that share it is unknown.
 //
--- a/internal/targets/targetpool/slack_test.go
+++ b/internal/targets/targetpool/slack_test.go
@@ -59,9 +59,49 @@
 
 // spendAll returns the number of extra sub-requests that a host's budget grants.
 func spendAll(limit extrabudget.Limit, host string, service catalog.ServiceName, hosts, requests int, age time.Duration) int {
-	now := time.Now()
 	limit.Offset = offsetOf(limit, host, service, hosts)
 	limit.Slack = slackOf(limit, hosts, age)
+	return spendOf(limit, requests)
+}
+
+// TestFleetWithGatherersStaysWithinServiceBound lets gatherers, hosts that serve sweeps
+// themselves and hosts that pass sweeps on again spend all that they may for a shard,
+// before and after a restart of all of them.
+func TestFleetWithGatherersStaysWithinServiceBound(t *testing.T) {
+	const ratio, safety = 0.2, 0.9
+	random := rand.New(rand.NewPCG(3, 4))
+	for _, fleet := range []struct {
+		hosts, gatherers int
+		slack            float64
+	}{{18, 4, 60}, {59, 7, 158}, {73, 9, 186}, {91, 11, 222}, {195, 12, 430}} {
+		limit := extrabudget.Limit{Ratio: ratio * safety, Slack: fleet.slack, Window: 10 * time.Second}
+		for shard := range 200 {
+			service := catalog.ServiceName(fmt.Sprintf("s-%d", shard))
+			requests, extras := 0, 0
+			for _, age := range []time.Duration{time.Hour, time.Second} {
+				passedSum := 0
+				for h := range fleet.hosts {
+					host := fmt.Sprintf("host-%d", h)
+					passed, direct := random.IntN(8), random.IntN(3)
+					passedSum += passed
+					requests += passed + direct
+					extras += spendOf(PassLimit(limit, host, fleet.hosts, age), passed)
+					extras += spendOf(hostLimit(partOf(limit, directPart), host, service, fleet.hosts, age), direct)
+				}
+				for h := range fleet.gatherers {
+					host := fmt.Sprintf("host-%d", h)
+					extras += spendOf(hostLimit(partOf(limit, gatheredPart), host, service, fleet.gatherers, age), passedSum/fleet.gatherers)
+				}
+			}
+			allowed := ratio*float64(requests) + fleet.slack
+			require.LessOrEqual(t, float64(extras), allowed, "%d hosts, %s", fleet.hosts, service)
+		}
+	}
+}
+
+// spendOf returns the number of extra sub-requests that a bound grants after requests.
+func spendOf(limit extrabudget.Limit, requests int) int {
+	now := time.Now()
 	budget := extrabudget.New(limit, now)
 	for range requests {
 		budget.AddRequest(now)
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/swiftvane/swiftvane/internal/face/front"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogshare"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
+	"github.com/swiftvane/swiftvane/internal/hosts/gatherlink"
 	"github.com/swiftvane/swiftvane/internal/querypath/relay"
 	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
@@ -42,6 +43,8 @@
 	// others.
 	PeerAddr string
 	Readers  func() []string
+	// Capacity is the host's processor capacity in thousandths of a core.
+	Capacity int
 	// Policy is relay.Adaptive except in measurements.
 	Policy relay.Policy
 	// FirstStart is set while the whole fleet starts for the first time and no
@@ -77,6 +80,13 @@
 	stopReserve = 600 * time.Millisecond
 )
 
+// ownExtra returns the bound on extra sub-requests of which the host takes its share.
+func (o *Options) ownExtra() extrabudget.Limit {
+	limit := o.Extra
+	limit.Ratio *= extraRatioShare
+	return limit
+}
+
 // Edge is one host.
 type Edge struct {
 	opts      Options
@@ -84,6 +94,8 @@
 	hub       *catalogshare.Hub
 	source    *catalogshare.Source
 	directory *targetpool.Directory
+	gatherers *gatherlink.Client
+	gather    *gatherlink.Server
 	server    *front.Server
 	ready     *readiness
 	metrics   *metricsServer
@@ -102,16 +114,12 @@
 		Codec:  opts.TargetCodec,
 		Dialer: targetpool.TCPDialer{},
 		Log:    opts.Log,
-		Extra: extrabudget.Limit{
-			Ratio:  opts.Extra.Ratio * extraRatioShare,
-			Slack:  opts.Extra.Slack,
-			Window: opts.Extra.Window,
-		},
-		Host: opts.Host, FailureDomain: opts.FailureDomain,
+		Extra:  opts.ownExtra(),
+		Host:   opts.Host, FailureDomain: opts.FailureDomain,
 		OnCrash: e.reportCrash, OnLeaving: e.reportLeaving, DrainWithin: opts.DrainWithin, Scope: e.metrics.scope,
 	})
 	guard := crashguard.New()
-	e.hub = catalogshare.NewHub(opts.FailureDomain, guard, opts.Log)
+	e.hub = catalogshare.NewHub(e.self(), guard, opts.Log)
 	e.hub.OnUnhealthyTargets(e.handleUnhealthyTargets)
 	e.hub.OnLeavingTarget(e.handleLeavingTarget)
 	firstWait := time.Duration(0)
@@ -122,9 +130,11 @@
 		Store: opts.Store, Decode: opts.Decode, Hub: e.hub, Self: opts.PeerAddr, Readers: opts.Readers, FirstWait: firstWait, Log: opts.Log,
 	})
 	e.follower = catalogsync.New(e.source, opts.Log, catalogsync.Hooks{OnView: e.directory.Update, OnBatch: e.hub.Publish})
+	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope})
 	executor := relay.NewExecutor(relay.Options{
-		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard, Policy: opts.Policy,
+		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard, Policy: opts.Policy, Gatherers: e.gatherers,
 	})
+	e.gather = gatherlink.NewServer(executor, opts.Log)
 	e.server = front.New(front.Options{
 		Codec: opts.CallerCodec, Handler: executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
 	})
@@ -187,11 +197,8 @@
 	}
 	go e.hub.Run(ctx)
 	go e.source.Observe(ctx)
-	go func() {
-		if err := e.hub.Serve(peers); err != nil {
-			e.opts.Log.WithError(err).Info("other hosts' listener closed")
-		}
-	}()
+	go e.gatherers.Run(ctx)
+	go e.servePeers(peers)
 	return nil
 }
 
@@ -203,11 +210,12 @@
 	var size fleetSize
 	var domains domainSizes
 	now := time.Now()
+	started := now
 	for {
 		known, settled := e.hub.Hosts()
 		hosts := size.update(known, settled || e.standalone(), now)
 		e.hub.SetSettled(hosts > 0)
-		e.directory.SetFleet(targetpool.Fleet{Hosts: hosts, Domains: domains.update(e.hub.Domains(), now)})
+		e.updateFleet(hosts, domains.update(e.hub.Domains(), now), now.Sub(started))
 		e.metrics.fleet(hosts, e.follower.View())
 		e.reportHealth(hosts, now)
 		select {
@@ -231,6 +239,7 @@
 		return began.Add(time.Duration(share * float64(e.opts.StopWithin)))
 	}
 	e.ready.stop()
+	e.gather.Stop()
 	time.Sleep(time.Until(at(drainAfter)))
 	e.server.Drain()
 	time.Sleep(time.Until(at(closeIdleAfter)))
--- a/internal/wiring/edge/health.go
+++ b/internal/wiring/edge/health.go
@@ -28,7 +28,7 @@
 	}
 	e.lastReport = now
 	samples := e.directory.TakeSamples()
-	if hosts >= minReportingHosts && len(samples) > 0 {
+	if hosts >= minReportingHosts {
 		e.source.Report(samples)
 	}
 }
--- a/internal/wiring/edge/observer.go
+++ b/internal/wiring/edge/observer.go
@@ -124,6 +124,9 @@
 		fields["objective_ms"] = t.Objective.Milliseconds()
 		fields["shards"], fields["parts"] = t.Shards, t.Parts
 		fields["hedges"], fields["retries"], fields["extra_denied"] = t.Hedges, t.Retries, t.Denied
+		if t.Gatherer != "" {
+			fields["gatherer"] = t.Gatherer
+		}
 		if len(t.Legs) > 0 {
 			fields["legs"] = t.Legs
 		}
--- /dev/null
+++ b/internal/wiring/edge/peers.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"net"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/swiftvane/swiftvane/internal/decision/gathering"
+	"github.com/swiftvane/swiftvane/internal/hosts/catalogshare"
+	"github.com/swiftvane/swiftvane/internal/hosts/gatherlink"
+	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
+)
+
+// peerReadTimeout bounds the reading of a link's upgrade request.
+const peerReadTimeout = 1200 * time.Millisecond
+
+// self returns this host as a candidate for gatherers.
+func (e *Edge) self() gathering.Member {
+	return gathering.Member{Addr: e.opts.PeerAddr, FailureDomain: e.opts.FailureDomain, Capacity: e.opts.Capacity}
+}
+
+// servePeers accepts the links of other hosts until the listener is closed.
+func (e *Edge) servePeers(peers net.Listener) {
+	server := &fasthttp.Server{NoDefaultServerHeader: true, ReadTimeout: peerReadTimeout, Handler: func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case catalogshare.Path:
+			e.hub.Handle(ctx)
+		case gatherlink.Path:
+			e.gather.Handle(ctx)
+		default:
+			ctx.Error("not found", fasthttp.StatusNotFound)
+		}
+	}}
+	if err := server.Serve(peers); err != nil {
+		e.opts.Log.WithError(err).Info("other hosts' listener closed")
+	}
+}
+
+// updateFleet divides connections, extra load and sweeps among the given number of
+// hosts, 0 while it is unknown. age is the time since this host's start.
+func (e *Edge) updateFleet(hosts int, domains map[string]int, age time.Duration) {
+	if e.source.IsReader() {
+		e.hub.SelectGatherers(hosts)
+	}
+	gatherers := e.gatherersOf(hosts)
+	e.gatherers.SetGatherers(gatherers)
+	e.metrics.scope.Gauge("gatherers").Update(float64(len(gatherers)))
+	e.gatherers.SetExtra(targetpool.PassLimit(e.opts.ownExtra(), e.opts.Host, hosts, age))
+	e.directory.SetFleet(targetpool.Fleet{
+		Hosts: hosts, Domains: domains, Gatherers: len(gatherers),
+		Gathers: slices.ContainsFunc(gatherers, func(m gathering.Member) bool { return m.Addr == e.opts.PeerAddr }),
+	})
+}
+
+// gatherersOf returns the hosts that gather sweeps. Until the fleet's size and the
+// selection are known, these are the readers: after the loss of all hosts, connections of
+// few hosts fit beside the dead ones that the targets still count.
+func (e *Edge) gatherersOf(hosts int) []gathering.Member {
+	if hosts > 0 && hosts < gathering.MinHosts || e.opts.PeerAddr == "" {
+		return nil
+	}
+	if selected := e.hub.Gatherers(); len(selected) > 0 {
+		return selected
+	}
+	readers := e.opts.Readers()
+	members := make([]gathering.Member, 0, len(readers))
+	for _, addr := range readers {
+		members = append(members, gathering.Member{Addr: addr})
+	}
+	return members
+}
