--- a/internal/decision/crashguard/guard.go
+++ b/internal/decision/crashguard/guard.go
@@ -116,13 +116,15 @@
 }
 
 // separate returns the number of separate crashes: those that no other crash
-// precedes by sameCrashWindow or less. It is at least 1 if there was any crash.
+// precedes by sameCrashWindow or less, of those at one instant one. It is at least 1 if there was any crash.
 func (s *suspect) separate() int {
 	n := 0
-	for _, at := range s.crashes {
+	for target, at := range s.crashes {
 		first := true
-		for _, other := range s.crashes {
-			if gap := at.Sub(other); gap > 0 && gap <= sameCrashWindow {
+		for otherTarget, other := range s.crashes {
+			gap := at.Sub(other)
+			precedes := gap > 0 || gap == 0 && otherTarget < target
+			if precedes && gap <= sameCrashWindow {
 				first = false
 			}
 		}
--- a/internal/decision/crashguard/guard_test.go
+++ b/internal/decision/crashguard/guard_test.go
@@ -36,6 +36,15 @@
 	require.False(t, g.Blocks(request("2", "/x"), now))
 }
 
+func TestCrashesAtTheSameInstantCountOnce(t *testing.T) {
+	now := time.Now()
+	g := New()
+	for _, target := range []string{"a", "b"} {
+		g.Add(CrashReport{Request: FingerprintOf(request("1", "/x")), Target: target}, now)
+	}
+	require.False(t, g.Blocks(request("2", "/x"), now))
+}
+
 func TestNumberOfSuspectsIsBounded(t *testing.T) {
 	now := time.Now()
 	g := New()
--- a/internal/decision/gathering/select.go
+++ b/internal/decision/gathering/select.go
@@ -26,6 +26,8 @@
 	// capacityStep is the capacity, in thousandths of a core, in whose multiples hosts
 	// are compared: small differences don't decide.
 	capacityStep = 100
+	// capacityShare is the least capacity of a gatherer relative to the largest host.
+	capacityShare = 0.5
 )
 
 // Member is a host that can gather.
@@ -46,10 +48,13 @@
 	return min(max(hosts/hostsPerGatherer, minGatherers), MaxGatherers)
 }
 
-// Select returns the gatherers among the members, sorted by address: n in all, spread
-// evenly over the failure domains, in each the ones with the most capacity. It depends
-// on the set of members only. A member that comes or goes changes few of them.
+// Select returns the gatherers among the members, sorted by address: at most n, spread
+// evenly over the failure domains, in each the ones with the most capacity. Members with
+// much less capacity than the largest are left out if at least minGatherers remain: a
+// sweep takes a small host too much processor time. The selection depends on the set of
+// members only. A member that comes or goes changes few of them.
 func Select(members []Member, n int) []Member {
+	members = largest(members)
 	byDomain := map[string][]Member{}
 	for _, m := range members {
 		byDomain[m.FailureDomain] = append(byDomain[m.FailureDomain], m)
@@ -72,6 +77,18 @@
 	return selected
 }
 
+// largest returns the members with at least capacityShare of the most capacity, but no
+// fewer than minGatherers.
+func largest(members []Member) []Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, compareCapacity)
+	end := 0
+	for end < len(sorted) && (end < minGatherers || float64(sorted[end].Capacity) >= capacityShare*float64(sorted[0].Capacity)) {
+		end++
+	}
+	return sorted[:end]
+}
+
 // compareCapacity orders members with more capacity first, equal ones by a hash.
 func compareCapacity(a, b Member) int {
 	return cmp.Or(
--- a/internal/hosts/catalogshare/counting.go
+++ b/internal/hosts/catalogshare/counting.go
@@ -12,7 +12,7 @@
 func (h *Hub) Hosts() (n int, settled bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.hosts(), h.upstreamSettled
+	return h.hosts(), h.freshUpstream().settled
 }
 
 // SetSettled sets whether this host considers its number of hosts settled. The value
@@ -32,7 +32,16 @@
 			sum += other.hosts
 		}
 	}
-	return max(sum, h.upstreamHosts)
+	return max(sum, h.freshUpstream().hosts)
+}
+
+// freshUpstream returns the counts of the reader that this host follows, or none if they
+// are older than countTTL. The caller holds the lock.
+func (h *Hub) freshUpstream() upstreamCount {
+	if time.Since(h.upstream.at) >= countTTL {
+		return upstreamCount{}
+	}
+	return h.upstream
 }
 
 // ownHosts counts this host and its followers, without the readers that only
@@ -68,7 +77,7 @@
 func (h *Hub) recordUpstream(m *message) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.upstreamHosts, h.upstreamDomains, h.upstreamSettled = m.Hosts, m.Domains, m.Settled
+	h.upstream = upstreamCount{hosts: m.Hosts, domains: m.Domains, settled: m.Settled, at: time.Now()}
 	if m.Gatherers != nil {
 		h.gatherers = m.Gatherers
 	}
@@ -84,8 +93,8 @@
 // domains returns the counts of the reader that this host follows, if it follows
 // one, and its own sums otherwise. The caller holds the lock.
 func (h *Hub) domains() map[string]int {
-	if len(h.upstreamDomains) > 0 {
-		return maps.Clone(h.upstreamDomains)
+	if upstream := h.freshUpstream(); len(upstream.domains) > 0 {
+		return maps.Clone(upstream.domains)
 	}
 	sum := h.ownDomains()
 	for _, other := range h.readerCounts {
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -52,11 +52,8 @@
 	gatherers     []gathering.Member
 	sentGatherers []gathering.Member
 	sentMembers   []gathering.Member
-	// The upstream fields are the latest counts of the reader that this host
-	// follows, and whether that reader considers them settled.
-	upstreamHosts   int
-	upstreamDomains map[string]int
-	upstreamSettled bool
+	// upstream has the latest counts of the reader that this host follows.
+	upstream upstreamCount
 	// settled is set while this host considers its own count settled.
 	settled bool
 }
@@ -70,6 +67,16 @@
 	at time.Time
 }
 
+// upstreamCount is what the reader that a host follows last sent about the whole fleet,
+// and whether that reader considers it settled.
+type upstreamCount struct {
+	hosts   int
+	domains map[string]int
+	settled bool
+	// at is the time of receipt.
+	at time.Time
+}
+
 // countTTL is how long a reader's count is used after its receipt.
 const countTTL = 10 * time.Second
 
--- a/internal/hosts/catalogshare/link.go
+++ b/internal/hosts/catalogshare/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -25,6 +26,9 @@
 	// messages is closed when the link ends.
 	messages chan *message
 	log      logrus.FieldLogger
+
+	// writing is held while a message is written.
+	writing sync.Mutex
 }
 
 // dial opens a link and starts the goroutine that reads its messages. If observe
@@ -75,7 +79,9 @@
 func (l *link) send(m *message) {
 	raw, err := encode(m)
 	if err == nil {
+		l.writing.Lock()
 		err = write(l.conn, raw)
+		l.writing.Unlock()
 	}
 	if err != nil {
 		l.log.WithError(err).WithField("peer", l.addr).Info("message to the reader was not sent")
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
@@ -98,10 +96,3 @@
 func (m *message) position() catalog.Position {
 	return catalog.Position{Era: m.Era, Revision: m.Revision}
 }
-
-func encode(m *message) ([]byte, error) { return cbor.Marshal(m) }
-
-func decode(raw []byte) (*message, error) {
-	m := &message{}
-	return m, cbor.Unmarshal(raw, m)
-}
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -114,35 +114,36 @@
 // and to the reader that it follows.
 func (s *Source) SendCrashReport(report crashguard.CrashReport) {
 	s.opts.Hub.AddCrashReport(report)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.sharedLink != nil {
-		s.sharedLink.send(&message{CrashReports: []crashguard.CrashReport{report}})
+	if l := s.currentLink(); l != nil {
+		l.send(&message{CrashReports: []crashguard.CrashReport{report}})
 	}
 }
 
 // SendLeaving tells the fleet that a target has reported that it is leaving.
 func (s *Source) SendLeaving(t LeavingTarget) {
 	s.opts.Hub.AddLeaving(t)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.sharedLink != nil {
-		s.sharedLink.send(&message{Leaving: []LeavingTarget{t}})
+	if l := s.currentLink(); l != nil {
+		l.send(&message{Leaving: []LeavingTarget{t}})
 	}
 }
 
 // Report sends this host's health samples to the reader that it follows or, if it
 // follows none, adds them to its own hub.
 func (s *Source) Report(samples []targethealth.Sample) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.sharedLink != nil {
-		s.sharedLink.send(&message{Samples: samples, Reports: true})
+	if l := s.currentLink(); l != nil {
+		l.send(&message{Samples: samples, Reports: true})
 		return
 	}
 	s.opts.Hub.addSamples(samples)
 }
 
+// currentLink returns the link for goroutines other than the owner, nil for none.
+func (s *Source) currentLink() *link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sharedLink
+}
+
 // setLink replaces the link, nil for none.
 func (s *Source) setLink(l *link) {
 	s.link = l
--- a/internal/hosts/gatherlink/frame.go
+++ b/internal/hosts/gatherlink/frame.go
@@ -31,8 +31,9 @@
 	// kindSweep asks for a sweep, kindCancel withdraws it.
 	kindSweep
 	kindCancel
-	// kindAccepted and kindRefused answer a kindSweep at once; after the first,
-	// kindAnswer follows unless the sweep is withdrawn.
+	// kindAccepted and kindRefused answer a kindSweep at once; after the first follows
+	// kindAnswer, or kindRefused if the sweep did not begin in time, unless it is
+	// withdrawn.
 	kindAccepted
 	kindRefused
 	kindAnswer
@@ -45,6 +46,8 @@
 	ID     uint64  `cbor:"2,keyasint,omitempty"`
 	Sweep  *sweep  `cbor:"3,keyasint,omitempty"`
 	Answer *answer `cbor:"4,keyasint,omitempty"`
+	// ClockUS is the reading of the server's clock at a heartbeat, in microseconds.
+	ClockUS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // sweep is a caller's request for a sweep.
@@ -62,6 +65,9 @@
 	ElapsedUS       int64 `cbor:"9,keyasint"`
 	// Fingerprint identifies the route, see catalog.Route.
 	Fingerprint uint64 `cbor:"10,keyasint"`
+	// BeginByUS is the reading of the server's clock after which it must refuse the
+	// sweep, in microseconds; 0 for none.
+	BeginByUS int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // answer is the answer to a sweep.
--- a/internal/hosts/gatherlink/link.go
+++ b/internal/hosts/gatherlink/link.go
@@ -37,6 +37,7 @@
 	// avoidUntil is when a gatherer is asked again that refused a sweep or did not
 	// accept one in time.
 	avoidUntil time.Time
+	clock      remoteClock
 }
 
 // dialLink opens a link and starts the goroutine that reads it.
@@ -67,12 +68,28 @@
 		if err != nil {
 			return
 		}
-		if f.Kind != kindHeartbeat {
-			l.pass(f.ID, outcome{kind: f.Kind, answer: f.Answer})
+		if f.Kind == kindHeartbeat {
+			l.heard(f.ClockUS)
+			continue
 		}
+		l.pass(f.ID, outcome{kind: f.Kind, answer: f.Answer})
 	}
 }
 
+// heard records the reading of the gatherer's clock in a heartbeat.
+func (l *link) heard(clockUS int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.clock.heard(time.Now(), clockUS)
+}
+
+// beginBy returns the reading of the gatherer's clock at the given time, 0 if unknown.
+func (l *link) beginBy(at time.Time) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.clock.at(at)
+}
+
 // pass gives an outcome to the sweep that waits for it, if there still is one.
 func (l *link) pass(id uint64, o outcome) {
 	l.mu.Lock()
@@ -108,7 +125,8 @@
 // maxOutcomes is the number of outcomes that a sweep can have on one link.
 const maxOutcomes = 4
 
-// send passes a sweep on and returns the channel of its outcomes and its id.
+// send passes a sweep on and returns the channel of its outcomes and its id. It fails
+// only if nothing was sent.
 func (l *link) send(s *sweep) (<-chan outcome, uint64, error) {
 	waiting := make(chan outcome, maxOutcomes)
 	l.mu.Lock()
@@ -121,8 +139,8 @@
 	l.pending[id] = waiting
 	l.mu.Unlock()
 	if err := l.write(&frame{Kind: kindSweep, ID: id, Sweep: s}); err != nil {
-		l.forget(id)
-		return nil, 0, err
+		// Some of it may have been sent; the link's end tells the sweep.
+		l.end()
 	}
 	return waiting, id, nil
 }
@@ -149,11 +167,11 @@
 	l.avoidUntil = now.Add(d)
 }
 
-// usable reports whether the link is open and its gatherer not avoided.
+// usable reports whether the link is open, its gatherer not avoided and its clock known.
 func (l *link) usable(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.ended && !now.Before(l.avoidUntil)
+	return !l.ended && !now.Before(l.avoidUntil) && l.clock.known()
 }
 
 func (l *link) isEnded() bool {
--- a/internal/hosts/gatherlink/server.go
+++ b/internal/hosts/gatherlink/server.go
@@ -26,13 +26,15 @@
 	handler  Handler
 	log      logrus.FieldLogger
 	upgrader websocket.FastHTTPUpgrader
+	// started is the zero of the server's clock.
+	started  time.Time
 	stopping atomic.Bool
 }
 
 // NewServer returns a server without links.
 func NewServer(handler Handler, log logrus.FieldLogger) *Server {
 	return &Server{
-		handler: handler, log: log,
+		handler: handler, log: log, started: time.Now(),
 		upgrader: websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }},
 	}
 }
@@ -40,6 +42,9 @@
 // Stop makes the server refuse further sweeps, which then go to other gatherers.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// clock returns the reading of the server's clock, in microseconds.
+func (s *Server) clock() int64 { return time.Since(s.started).Microseconds() }
+
 // Handle accepts a link.
 func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
 	if err := s.upgrader.Upgrade(ctx, s.serve); err != nil {
@@ -75,19 +80,19 @@
 	sweeps map[uint64]chan struct{}
 }
 
-// sendHeartbeats sends heartbeats until the link ends or a write fails.
+// sendHeartbeats sends a heartbeat at once and then periodically until the link ends or a write fails.
 func (l *serverLink) sendHeartbeats(ended <-chan struct{}) {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
+		if l.write(&frame{Kind: kindHeartbeat, ClockUS: l.server.clock()}) != nil {
+			_ = l.conn.Close() //nolint:errcheck // the failed write was the news
+			return
+		}
 		select {
 		case <-ended:
 			return
 		case <-ticker.C:
-			if l.write(&frame{Kind: kindHeartbeat}) != nil {
-				_ = l.conn.Close() //nolint:errcheck // the failed write was the news
-				return
-			}
 		}
 	}
 }
@@ -114,7 +119,7 @@
 		return
 	}
 	request := f.Sweep.request(time.Now())
-	if l.server.stopping.Load() || !l.server.handler.Accepts(request, f.Sweep.Fingerprint) {
+	if l.tooLate(f.Sweep) || l.server.stopping.Load() || !l.server.handler.Accepts(request, f.Sweep.Fingerprint) {
 		l.reply(&frame{Kind: kindRefused, ID: f.ID})
 		return
 	}
@@ -124,6 +129,13 @@
 	l.sweepsMu.Unlock()
 	l.reply(&frame{Kind: kindAccepted, ID: f.ID})
 	l.serving.Go(func() {
+		// A process that is short of processor time may come to this much later.
+		if l.tooLate(f.Sweep) {
+			if l.end(f.ID) {
+				l.reply(&frame{Kind: kindRefused, ID: f.ID})
+			}
+			return
+		}
 		a := l.server.handler.Gather(request, gone)
 		if l.end(f.ID) {
 			l.reply(&frame{Kind: kindAnswer, ID: f.ID, Answer: answerOf(a)})
@@ -131,6 +143,12 @@
 	})
 }
 
+// tooLate reports whether the sweep must not begin any more, because the host that
+// passed it on no longer waits for it.
+func (l *serverLink) tooLate(s *sweep) bool {
+	return s.BeginByUS > 0 && l.server.clock() > s.BeginByUS
+}
+
 // end removes a sweep and reports whether it was not withdrawn.
 func (l *serverLink) end(id uint64) bool {
 	l.sweepsMu.Lock()
--- a/internal/hosts/gatherlink/sweep.go
+++ b/internal/hosts/gatherlink/sweep.go
@@ -21,6 +21,12 @@
 	// accept a sweep in time, or refused one.
 	avoidSilent   = time.Second
 	avoidRefusing = 200 * time.Millisecond
+	// beginShare is the percentage of the accept timeout within which the gatherer must
+	// begin: a sweep that nobody waits for any more must not start.
+	beginShare = 85
+	// readGrace is how much longer a host waits for frames that it has received but not
+	// read yet.
+	readGrace = 10 * time.Millisecond
 	// finalMargin is how long before the caller's deadline the final answer is given.
 	finalMargin = 5 * time.Millisecond
 )
@@ -32,8 +38,10 @@
 	route   *catalog.Route
 	gone    <-chan struct{}
 	tried   []*link
-	// accepted is set once a gatherer has accepted the sweep, which may have run then.
-	accepted bool
+	// mayHaveRun is set once a gatherer may have begun the sweep.
+	mayHaveRun bool
+	// again reports whether a sweep that may have run may be passed on again.
+	again func() bool
 	// objective is when an answer becomes late, final when the caller stops waiting.
 	objective time.Time
 	final     time.Time
@@ -41,9 +49,10 @@
 
 // Sweep passes a sweep on to a gatherer and returns its answer. It returns nil if this
 // host has to serve the sweep itself, since no gatherer took it. gone is closed when the
-// caller has disconnected.
-func (c *Client) Sweep(r *exchange.Request, route *catalog.Route, gone <-chan struct{}) *exchange.Answer {
-	p := &passage{client: c, request: r, route: route, gone: gone}
+// caller has disconnected. again reports whether the sweep may run once more on any of
+// its targets.
+func (c *Client) Sweep(r *exchange.Request, route *catalog.Route, again func() bool, gone <-chan struct{}) *exchange.Answer {
+	p := &passage{client: c, request: r, route: route, again: again, gone: gone}
 	p.objective = r.Arrived.Add(route.Objective)
 	timeout := route.Timeout
 	if r.CallerTimeout > 0 && (timeout <= 0 || r.CallerTimeout < timeout) {
@@ -53,15 +62,16 @@
 	return p.run()
 }
 
-// run asks one gatherer after the other until one answers. A sweep that was accepted is
-// passed on again only within the bound on extra load.
+// run asks one gatherer after the other until one answers. A sweep that may have run is
+// passed on again only if again allows it and within the bound on extra load. Otherwise
+// the caller is told at once, and may send it again itself.
 func (p *passage) run() *exchange.Answer {
 	now := time.Now()
 	for l := p.client.pick(nil, now); l != nil; l = p.client.pick(p.tried, now) {
 		if len(p.tried) == 0 {
 			p.client.budget.count(p.route, now)
 		}
-		if p.accepted && !p.client.budget.take(p.route, now) {
+		if p.mayHaveRun && !p.mayRunAgain(now) {
 			break
 		}
 		p.tried = append(p.tried, l)
@@ -70,68 +80,121 @@
 		}
 		now = time.Now()
 	}
-	if !p.accepted {
+	if !p.mayHaveRun {
 		return nil
 	}
 	return &exchange.Answer{Status: 502, Reason: exchange.GathererLost}
 }
 
+// mayRunAgain reports whether a sweep that may have run can be passed on again, and counts
+// it as extra load if so.
+func (p *passage) mayRunAgain(now time.Time) bool {
+	return p.again() && p.client.budget.take(p.route, now)
+}
+
+// attempt is a sweep on its way to one gatherer.
+type attempt struct {
+	*passage
+	link     *link
+	id       uint64
+	outcomes <-chan outcome
+	// accepted is set once the gatherer has accepted the sweep, overdue once it has not
+	// done so in time.
+	accepted bool
+	overdue  bool
+	// ranBefore is set if the sweep may have run on another gatherer.
+	ranBefore bool
+}
+
 // ask passes the sweep on over one link and waits for the answer. It returns nil if the
 // gatherer did not take the sweep or lost it.
 func (p *passage) ask(l *link, now time.Time) *exchange.Answer {
-	outcomes, id, err := l.send(sweepOf(p.request, p.route.Fingerprint, now))
+	message := sweepOf(p.request, p.route.Fingerprint, now)
+	message.BeginByUS = l.beginBy(now.Add(p.client.opts.AcceptTimeout * beginShare / 100))
+	outcomes, id, err := l.send(message)
 	if err != nil {
 		p.unserved(l, notSent, err)
 		return nil
 	}
-	accepted := false
-	timer := time.NewTimer(min(p.client.opts.AcceptTimeout, p.final.Sub(now)))
+	ranBefore := p.mayHaveRun
+	p.mayHaveRun = true
+	a := &attempt{passage: p, link: l, id: id, outcomes: outcomes, ranBefore: ranBefore}
+	return a.wait(min(p.client.opts.AcceptTimeout, p.final.Sub(now)))
+}
+
+// wait waits for the gatherer, at first for the given time.
+func (a *attempt) wait(within time.Duration) *exchange.Answer {
+	timer := time.NewTimer(within)
 	defer timer.Stop()
 	for {
 		select {
-		case o := <-outcomes:
-			switch {
-			case o.err != nil:
-				p.unserved(l, lost, o.err)
-				return nil
-			case o.kind == kindAccepted:
-				accepted, p.accepted = true, true
-				timer.Reset(time.Until(p.patience()))
-			case o.kind == kindAnswer && o.answer != nil:
-				l.forget(id)
-				return p.answered(l, o.answer)
-			default:
-				l.forget(id)
-				l.avoid(time.Now(), avoidRefusing)
-				p.unserved(l, refused, nil)
-				return nil
+		case o := <-a.outcomes:
+			answer, ended := a.outcome(o)
+			if ended {
+				return answer
 			}
+			timer.Reset(time.Until(a.patience()))
 		case <-timer.C:
-			l.withdraw(id)
-			l.avoid(time.Now(), avoidSilent)
-			if !time.Now().Before(p.final) {
-				return &exchange.Answer{Status: 504, Reason: exchange.TimedOut}
+			if !a.accepted && !a.overdue {
+				// This host may have been slow itself: what has arrived is read first.
+				a.overdue = true
+				timer.Reset(readGrace)
+				continue
 			}
-			p.unserved(l, lateResult(accepted), nil)
-			return nil
-		case <-p.gone:
-			l.withdraw(id)
+			return a.timedOut()
+		case <-a.gone:
+			a.link.withdraw(a.id)
 			return &exchange.Answer{Status: 499, Reason: exchange.CallerLeft, CloseConnection: true}
 		}
 	}
 }
 
+// outcome processes a frame of the gatherer and reports whether the attempt has ended,
+// with an answer or, if another gatherer has to be asked, with nil.
+func (a *attempt) outcome(o outcome) (*exchange.Answer, bool) {
+	switch {
+	case o.err != nil:
+		a.unserved(a.link, lost, o.err)
+		return nil, true
+	case o.kind == kindAccepted:
+		a.accepted = true
+		return nil, false
+	case o.kind == kindAnswer && o.answer != nil:
+		a.link.forget(a.id)
+		return a.answered(a.link, o.answer), true
+	default:
+		// A gatherer that refuses a sweep has not run it, even if it had accepted it.
+		a.mayHaveRun = a.ranBefore
+		a.link.forget(a.id)
+		a.link.avoid(time.Now(), avoidRefusing)
+		a.unserved(a.link, refused, nil)
+		return nil, true
+	}
+}
+
+// timedOut ends an attempt whose gatherer did not accept the sweep or answer in time.
+func (a *attempt) timedOut() *exchange.Answer {
+	now := time.Now()
+	a.link.withdraw(a.id)
+	a.link.avoid(now, avoidSilent)
+	if !now.Before(a.final) {
+		return &exchange.Answer{Status: 504, Reason: exchange.TimedOut}
+	}
+	a.unserved(a.link, lateResult(a.accepted), nil)
+	return nil
+}
+
 // result is why a gatherer did not serve a sweep.
 type result string
 
 // The results of sweeps that a gatherer did not serve.
 const (
-	notSent  result = "not_sent"
-	refused  result = "refused"
-	lost     result = "lost"
-	silent   result = "not_accepted"
-	tooLate  result = "not_answered"
-	answered result = "answered"
+	notSent result = "not_sent"
+	refused result = "refused"
+	lost    result = "lost"
+	silent  result = "not_accepted"
+	tooLate result = "not_answered"
+	served  result = "answered"
 )
 
 func lateResult(accepted bool) result {
@@ -152,7 +215,7 @@
 
 // answered returns the gatherer's answer with the trace as this host saw it.
 func (p *passage) answered(l *link, from *answer) *exchange.Answer {
-	p.count(answered)
+	p.count(served)
 	a := from.answer()
 	if a.Trace != nil {
 		a.Trace.Gatherer = l.addr
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -25,7 +25,8 @@
 // Gatherers passes sweeps on to other hosts.
 type Gatherers interface {
 	// Sweep returns the answer to a sweep, or nil if this host has to serve it itself.
-	Sweep(r *exchange.Request, route *catalog.Route, callerGone <-chan struct{}) *exchange.Answer
+	// again reports whether the sweep may run once more on any targets of its shards.
+	Sweep(r *exchange.Request, route *catalog.Route, again func() bool, callerGone <-chan struct{}) *exchange.Answer
 }
 
 // Options configure an Executor.
@@ -80,13 +81,25 @@
 		return e.newRun(snapshot, route, r, callerGone).single(e.splits.pick(route))
 	}
 	if e.opts.Gatherers != nil {
-		if answer := e.opts.Gatherers.Sweep(r, route, callerGone); answer != nil {
+		again := func() bool { return attemptsCoverTargets(snapshot, route) }
+		if answer := e.opts.Gatherers.Sweep(r, route, again, callerGone); answer != nil {
 			return answer
 		}
 	}
 	return e.newRun(snapshot, route, r, callerGone).sweep()
 }
 
+// attemptsCoverTargets reports whether a sweep may run on all targets of each shard, so
+// that it stays within its attempts wherever it runs again.
+func attemptsCoverTargets(snapshot *targetpool.Snapshot, route *catalog.Route) bool {
+	for _, shard := range route.Shards {
+		if g := snapshot.Group(shard); g != nil && len(g.Pools)+len(g.Spare) > route.MaxAttempts {
+			return false
+		}
+	}
+	return true
+}
+
 // Accepts reports whether this host would serve a sweep of another host as that one
 // does, whose route has the fingerprint.
 func (e *Executor) Accepts(r *exchange.Request, fingerprint uint64) bool {
--- a/internal/wiring/edge/domainsizes.go
+++ b/internal/wiring/edge/domainsizes.go
@@ -10,19 +10,29 @@
 // rebalance their connections.
 type domainSizes struct {
 	value map[string]int
-	// since is the time at which falls were last applied.
-	since time.Time
+	// since is, for each domain, when a number at least as large as value was last known.
+	since map[string]time.Time
 }
 
 // update takes the numbers known now and returns those to use.
 func (d *domainSizes) update(known map[string]int, now time.Time) map[string]int {
-	if d.value == nil || now.Sub(d.since) > shrinkDelay {
-		d.value, d.since = known, now
-		return d.value
+	if d.since == nil {
+		d.since = map[string]time.Time{}
 	}
-	next := maps.Clone(d.value)
-	for domain, n := range known {
-		next[domain] = max(next[domain], n)
+	next := maps.Clone(known)
+	for domain, n := range d.value {
+		if known[domain] < n && now.Sub(d.since[domain]) <= shrinkDelay {
+			next[domain] = n
+			continue
+		}
+		if known[domain] == 0 {
+			delete(d.since, domain)
+		}
+	}
+	for domain, n := range next {
+		if known[domain] >= n {
+			d.since[domain] = now
+		}
 	}
 	d.value = next
 	return next
--- a/internal/wiring/edge/fleetsize_test.go
+++ b/internal/wiring/edge/fleetsize_test.go
@@ -52,3 +52,15 @@
 	require.Equal(t, map[string]int{"a": 2, "b": 1}, d.update(map[string]int{"a": 1, "b": 1}, now.Add(time.Second)))
 	require.Equal(t, map[string]int{"b": 1}, d.update(map[string]int{"b": 1}, now.Add(2*shrinkDelay)))
 }
+
+// TestDomainSizesShrinkLateAtAnyTime lets a host go long after the last change.
+func TestDomainSizesShrinkLateAtAnyTime(t *testing.T) {
+	now := time.Now()
+	var d domainSizes
+	for range 2*int(shrinkDelay/time.Second) + 2 {
+		now = now.Add(time.Second)
+		d.update(map[string]int{"a": 2}, now)
+	}
+	require.Equal(t, map[string]int{"a": 2}, d.update(map[string]int{"a": 1}, now.Add(time.Second)))
+	require.Equal(t, map[string]int{"a": 1}, d.update(map[string]int{"a": 1}, now.Add(shrinkDelay+2*time.Second)))
+}
