--- a/internal/decision/gathering/select.go
+++ b/internal/decision/gathering/select.go
@@ -23,6 +23,9 @@
 	// minGatherers is the least number, hostsPerGatherer the size of the fleet for each.
 	minGatherers     = 4
 	hostsPerGatherer = 8
+	// restartFactor is how many times the hosts' connections must fit into a target's
+	// limit: for a while it also counts the dead connections of hosts that lost power.
+	restartFactor = 2
 	// capacityStep is the capacity, in thousandths of a core, in whose multiples hosts
 	// are compared: small differences don't decide.
 	capacityStep = 100
@@ -48,6 +51,13 @@
 	return min(max(hosts/hostsPerGatherer, minGatherers), MaxGatherers)
 }
 
+// Needed reports whether a fleet needs gatherers: if not every host can keep a connection
+// to every target, twice over for hosts that restart, of which each accepts maxConns. Where
+// they can, a hop only costs time.
+func Needed(hosts, maxConns int) bool {
+	return hosts >= MinHosts && restartFactor*hosts > maxConns
+}
+
 // Select returns the gatherers among the members, sorted by address: at most n, spread
 // evenly over the failure domains, in each the ones with the most capacity. Members with
 // much less capacity than the largest are left out if at least minGatherers remain: a
--- a/internal/decision/gathering/select_test.go
+++ b/internal/decision/gathering/select_test.go
@@ -63,6 +63,13 @@
 	require.Empty(t, Select(nil, 4))
 }
 
+func TestGatherersAreNeededOnlyWhereConnectionsDontFit(t *testing.T) {
+	require.False(t, Needed(7, 10), "a small fleet")
+	require.False(t, Needed(18, 120))
+	require.True(t, Needed(59, 52))
+	require.True(t, Needed(195, 120))
+}
+
 func TestSmallHostsGatherOnlyIfThereAreTooFewLargeOnes(t *testing.T) {
 	members := fleet(60)
 	require.Len(t, Select(members, MaxGatherers), 6, "there are six large hosts")
--- a/internal/domain/catalog/config.go
+++ b/internal/domain/catalog/config.go
@@ -35,6 +35,10 @@
 	// byHostName holds the routes of each HTTP host name in lower case, those with
 	// the longest prefix first.
 	byHostName map[string][]*Route
+	// shards has the services that are shards of a sweep; leastShardConns is the least
+	// MaxConns of them.
+	shards          map[ServiceName]bool
+	leastShardConns int
 }
 
 // NewConfig returns a configuration with its routes indexed.
@@ -48,6 +52,7 @@
 	for _, list := range c.byHostName {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 	}
+	c.indexShards()
 	return c
 }
 
@@ -73,15 +78,27 @@
 	return nil
 }
 
-// Shards returns the services that are shards of a sweep.
-func (c *Config) Shards() map[ServiceName]bool {
-	shards := map[ServiceName]bool{}
+// Shards returns the services that are shards of a sweep. The result must not be changed.
+func (c *Config) Shards() map[ServiceName]bool { return c.shards }
+
+// LeastShardConns returns the least number of connections that a target of any shard
+// accepts, 0 if there are no shards.
+func (c *Config) LeastShardConns() int { return c.leastShardConns }
+
+// indexShards collects the shards of all routes.
+func (c *Config) indexShards() {
+	c.shards = map[ServiceName]bool{}
 	for _, r := range c.Routes {
 		for _, s := range r.Shards {
-			shards[s] = true
+			c.shards[s] = true
+		}
+	}
+	for shard := range c.shards {
+		conns := c.Services[shard].MaxConns
+		if conns > 0 && (c.leastShardConns == 0 || conns < c.leastShardConns) {
+			c.leastShardConns = conns
 		}
 	}
-	return shards
 }
 
 // InUse returns the services that at least one route refers to.
--- a/internal/hosts/catalogshare/encoding.go
+++ b/internal/hosts/catalogshare/encoding.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -21,6 +22,15 @@
 	maxMessageBytes = 64 << 20
 )
 
+// compressors holds writers for reuse, each of which has about a megabyte of tables.
+var compressors = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is valid
+	}
+	return w
+}}
+
 // encode encodes a message, compressed if it is large.
 func encode(m *message) ([]byte, error) {
 	raw, err := cbor.Marshal(m)
@@ -29,10 +39,9 @@
 	}
 	var out bytes.Buffer
 	out.WriteByte(compressedMark)
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	w.Reset(&out)
 	if _, err := w.Write(raw); err != nil {
 		return nil, err
 	}
--- a/internal/hosts/gatherlink/client.go
+++ b/internal/hosts/gatherlink/client.go
@@ -141,15 +141,24 @@
 	c.links[addr] = l
 }
 
-// pick returns the most preferred usable link that is not in tried, or nil.
+// pick returns the most preferred usable link that is not in tried, or nil. Gatherers
+// whose last answer was late come last: they may be slow, but if the targets are, all
+// gatherers are late and must still be asked.
 func (c *Client) pick(tried []*link, now time.Time) *link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var last *link
 	for _, m := range c.preferred {
 		l := c.links[m.Addr]
-		if l != nil && !slices.Contains(tried, l) && l.usable(now) {
+		if l == nil || slices.Contains(tried, l) || !l.usable(now) {
+			continue
+		}
+		if !l.isLate(now) {
 			return l
 		}
+		if last == nil {
+			last = l
+		}
 	}
-	return nil
+	return last
 }
--- a/internal/hosts/gatherlink/gatherlink_test.go
+++ b/internal/hosts/gatherlink/gatherlink_test.go
@@ -276,6 +276,23 @@
 	return false
 }
 
+// TestSlowGathererIsLastChoice covers a gatherer on a slow host: its answers come late.
+// If all are late, they are still asked.
+func TestSlowGathererIsLastChoice(t *testing.T) {
+	r := route()
+	r.Objective = time.Microsecond
+	slow := &fakeGatherer{accepts: true, gather: answering(200)}
+	other := &fakeGatherer{accepts: true, gather: answering(200)}
+	m1, _, _ := slow.serve(t)
+	m2, _, _ := other.serve(t)
+	c := newClient(t, m1, m2)
+	for i := range 3 {
+		require.Equal(t, 200, c.Sweep(request(fmt.Sprint("r-", i)), r, always, nil).Status)
+	}
+	require.Equal(t, 3, slow.served()+other.served())
+	require.GreaterOrEqual(t, other.served(), 1)
+}
+
 // TestCallerThatLeavesWithdrawsSweep checks that the gatherer's work ends.
 func TestCallerThatLeavesWithdrawsSweep(t *testing.T) {
 	ended := make(chan struct{})
--- a/internal/hosts/gatherlink/link.go
+++ b/internal/hosts/gatherlink/link.go
@@ -37,7 +37,9 @@
 	// avoidUntil is when a gatherer is asked again that refused a sweep or did not
 	// accept one in time.
 	avoidUntil time.Time
-	clock      remoteClock
+	// lateUntil is until when a gatherer whose answer came late is the last choice.
+	lateUntil time.Time
+	clock     remoteClock
 }
 
 // dialLink opens a link and starts the goroutine that reads it.
@@ -167,6 +169,20 @@
 	l.avoidUntil = now.Add(d)
 }
 
+// late makes the gatherer the last choice for the given time.
+func (l *link) late(now time.Time, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lateUntil = now.Add(d)
+}
+
+// isLate reports whether the gatherer is the last choice.
+func (l *link) isLate(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.lateUntil)
+}
+
 // usable reports whether the link is open, its gatherer not avoided and its clock known.
 func (l *link) usable(now time.Time) bool {
 	l.mu.Lock()
--- a/internal/hosts/gatherlink/sweep.go
+++ b/internal/hosts/gatherlink/sweep.go
@@ -14,13 +14,12 @@
 	// defaultAcceptTimeout is much longer than a round trip between two hosts, and short
 	// against the objectives.
 	defaultAcceptTimeout = 30 * time.Millisecond
-	// lateAfter is how long after the objective an accepted sweep counts as lost:
-	// gatherers answer by then with what they have or say why not.
-	lateAfter = 250 * time.Millisecond
 	// avoidSilent and avoidRefusing are how long a gatherer is not asked that did not
 	// accept a sweep in time, or refused one.
 	avoidSilent   = time.Second
 	avoidRefusing = 200 * time.Millisecond
+	// avoidLate is how long a gatherer is the last choice whose answer came late.
+	avoidLate = time.Second
 	// beginShare is the percentage of the accept timeout within which the gatherer must
 	// begin: a sweep that nobody waits for any more must not start.
 	beginShare = 85
@@ -133,7 +132,9 @@
 			if ended {
 				return answer
 			}
-			timer.Reset(time.Until(a.patience()))
+			// A gatherer that has accepted a sweep answers in time or says why not; the end
+			// of its process or of the link is an outcome, too.
+			timer.Reset(time.Until(a.final))
 		case <-timer.C:
 			if !a.accepted && !a.overdue {
 				// This host may have been slow itself: what has arrived is read first.
@@ -178,9 +179,10 @@
 	a.link.withdraw(a.id)
 	a.link.avoid(now, avoidSilent)
 	if !now.Before(a.final) {
+		a.unserved(a.link, expired, nil)
 		return &exchange.Answer{Status: 504, Reason: exchange.TimedOut}
 	}
-	a.unserved(a.link, lateResult(a.accepted), nil)
+	a.unserved(a.link, silent, nil)
 	return nil
 }
 
@@ -193,33 +195,21 @@
 	refused result = "refused"
 	lost    result = "lost"
 	silent  result = "not_accepted"
-	tooLate result = "not_answered"
+	expired result = "timed_out"
 	served  result = "answered"
 )
 
-func lateResult(accepted bool) result {
-	if accepted {
-		return tooLate
-	}
-	return silent
-}
-
-// patience returns until when an accepted sweep is waited for.
-func (p *passage) patience() time.Time {
-	until := p.objective.Add(lateAfter)
-	if until.After(p.final) {
-		return p.final
-	}
-	return until
-}
-
 // answered returns the gatherer's answer with the trace as this host saw it.
 func (p *passage) answered(l *link, from *answer) *exchange.Answer {
 	p.count(served)
+	late := time.Now().After(p.objective)
 	a := from.answer()
 	if a.Trace != nil {
 		a.Trace.Gatherer = l.addr
-		a.Trace.Late = time.Now().After(p.objective)
+		a.Trace.Late = late
+	}
+	if late {
+		l.late(time.Now(), avoidLate)
 	}
 	return a
 }
--- a/internal/wiring/edge/peers.go
+++ b/internal/wiring/edge/peers.go
@@ -54,11 +54,18 @@
 	})
 }
 
+// needsGatherers reports whether a fleet of this many hosts has gatherers. While the size
+// or the configuration is unknown it has.
+func (e *Edge) needsGatherers(hosts int) bool {
+	config := e.follower.View().Config
+	return hosts == 0 || config == nil || gathering.Needed(hosts, config.LeastShardConns())
+}
+
 // gatherersOf returns the hosts that gather sweeps. Until the fleet's size and the
 // selection are known, these are the readers: after the loss of all hosts, connections of
 // few hosts fit beside the dead ones that the targets still count.
 func (e *Edge) gatherersOf(hosts int) []gathering.Member {
-	if hosts > 0 && hosts < gathering.MinHosts || e.opts.PeerAddr == "" {
+	if e.opts.PeerAddr == "" || !e.needsGatherers(hosts) {
 		return nil
 	}
 	if selected := e.hub.Gatherers(); len(selected) > 0 {
