--- a/internal/hosts/catalogsync/follower.go
+++ b/internal/hosts/catalogsync/follower.go
@@ -49,6 +49,9 @@
 	// OnBatch gets each batch as it was read, before the view that includes it. It
 	// may be nil.
 	OnBatch func(Batch)
+	// LongestPause returns the longest pause between failed calls of a host that has
+	// entries, before jitter. It may be nil and applies only above maxBackoff.
+	LongestPause func() time.Duration
 }
 
 // New returns a follower with an empty view; it does nothing until Run is called.
@@ -69,7 +72,7 @@
 
 // poll reads all entries once and then watches for changes.
 func (f *Follower) poll(ctx context.Context) {
-	p := progress{log: f.log}
+	p := progress{log: f.log, longestPause: f.hooks.LongestPause}
 	for ctx.Err() == nil {
 		began := time.Now()
 		batch, err := f.fetch(p.position)
@@ -137,11 +140,11 @@
 	}
 }
 
-// backoff returns the pause after the given number of failures in a row. The
-// jitter keeps hosts from retrying together.
-func backoff(failures int) time.Duration {
+// backoff returns the pause after the given number of failures in a row, at most longest.
+// The jitter keeps hosts from retrying together.
+func backoff(failures int, longest time.Duration) time.Duration {
 	d := initialBackoff << min(failures-1, 8)
-	d = min(d, maxBackoff)
+	d = min(d, longest)
 	return d/2 + rand.N(d/2)
 }
 
--- a/internal/hosts/catalogsync/follower_test.go
+++ b/internal/hosts/catalogsync/follower_test.go
@@ -102,9 +102,27 @@
 
 func TestBackoffGrowsWithinItsBounds(t *testing.T) {
 	for failures := 1; failures < 40; failures++ {
-		d := backoff(failures)
+		d := backoff(failures, maxBackoff)
 		require.LessOrEqual(t, d, maxBackoff)
 		require.GreaterOrEqual(t, d, initialBackoff/2)
 	}
-	require.GreaterOrEqual(t, backoff(20), maxBackoff/2)
+	require.GreaterOrEqual(t, backoff(20, maxBackoff), maxBackoff/2)
+}
+
+// TestFollowersOfLargeFleetCallStoreSeldomWhileItIsDown bounds the calls of a fleet: each
+// host whose reader has no fresh data calls the store itself.
+func TestFollowersOfLargeFleetCallStoreSeldomWhileItIsDown(t *testing.T) {
+	const longest = 3 * time.Second
+	p := progress{log: nullLogger(), longestPause: func() time.Duration { return longest }}
+	for range 20 {
+		require.LessOrEqual(t, p.failed(errors.New("down")), maxBackoff, "a host without entries can't serve")
+	}
+	_, err := p.accept(Batch{Full: true, Position: at(1)})
+	require.NoError(t, err)
+	total := time.Duration(0)
+	const calls = 20
+	for range calls {
+		total += p.failed(errors.New("down"))
+	}
+	require.Greater(t, total, (calls-6)*longest/2)
 }
--- a/internal/hosts/catalogsync/progress.go
+++ b/internal/hosts/catalogsync/progress.go
@@ -24,6 +24,8 @@
 	// started is set once a batch was accepted; accepted is the era of the last one.
 	started  bool
 	accepted int64
+	// longestPause is Hooks.LongestPause.
+	longestPause func() time.Duration
 }
 
 // accept checks that a batch continues from the position and moves the position to
@@ -71,5 +73,14 @@
 	if p.failures == 1 {
 		p.log.WithError(err).WithField("store_revision", p.position.Revision).Warn("store lost; the last view stays in force")
 	}
-	return backoff(p.failures)
+	return backoff(p.failures, p.maxPause())
+}
+
+// maxPause returns the longest pause between failed calls. A host without entries can
+// serve nothing and doesn't wait longer than maxBackoff.
+func (p *progress) maxPause() time.Duration {
+	if p.longestPause == nil || !p.started {
+		return maxBackoff
+	}
+	return max(p.longestPause(), maxBackoff)
 }
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -101,6 +102,8 @@
 	metrics   *metricsServer
 	callers   net.Listener
 	cancel    context.CancelFunc
+	// fleetHosts is the number of hosts in use, 0 while it is unknown.
+	fleetHosts atomic.Int64
 	// lastReport is the time of the last health report. It is used by one goroutine.
 	lastReport time.Time
 	// warningBudget limits the log lines about unhealthy targets.
@@ -129,7 +132,9 @@
 	e.source = catalogshare.NewSource(catalogshare.Options{
 		Store: opts.Store, Decode: opts.Decode, Hub: e.hub, Self: opts.PeerAddr, Readers: opts.Readers, FirstWait: firstWait, Log: opts.Log,
 	})
-	e.follower = catalogsync.New(e.source, opts.Log, catalogsync.Hooks{OnView: e.directory.Update, OnBatch: e.hub.Publish})
+	e.follower = catalogsync.New(e.source, opts.Log, catalogsync.Hooks{
+		OnView: e.directory.Update, OnBatch: e.hub.Publish, LongestPause: e.longestStorePause,
+	})
 	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope})
 	executor := relay.NewExecutor(relay.Options{
 		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard, Policy: opts.Policy, Gatherers: e.gatherers,
--- a/internal/wiring/edge/peers.go
+++ b/internal/wiring/edge/peers.go
@@ -38,9 +38,26 @@
 	}
 }
 
+const (
+	// storePausePerHost and maxStorePause bound the pause between failed calls to the
+	// store of a host that isn't a reader, so that the calls of a large fleet don't grow
+	// with it while the store is down. Readers notice its return and tell the others.
+	storePausePerHost = 15 * time.Millisecond
+	maxStorePause     = 3 * time.Second
+)
+
+// longestStorePause returns the longest pause between failed calls to the store.
+func (e *Edge) longestStorePause() time.Duration {
+	if e.source.IsReader() {
+		return 0
+	}
+	return min(time.Duration(e.fleetHosts.Load())*storePausePerHost, maxStorePause)
+}
+
 // updateFleet divides connections, extra load and sweeps among the given number of
 // hosts, 0 while it is unknown. age is the time since this host's start.
 func (e *Edge) updateFleet(hosts int, domains map[string]int, age time.Duration) {
+	e.fleetHosts.Store(int64(hosts))
 	if e.source.IsReader() {
 		e.hub.SelectGatherers(hosts)
 	}
