--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -27,7 +27,10 @@
 	Sent time.Time
 	// Expected is the usual response time of such a request.
 	Expected time.Duration
-	Result   Result
+	// Work is the response time of such a request that waits for nothing, 0 if it is
+	// unknown.
+	Work   time.Duration
+	Result Result
 	// Queued is set if calls waited for a connection to the target when it ended.
 	Queued bool
 }
@@ -62,6 +65,7 @@
 	silentSince time.Time
 	outstanding int
 	drain       drain
+	congestion  congestion
 }
 
 // Load is a snapshot of the state of a target.
@@ -119,6 +123,7 @@
 	s.outstanding--
 	s.decay(now)
 	s.drain.ended(now, e.Result, e.Queued, s.Slots)
+	s.congestion.ended(now.Sub(e.Sent), e.Work, e.Result)
 	if e.Result != Silent {
 		s.silentSince = now
 	}
@@ -132,6 +137,9 @@
 	}
 }
 
+// UsableConns returns how many of conns connections may carry requests at once.
+func (s *Stats) UsableConns(conns int) int { return s.congestion.limit(conns) }
+
 // observe adds a response time to the slowness.
 func (s *Stats) observe(took, expected time.Duration) {
 	if expected <= 0 {
--- a/internal/querypath/relay/routestats.go
+++ b/internal/querypath/relay/routestats.go
@@ -15,6 +15,10 @@
 	// stragglerQuantile is the quantile of the response times after which a
 	// sub-request counts as late.
 	stragglerQuantile = 0.93
+	// workQuantile is the quantile of the response times of sub-requests that wait for
+	// nothing. A rise of it is taken over by workRise for each expectedTimesTTL.
+	workQuantile = 0.1
+	workRise     = 0.002
 	// defaultUsualShare is the usual time before there are enough samples, as a share
 	// of the objective.
 	defaultUsualShare = 0.12
@@ -36,6 +40,8 @@
 	straggler time.Duration
 	// connecting is the median for sub-requests that need a new connection.
 	connecting time.Duration
+	// work is the time of those that wait for nothing, 0 if it is unknown.
+	work time.Duration
 }
 
 // routeStats holds the latency statistics of one route's sub-requests.
@@ -50,6 +56,8 @@
 	// cached is reused until expires.
 	cached  expectedTimes
 	expires time.Time
+	// work is the least recent value of workQuantile, which rises slowly.
+	work time.Duration
 }
 
 // observe records the response time of a successful attempt that was submitted to
@@ -70,9 +78,24 @@
 	}
 	k.expires = now.Add(expectedTimesTTL)
 	k.cached = k.measure(route, now)
+	k.cached.work = k.measureWork(now)
 	return k.cached
 }
 
+// measureWork returns the time of sub-requests that wait for nothing. Under overload all
+// quantiles rise, so a higher value is taken over slowly.
+func (k *routeStats) measureWork(now time.Time) time.Duration {
+	low, ok := k.times.Quantile(workQuantile, now)
+	switch {
+	case !ok:
+	case k.work == 0 || low < k.work:
+		k.work = low
+	default:
+		k.work += time.Duration(workRise * float64(low-k.work))
+	}
+	return k.work
+}
+
 // measure computes the expected response times, with defaults while there are too
 // few samples.
 func (k *routeStats) measure(route *catalog.Route, now time.Time) expectedTimes {
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -105,6 +105,7 @@
 		OnTime:   r.times.onTime,
 		Priority: r.route.Priority,
 		Expected: r.expectedTimes.usual,
+		Work:     r.expectedTimes.work,
 		Done:     func(o targetpool.Outcome) { r.events <- event{leg: index, attempt: number, outcome: o} },
 	}
 	l.attempts = append(l.attempts, attempt{call: call, pool: to.pool, begun: now})
--- /dev/null
+++ b/internal/targets/targetpool/assign.go
@@ -0,0 +1,98 @@
+package targetpool
+
+import "time"
+
+// usableConns returns the number of connections that may carry calls as of now.
+func (p *Pool) usableConns(now time.Time) int { return p.stats.UsableConns(p.connLimit(now)) }
+
+// inUse returns the number of connections that carry a call.
+func (p *Pool) inUse() int { return len(p.conns) - len(p.idle) }
+
+// dialForWaiting starts a connection attempt if calls wait that no connection can take.
+// The caller holds the lock.
+func (p *Pool) dialForWaiting(now time.Time) {
+	if len(p.idle) == 0 && p.dialing < len(p.waiting) && p.inUse()+p.dialing < p.usableConns(now) {
+		p.dial(now)
+	}
+}
+
+// takeFree returns an idle connection, nil if there is none or as many are in use as may
+// be. The caller holds the lock.
+func (p *Pool) takeFree(now time.Time) *conn {
+	if p.inUse() >= p.usableConns(now) {
+		return nil
+	}
+	return p.takeIdle(now)
+}
+
+// takeIdle returns the most recently used idle connection and closes those that
+// the target may be about to close. The caller holds the lock.
+func (p *Pool) takeIdle(now time.Time) *conn {
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if c.reusable(now) {
+			return c
+		}
+		delete(p.conns, c)
+		go c.close()
+	}
+	return nil
+}
+
+// assign binds the connection to the call. The caller holds the lock and sends
+// the call after releasing it.
+func (p *Pool) assign(c *conn, call *Call, now time.Time) {
+	call.waiting = false
+	call.conn = c
+	call.sent = now
+	c.call = call
+	c.used = true
+	p.stats.Sent(now)
+}
+
+// release assigns an open connection to the next waiting call or makes it idle.
+func (p *Pool) release(c *conn) {
+	now := time.Now()
+	p.mu.Lock()
+	c.call = nil
+	if p.closed {
+		delete(p.conns, c)
+		p.mu.Unlock()
+		c.close()
+		return
+	}
+	c.idleSince = now
+	p.idle = append(p.idle, c)
+	assigned := p.assignWaiting(now)
+	p.scheduleTrim()
+	p.mu.Unlock()
+	sendAll(assigned)
+}
+
+// assignWaiting assigns waiting calls to idle connections as far as these may be used,
+// and returns the calls. The caller holds the lock and sends them after releasing it.
+func (p *Pool) assignWaiting(now time.Time) []*Call {
+	var assigned []*Call
+	for len(p.waiting) > 0 {
+		c := p.takeFree(now)
+		if c == nil {
+			break
+		}
+		call := p.nextWaiting(now)
+		if call == nil {
+			p.idle = append(p.idle, c)
+			break
+		}
+		p.assign(c, call, now)
+		assigned = append(assigned, call)
+	}
+	return assigned
+}
+
+// sendAll sends calls that were assigned to connections.
+func sendAll(calls []*Call) {
+	for _, call := range calls {
+		call.conn.send(call)
+	}
+}
--- a/internal/targets/targetpool/call.go
+++ b/internal/targets/targetpool/call.go
@@ -21,6 +21,8 @@
 	// Expected is the usual duration of such a call, against which slow exchanges
 	// and stalls are detected.
 	Expected time.Duration
+	// Work is the duration of such a call that waits for nothing, 0 if it is unknown.
+	Work time.Duration
 	// Done receives the outcome at most once, on any goroutine. It must not block.
 	Done func(Outcome)
 
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -177,7 +177,7 @@
 
 // exchangeOf describes the end of a call's exchange. The lock is held.
 func (p *Pool) exchangeOf(call *Call, result replica.Result) replica.Exchange {
-	return replica.Exchange{Sent: call.sent, Expected: call.Expected, Result: result, Queued: len(p.waiting) > 0}
+	return replica.Exchange{Sent: call.sent, Expected: call.Expected, Work: call.Work, Result: result, Queued: len(p.waiting) > 0}
 }
 
 func resultOf(reply *exchange.Reply) replica.Result {
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -23,7 +23,8 @@
 	log    logrus.FieldLogger
 
 	mu sync.Mutex
-	// Invariant: len(idle) is 0 or len(waiting) is 0.
+	// Invariant: while calls wait, idle is empty or as many connections carry calls as
+	// may (usableConns).
 	idle    []*conn
 	waiting []*Call
 	conns   map[*conn]bool
@@ -132,7 +133,7 @@
 	load := p.stats.Load(now)
 	load.Waiting = len(p.waiting)
 	load.Idle = len(p.idle)
-	load.Limit = p.connLimit(now)
+	load.Limit = p.usableConns(now)
 	load.Room = load.Limit - p.busy()
 	load.Unreachable = p.unreachable()
 	load.Distrusted = now.Before(p.distrustedUntil)
@@ -167,7 +168,7 @@
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: err, Ended: now})
 		return
 	}
-	if c := p.takeIdle(now); c != nil {
+	if c := p.takeFree(now); c != nil {
 		p.assign(c, call, now)
 		p.mu.Unlock()
 		c.send(call)
@@ -180,9 +181,7 @@
 	}
 	call.waiting = true
 	p.enqueue(call)
-	if p.dialing < len(p.waiting) {
-		p.dial(now)
-	}
+	p.dialForWaiting(now)
 	p.mu.Unlock()
 }
 
@@ -240,56 +239,6 @@
 	endAll(waiting, ErrClosed, time.Now())
 }
 
-// takeIdle returns the most recently used idle connection and closes those that
-// the target may be about to close. The caller holds the lock.
-func (p *Pool) takeIdle(now time.Time) *conn {
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if c.reusable(now) {
-			return c
-		}
-		delete(p.conns, c)
-		go c.close()
-	}
-	return nil
-}
-
-// assign binds the connection to the call. The caller holds the lock and sends
-// the call after releasing it.
-func (p *Pool) assign(c *conn, call *Call, now time.Time) {
-	call.waiting = false
-	call.conn = c
-	call.sent = now
-	c.call = call
-	c.used = true
-	p.stats.Sent(now)
-}
-
-// release assigns an open connection to the next waiting call or makes it idle.
-func (p *Pool) release(c *conn) {
-	now := time.Now()
-	p.mu.Lock()
-	c.call = nil
-	if p.closed {
-		delete(p.conns, c)
-		p.mu.Unlock()
-		c.close()
-		return
-	}
-	call := p.nextWaiting(now)
-	if call == nil {
-		c.idleSince = now
-		p.idle = append(p.idle, c)
-		p.scheduleTrim()
-		p.mu.Unlock()
-		return
-	}
-	p.assign(c, call, now)
-	p.mu.Unlock()
-	c.send(call)
-}
-
 // repliedRecently reports whether a reply arrived within recentReplyAge.
 func (p *Pool) repliedRecently(now time.Time) bool { return now.Sub(p.lastReply) < recentReplyAge }
 
@@ -311,10 +260,14 @@
 		p.recordFailure(now, errNoReply)
 	}
 	unserved := p.takeUnservable()
+	var assigned []*Call
 	if !p.closed {
 		p.keepWarm()
+		assigned = p.assignWaiting(now)
+		p.dialForWaiting(now)
 	}
 	p.mu.Unlock()
+	sendAll(assigned)
 	endAll(unserved, ErrUnreachable, now)
 }
 
