--- a/internal/hosts/gatherlink/gatherlink_test.go
+++ b/internal/hosts/gatherlink/gatherlink_test.go
@@ -203,6 +203,30 @@
 	require.Equal(t, 4, other.served())
 }
 
+// TestRefusalAfterLostGathererIsNotPassedOn covers a sweep that may have run on a gatherer
+// that was lost and is then refused by another one: the caller must not be told that it
+// has not run.
+func TestRefusalAfterLostGathererIsNotPassedOn(t *testing.T) {
+	begun := make(chan struct{})
+	lost := &fakeGatherer{accepts: true, gather: func(_ *exchange.Request, gone <-chan struct{}) *exchange.Answer {
+		close(begun)
+		<-gone
+		return &exchange.Answer{Status: 499}
+	}}
+	refusing := &fakeGatherer{accepts: true, gather: answering(503)}
+	m1, _, endLost := lost.serve(t)
+	m2, _, _ := refusing.serve(t)
+	c := newClient(t, m1, m2)
+	go func() {
+		<-begun
+		endLost()
+	}()
+	a := c.Sweep(request("r-1"), route(), always, nil)
+	require.Equal(t, 502, a.Status)
+	require.Equal(t, 1, refusing.served())
+	require.Equal(t, 503, newClient(t, m2).Sweep(request("r-2"), route(), always, nil).Status, "a first refusal is true")
+}
+
 // TestLostSweepIsNotPassedOnBeyondItsAttempts covers shards with more replicas than a
 // request may run on: a gatherer that accepted it may have used up its attempts.
 func TestLostSweepIsNotPassedOnBeyondItsAttempts(t *testing.T) {
--- a/internal/hosts/gatherlink/sweep.go
+++ b/internal/hosts/gatherlink/sweep.go
@@ -1,6 +1,7 @@
 package gatherlink
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -162,7 +163,7 @@
 		return nil, false
 	case o.kind == kindAnswer && o.answer != nil:
 		a.link.forget(a.id)
-		return a.answered(a.link, o.answer), true
+		return a.truthful(a.answered(a.link, o.answer)), true
 	default:
 		// A gatherer that refuses a sweep has not run it, even if it had accepted it.
 		a.mayHaveRun = a.ranBefore
@@ -173,6 +174,15 @@
 	}
 }
 
+// truthful returns the answer, or a failure in place of a refusal if the sweep may have
+// run on a gatherer that was asked before: a refusal states that it has not run.
+func (a *attempt) truthful(answer *exchange.Answer) *exchange.Answer {
+	if answer.Status != http.StatusServiceUnavailable || !a.ranBefore {
+		return answer
+	}
+	return &exchange.Answer{Status: http.StatusBadGateway, Reason: exchange.GathererLost, Trace: answer.Trace}
+}
+
 // timedOut ends an attempt whose gatherer did not accept the sweep or answer in time.
 func (a *attempt) timedOut() *exchange.Answer {
 	now := time.Now()
