--- a/internal/domain/exchange/account.go
+++ b/internal/domain/exchange/account.go
@@ -8,7 +8,7 @@
 
 // Trace records how a request was served. Every answer to a request whose serving
 // began has one. Legs is filled in only if the answer failed, was late or lacks a
-// shard.
+// shard; it begins with the legs that kept the answer from being better.
 type Trace struct {
 	Route string
 	Sweep bool
@@ -38,10 +38,14 @@
 type Leg struct {
 	Service string `json:"service"`
 	Cause   Cause  `json:"cause"`
-	// Target is the last target that was tried, SentMS the time from sending to
-	// it until the caller's answer, in milliseconds.
+	// Target is the target that answered late or, without an answer, the last one that
+	// was tried, SentMS the time from sending to it until the caller's answer, in
+	// milliseconds.
 	Target string `json:"target,omitempty"`
 	SentMS int64  `json:"sent_ms_ago,omitempty"`
+	// EstimateMS is the expected time until an answer of the best target of a leg that
+	// was not sent since its queue is too long, in milliseconds.
+	EstimateMS int64 `json:"estimate_ms,omitempty"`
 	// Tried is the number of attempts.
 	Tried int `json:"tried"`
 }
@@ -55,6 +59,11 @@
 	CauseNoTarget Cause = "no_target"
 	// CauseNotSent means that no attempt was made although a target was reachable.
 	CauseNotSent Cause = "not_sent"
+	// CauseQueue means that no attempt was made since the queue for the best target is
+	// too long.
+	CauseQueue Cause = "queue_too_long"
+	// CauseLateReply means that the leg answered after the objective.
+	CauseLateReply Cause = "late_reply"
 	// CauseNoConnection means that the request was still waiting for a connection.
 	CauseNoConnection Cause = "no_connection"
 	// CauseShed means that the targets refused the request.
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -70,8 +70,14 @@
 
 	// reachable is set if a target was available.
 	reachable bool
-	hedges    int
-	retries   int
+	// queue is the expected time until an answer if it is too long because of queued
+	// calls, otherwise 0.
+	queue time.Duration
+	// replied is when the successful reply came, and answered the index of its attempt.
+	replied  time.Time
+	answered int
+	hedges   int
+	retries  int
 	// denied is the number of hedges and retries that exceeded the budget.
 	denied int
 	// unreached is set if the last ended attempt reached no target.
@@ -148,7 +154,7 @@
 	}
 	if o.Reply != nil && o.Reply.Success() {
 		r.routeStats.observe(l.attempts[ev.attempt].begun, o)
-		l.reply = o.Reply
+		l.reply, l.replied, l.answered = o.Reply, o.Ended, ev.attempt
 		l.settled = true
 		return true
 	}
--- a/internal/querypath/relay/single.go
+++ b/internal/querypath/relay/single.go
@@ -35,7 +35,7 @@
 	now := time.Now()
 	answer.Trace = r.trace(legs, now)
 	if answer.Trace.Late || answer.Reason != "" {
-		explain(answer.Trace, legs, now)
+		r.explain(answer.Trace, legs, now)
 	}
 	return answer
 }
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -44,7 +44,7 @@
 	now := time.Now()
 	answer.Trace = s.trace(s.legs, now)
 	if answer.Trace.Late || answer.Missing > 0 || answer.Reason != "" {
-		explain(answer.Trace, s.legs, now)
+		s.explain(answer.Trace, s.legs, now)
 	}
 	grace := abandonGrace
 	if answer.Reason == exchange.CallerLeft {
@@ -108,6 +108,7 @@
 		s.legs[i].reachable = true
 		reached++
 		if replica.QueueExceeds(chosen[i].load, s.expectedTimes.usual, within) {
+			s.legs[i].queue = replica.Estimate(chosen[i].load, s.expectedTimes.usual)
 			tooLate++
 		}
 	}
--- a/internal/querypath/relay/trace.go
+++ b/internal/querypath/relay/trace.go
@@ -7,7 +7,7 @@
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
-// maxLegs is the maximum number of unanswered legs listed in one trace.
+// maxLegs is the maximum number of legs listed in one trace.
 const maxLegs = 4
 
 // trace returns the trace of a run without the details of its legs.
@@ -29,25 +29,31 @@
 	return t
 }
 
-// explain adds the first maxLegs unanswered legs to the trace.
-func explain(t *exchange.Trace, legs []leg, now time.Time) {
-	for i := range legs {
-		if l := &legs[i]; l.reply == nil && len(t.Legs) < maxLegs {
-			t.Legs = append(t.Legs, l.explain(now))
+// explain adds up to maxLegs legs to the trace: first those that a refused sweep was
+// not sent for, then other unanswered ones, then those that answered after the
+// objective.
+func (r *run) explain(t *exchange.Trace, legs []leg, now time.Time) {
+	for _, decisive := range []func(*leg) bool{
+		func(l *leg) bool { return l.reply == nil && l.queue > 0 },
+		func(l *leg) bool { return l.reply == nil && l.queue == 0 },
+		func(l *leg) bool { return l.reply != nil && l.replied.After(r.times.onTime) },
+	} {
+		for i := range legs {
+			if l := &legs[i]; decisive(l) && len(t.Legs) < maxLegs {
+				t.Legs = append(t.Legs, l.explain(now))
+			}
 		}
 	}
 }
 
-// explain describes why a leg has no reply.
+// explain describes why a leg has no reply, or that it came late.
 func (l *leg) explain(now time.Time) exchange.Leg {
-	e := exchange.Leg{Service: string(l.service), Tried: len(l.attempts), Cause: exchange.CauseNoTarget}
+	e := exchange.Leg{Service: string(l.service), Tried: len(l.attempts)}
 	if len(l.attempts) == 0 {
-		if l.reachable {
-			e.Cause = exchange.CauseNotSent
-		}
+		e.Cause, e.EstimateMS = l.causeNotSent(), l.queue.Milliseconds()
 		return e
 	}
-	last := l.attempts[len(l.attempts)-1]
+	last := l.attempts[l.lastAttempt()]
 	e.Target = string(last.pool.Target().ID)
 	sent := last.pool.SentAt(last.call)
 	if !sent.IsZero() {
@@ -57,10 +63,33 @@
 	return e
 }
 
-// cause returns why a leg with at least one attempt has no reply. sent is when its
-// last attempt was sent, or zero if it still waits for a connection.
+// lastAttempt returns the index of the attempt that was answered or, without an answer,
+// of the last one.
+func (l *leg) lastAttempt() int {
+	if l.reply != nil {
+		return l.answered
+	}
+	return len(l.attempts) - 1
+}
+
+// causeNotSent returns why a leg has no attempt.
+func (l *leg) causeNotSent() exchange.Cause {
+	switch {
+	case l.queue > 0:
+		return exchange.CauseQueue
+	case l.reachable:
+		return exchange.CauseNotSent
+	default:
+		return exchange.CauseNoTarget
+	}
+}
+
+// cause returns why a leg with at least one attempt has no reply or a late one. sent is
+// when its last attempt was sent, or zero if it still waits for a connection.
 func (l *leg) cause(sent time.Time) exchange.Cause {
 	switch {
+	case l.reply != nil:
+		return exchange.CauseLateReply
 	case l.pending == 0 && l.ran > 0:
 		return exchange.CauseFailed
 	case l.pending == 0 && l.unreached:
