Prefer replicas of the own failure domain more strongly

Change: the cost of crossing failure domains is 2.5 usual times. A local target with calls in flight is taken, one without a free connection or four times slower isn't.

Test: busy local target before a remote one, failed before.

--- a/internal/decision/replica/choose.go
+++ b/internal/decision/replica/choose.go
@@ -21,7 +21,7 @@
 	// warmingCost multiplies the cost of a target that started recently.
 	warmingCost = 1.6
 	// remoteCost is the added cost of crossing failure domains.
-	remoteCost = 0.45
+	remoteCost = 2.5
 	// failureCost is the added cost per unit of failure rate.
 	failureCost = 12
 	// stallFactor is the number of expected response times without any reply after
--- a/internal/decision/replica/replica_test.go
+++ b/internal/decision/replica/replica_test.go
@@ -57,6 +57,22 @@
 	}
 }
 
+// TestBusyTargetOfOwnDomainIsPreferredToRemoteOne covers ordinary load: a query in flight
+// delays the next one by less than the bytes between failure domains cost.
+func TestBusyTargetOfOwnDomainIsPreferredToRemoteOne(t *testing.T) {
+	now := time.Now()
+	var own, remote Stats
+	served(&own, now, usual)
+	served(&remote, now, usual)
+	own.Sent(now.Add(usual))
+	own.Sent(now.Add(usual))
+	near, far := candidate(&own, now.Add(usual)), candidate(&remote, now.Add(usual))
+	far.Remote = true
+	require.Equal(t, 0, Choose([]Candidate{near, far}, usual, noJitter))
+	near.Load.Room = 0
+	require.Equal(t, 1, Choose([]Candidate{near, far}, usual, noJitter), "nor does a call wait for a connection while a remote target has one")
+}
+
 func TestRemoteTargetIsPreferredToSlowOne(t *testing.T) {
 	near := Candidate{Load: Load{Slowness: 1, Room: 1, Limit: 2}}
 	far := near
