Count against the objective what callers spent before their request arrived

Hypothesis: peeks that get a partial answer at the last moment are late when the caller had to open a connection first: the objective runs from the caller's first step, the host counted from the first byte.

Change: the timeout that a request states is what is left of the caller's; what it lacks to the longest of its route's in the last 5 to 10 s is what the caller spent on connecting (differences above 40 ms are other timeouts or earlier attempts and don't count). The fixed margin for the way back falls from 13 to 11 ms.

--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -136,9 +136,10 @@
 
 func (e *Executor) newRun(snapshot *targetpool.Snapshot, route *catalog.Route, r *exchange.Request, callerGone <-chan struct{}) *run {
 	stats := e.statsByRoute.of(route)
+	spent := stats.patience.spent(r.CallerTimeout, r.Arrived)
 	return &run{
 		executor: e, snapshot: snapshot, route: route, request: r, callerGone: callerGone,
-		routeStats: stats, expectedTimes: stats.expectedTimes(route, time.Now()), times: newSchedule(route, r),
+		routeStats: stats, expectedTimes: stats.expectedTimes(route, time.Now()), times: newSchedule(route, r, spent),
 	}
 }
 
--- a/internal/querypath/relay/routestats.go
+++ b/internal/querypath/relay/routestats.go
@@ -52,6 +52,8 @@
 	// connection. They include opening it unless it was opened in advance.
 	connecting latency.Histogram
 
+	patience patience
+
 	mu sync.Mutex
 	// cached is reused until expires.
 	cached  expectedTimes
--- a/internal/querypath/relay/schedule.go
+++ b/internal/querypath/relay/schedule.go
@@ -10,7 +10,7 @@
 const (
 	// returnMargin is reserved out of the objective for the transfer of the request
 	// and the answer between caller and host, and for the host's own work.
-	returnMargin = 13 * time.Millisecond
+	returnMargin = 11 * time.Millisecond
 	// returnShare is the largest share of the objective that the margin may take.
 	returnShare = 0.3
 	// finalMargin is how long before the caller's deadline the request times out.
@@ -33,9 +33,10 @@
 	deadline time.Time
 }
 
-// newSchedule returns the time limits of a request. Its deadline is the route's
-// timeout or the caller's, whichever is shorter.
-func newSchedule(route *catalog.Route, r *exchange.Request) schedule {
+// newSchedule returns the time limits of a request whose caller has waited for spent
+// before it arrived. Its deadline is the route's timeout or the caller's, whichever is
+// shorter.
+func newSchedule(route *catalog.Route, r *exchange.Request, spent time.Duration) schedule {
 	timeout := route.Timeout
 	if r.CallerTimeout > 0 && (timeout <= 0 || r.CallerTimeout < timeout) {
 		timeout = r.CallerTimeout
@@ -43,7 +44,7 @@
 	margin := min(returnMargin, time.Duration(returnShare*float64(route.Objective)))
 	deadline := r.Arrived.Add(timeout)
 	return schedule{
-		onTime:   r.Arrived.Add(route.Objective - margin),
+		onTime:   r.Arrived.Add(route.Objective - margin - spent),
 		final:    deadline.Add(-finalMargin),
 		deadline: deadline,
 	}
