--- a/internal/domain/exchange/answer.go
+++ b/internal/domain/exchange/answer.go
@@ -13,6 +13,8 @@
 	Signatures []string
 	Missing    int
 	Body       []byte
+	// CutOff is set if shards are missing only since the objective was about to pass.
+	CutOff bool
 	// RetryAfter is set if a later retry can succeed.
 	RetryAfter time.Duration
 	// Reason is set if the tier itself refused or failed the request.
--- a/internal/domain/exchange/request.go
+++ b/internal/domain/exchange/request.go
@@ -22,6 +22,9 @@
 	CallerTimeout time.Duration
 	// Arrived is the time at which the first byte was read.
 	Arrived time.Time
+	// Reserved is the part of the objective that is not left for the targets: what the
+	// caller had spent before Arrived and what its answer needs once it is decided.
+	Reserved time.Duration
 	// LastOnConnection is set if the caller asked to close the connection after
 	// the answer.
 	LastOnConnection bool
--- a/internal/hosts/gatherlink/frame.go
+++ b/internal/hosts/gatherlink/frame.go
@@ -68,6 +68,9 @@
 	// BeginByUS is the reading of the server's clock after which it must refuse the
 	// sweep, in microseconds; 0 for none.
 	BeginByUS int64 `cbor:"11,keyasint,omitempty"`
+	// ReservedUS is the part of the objective that is not left for the targets, in
+	// microseconds.
+	ReservedUS int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // answer is the answer to a sweep.
@@ -79,39 +82,38 @@
 	RetryAfterUS int64           `cbor:"5,keyasint,omitempty"`
 	Reason       exchange.Reason `cbor:"6,keyasint,omitempty"`
 	Trace        *exchange.Trace `cbor:"7,keyasint,omitempty"`
+	CutOff       bool            `cbor:"8,keyasint,omitempty"`
 }
 
-// hopTime is the time that passing a sweep on and its answer back take, which is missing
-// to the gatherer.
-const hopTime = 2500 * time.Microsecond
-
 func sweepOf(r *exchange.Request, fingerprint uint64, now time.Time) *sweep {
 	return &sweep{
 		RequestID: r.ID, Method: r.Method, Host: r.Host, URI: r.URI, Forward: r.Forward, Body: r.Body, HasBody: r.HasBody,
 		CallerTimeoutUS: r.CallerTimeout.Microseconds(), ElapsedUS: now.Sub(r.Arrived).Microseconds(), Fingerprint: fingerprint,
+		ReservedUS: r.Reserved.Microseconds(),
 	}
 }
 
 // request returns the caller's request as the gatherer serves it.
 func (s *sweep) request(now time.Time) *exchange.Request {
-	elapsed := time.Duration(s.ElapsedUS)*time.Microsecond + hopTime
+	elapsed := time.Duration(s.ElapsedUS) * time.Microsecond
 	return &exchange.Request{
 		ID: s.RequestID, Method: s.Method, Host: s.Host, URI: s.URI, Forward: s.Forward, Body: s.Body, HasBody: s.HasBody,
 		CallerTimeout: time.Duration(s.CallerTimeoutUS) * time.Microsecond, Arrived: now.Add(-elapsed),
+		Reserved: time.Duration(s.ReservedUS) * time.Microsecond,
 	}
 }
 
 func answerOf(a *exchange.Answer) *answer {
 	return &answer{
 		Status: a.Status, Signatures: a.Signatures, Missing: a.Missing, Body: a.Body,
-		RetryAfterUS: a.RetryAfter.Microseconds(), Reason: a.Reason, Trace: a.Trace,
+		RetryAfterUS: a.RetryAfter.Microseconds(), Reason: a.Reason, Trace: a.Trace, CutOff: a.CutOff,
 	}
 }
 
 func (a *answer) answer() *exchange.Answer {
 	return &exchange.Answer{
 		Status: a.Status, Signatures: a.Signatures, Missing: a.Missing, Body: a.Body,
-		RetryAfter: time.Duration(a.RetryAfterUS) * time.Microsecond, Reason: a.Reason, Trace: a.Trace,
+		RetryAfter: time.Duration(a.RetryAfterUS) * time.Microsecond, Reason: a.Reason, Trace: a.Trace, CutOff: a.CutOff,
 	}
 }
 
--- a/internal/hosts/gatherlink/gatherlink_test.go
+++ b/internal/hosts/gatherlink/gatherlink_test.go
@@ -36,7 +36,7 @@
 func always() bool { return true }
 
 func request(id string) *exchange.Request {
-	return &exchange.Request{ID: id, Method: "GET", Host: "h", URI: "/x", Forward: []byte("A: b\r\n"), Arrived: time.Now(), CallerTimeout: time.Minute}
+	return &exchange.Request{ID: id, Method: "GET", Host: "h", URI: "/x", Forward: []byte("A: b\r\n"), Arrived: time.Now(), CallerTimeout: time.Minute, Reserved: 7 * time.Millisecond}
 }
 
 // fakeGatherer gathers sweeps with a function.
@@ -155,7 +155,7 @@
 	got := first.requests[0]
 	require.Equal(t, "A: b\r\n", string(got.Forward))
 	require.Equal(t, time.Minute, got.CallerTimeout)
-	require.True(t, got.Arrived.Before(time.Now().Add(-hopTime)))
+	require.Equal(t, 7*time.Millisecond, got.Reserved)
 }
 
 // TestRefusedSweepGoesToOtherGathererOrBackToHost covers gatherers that are stopping or
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -77,16 +77,23 @@
 	if e.opts.Guard.Blocks(r, time.Now()) {
 		return refuse(exchange.CrashesTargets, retryCrashing)
 	}
+	stats := e.statsByRoute.of(route)
+	spent := stats.patience.spent(r.CallerTimeout, r.Arrived)
 	if !route.Sweep() {
-		return e.newRun(snapshot, route, r, callerGone).single(e.splits.pick(route))
+		return e.newRun(snapshot, route, reserve(r, spent), callerGone).single(e.splits.pick(route))
 	}
 	if e.opts.Gatherers != nil {
 		again := func() bool { return attemptsCoverTargets(snapshot, route) }
-		if answer := e.opts.Gatherers.Sweep(r, route, again, callerGone); answer != nil {
+		pass := func(r *exchange.Request) *exchange.Answer {
+			return e.opts.Gatherers.Sweep(r, route, again, callerGone)
+		}
+		if answer := stats.passedOverrun.serve(route, r, spent, pass); answer != nil {
 			return answer
 		}
 	}
-	return e.newRun(snapshot, route, r, callerGone).sweep()
+	return stats.ownOverrun.serve(route, r, spent, func(r *exchange.Request) *exchange.Answer {
+		return e.newRun(snapshot, route, r, callerGone).sweep()
+	})
 }
 
 // attemptsCoverTargets reports whether a sweep may run on all targets of each shard, so
@@ -136,10 +143,9 @@
 
 func (e *Executor) newRun(snapshot *targetpool.Snapshot, route *catalog.Route, r *exchange.Request, callerGone <-chan struct{}) *run {
 	stats := e.statsByRoute.of(route)
-	spent := stats.patience.spent(r.CallerTimeout, r.Arrived)
 	return &run{
 		executor: e, snapshot: snapshot, route: route, request: r, callerGone: callerGone,
-		routeStats: stats, expectedTimes: stats.expectedTimes(route, time.Now()), times: newSchedule(route, r, spent),
+		routeStats: stats, expectedTimes: stats.expectedTimes(route, time.Now()), times: newSchedule(route, r),
 	}
 }
 
--- a/internal/querypath/relay/relay_test.go
+++ b/internal/querypath/relay/relay_test.go
@@ -49,7 +49,7 @@
 func TestHedgeIsSentEarlyEnoughForObjective(t *testing.T) {
 	arrived := time.Now()
 	route := &catalog.Route{Objective: 100 * time.Millisecond, Timeout: time.Second}
-	s := newSchedule(route, &exchange.Request{Arrived: arrived, CallerTimeout: 400 * time.Millisecond}, 0)
+	s := newSchedule(route, &exchange.Request{Arrived: arrived, CallerTimeout: 400 * time.Millisecond})
 	require.Equal(t, arrived.Add(400*time.Millisecond), s.deadline)
 	require.True(t, s.onTime.Before(arrived.Add(route.Objective)))
 	p := expectedTimes{usual: 10 * time.Millisecond, straggler: 30 * time.Millisecond}
@@ -63,7 +63,7 @@
 func TestHedgeOverNewConnectionIsSentEarlier(t *testing.T) {
 	arrived := time.Now()
 	route := &catalog.Route{Objective: 100 * time.Millisecond, Timeout: time.Second}
-	s := newSchedule(route, &exchange.Request{Arrived: arrived, CallerTimeout: 400 * time.Millisecond}, 0)
+	s := newSchedule(route, &exchange.Request{Arrived: arrived, CallerTimeout: 400 * time.Millisecond})
 	p := expectedTimes{usual: 10 * time.Millisecond, straggler: 200 * time.Millisecond, connecting: 40 * time.Millisecond}
 	require.Equal(t, s.onTime.Add(-p.connecting), s.hedgeTime(arrived, p, false))
 	p.straggler = 20 * time.Millisecond
--- a/internal/querypath/relay/routestats.go
+++ b/internal/querypath/relay/routestats.go
@@ -53,6 +53,10 @@
 	connecting latency.Histogram
 
 	patience patience
+	// ownOverrun and passedOverrun are the overruns of sweeps that this host gathers and
+	// of those that it passes on.
+	ownOverrun    overrun
+	passedOverrun overrun
 
 	mu sync.Mutex
 	// cached is reused until expires.
@@ -62,6 +66,13 @@
 	work time.Duration
 }
 
+func newRouteStats() *routeStats {
+	return &routeStats{
+		ownOverrun:    overrun{allowance: ownOverrunFirst},
+		passedOverrun: overrun{allowance: passedOverrunFirst},
+	}
+}
+
 // observe records the response time of a successful attempt that was submitted to
 // the target's pool at begun.
 func (k *routeStats) observe(begun time.Time, o targetpool.Outcome) {
@@ -131,7 +142,7 @@
 		if k.known == nil || len(k.known) >= maxRoutes {
 			k.known = map[string]*routeStats{}
 		}
-		found = &routeStats{}
+		found = newRouteStats()
 		k.known[route.Name] = found
 	}
 	return found
--- a/internal/querypath/relay/schedule.go
+++ b/internal/querypath/relay/schedule.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// returnMargin is reserved out of the objective for the transfer of the request
-	// and the answer between caller and host, and for the host's own work.
-	returnMargin = 11 * time.Millisecond
+	// returnMargin is kept free of the objective for the transfer of the request and the
+	// answer between caller and host.
+	returnMargin = 9 * time.Millisecond
 	// returnShare is the largest share of the objective that the margin may take.
 	returnShare = 0.3
 	// finalMargin is how long before the caller's deadline the request times out.
@@ -33,10 +33,9 @@
 	deadline time.Time
 }
 
-// newSchedule returns the time limits of a request whose caller has waited for spent
-// before it arrived. Its deadline is the route's timeout or the caller's, whichever is
-// shorter.
-func newSchedule(route *catalog.Route, r *exchange.Request, spent time.Duration) schedule {
+// newSchedule returns the time limits of a request. Its deadline is the route's
+// timeout or the caller's, whichever is shorter.
+func newSchedule(route *catalog.Route, r *exchange.Request) schedule {
 	timeout := route.Timeout
 	if r.CallerTimeout > 0 && (timeout <= 0 || r.CallerTimeout < timeout) {
 		timeout = r.CallerTimeout
@@ -44,7 +43,7 @@
 	margin := min(returnMargin, time.Duration(returnShare*float64(route.Objective)))
 	deadline := r.Arrived.Add(timeout)
 	return schedule{
-		onTime:   r.Arrived.Add(route.Objective - margin - spent),
+		onTime:   r.Arrived.Add(route.Objective - margin - r.Reserved),
 		final:    deadline.Add(-finalMargin),
 		deadline: deadline,
 	}
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -29,6 +29,8 @@
 	settled int
 	// ran is set once a failed attempt may have run on its target.
 	ran bool
+	// overdue is set once the objective has passed without enough shards.
+	overdue bool
 	// nextHedgeCheck is the earliest time of the next check for late shards.
 	nextHedgeCheck time.Time
 }
@@ -165,13 +167,16 @@
 func (s *sweep) decide(now time.Time) *exchange.Answer {
 	enough := s.parts >= s.minShards
 	switch {
-	case s.settled == len(s.legs) && enough, enough && !now.Before(s.times.onTime):
+	case s.settled == len(s.legs) && enough:
 		return s.merged()
+	case enough && !now.Before(s.times.onTime):
+		return s.cutOff()
 	case len(s.legs)-(s.settled-s.parts) < s.minShards:
 		return s.failed(exchange.LowCoverage)
 	case !now.Before(s.times.final):
 		return s.failed(exchange.TimedOut)
 	default:
+		s.overdue = !now.Before(s.times.onTime)
 		return nil
 	}
 }
@@ -235,6 +240,14 @@
 	return next
 }
 
+// cutOff returns the answer without the shards that have not answered in time. An answer
+// that had to wait for enough shards after the objective isn't one that was cut off.
+func (s *sweep) cutOff() *exchange.Answer {
+	answer := s.merged()
+	answer.CutOff = !s.overdue
+	return answer
+}
+
 // merged returns the answer made from the replies so far.
 func (s *sweep) merged() *exchange.Answer {
 	signatures := make([]string, 0, s.parts)
