Consider a hedge again that could not be sent

A leg was hedged once: if at that moment the other replica had no free connection or the budget was empty, no other attempt followed, and a target that has fallen silent gives no failure that would be retried.

Change: a hedge that can't be sent is considered again after the usual time; after the objective it may also wait for a connection, since it can't come too late any more.

--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -20,6 +20,9 @@
 	// which counts the targets that may run it: one attempt that reached no target
 	// and one retry at the same target.
 	extraAttempts = 2
+	// hedgeRecheckLeast is the least interval at which a hedge is considered that could
+	// not be sent before.
+	hedgeRecheckLeast = 5 * time.Millisecond
 	// extraEvents is the spare capacity of a run's event channel.
 	extraEvents = 8
 )
@@ -122,21 +125,24 @@
 }
 
 // hedge sends a second attempt for a leg that is late, if another target has a
-// free connection and the budget allows it. A hedge that had to wait for a
-// connection would come too late.
+// free connection and the budget allows it. Otherwise it is considered again later: a
+// leg whose target has fallen silent would else wait for it until the request times out.
+// After the objective the hedge may also wait for a connection.
 func (r *run) hedge(l *leg, index int, now time.Time) {
-	l.hedged = true
 	if !r.mayRepeat(l) {
+		l.hedged = true
 		return
 	}
+	l.hedgeAt = now.Add(max(r.expectedTimes.usual, hedgeRecheckLeast))
 	chosen := r.executor.choose(l.group, l.tried, r.expectedTimes.usual, now)
-	if chosen.pool == nil || chosen.load.Room <= 0 {
+	if chosen.pool == nil || chosen.load.Room <= 0 && now.Before(r.times.onTime) {
 		return
 	}
 	if !l.group.TakeHedge(now) {
 		l.denied++
 		return
 	}
+	l.hedged = true
 	l.hedges++
 	r.sendTo(chosen, l, index, now)
 }
