--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -15,6 +15,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/querypath/relay"
 	"github.com/swiftvane/swiftvane/internal/support/exitcode"
+	"github.com/swiftvane/swiftvane/internal/support/gctune"
 	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/wiring/edge"
 	"github.com/swiftvane/swiftvane/platform"
@@ -27,9 +28,6 @@
 	// heapShare is the share of the memory limit that is set as the Go runtime's
 	// soft limit.
 	heapShare = 0.6
-	// gcPercent is the heap growth, in percent of the live heap, that starts a
-	// garbage collection.
-	gcPercent = 400
 	// logFlushTimeout bounds the wait for the last log lines to be written.
 	logFlushTimeout = 200 * time.Millisecond
 )
@@ -48,7 +46,7 @@
 	if err != nil {
 		return exitcode.With(exitcode.Usage, eris.Wrap(err, policyVariable))
 	}
-	debug.SetGCPercent(gcPercent)
+	gctune.Apply()
 	debug.SetMemoryLimit(int64(heapShare * float64(node.MemoryBytes)))
 	out := logging.NewBoundedWriter(os.Stdout)
 	defer out.Close(logFlushTimeout)
--- a/internal/standin/target/check.go
+++ b/internal/standin/target/check.go
@@ -2,9 +2,9 @@
 
 import "github.com/rotisserie/eris"
 
-// check returns an error for the first value found that is out of range or not a known
+// Check returns an error for the first value found that is out of range or not a known
 // fault.
-func (f *Faults) check() error {
+func (f *Faults) Check() error {
 	shares := map[string]float64{
 		"straggler_share": f.StragglerShare,
 		"shed_share":      f.ShedShare,
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -111,7 +111,7 @@
 // is out of range or not a known fault. The target goes on serving f.Snapshots after a
 // later call without snapshots.
 func (t *Target) SetFaults(f Faults) error {
-	if err := f.check(); err != nil {
+	if err := f.Check(); err != nil {
 		return err
 	}
 	old := t.faults.Swap(&faultState{Faults: f, since: time.Now(), replaced: make(chan struct{})})
--- a/internal/support/logging/bounded.go
+++ b/internal/support/logging/bounded.go
@@ -22,6 +22,8 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Int64
+	// closing is closed by Close, done by the goroutine when it ends.
+	closing chan struct{}
 	done    chan struct{}
 	once    sync.Once
 }
@@ -29,7 +31,7 @@
 // NewBoundedWriter returns a writer to out. Its goroutine runs until Close or until
 // a write to out fails.
 func NewBoundedWriter(out io.Writer) *BoundedWriter {
-	b := &BoundedWriter{out: out, lines: make(chan []byte, boundedLines), done: make(chan struct{})}
+	b := &BoundedWriter{out: out, lines: make(chan []byte, boundedLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go b.run()
 	return b
 }
@@ -45,9 +47,9 @@
 }
 
 // Close makes the goroutine write the queued lines and end, and waits at most the
-// given time for it. If the queue is full, Close first waits for room in it.
+// given time for it.
 func (b *BoundedWriter) Close(within time.Duration) {
-	b.once.Do(func() { b.lines <- nil })
+	b.once.Do(func() { close(b.closing) })
 	timer := time.NewTimer(within)
 	defer timer.Stop()
 	select {
@@ -59,27 +61,37 @@
 func (b *BoundedWriter) run() {
 	defer close(b.done)
 	batch := make([]byte, 0, batchBytes)
-	for line := range b.lines {
-		if line == nil {
-			return
-		}
-		batch = append(batch[:0], line...)
-		ended := false
-		for more := true; more && len(batch) < batchBytes; {
-			select {
-			case next := <-b.lines:
-				ended = next == nil
-				more = !ended
-				batch = append(batch, next...)
-			default:
-				more = false
+	for {
+		batch = batch[:0]
+		select {
+		case line := <-b.lines:
+			batch = append(batch, line...)
+		case <-b.closing:
+			// No line is queued any more once the queue is empty after Close.
+			if len(b.lines) == 0 {
+				return
 			}
 		}
-		if n := b.dropped.Swap(0); n > 0 {
-			batch = fmt.Appendf(batch, "{\"level\":\"warning\",\"message\":\"log lines were dropped: the reader is too slow\",\"lines\":%d}\n", n)
-		}
-		if _, err := b.out.Write(batch); err != nil || ended {
+		batch = b.fill(batch)
+		if _, err := b.out.Write(batch); err != nil {
 			return
 		}
 	}
 }
+
+// fill appends the queued lines to a batch as far as it has room, and how many were
+// dropped.
+func (b *BoundedWriter) fill(batch []byte) []byte {
+	for more := true; more && len(batch) < batchBytes; {
+		select {
+		case line := <-b.lines:
+			batch = append(batch, line...)
+		default:
+			more = false
+		}
+	}
+	if n := b.dropped.Swap(0); n > 0 {
+		batch = fmt.Appendf(batch, "{\"level\":\"warning\",\"message\":\"log lines were dropped: the reader is too slow\",\"lines\":%d}\n", n)
+	}
+	return batch
+}
--- a/internal/support/logging/bounded_test.go
+++ b/internal/support/logging/bounded_test.go
@@ -45,6 +45,40 @@
 	require.LessOrEqual(t, kept, boundedLines+2*batch, "the queue and what was taken from it before the reader stopped")
 }
 
+// TestCloseReturnsInTimeWhileWriterIsStalled covers a full queue behind a reader that has
+// stopped for good.
+func TestCloseReturnsInTimeWhileWriterIsStalled(t *testing.T) {
+	reader, writer := io.Pipe()
+	defer func() { require.NoError(t, reader.Close()) }()
+	b := NewBoundedWriter(writer)
+	line := []byte("{" + strings.Repeat(" ", 1000) + "}\n")
+	for range 2 * boundedLines {
+		_, err := b.Write(line)
+		require.NoError(t, err)
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		b.Close(time.Millisecond)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("Close waits for a reader that has stopped")
+	}
+}
+
+func TestEmptyLineDoesNotEndWriter(t *testing.T) {
+	var got bytes.Buffer
+	b := NewBoundedWriter(&got)
+	for _, line := range []string{"a\n", "", "b\n"} {
+		_, err := b.Write([]byte(line))
+		require.NoError(t, err)
+	}
+	b.Close(10 * time.Second)
+	require.Equal(t, "a\nb\n", got.String())
+}
+
 func TestBudgetCountsSuppressedLines(t *testing.T) {
 	now := time.Now()
 	b := NewBudget(2)
--- a/internal/tool/load/experiment/experiment_test.go
+++ b/internal/tool/load/experiment/experiment_test.go
@@ -74,6 +74,7 @@
 		"at_most and at_least":  smallPlan + "\n[[compare]]\nname='x'\nmetric='p50'\nof='tier'\n",
 		"Kind":                  smallPlan + "\n[[arm]]\nname='x'\nkind='magic'\nhosts=1\n",
 		"unique":                smallPlan + "\n[[arm]]\nname='tier'\nkind='tier'\nhosts=1\n",
+		"shed_share":            smallPlan + "\n[[arm]]\nname='x'\nkind='tier'\nhosts=1\nfaults='{\"shed_share\":2}'\n",
 		"unknown field \"odd\"": smallPlan + "\n[[arm]]\nname='x'\nkind='tier'\nhosts=1\nfaults='{\"odd\":1}'\n",
 	} {
 		t.Run(want, func(t *testing.T) {
--- a/internal/tool/load/experiment/plan.go
+++ b/internal/tool/load/experiment/plan.go
@@ -112,11 +112,15 @@
 // Faults are a target's faults, written as JSON.
 type Faults struct{ target.Faults }
 
-// UnmarshalText implements encoding.TextUnmarshaler.
+// UnmarshalText implements encoding.TextUnmarshaler. It fails for unknown fields and
+// for values that no target accepts.
 func (f *Faults) UnmarshalText(text []byte) error {
 	decoder := json.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
-	return decoder.Decode(&f.Faults)
+	if err := decoder.Decode(&f.Faults); err != nil {
+		return err
+	}
+	return f.Check()
 }
 
 // Read reads and checks an experiment file.
--- a/internal/tool/load/experiment/runner.go
+++ b/internal/tool/load/experiment/runner.go
@@ -60,13 +60,16 @@
 	}
 	defer running.Close()
 	standins := running.Standins()
-	cancelFaults := scheduleFaults(arm, standins.Targets)
-	defer cancelFaults()
+	faults := scheduleFaults(arm, standins.Targets)
+	defer faults.stop()
 	before := processorTime()
 	measured, err := load.Generate(ctx, plan.run(arm), running, nil)
 	if err != nil {
 		return nil, err
 	}
+	if err := faults.failed(); err != nil {
+		return nil, err
+	}
 	used := processorTime() - before
 	report := reportArm(arm, measured, standins.Runs(""), used)
 	if wanted := measured.TotalSent * plan.Workload.Services; wanted > 0 {
@@ -115,18 +118,37 @@
 	return nil
 }
 
-// scheduleFaults sets the arm's faults once FaultAt has passed, unless cancel is
-// called before.
-func scheduleFaults(arm *Arm, targets []*target.Target) (cancel func()) {
-	if arm.FaultTargets == 0 {
-		return func() {}
-	}
-	timer := time.AfterFunc(time.Duration(arm.FaultAt), func() {
-		for _, t := range targets[:min(arm.FaultTargets, len(targets))] {
-			_ = t.SetFaults(arm.Faults.Faults) // an invalid value is rejected and leaves the faults unchanged
+// scheduledFaults are faults that are set while an arm runs.
+type scheduledFaults struct {
+	timer *time.Timer
+	errs  chan error
+}
+
+// scheduleFaults sets the arm's faults once FaultAt has passed, unless stop is called
+// before.
+func scheduleFaults(arm *Arm, targets []*target.Target) *scheduledFaults {
+	affected := targets[:min(arm.FaultTargets, len(targets))]
+	f := &scheduledFaults{errs: make(chan error, len(affected))}
+	f.timer = time.AfterFunc(time.Duration(arm.FaultAt), func() {
+		for _, t := range affected {
+			if err := t.SetFaults(arm.Faults.Faults); err != nil {
+				f.errs <- err
+			}
 		}
 	})
-	return func() { timer.Stop() }
+	return f
+}
+
+func (f *scheduledFaults) stop() { f.timer.Stop() }
+
+// failed returns the first error of setting the faults so far.
+func (f *scheduledFaults) failed() error {
+	select {
+	case err := <-f.errs:
+		return err
+	default:
+		return nil
+	}
 }
 
 func reportArm(arm *Arm, measured *load.Report, runs target.RunReport, used time.Duration) *ArmReport {
