Keep the collector's default target on the platform

Hypothesis: with a heap that may grow to five times what lives, a host's memory at its peak is priced higher than the collections it spares.

Change: the platform's mode sets no target of its own; the product's own mode keeps its 400%.

--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -15,7 +15,6 @@
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/querypath/relay"
 	"github.com/swiftvane/swiftvane/internal/support/exitcode"
-	"github.com/swiftvane/swiftvane/internal/support/gctune"
 	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/wiring/edge"
 	"github.com/swiftvane/swiftvane/platform"
@@ -46,7 +45,8 @@
 	if err != nil {
 		return exitcode.With(exitcode.Usage, eris.Wrap(err, policyVariable))
 	}
-	gctune.Apply()
+	// The collector keeps Go's default target: on this platform memory at its peak is
+	// priced, and the heap of a host is a few megabytes.
 	debug.SetMemoryLimit(int64(heapShare * float64(node.MemoryBytes)))
 	out := logging.NewBoundedWriter(os.Stdout)
 	defer out.Close(logFlushTimeout)
