Bound the allowance for cut-off answers by the objective

Cause, by reading: where a host is late for another reason, the allowance rises to 25 ms.

Change: it takes at most a fifth of the objective. Besides, a hedge that is considered several times counts once as denied.

Test: objective of 40 ms with the largest allowance; failed without the bound.

--- a/internal/querypath/relay/overrun.go
+++ b/internal/querypath/relay/overrun.go
@@ -19,8 +19,10 @@
 	// parts.
 	overrunRise = time.Millisecond
 	overrunFall = overrunRise / 50
-	// overrunMost bounds the allowance.
-	overrunMost = 25 * time.Millisecond
+	// overrunMost and overrunShare bound the allowance, the latter as a share of the
+	// objective: where answers are late for another reason, the targets need the time.
+	overrunMost  = 25 * time.Millisecond
+	overrunShare = 0.2
 )
 
 // overrun measures how much sooner a sweep that won't be complete must be cut off, so that
@@ -34,7 +36,8 @@
 // serve has a sweep served whose caller has spent a time before it arrived, and learns
 // from the time of its answer. It returns what serve returns.
 func (o *overrun) serve(route *catalog.Route, r *exchange.Request, spent time.Duration, serve func(*exchange.Request) *exchange.Answer) *exchange.Answer {
-	answer := serve(reserve(r, spent+o.expected()))
+	allowance := min(o.expected(), time.Duration(overrunShare*float64(route.Objective)))
+	answer := serve(reserve(r, spent+allowance))
 	if answer != nil && answer.CutOff {
 		due := newSchedule(route, reserve(r, spent)).onTime
 		o.observe(time.Now().After(due))
--- a/internal/querypath/relay/overrun_test.go
+++ b/internal/querypath/relay/overrun_test.go
@@ -30,6 +30,20 @@
 	require.Zero(t, o.expected())
 }
 
+// TestAllowanceLeavesTargetsTheirPartOfShortObjective covers a host that is late for another
+// reason than the way of its answers: with an objective of 40 ms the targets keep most of it.
+func TestAllowanceLeavesTargetsTheirPartOfShortObjective(t *testing.T) {
+	route := &catalog.Route{Objective: 40 * time.Millisecond, Timeout: time.Second}
+	arrived := time.Now()
+	o := overrun{allowance: overrunMost}
+	left := time.Duration(0)
+	o.serve(route, &exchange.Request{Arrived: arrived}, 0, func(r *exchange.Request) *exchange.Answer {
+		left = newSchedule(route, r).onTime.Sub(arrived)
+		return nil
+	})
+	require.GreaterOrEqual(t, left, route.Objective/2)
+}
+
 // slowWayBack is a gatherer that cuts off each sweep when its share of the objective has
 // passed. The answer then needs a while to get back.
 type slowWayBack struct{ wayBack time.Duration }
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -60,7 +60,7 @@
 	retriedSame bool
 	// hedgeAt is when the leg counts as late and may be hedged.
 	hedgeAt time.Time
-	// hedged is set once a hedge was considered, whether or not it was sent.
+	// hedged is set once a hedge was sent or none may be.
 	hedged bool
 	// settled is set once the leg has answered or gets no more attempts.
 	settled bool
@@ -139,7 +139,8 @@
 		return
 	}
 	if !l.group.TakeHedge(now) {
-		l.denied++
+		// Counted once, however often the hedge is considered.
+		l.denied = max(l.denied, 1)
 		return
 	}
 	l.hedged = true
