--- a/test/edge/crash_test.go
+++ b/test/edge/crash_test.go
@@ -59,7 +59,9 @@
 	}
 	// A request has at most two attempts: the first counts one searcher, the second
 	// two. Two requests count at most 6.
+	mu.Lock()
 	before := closeCalls
+	mu.Unlock()
 	require.LessOrEqual(t, before, 6)
 	r, err := caller.ask("GET", "/read/poison", "poison-last", nil)
 	require.NoError(t, err)
