Open no connections to services without a route; assume no small fleet without a link

Change: a follower whose settings name readers waits 5 s for its first link before it assumes a size; in fleets with gatherers only these connect to services without a route.

--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -52,7 +52,9 @@
 	started time.Time
 	// running is set once the host has run for one window of the budgets.
 	running bool
-	// shards has the services of the view that are shards of a sweep.
+	// used has the services that a route of the view names, shards those that are shards
+	// of a sweep.
+	used   map[catalog.ServiceName]bool
 	shards map[catalog.ServiceName]bool
 	pools  map[catalog.TargetID]*Pool
 	// withdrawn has what targets without a pool have said. It outlasts the entry of a
@@ -139,16 +141,15 @@
 			pool.Close()
 		}
 	}
-	used := map[catalog.ServiceName]bool{}
-	d.shards = map[catalog.ServiceName]bool{}
+	d.used, d.shards = nil, nil
 	if v.Config != nil {
-		used, d.shards = v.Config.InUse(), v.Config.Shards()
+		d.used, d.shards = v.Config.InUse(), v.Config.Shards()
 	}
 	for name, b := range d.budgets {
 		b.setLimit(d.limitOf(name))
 	}
 	groups := map[catalog.ServiceName]*Group{}
-	for name := range used {
+	for name := range d.used {
 		groups[name] = d.group(name)
 	}
 	for name, targets := range v.ByService {
@@ -191,11 +192,13 @@
 }
 
 // shareOf returns this host's share of the connections to the targets of a service.
-// Where a few hosts gather sweeps for all, only these keep connections to shards. The
-// lock is held.
+// Where a few hosts gather sweeps for all, only these keep connections to shards and to
+// services that no route names: the next or the last shards of an index that is cut anew,
+// each of whose targets would else get a connection from every host. The lock is held.
 func (d *Directory) shareOf(name catalog.ServiceName, maxConns, targets int) share {
+	gathered := d.shards[name] || d.view.Config != nil && !d.used[name]
 	switch {
-	case d.fleet.Gatherers == 0 || !d.shards[name]:
+	case d.fleet.Gatherers == 0 || !gathered:
 		return shareOf(maxConns, targets, d.fleet.Hosts)
 	case d.fleet.Gathers:
 		return shareOf(maxConns, targets, d.fleet.Gatherers)
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -218,6 +218,7 @@
 	started := now
 	for {
 		known, settled := e.hub.Hosts()
+		size.alone = e.aloneSettleTime()
 		hosts := size.update(known, settled || e.standalone(), now)
 		e.hub.SetSettled(hosts > 0)
 		e.updateFleet(hosts, domains.update(e.hub.Domains(), now), now.Sub(started))
@@ -235,6 +236,15 @@
 // settings. An empty list of readers is not enough, since it may be filled later.
 func (e *Edge) standalone() bool { return e.opts.PeerAddr == "" && len(e.opts.Readers()) == 0 }
 
+// aloneSettleTime returns how long the host waits for a first link before it assumes the
+// size of the fleet.
+func (e *Edge) aloneSettleTime() time.Duration {
+	if len(e.opts.Readers()) == 0 || e.source.IsReader() {
+		return sizeSettleTime
+	}
+	return aloneSettleTime
+}
+
 // Stop stops the host in steps: it becomes not ready, then connections close after
 // their next answer, then idle ones close. It reports whether all connections
 // ended in time, so that no request was cut off.
--- a/internal/wiring/edge/fleetsize.go
+++ b/internal/wiring/edge/fleetsize.go
@@ -11,6 +11,10 @@
 	// is used. After a restart of all hosts each one discovers the others one by
 	// one, and connections sized for a small fleet would overload the targets.
 	sizeSettleTime = 1500 * time.Millisecond
+	// aloneSettleTime replaces sizeSettleTime while a host whose settings name readers
+	// knows no other host. Its first link can take up to two retries and a watch of the
+	// store; a host that assumes a small fleet meanwhile connects to all targets itself.
+	aloneSettleTime = 5 * time.Second
 	// shrinkDelay is how long a larger size is kept, since lost hosts may still
 	// hold connections at targets or return.
 	shrinkDelay = 30 * time.Second
@@ -20,6 +24,8 @@
 
 // fleetSize tracks the number of hosts; a smaller number applies after a delay.
 type fleetSize struct {
+	// alone is the settle time while no other host is known, at least sizeSettleTime.
+	alone time.Duration
 	// value is 0 until the size is known.
 	value int
 	// since is when a number at least as large as value was last known.
@@ -52,5 +58,8 @@
 		f.largest = known
 		f.risenAt = now
 	}
+	if known <= 1 {
+		return now.Sub(f.risenAt) >= max(f.alone, sizeSettleTime)
+	}
 	return now.Sub(f.risenAt) >= sizeSettleTime
 }
--- a/internal/wiring/edge/fleetsize_test.go
+++ b/internal/wiring/edge/fleetsize_test.go
@@ -23,6 +23,20 @@
 	require.Equal(t, 3, f.update(3, false, now.Add(2*time.Second+shrinkDelay+time.Second)))
 }
 
+// TestFollowerWithoutLinkDoesNotAssumeSmallFleet covers a restart of all hosts: a follower
+// whose first link takes longer than the size takes to settle must not connect to all
+// targets as in a small fleet.
+func TestFollowerWithoutLinkDoesNotAssumeSmallFleet(t *testing.T) {
+	now := time.Now()
+	f := fleetSize{alone: aloneSettleTime}
+	require.Zero(t, f.update(1, false, now))
+	require.Zero(t, f.update(1, false, now.Add(aloneSettleTime-time.Millisecond)))
+	require.Equal(t, 75, f.update(75, true, now.Add(aloneSettleTime-time.Millisecond)))
+	lone := fleetSize{alone: aloneSettleTime}
+	require.Zero(t, lone.update(1, false, now))
+	require.Equal(t, assumedHosts, lone.update(1, false, now.Add(aloneSettleTime)))
+}
+
 // TestConfirmedFleetSizeAppliesAtOnce covers a single host that restarts: it needs
 // its share of the extra load without waiting for the size to settle.
 func TestConfirmedFleetSizeAppliesAtOnce(t *testing.T) {
