--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -20,6 +20,10 @@
 	// no reader could be dialed; a random part keeps followers from dialing
 	// together.
 	linkRetryPause = 2 * time.Second
+	// unlinkedRetryPause replaces linkRetryPause until the host has got a message on a link:
+	// after a restart of all hosts readers accept links only once they have entries, and a
+	// host without a link doesn't know the fleet's size.
+	unlinkedRetryPause = 500 * time.Millisecond
 	// minFirstWait is the least time that a host without entries tries to link to
 	// a reader: a running reader answers sooner than the store returns its pages.
 	minFirstWait = 60 * time.Millisecond
@@ -61,6 +65,8 @@
 	dialing    bool
 	// retryAt is the earliest time of the next dial.
 	retryAt time.Time
+	// linked is set once a message has arrived on a link.
+	linked bool
 
 	// mu guards sharedLink, the copy of link for goroutines other than the owner.
 	mu         sync.Mutex
@@ -104,7 +110,7 @@
 		}
 		s.opts.Log.WithError(err).WithField("peer", s.link.addr).Info("catalog link lost; calling the store")
 		s.dropLink()
-		s.retryAt = time.Now().Add(linkRetryPause/2 + rand.N(linkRetryPause))
+		s.delayDial()
 	}
 	s.dialInBackground()
 	return s.opts.Store.Watch(after, wait)
@@ -167,6 +173,7 @@
 	if m.position().Before(known) {
 		return catalogsync.Batch{}, errStale
 	}
+	s.linked = true
 	s.opts.Hub.recordUpstream(m)
 	s.opts.Hub.addCrashReports(m.CrashReports)
 	s.opts.Hub.addLeaving(m.Leaving)
@@ -205,10 +212,19 @@
 	s.dialing = false
 	s.setLink(l)
 	if l == nil {
-		s.retryAt = time.Now().Add(linkRetryPause/2 + rand.N(linkRetryPause))
+		s.delayDial()
 	}
 }
 
+// delayDial sets the time of the next dial after a link was lost or could not be opened.
+func (s *Source) delayDial() {
+	pause := linkRetryPause
+	if !s.linked {
+		pause = unlinkedRetryPause
+	}
+	s.retryAt = time.Now().Add(pause/2 + rand.N(pause))
+}
+
 // dropLink closes the link, if there is one.
 func (s *Source) dropLink() {
 	if s.link != nil {
--- a/internal/wiring/edge/fleetsize.go
+++ b/internal/wiring/edge/fleetsize.go
@@ -14,7 +14,7 @@
 	// aloneSettleTime replaces sizeSettleTime while a host whose settings name readers
 	// knows no other host. Its first link can take up to two retries and a watch of the
 	// store; a host that assumes a small fleet meanwhile connects to all targets itself.
-	aloneSettleTime = 5 * time.Second
+	aloneSettleTime = 8 * time.Second
 	// shrinkDelay is how long a larger size is kept, since lost hosts may still
 	// hold connections at targets or return.
 	shrinkDelay = 30 * time.Second
