Serve the first request of connections accepted during a stop

From 0.4 of the grace on each answer closes its connection, so callers open a new one for each request. Closing idle connections treated a connection that was just accepted as idle and closed it while its first request was on its way. A read that is interrupted by a past deadline also doesn't return bytes that have already arrived. In addition, closing a listener resets the connections that the kernel has accepted and the process has not.

Ruled out: the test's client. Its connection is new, not a reused one that crosses the host's close, so it has no reason to send the request again.

Change: a connection without a request stays 250 ms after its start while idle ones close; others are read once more before they close. The callers' listener drops further handshakes by a socket filter, is accepted from for another 20 ms and closes then. Such a filter needs a listener without multipath TCP. A caller that connects in these 20 ms is refused when its system repeats the handshake, about a second later.

--- a/internal/face/front/conn.go
+++ b/internal/face/front/conn.go
@@ -20,6 +20,12 @@
 	// closes: closing with unread input resets the connection, which can lose the
 	// answer.
 	lingerTimeout = 150 * time.Millisecond
+	// firstRequestWait is how long after its start a connection without a request is kept
+	// while idle ones are closed: callers send a request right after they connect.
+	firstRequestWait = 250 * time.Millisecond
+	// lastReadWait is how long an idle connection is read once more before it is closed.
+	// A read that is interrupted does not return what has already arrived.
+	lastReadWait = 5 * time.Millisecond
 	// lingerBytes bounds the bytes read in this time.
 	lingerBytes = 1 << 20
 )
@@ -38,11 +44,15 @@
 	server *Server
 	raw    net.Conn
 	reader *bufio.Reader
+	// opened is when the connection was accepted.
+	opened time.Time
 	jobs   chan job
 	// served has an element once the last job has been answered.
 	served chan struct{}
 	// ended is closed when the serving goroutine accepts no more jobs.
 	ended chan struct{}
+	// requests counts the requests read. It is used by the reading goroutine.
+	requests int
 
 	mu sync.Mutex
 	// idle is set while the connection waits for the first byte of a request.
@@ -51,7 +61,7 @@
 
 func newConn(s *Server, raw net.Conn) *conn {
 	return &conn{
-		server: s, raw: raw,
+		server: s, raw: raw, opened: time.Now(),
 		reader: bufio.NewReaderSize(raw, s.limits().MaxHeaderBytes+bufferSlack),
 		jobs:   make(chan job), served: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
@@ -72,6 +82,7 @@
 			return
 		}
 		j.request = request
+		c.requests++
 		c.setReadDeadline(time.Time{})
 		if !c.enqueue(j) {
 			return
@@ -99,10 +110,27 @@
 			c.setIdle(false)
 			return true
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.server.draining.Load() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
 		}
+		if c.server.draining.Load() {
+			return c.awaitLastRequest()
+		}
+	}
+}
+
+// awaitLastRequest reports whether a request has arrived on a connection that is about
+// to be closed as idle. A connection that was just opened is given time to send its
+// first request.
+func (c *conn) awaitLastRequest() bool {
+	c.setIdle(false)
+	until := time.Now().Add(lastReadWait)
+	if first := c.opened.Add(firstRequestWait); c.requests == 0 && first.After(until) {
+		until = first
 	}
+	c.setReadDeadline(until)
+	_, err := c.reader.Peek(1)
+	return err == nil
 }
 
 // afterHeader restarts the read deadline for the body and, if the caller waits for
--- /dev/null
+++ b/internal/support/listener/stop.go
@@ -0,0 +1,72 @@
+// Package listener opens TCP listeners and closes them without resetting connections that the
+// kernel has accepted and the process has not. It has no goroutines.
+package listener
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// backlogWait is how long the process keeps accepting after the last handshake
+// could begin. It covers a round trip and the wake-up of the accepting goroutine.
+const backlogWait = 20 * time.Millisecond
+
+const (
+	// flagsOffset is the offset of the flags in a TCP header, in bytes.
+	flagsOffset = 13
+	synFlag     = 0x02
+	// keepAll keeps a packet of any length.
+	keepAll = 0x40000
+)
+
+// dropSYN is a socket filter that drops packets which begin a handshake.
+var dropSYN = []unix.SockFilter{
+	{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flagsOffset},
+	{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, Jt: 1, K: synFlag},
+	{Code: unix.BPF_RET | unix.BPF_K, K: keepAll},
+	{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+}
+
+var errNoDescriptor = errors.New("the listener has no file descriptor")
+
+// Listen listens on a TCP address. Multipath TCP is off, since its listeners take no
+// socket filter.
+func Listen(addr string) (net.Listener, error) {
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	return config.Listen(context.Background(), "tcp", addr)
+}
+
+// Close lets the listener take no further handshakes, waits until the goroutine that
+// accepts has taken those that are complete, and closes the listener. Closing at once
+// would reset them, although their callers may have sent requests. Where the filter is
+// not available it closes at once. The error is that of closing.
+func Close(l net.Listener) error {
+	if refuseHandshakes(l) == nil {
+		time.Sleep(backlogWait)
+	}
+	return l.Close()
+}
+
+// refuseHandshakes drops the packets that begin a handshake with the listener.
+func refuseHandshakes(l net.Listener) error {
+	conn, ok := l.(syscall.Conn)
+	if !ok {
+		return errNoDescriptor
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	program := unix.SockFprog{Len: uint16(len(dropSYN)), Filter: &dropSYN[0]}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	})
+	return errors.Join(err, failed)
+}
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 	"github.com/swiftvane/swiftvane/internal/hosts/gatherlink"
 	"github.com/swiftvane/swiftvane/internal/querypath/relay"
+	"github.com/swiftvane/swiftvane/internal/support/listener"
 	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
@@ -149,7 +150,7 @@
 
 // Start opens the listeners and starts to follow the store.
 func (e *Edge) Start() error {
-	callers, err := net.Listen("tcp", e.opts.CallerAddr)
+	callers, err := listener.Listen(e.opts.CallerAddr)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
@@ -248,7 +249,7 @@
 	time.Sleep(time.Until(at(drainAfter)))
 	e.server.Drain()
 	time.Sleep(time.Until(at(closeIdleAfter)))
-	if err := e.callers.Close(); err != nil {
+	if err := listener.Close(e.callers); err != nil {
 		e.opts.Log.WithError(err).Warn("callers' listener did not close")
 	}
 	end := began.Add(e.opts.StopWithin - stopReserve)
