Recognise late copies of replies without a request id

Cause: a target that sends its answer a second time, late, on a connection that carries the next request gave that caller an answer that was not its own if the reply names no request id. A copied refusal without id and signature told the next caller that its request had not run.

Ruled out: replies with a request id (the copy is dropped), bytes on an idle connection or behind a reply (the connection closes), gather links (frames carry an id of the link), the product's mode (exchange ids).

Change: a connection keeps the hashes of its last four signed replies without an id; the same signature for another request is a copy. After a reply with neither id nor signature the connection closes. Replies with an id cost nothing more.

--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -32,6 +32,8 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	out    []byte
+	// history is used by the reading goroutine only.
+	history replyHistory
 
 	// The fields up to opened are guarded by the pool's lock.
 	call        *Call
@@ -120,7 +122,7 @@
 		c.fail(err)
 		return false
 	}
-	if reply.ID != "" && reply.ID != call.Request.ID {
+	if c.history.belongsToOther(reply, call.Request) {
 		c.pool.log.WithFields(logrus.Fields{"request_id": call.Request.ID, "stray_id": reply.ID}).Warn("reply to another request was dropped")
 		return true
 	}
@@ -134,11 +136,12 @@
 }
 
 // complete ends the call with the reply and releases the connection. It returns
-// false, and the caller must close the connection, if unread bytes are buffered,
-// writing the request has not finished or has failed, the target closes it, or its
-// deadline cannot be reset.
+// false, and the caller must close the connection, if unread bytes are buffered, the
+// reply names no request, writing the request has not finished or has failed, the
+// target closes it, or its deadline cannot be reset.
 func (c *conn) complete(call *Call, reply *exchange.Reply) bool {
-	good := !reply.Closes && c.reader.Buffered() == 0
+	c.history.add(reply, call.Request)
+	good := !reply.Closes && identifiable(reply) && c.reader.Buffered() == 0
 	if good && c.writing.TryLock() {
 		good = !c.broken
 		c.writing.Unlock()
