Tell restarted readers which targets are leaving

Cause: a target that reports in its answers that it is leaving is remembered in the hosts' memory. A reader that restarted had no such reports: neither its followers nor the other readers sent theirs, so it used the target again. A host that was told also counted the drain time from the message, not from the first report, and used the target for longer than the rest.

Ruled out: keys deleted from the store.

Change: the first message to other readers lists the leaving targets, followers send theirs when they link, and message key 25 has the ages.

--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -43,10 +43,10 @@
 	// this host follows, reports as unhealthy.
 	health      targethealth.Aggregator
 	onUnhealthy func(targets []string)
-	// leaving has the targets reported as leaving, with the time of the report.
+	// leaving has the targets reported as leaving, with the time of the first report.
 	// onLeaving is called with each new one.
 	leaving   map[LeavingTarget]time.Time
-	onLeaving func(LeavingTarget)
+	onLeaving func(t LeavingTarget, since time.Time)
 	// gatherers is the current selection. The sent fields are what the last heartbeat
 	// with them had.
 	gatherers     []gathering.Member
@@ -188,9 +188,6 @@
 	for _, e := range h.entries {
 		m.Entries = append(m.Entries, e)
 	}
-	for t := range h.leaving {
-		m.Leaving = append(m.Leaving, t)
-	}
 	return m
 }
 
@@ -246,6 +243,8 @@
 	if !f.observe {
 		first = h.fullMessage()
 	}
+	// Another reader may have restarted and know none of these any more.
+	h.addAllLeaving(first)
 	h.addMembers(first, true)
 	h.followers[f] = true
 	h.mu.Unlock()
@@ -285,7 +284,7 @@
 			return
 		}
 		h.addCrashReports(m.CrashReports)
-		h.addLeaving(m.Leaving)
+		h.addLeaving(m)
 		h.addSamples(m.Samples)
 		if !m.Reports {
 			continue
--- a/internal/hosts/catalogshare/leaving.go
+++ b/internal/hosts/catalogshare/leaving.go
@@ -15,8 +15,8 @@
 )
 
 // OnLeavingTarget sets the function that is called with each target that another host
-// reports as leaving. It must be set before the hub runs; the function must not block.
-func (h *Hub) OnLeavingTarget(f func(LeavingTarget)) { h.onLeaving = f }
+// reports as leaving and the time of the first report. It must be set before the hub runs; the function must not block.
+func (h *Hub) OnLeavingTarget(f func(t LeavingTarget, since time.Time)) { h.onLeaving = f }
 
 // AddLeaving records that a target is leaving and, if this is new, sends it to the
 // followers.
@@ -26,35 +26,65 @@
 	h.recordLeaving(t, time.Now())
 }
 
-// addLeaving records the reports of another host and passes the new ones on.
-func (h *Hub) addLeaving(targets []LeavingTarget) {
-	for _, t := range targets {
+// addLeaving records the reports in a message of another host and passes the new ones
+// on. A report without an age is new.
+func (h *Hub) addLeaving(m *message) {
+	now := time.Now()
+	for i, t := range m.Leaving {
+		since := now
+		if i < len(m.LeavingAgesMS) {
+			since = now.Add(-time.Duration(max(m.LeavingAgesMS[i], 0)) * time.Millisecond)
+		}
 		h.mu.Lock()
-		isNew := h.recordLeaving(t, time.Now())
+		isNew := h.recordLeaving(t, since)
 		h.mu.Unlock()
 		if isNew && h.onLeaving != nil {
-			h.onLeaving(t)
+			h.onLeaving(t, since)
 		}
 	}
 }
 
-// recordLeaving records a report, sends it to the followers if it is new and reports
-// whether it is. The caller holds the lock.
-func (h *Hub) recordLeaving(t LeavingTarget, now time.Time) bool {
+// recordLeaving records a report first made at since, sends it to the followers if it is
+// new and reports whether it is. The caller holds the lock.
+func (h *Hub) recordLeaving(t LeavingTarget, since time.Time) bool {
 	if _, known := h.leaving[t]; known {
 		return false
 	}
 	if len(h.leaving) >= maxLeaving {
-		h.dropOldLeaving(now)
+		h.dropOldLeaving(time.Now())
 	}
-	h.leaving[t] = now
+	h.leaving[t] = since
 	h.log.WithFields(logrus.Fields{"target": t.Target, "born": t.Born}).Info("a target is leaving")
 	m := h.newMessage()
-	m.Leaving = []LeavingTarget{t}
+	m.addLeaving(t, since)
 	h.broadcast(m)
 	return true
 }
 
+// addAllLeaving adds the reports that are younger than leavingTTL to a message. The
+// caller holds the lock.
+func (h *Hub) addAllLeaving(m *message) {
+	now := time.Now()
+	for t, since := range h.leaving {
+		if now.Sub(since) <= leavingTTL {
+			m.addLeaving(t, since)
+		}
+	}
+}
+
+// leavingMessage returns a message with the reports that this host knows, nil if there
+// are none.
+func (h *Hub) leavingMessage() *message {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m := &message{}
+	h.addAllLeaving(m)
+	if len(m.Leaving) == 0 {
+		return nil
+	}
+	return m
+}
+
 // dropOldLeaving drops the reports that are older than leavingTTL. The caller holds
 // the lock.
 func (h *Hub) dropOldLeaving(now time.Time) {
--- a/internal/hosts/catalogshare/leaving_test.go
+++ b/internal/hosts/catalogshare/leaving_test.go
@@ -1,6 +1,7 @@
 package catalogshare
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 	received := make(chan LeavingTarget, 10)
 	newFollower := func() *Source {
 		s, _ := newSource(addr)
-		s.opts.Hub.OnLeavingTarget(func(t LeavingTarget) { received <- t })
+		s.opts.Hub.OnLeavingTarget(func(t LeavingTarget, _ time.Time) { received <- t })
 		_, err := s.Read(catalog.Position{})
 		require.NoError(t, err)
 		return s
@@ -36,3 +37,54 @@
 	newFollower()
 	require.Equal(t, leaving, <-received)
 }
+
+// TestRestartedReaderLearnsLeavingTargets covers a reader that starts after a target has
+// reported that it is leaving. It guards against hosts that use the target again, or for
+// the whole drain time anew, since the reader's state went with its process.
+func TestRestartedReaderLearnsLeavingTargets(t *testing.T) {
+	leaving := LeavingTarget{Target: "t-1", Born: 5}
+	reported := time.Now().Add(-2 * time.Second)
+	first := newBatch(7, "a")
+	first.Full = true
+	type report struct {
+		target LeavingTarget
+		since  time.Time
+	}
+	requireReport := func(t *testing.T, received <-chan report) {
+		t.Helper()
+		select {
+		case r := <-received:
+			require.Equal(t, leaving, r.target)
+			require.WithinDuration(t, reported, r.since, time.Second, "the age of the report goes with it")
+		case <-time.After(eventuallyTimeout):
+			t.Fatal("the restarted reader has no report of the leaving target")
+		}
+	}
+	t.Run("from a follower", func(t *testing.T) {
+		restarted, addr, _ := serve(t)
+		received := make(chan report, 10)
+		restarted.OnLeavingTarget(func(t LeavingTarget, since time.Time) { received <- report{t, since} })
+		restarted.Publish(first)
+		follower, _ := newSource(addr)
+		follower.opts.Hub.mu.Lock()
+		follower.opts.Hub.leaving[leaving] = reported
+		follower.opts.Hub.mu.Unlock()
+		_, err := follower.Read(catalog.Position{})
+		require.NoError(t, err)
+		requireReport(t, received)
+	})
+	t.Run("from another reader", func(t *testing.T) {
+		other, addr, _ := serve(t)
+		other.mu.Lock()
+		other.leaving[leaving] = reported
+		other.mu.Unlock()
+		other.Publish(first)
+		restarted, _ := newSource(addr, "self")
+		received := make(chan report, 10)
+		restarted.opts.Hub.OnLeavingTarget(func(t LeavingTarget, since time.Time) { received <- report{t, since} })
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go restarted.Observe(ctx)
+		requireReport(t, received)
+	})
+}
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -80,8 +80,10 @@
 	// sent when they change. Gatherers are those that the sender selected or got.
 	Members   []gathering.Member `cbor:"16,keyasint,omitempty"`
 	Gatherers []gathering.Member `cbor:"17,keyasint,omitempty"`
-	// Leaving are targets that have newly reported that they are leaving.
-	Leaving []LeavingTarget `cbor:"15,keyasint,omitempty"`
+	// Leaving are targets that have reported that they are leaving. LeavingAgesMS has,
+	// in the same order, the times since the first reports, in milliseconds.
+	Leaving       []LeavingTarget `cbor:"15,keyasint,omitempty"`
+	LeavingAgesMS []int64         `cbor:"25,keyasint,omitempty"`
 	// Samples are a follower's counts of good and bad exchanges by target.
 	// Unhealthy lists the targets that a reader found unhealthy from its followers'
 	// samples.
@@ -96,3 +98,9 @@
 func (m *message) position() catalog.Position {
 	return catalog.Position{Era: m.Era, Revision: m.Revision}
 }
+
+// addLeaving adds a target that first reported at since that it is leaving.
+func (m *message) addLeaving(t LeavingTarget, since time.Time) {
+	m.Leaving = append(m.Leaving, t)
+	m.LeavingAgesMS = append(m.LeavingAgesMS, time.Since(since).Milliseconds())
+}
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -169,7 +169,7 @@
 	}
 	s.opts.Hub.recordUpstream(m)
 	s.opts.Hub.addCrashReports(m.CrashReports)
-	s.opts.Hub.addLeaving(m.Leaving)
+	s.opts.Hub.addLeaving(m)
 	s.opts.Hub.notifyUnhealthy(m.Unhealthy)
 	batch := catalogsync.Batch{
 		Full: m.Full, Position: m.position(), AfterOutage: m.AfterOutage,
@@ -206,6 +206,11 @@
 	s.setLink(l)
 	if l == nil {
 		s.retryAt = time.Now().Add(linkRetryPause/2 + rand.N(linkRetryPause))
+		return
+	}
+	// A reader that has restarted has no reports of leaving targets.
+	if m := s.opts.Hub.leavingMessage(); m != nil {
+		l.send(m)
 	}
 }
 
@@ -279,7 +284,7 @@
 		for m := range l.messages {
 			s.opts.Hub.recordReaderCounts(addr, m)
 			s.opts.Hub.addCrashReports(m.CrashReports)
-			s.opts.Hub.addLeaving(m.Leaving)
+			s.opts.Hub.addLeaving(m)
 		}
 	}
 	timer := time.NewTimer(observeInterval)
--- a/internal/targets/targetpool/withdraw.go
+++ b/internal/targets/targetpool/withdraw.go
@@ -82,11 +82,11 @@
 	}
 }
 
-// leave records that another host found the target leaving.
-func (p *Pool) leave(now time.Time) {
+// leave records that another host found the target leaving, first at since.
+func (p *Pool) leave(since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.withdrawal.Leave(now, p.drain) {
+	if p.withdrawal.Leave(since, p.drain) {
 		p.log.Info("another host reports that the target is leaving")
 		p.warm = 0
 		p.scheduleTrim()
@@ -124,17 +124,18 @@
 	d.withdrawn[start] = state
 }
 
-// MarkLeaving records that another host found this start of a target leaving.
-func (d *Directory) MarkLeaving(id catalog.TargetID, born int64, now time.Time) {
+// MarkLeaving records that another host found this start of a target leaving, first at
+// since, from which the time counts for which it may still be used.
+func (d *Directory) MarkLeaving(id catalog.TargetID, born int64, since time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	start := targetStart{id: id, born: born}
 	if p, ok := d.pools[id]; ok && p.target.Born == born {
-		p.leave(now)
+		p.leave(since)
 		return
 	}
 	state := d.withdrawn[start]
-	state.Leave(now, d.opts.DrainWithin)
+	state.Leave(since, d.opts.DrainWithin)
 	d.rememberWithdrawal(start, state)
 }
 
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -185,9 +185,9 @@
 	go e.source.SendLeaving(catalogshare.LeavingTarget{Target: string(t.ID), Born: t.Born})
 }
 
-// handleLeavingTarget records that another host found a target leaving.
-func (e *Edge) handleLeavingTarget(t catalogshare.LeavingTarget) {
-	e.directory.MarkLeaving(catalog.TargetID(t.Target), t.Born, time.Now())
+// handleLeavingTarget records that another host found a target leaving, first at since.
+func (e *Edge) handleLeavingTarget(t catalogshare.LeavingTarget, since time.Time) {
+	e.directory.MarkLeaving(catalog.TargetID(t.Target), t.Born, since)
 }
 
 // listenPeers starts to track the fleet's size and, with a PeerAddr, to accept the
