Accept the whole backlog before a host's listener closes

Cause: on a busy machine the graceful stop's test still saw a connection reset in 1 of 1 runs of the whole package beside other packages: 20 ms were too short for the goroutine that accepts. A connection accepted just before the close could also be missed by the wait for the others.

Change: the listener stays open until its backlog is empty, at most 420 ms, and the stop waits until accepting has ended.

--- a/internal/support/listener/stop.go
+++ b/internal/support/listener/stop.go
@@ -12,11 +12,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// backlogWait is how long the process keeps accepting after the last handshake
-// could begin. It covers a round trip and the wake-up of the accepting goroutine.
-const backlogWait = 20 * time.Millisecond
-
 const (
+	// handshakeWait is how long handshakes may take that began before the listener was
+	// told to take no more.
+	handshakeWait = 20 * time.Millisecond
+	// backlogWait bounds the wait for the goroutine that accepts, which may be short of
+	// processor time; backlogInterval is the time between two looks at the backlog.
+	backlogWait     = 400 * time.Millisecond
+	backlogInterval = 5 * time.Millisecond
 	// flagsOffset is the offset of the flags in a TCP header, in bytes.
 	flagsOffset = 13
 	synFlag     = 0x02
@@ -48,13 +51,38 @@
 // not available it closes at once. The error is that of closing.
 func Close(l net.Listener) error {
 	if refuseHandshakes(l) == nil {
-		time.Sleep(backlogWait)
+		time.Sleep(handshakeWait)
+		for end := time.Now().Add(backlogWait); backlog(l) > 0 && time.Now().Before(end); {
+			time.Sleep(backlogInterval)
+		}
 	}
 	return l.Close()
 }
 
+// backlog returns the number of connections that wait to be accepted, 0 if unknown.
+func backlog(l net.Listener) int {
+	waiting := 0
+	_ = control(l, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			// For a listener the kernel states its backlog in this field.
+			waiting = int(info.Unacked)
+		}
+		return err
+	})
+	return waiting
+}
+
 // refuseHandshakes drops the packets that begin a handshake with the listener.
 func refuseHandshakes(l net.Listener) error {
+	program := unix.SockFprog{Len: uint16(len(dropSYN)), Filter: &dropSYN[0]}
+	return control(l, func(fd int) error {
+		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	})
+}
+
+// control calls f with the listener's file descriptor.
+func control(l net.Listener, f func(fd int) error) error {
 	conn, ok := l.(syscall.Conn)
 	if !ok {
 		return errNoDescriptor
@@ -63,10 +91,7 @@
 	if err != nil {
 		return err
 	}
-	program := unix.SockFprog{Len: uint16(len(dropSYN)), Filter: &dropSYN[0]}
 	var failed error
-	err = raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
-	})
+	err = raw.Control(func(fd uintptr) { failed = f(int(fd)) })
 	return errors.Join(err, failed)
 }
--- a/internal/support/listener/stop_test.go
+++ b/internal/support/listener/stop_test.go
@@ -20,10 +20,12 @@
 
 	_, err = net.DialTimeout("tcp", l.Addr().String(), 100*time.Millisecond)
 	require.Error(t, err, "a handshake began after the listener was told to stop")
+	require.Equal(t, 1, backlog(l), "the connection is not accepted yet")
 	accepted, err := l.Accept()
 	require.NoError(t, err)
 	require.Equal(t, early.LocalAddr().String(), accepted.RemoteAddr().String())
 	require.NoError(t, accepted.Close())
+	require.Zero(t, backlog(l))
 
 	require.NoError(t, Close(l))
 	_, err = l.Accept()
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -102,7 +102,9 @@
 	ready     *readiness
 	metrics   *metricsServer
 	callers   net.Listener
-	cancel    context.CancelFunc
+	// accepted is closed once no more connections of callers are accepted.
+	accepted chan struct{}
+	cancel   context.CancelFunc
 	// fleetHosts is the number of hosts in use, 0 while it is unknown.
 	fleetHosts atomic.Int64
 	// lastReport is the time of the last health report. It is used by one goroutine.
@@ -113,7 +115,7 @@
 
 // New builds a host without starting it.
 func New(opts Options) *Edge {
-	e := &Edge{opts: opts, metrics: newMetricsServer(opts.Log), warningBudget: logging.NewBudget(warningLinesPerSecond)}
+	e := &Edge{opts: opts, accepted: make(chan struct{}), metrics: newMetricsServer(opts.Log), warningBudget: logging.NewBudget(warningLinesPerSecond)}
 	e.directory = targetpool.NewDirectory(targetpool.Options{
 		Codec:  opts.TargetCodec,
 		Dialer: targetpool.TCPDialer{},
@@ -168,6 +170,7 @@
 	}
 	go e.follower.Run(ctx)
 	go func() {
+		defer close(e.accepted)
 		e.opts.Log.WithError(e.server.Serve(callers)).Info("callers' listener closed")
 	}()
 	return nil
@@ -252,6 +255,7 @@
 	if err := listener.Close(e.callers); err != nil {
 		e.opts.Log.WithError(err).Warn("callers' listener did not close")
 	}
+	<-e.accepted
 	end := began.Add(e.opts.StopWithin - stopReserve)
 	clean := false
 	for !clean && time.Now().Before(end) {
