End connections with invalid replies at once; refuse replies without an end

Cause: a target in trouble sends bytes that are no reply. Where no line ends, nothing was recognised before the reply's buffer was full or the request's deadline passed. A successful reply without a length ends with its connection, and one that was cut off reached the caller as complete. A stated length of up to 32 MiB was allocated before anything had arrived.

Change: the head is checked as it arrives (exchange.HeadChecker) and must be complete 1.5 s after its first byte; where it is complete at once this costs one pass over it. Interim responses and head together fit 4 KiB. A successful reply without a length counts as lost: another replica is asked, or the caller gets 502. Bodies are read into buffers that grow with what has arrived, chunks with bounded lines; this also saves a copy. A call's deadline is set when it is assigned, so that a cancellation before the send shortens it.

Ruled out: answers through a gatherer, whose frames have a length.

--- a/internal/standin/searcher/searcher.go
+++ b/internal/standin/searcher/searcher.go
@@ -41,6 +41,11 @@
 	NoLength
 	// NoAnswer runs the request and keeps the connection open without an answer.
 	NoAnswer
+	// Noise runs the request and sends bytes that are no HTTP until the client closes
+	// the connection.
+	Noise
+	// EndlessBody runs the request and sends a body in chunks without end.
+	EndlessBody
 )
 
 // Options configures one searcher.
@@ -72,7 +77,9 @@
 	arrivals    map[string]int
 	disconnects int
 	conns       int
-	leaving     bool
+	// sent counts the bytes of endless answers.
+	sent    int64
+	leaving bool
 	// pausedUntil is the end of the time in which all requests are refused.
 	pausedUntil time.Time
 }
@@ -259,6 +266,9 @@
 	case NoAnswer:
 		s.hijack(w, func(net.Conn, *bufio.ReadWriter) { time.Sleep(time.Hour) })
 		return
+	case Noise, EndlessBody:
+		s.hijack(w, func(c net.Conn, _ *bufio.ReadWriter) { s.sendEndlessly(c, id, signature, fault) })
+		return
 	case LoseAnswer:
 		s.hijack(w, func(c net.Conn, _ *bufio.ReadWriter) { _ = c.(*net.TCPConn).SetLinger(0) })
 		return
--- a/internal/targets/targetpool/assign.go
+++ b/internal/targets/targetpool/assign.go
@@ -40,7 +40,8 @@
 	return nil
 }
 
-// assign binds the connection to the call. The caller holds the lock and sends
+// assign binds the connection to the call and sets its deadline, so that a cancellation
+// that comes before the call is sent shortens it. The caller holds the lock and sends
 // the call after releasing it.
 func (p *Pool) assign(c *conn, call *Call, now time.Time) {
 	call.waiting = false
@@ -48,6 +49,7 @@
 	call.sent = now
 	c.call = call
 	c.used = true
+	c.setDeadline(call)
 	p.stats.Sent(now)
 }
 
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -42,6 +42,8 @@
 	replies     int
 	used        bool
 	opened      time.Time
+	// readUntil is until when the reply is read.
+	readUntil time.Time
 
 	// writing is held while a request is written. A reply that arrives before a
 	// long body is written completely must not make the connection available.
@@ -75,23 +77,26 @@
 func (c *conn) send(call *Call) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	now := time.Now()
-	deadline := call.Deadline.Add(deadlineSlack)
-	if err := c.raw.SetDeadline(deadline); err != nil {
-		c.broken = true
-		c.close()
-		return
-	}
-	c.out = c.pool.codec.AppendRequest(c.out[:0], call.Request, string(c.pool.target.ID), call.Deadline.Sub(now))
+	c.out = c.pool.codec.AppendRequest(c.out[:0], call.Request, string(c.pool.target.ID), time.Until(call.Deadline))
 	if _, err := c.raw.Write(c.out); err != nil {
 		c.broken = true
 		c.close()
 	}
 }
 
+// setDeadline sets the time until which the call's request is written and its reply
+// read. The pool's lock is held.
+func (c *conn) setDeadline(call *Call) {
+	c.readUntil = call.Deadline.Add(deadlineSlack)
+	if err := c.raw.SetDeadline(c.readUntil); err != nil {
+		go c.close()
+	}
+}
+
 // expireBy closes the connection at the given time unless the reply arrives
 // before. The pool's lock is held.
 func (c *conn) expireBy(at time.Time) {
+	c.readUntil = at
 	if err := c.raw.SetReadDeadline(at); err != nil {
 		go c.close()
 	}
@@ -117,6 +122,10 @@
 		c.fail(errStrayBytes)
 		return false
 	}
+	if err := c.awaitHead(); err != nil {
+		c.fail(err)
+		return false
+	}
 	reply, err := c.pool.codec.ReadReply(c.reader, call.Request.Bodyless())
 	if err != nil {
 		c.fail(err)
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -19,6 +19,8 @@
 type Pool struct {
 	target *catalog.Target
 	codec  exchange.TargetCodec
+	// heads checks the heads of replies; nil if the codec does not.
+	heads  exchange.HeadChecker
 	dialer Dialer
 	log    logrus.FieldLogger
 
@@ -96,8 +98,9 @@
 
 // NewPool returns a pool without connections.
 func NewPool(target *catalog.Target, opts *Options) *Pool {
+	heads, _ := opts.Codec.(exchange.HeadChecker)
 	return &Pool{
-		target: target, codec: opts.Codec, dialer: opts.Dialer, limit: 1, onCrash: opts.OnCrash,
+		target: target, codec: opts.Codec, heads: heads, dialer: opts.Dialer, limit: 1, onCrash: opts.OnCrash,
 		onLeaving: opts.OnLeaving, drain: opts.DrainWithin, scope: scopeOf(opts),
 		log:   opts.Log.WithFields(logrus.Fields{"target": target.ID, "service": target.Service, "addr": target.Addr}),
 		conns: map[*conn]bool{}, stats: replica.Stats{Slots: target.Slots},
