Keep work that has begun on hosts that are silent or stop; refuse truthfully

Cause, by fault: (e) a target's 503, 429, 408 or 421 without its report that the request has not run was passed on, and told the caller just that.

--- a/internal/hosts/gatherlink/client.go
+++ b/internal/hosts/gatherlink/client.go
@@ -47,6 +47,9 @@
 	// AcceptTimeout is how long a gatherer may take to accept or refuse a sweep; zero
 	// means defaultAcceptTimeout.
 	AcceptTimeout time.Duration
+	// RetireAfter is how long a link stays open at least that is no longer preferred;
+	// zero means defaultRetireAfter.
+	RetireAfter time.Duration
 	// Scope gets the counters; nil for none.
 	Scope metrics.Scope
 }
@@ -56,6 +59,9 @@
 	if opts.AcceptTimeout == 0 {
 		opts.AcceptTimeout = defaultAcceptTimeout
 	}
+	if opts.RetireAfter == 0 {
+		opts.RetireAfter = defaultRetireAfter
+	}
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
@@ -115,7 +121,7 @@
 		if !slices.ContainsFunc(c.preferred, func(m gathering.Member) bool { return m.Addr == addr }) {
 			delete(c.links, addr)
 			// Sweeps on their way may still be answered.
-			time.AfterFunc(retireAfter, l.end)
+			time.AfterFunc(c.opts.RetireAfter, func() { l.retire(c.opts.RetireAfter) })
 		}
 	}
 	for _, m := range c.preferred {
@@ -126,8 +132,9 @@
 	}
 }
 
-// retireAfter is how long a link that is no longer preferred stays open.
-const retireAfter = 3 * time.Second
+// defaultRetireAfter is how long a link that is no longer preferred stays open, and the
+// time between two checks whether its last sweeps have ended.
+const defaultRetireAfter = 3 * time.Second
 
 func (c *Client) dial(addr string) {
 	l, err := dialLink(addr, c.opts.Log)
--- a/internal/hosts/gatherlink/link.go
+++ b/internal/hosts/gatherlink/link.go
@@ -124,6 +124,19 @@
 	}
 }
 
+// retire ends the link once no sweep waits on it: a gatherer that is no longer one still
+// answers what it has begun. Each sweep ends by its caller's deadline.
+func (l *link) retire(interval time.Duration) {
+	l.mu.Lock()
+	waiting := len(l.pending)
+	l.mu.Unlock()
+	if waiting > 0 {
+		time.AfterFunc(interval, func() { l.retire(interval) })
+		return
+	}
+	l.end()
+}
+
 // maxOutcomes is the number of outcomes that a sweep can have on one link.
 const maxOutcomes = 4
 
--- a/internal/hosts/gatherlink/server.go
+++ b/internal/hosts/gatherlink/server.go
@@ -29,6 +29,8 @@
 	// started is the zero of the server's clock.
 	started  time.Time
 	stopping atomic.Bool
+	// active counts the sweeps that were accepted and have not been answered.
+	active atomic.Int64
 }
 
 // NewServer returns a server without links.
@@ -42,6 +44,9 @@
 // Stop makes the server refuse further sweeps, which then go to other gatherers.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// Idle reports whether all accepted sweeps have been answered or withdrawn.
+func (s *Server) Idle() bool { return s.active.Load() == 0 }
+
 // clock returns the reading of the server's clock, in microseconds.
 func (s *Server) clock() int64 { return time.Since(s.started).Microseconds() }
 
@@ -119,7 +124,10 @@
 		return
 	}
 	request := f.Sweep.request(time.Now())
+	// Counted before the check, so that Stop followed by Idle misses no sweep.
+	l.server.active.Add(1)
 	if l.tooLate(f.Sweep) || l.server.stopping.Load() || !l.server.handler.Accepts(request, f.Sweep.Fingerprint) {
+		l.server.active.Add(-1)
 		l.reply(&frame{Kind: kindRefused, ID: f.ID})
 		return
 	}
@@ -129,6 +137,7 @@
 	l.sweepsMu.Unlock()
 	l.reply(&frame{Kind: kindAccepted, ID: f.ID})
 	l.serving.Go(func() {
+		defer l.server.active.Add(-1)
 		// A process that is short of processor time may come to this much later.
 		if l.tooLate(f.Sweep) {
 			if l.end(f.ID) {
--- a/internal/hosts/gatherlink/sweep.go
+++ b/internal/hosts/gatherlink/sweep.go
@@ -89,7 +89,7 @@
 // mayRunAgain reports whether a sweep that may have run can be passed on again, and counts
 // it as extra load if so.
 func (p *passage) mayRunAgain(now time.Time) bool {
-	return p.again() && p.client.budget.take(p.route, now)
+	return p.route.Idempotent && p.again() && p.client.budget.take(p.route, now)
 }
 
 // attempt is a sweep on its way to one gatherer.
--- a/internal/querypath/relay/single.go
+++ b/internal/querypath/relay/single.go
@@ -104,7 +104,7 @@
 		s.refused++
 	}
 	if r := ev.outcome.Reply; r != nil && ev.outcome.Verdict == verdict.Ran && r.Status < 500 && r.Status >= 300 {
-		return &exchange.Answer{Status: r.Status, Relayed: r}
+		return relayed(r)
 	}
 	if s.refused < maxRefusals && s.retry(l, ev, now) || l.pending > 0 {
 		return nil
@@ -118,7 +118,7 @@
 	case s.leg.ran == 0:
 		return s.refuseUnserved(s.leg.group, exchange.NoRoom, time.Now())
 	case s.leg.failure != nil && s.leg.failure.Status >= 300:
-		return &exchange.Answer{Status: s.leg.failure.Status, Relayed: s.leg.failure}
+		return relayed(s.leg.failure)
 	case ev.outcome.Reply == nil:
 		return &exchange.Answer{Status: 502, Reason: exchange.TargetSilent}
 	default:
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -240,8 +240,8 @@
 func (e *Edge) standalone() bool { return e.opts.PeerAddr == "" && len(e.opts.Readers()) == 0 }
 
 // Stop stops the host in steps: it becomes not ready, then connections close after
-// their next answer, then idle ones close. It reports whether all connections
-// ended in time, so that no request was cut off.
+// their next answer, then idle ones close. It reports whether all connections and the
+// sweeps of other hosts ended in time, so that no request was cut off.
 func (e *Edge) Stop() bool {
 	began := time.Now()
 	at := func(share float64) time.Time {
@@ -260,7 +260,7 @@
 	clean := false
 	for !clean && time.Now().Before(end) {
 		e.server.CloseIdle()
-		clean = e.server.Wait(time.Now().Add(closeIdleInterval))
+		clean = e.server.Wait(time.Now().Add(closeIdleInterval)) && e.gather.Idle()
 	}
 	e.cancel()
 	e.metrics.close()
