Bound the memory that a host holds for callers and targets

Cause: a reply could take 32 MiB, answers that callers don't read and request bodies were not counted at all, and a process over limits.memory_mb is killed.

Change: where the settings name a memory limit, a quarter of it is the budget (bytebudget) for replies being read, replies kept for a request, requests and answers being written. At the limit the slowest transfer is ended, among equally slow ones the least urgent; a request without room is refused with 503 memory_full before it runs, a large answer without room becomes 502. Requests in flight at one target are bounded to 1 MiB.

Ruled out: refusing the newest at the limit, since slow peers would keep the memory; bounding the kernel's socket buffers.

--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -92,6 +92,7 @@
 		FirstStart:    node.FirstStart,
 		Readers:       file.seeds,
 		Capacity:      node.Capacity,
+		MemoryBytes:   node.MemoryBytes,
 		Store:         platform.NewStore(node.StoreAddr),
 		Decode:        platform.Decode,
 		CallerCodec:   platform.CallerCodec{},
--- a/internal/domain/exchange/account.go
+++ b/internal/domain/exchange/account.go
@@ -20,6 +20,8 @@
 	ConfigVersion int64
 	Position      catalog.Position
 	Objective     time.Duration
+	// Priority is the route's.
+	Priority int `cbor:",omitempty"`
 	// Hedges counts additional attempts sent while an earlier one was late, Retries
 	// those sent after a failed one, and Denied those that the bound on extra load
 	// did not allow.
--- a/internal/domain/exchange/answer.go
+++ b/internal/domain/exchange/answer.go
@@ -46,4 +46,5 @@
 	TimedOut        Reason = "timed_out"
 	CallerLeft      Reason = "caller_left"
 	CrashesTargets  Reason = "crashes_targets"
+	MemoryFull      Reason = "memory_full"
 )
--- a/internal/domain/exchange/malformed.go
+++ b/internal/domain/exchange/malformed.go
@@ -1,6 +1,9 @@
 package exchange
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Malformed is the error for a request that is refused before it was read in
 // full. Its connection can't be used for another request.
@@ -8,6 +11,8 @@
 	Status int
 	Reason Reason
 	Detail string
+	// RetryAfter is set if a later retry can succeed.
+	RetryAfter time.Duration
 }
 
 // Error implements error.
--- a/internal/face/front/conn.go
+++ b/internal/face/front/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
 )
 
 const (
@@ -53,6 +54,8 @@
 	ended chan struct{}
 	// requests counts the requests read. It is used by the reading goroutine.
 	requests int
+	// account counts the bytes of the request and the answer; nil without a memory limit.
+	account *bytebudget.Account
 
 	mu sync.Mutex
 	// idle is set while the connection waits for the first byte of a request.
@@ -60,11 +63,13 @@
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	return &conn{
+	c := &conn{
 		server: s, raw: raw, opened: time.Now(),
 		reader: bufio.NewReaderSize(raw, s.limits().MaxHeaderBytes+bufferSlack),
 		jobs:   make(chan job), served: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
+	c.account = s.opts.Memory.NewAccount(func() { go c.abort() })
+	return c
 }
 
 // read is the reading goroutine: it passes on one request after the other and
@@ -75,8 +80,13 @@
 	for c.awaitRequest() {
 		j := job{gone: make(chan struct{})}
 		limits := c.server.limits()
-		c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
+		now := time.Now()
+		c.account.Begin(now, 0, false)
+		c.setReadDeadline(now.Add(limits.HeaderTimeout))
 		request, err := c.server.opts.Codec.ReadRequest(c.reader, limits, c.afterHeader)
+		if err == nil && !c.takeRequest(request) {
+			err = memoryFull()
+		}
 		if err != nil {
 			c.reject(j, err)
 			return
@@ -137,6 +147,9 @@
 // it, sends 100 Continue.
 func (c *conn) afterHeader(needsContinue bool) error {
 	c.setReadDeadline(time.Now().Add(c.server.limits().HeaderTimeout))
+	if !c.account.Take(requestBytes) {
+		return memoryFull()
+	}
 	if !needsContinue {
 		return nil
 	}
@@ -214,6 +227,7 @@
 func (c *conn) serve() {
 	defer c.server.done.Done()
 	defer c.finish()
+	defer c.account.End()
 	var out []byte
 	for j := range c.jobs {
 		var more bool
@@ -233,7 +247,9 @@
 // requests. It returns out for reuse as a buffer.
 func (c *conn) answer(j job, out []byte) ([]byte, bool) {
 	if j.malformed != nil {
-		a := &exchange.Answer{Status: j.malformed.Status, Reason: j.malformed.Reason, CloseConnection: true}
+		a := &exchange.Answer{
+			Status: j.malformed.Status, Reason: j.malformed.Reason, RetryAfter: j.malformed.RetryAfter, CloseConnection: true,
+		}
 		c.server.opts.Log.WithError(j.malformed).Info("request was rejected while it was read")
 		out = c.server.opts.Codec.AppendAnswer(out, nil, a)
 		return out, c.write(out) && false
@@ -247,7 +263,14 @@
 		a.CloseConnection = true
 	}
 	out = c.server.opts.Codec.AppendAnswer(out, j.request, a)
-	return out, c.write(out) && !a.CloseConnection
+	if !c.beginAnswer(a, len(out)) {
+		closes := a.CloseConnection
+		a = withoutRoom(a)
+		a.CloseConnection = closes
+		out = c.server.opts.Codec.AppendAnswer(nil, j.request, a)
+	}
+	written := c.write(out)
+	return c.endAnswer(out), written && !a.CloseConnection
 }
 
 // write writes an answer and reports whether it succeeded.
@@ -259,44 +282,6 @@
 	return err == nil
 }
 
-// finish closes the connection: first the writing half, then, once the caller has
-// closed its half or lingerTimeout has passed, the rest.
-func (c *conn) finish() {
-	close(c.ended)
-	if half, ok := c.raw.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		c.setReadDeadline(time.Now().Add(lingerTimeout))
-		for range c.jobs {
-		}
-		c.discardInput()
-	}
-	if err := c.raw.Close(); err != nil {
-		c.server.opts.Log.WithError(err).Debug("closing a caller's connection failed")
-	}
-	c.server.remove(c)
-}
-
-// discardInput reads and discards up to about lingerBytes of further input.
-func (c *conn) discardInput() {
-	buf := make([]byte, 4<<10)
-	for total := 0; total < lingerBytes; {
-		n, err := c.raw.Read(buf)
-		if err != nil {
-			return
-		}
-		total += n
-	}
-}
-
-// closeIfIdle interrupts the wait for a request, which ends the connection while
-// the server is draining.
-func (c *conn) closeIfIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idle {
-		c.setReadDeadline(time.Unix(1, 0))
-	}
-}
-
 func (c *conn) setIdle(idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/face/front/server.go
+++ b/internal/face/front/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
 )
 
 // Handler serves requests.
@@ -37,7 +38,9 @@
 	Codec    exchange.CallerCodec
 	Handler  Handler
 	Observer Observer
-	Log      logrus.FieldLogger
+	// Memory bounds the requests and answers of all connections; nil for no limit.
+	Memory *bytebudget.Budget
+	Log    logrus.FieldLogger
 }
 
 // defaultLimits apply until there is a configuration.
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -7,6 +7,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/replica"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
@@ -39,6 +40,8 @@
 	// Gatherers passes sweeps on to hosts that gather them; nil if this host serves all
 	// itself.
 	Gatherers Gatherers
+	// Memory counts the replies that requests keep; nil for no limit.
+	Memory *bytebudget.Budget
 	// Guard identifies requests that crash targets; required.
 	Guard *crashguard.Guard
 }
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -40,6 +40,8 @@
 	times         schedule
 	// events receives the outcomes of all attempts.
 	events chan event
+	// heldBytes is the size of the replies that the run keeps.
+	heldBytes int
 }
 
 // leg is the part of a run that one service handles: one shard of a sweep, or the
@@ -115,7 +117,9 @@
 		Priority: r.route.Priority,
 		Expected: r.expectedTimes.usual,
 		Work:     r.expectedTimes.work,
-		Done:     func(o targetpool.Outcome) { r.events <- event{leg: index, attempt: number, outcome: o} },
+
+		MaxReplyBytes: maxReplyBytes(r.executor.opts.Memory, r.route),
+		Done:          func(o targetpool.Outcome) { r.events <- event{leg: index, attempt: number, outcome: o} },
 	}
 	l.attempts = append(l.attempts, attempt{call: call, pool: to.pool, begun: now})
 	l.tried = append(l.tried, to.pool)
@@ -162,6 +166,7 @@
 	if o.Reply != nil && o.Reply.Success() {
 		r.routeStats.observe(l.attempts[ev.attempt].begun, o)
 		l.reply, l.replied, l.answered = o.Reply, o.Ended, ev.attempt
+		r.hold(o.Reply)
 		l.settled = true
 		return true
 	}
--- a/internal/querypath/relay/single.go
+++ b/internal/querypath/relay/single.go
@@ -30,6 +30,7 @@
 // single serves a request from one service and attaches its trace to the answer.
 func (r *run) single(service catalog.ServiceName) *exchange.Answer {
 	s := &single{run: r}
+	defer r.release()
 	answer := s.serve(service)
 	legs := []leg{s.leg}
 	now := time.Now()
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -39,6 +39,7 @@
 func (r *run) sweep() *exchange.Answer {
 	s := &sweep{run: r, legs: make([]leg, len(r.route.Shards)), minShards: r.route.LeastShards()}
 	r.events = make(chan event, len(s.legs)*(r.route.MaxAttempts+extraAttempts)+extraEvents)
+	defer r.release()
 	answer := s.start(time.Now())
 	if answer == nil {
 		answer = s.wait()
--- a/internal/querypath/relay/trace.go
+++ b/internal/querypath/relay/trace.go
@@ -13,7 +13,7 @@
 // trace returns the trace of a run without the details of its legs.
 func (r *run) trace(legs []leg, now time.Time) *exchange.Trace {
 	t := &exchange.Trace{
-		Route: r.route.Name, Sweep: r.route.Sweep(), Objective: r.route.Objective,
+		Route: r.route.Name, Sweep: r.route.Sweep(), Objective: r.route.Objective, Priority: r.route.Priority,
 		ConfigVersion: r.snapshot.View.Config.Version, Position: r.snapshot.View.Position,
 		Shards: len(legs), Late: now.After(r.request.Arrived.Add(r.route.Objective)),
 	}
--- a/internal/targets/targetpool/assign.go
+++ b/internal/targets/targetpool/assign.go
@@ -25,6 +25,15 @@
 	return p.takeIdle(now)
 }
 
+// takeFreeFor returns an idle connection for a call, nil if the call has to wait. The
+// caller holds the lock.
+func (p *Pool) takeFreeFor(call *Call, now time.Time) *conn {
+	if !p.memory.fits(call) {
+		return nil
+	}
+	return p.takeFree(now)
+}
+
 // takeIdle returns the most recently used idle connection and closes those that
 // the target may be about to close. The caller holds the lock.
 func (p *Pool) takeIdle(now time.Time) *conn {
@@ -48,16 +57,26 @@
 	call.conn = c
 	call.sent = now
 	c.call = call
+	p.memory.held += requestBytes(call)
 	c.used = true
 	c.setDeadline(call)
 	p.stats.Sent(now)
 }
 
+// unassign ends the binding of the connection to its call, if it has one. The caller
+// holds the lock.
+func (p *Pool) unassign(c *conn) {
+	if c.call != nil {
+		p.memory.held -= requestBytes(c.call)
+		c.call = nil
+	}
+}
+
 // release assigns an open connection to the next waiting call or makes it idle.
 func (p *Pool) release(c *conn) {
 	now := time.Now()
 	p.mu.Lock()
-	c.call = nil
+	p.unassign(c)
 	if p.closed {
 		delete(p.conns, c)
 		p.mu.Unlock()
@@ -86,6 +105,12 @@
 			p.idle = append(p.idle, c)
 			break
 		}
+		if !p.memory.fits(call) {
+			call.waiting = true
+			p.enqueueFirst(call)
+			p.idle = append(p.idle, c)
+			break
+		}
 		p.assign(c, call, now)
 		assigned = append(assigned, call)
 	}
--- a/internal/targets/targetpool/call.go
+++ b/internal/targets/targetpool/call.go
@@ -23,6 +23,9 @@
 	Expected time.Duration
 	// Work is the duration of such a call that waits for nothing, 0 if it is unknown.
 	Work time.Duration
+	// MaxReplyBytes bounds the body of the reply; 0 stands for the codec's own limit. It
+	// applies only with a memory limit.
+	MaxReplyBytes int
 	// Done receives the outcome at most once, on any goroutine. It must not block.
 	Done func(Outcome)
 
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -13,6 +13,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/replica"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
 )
 
 const (
@@ -32,8 +33,11 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	out    []byte
-	// history is used by the reading goroutine only.
-	history replyHistory
+	// history, account and takeBytes are used by the reading goroutine only; the last two
+	// are nil without a memory limit.
+	history   replyHistory
+	account   *bytebudget.Account
+	takeBytes func(n int) bool
 
 	// The fields up to opened are guarded by the pool's lock.
 	call        *Call
@@ -53,7 +57,9 @@
 }
 
 func newConn(p *Pool, raw net.Conn) *conn {
-	return &conn{pool: p, raw: raw, opened: time.Now(), reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	c := &conn{pool: p, raw: raw, opened: time.Now(), reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	c.initMemory()
+	return c
 }
 
 // reusable reports whether the target is expected to keep the idle connection open.
@@ -126,7 +132,8 @@
 		c.fail(err)
 		return false
 	}
-	reply, err := c.pool.codec.ReadReply(c.reader, call.Request.Bodyless())
+	defer c.account.End()
+	reply, err := c.readReply(call)
 	if err != nil {
 		c.fail(err)
 		return false
@@ -169,7 +176,7 @@
 	if reply.OtherTarget {
 		p.moved = true
 	}
-	c.call = nil
+	p.unassign(c)
 	if !good {
 		delete(p.conns, c)
 	}
@@ -217,7 +224,7 @@
 	p := c.pool
 	p.mu.Lock()
 	call := c.call
-	c.call = nil
+	p.unassign(c)
 	if call != nil {
 		result := replica.Failed
 		if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -12,6 +12,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/withdrawal"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
 	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
@@ -34,6 +35,9 @@
 	DrainWithin time.Duration
 	// Scope gets the counters; nil for none.
 	Scope metrics.Scope
+	// Memory bounds the replies that are read and the requests in flight at a target;
+	// nil for no limit.
+	Memory *bytebudget.Budget
 	// Host is this host's id. The id and the failure domain determine the replicas
 	// that the host connects to.
 	Host          string
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -21,12 +21,13 @@
 	codec  exchange.TargetCodec
 	// heads checks the heads of replies; nil if the codec does not.
 	heads  exchange.HeadChecker
+	memory memory
 	dialer Dialer
 	log    logrus.FieldLogger
 
 	mu sync.Mutex
-	// Invariant: while calls wait, idle is empty or as many connections carry calls as
-	// may (usableConns).
+	// Invariant: while calls wait, idle is empty, or as many connections carry calls as
+	// may (usableConns), or as many bytes (memory.fits).
 	idle    []*conn
 	waiting []*Call
 	conns   map[*conn]bool
@@ -100,7 +101,7 @@
 func NewPool(target *catalog.Target, opts *Options) *Pool {
 	heads, _ := opts.Codec.(exchange.HeadChecker)
 	return &Pool{
-		target: target, codec: opts.Codec, heads: heads, dialer: opts.Dialer, limit: 1, onCrash: opts.OnCrash,
+		target: target, codec: opts.Codec, heads: heads, memory: newMemory(opts), dialer: opts.Dialer, limit: 1, onCrash: opts.OnCrash,
 		onLeaving: opts.OnLeaving, drain: opts.DrainWithin, scope: scopeOf(opts),
 		log:   opts.Log.WithFields(logrus.Fields{"target": target.ID, "service": target.Service, "addr": target.Addr}),
 		conns: map[*conn]bool{}, stats: replica.Stats{Slots: target.Slots},
@@ -171,7 +172,7 @@
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: err, Ended: now})
 		return
 	}
-	if c := p.takeFree(now); c != nil {
+	if c := p.takeFreeFor(call, now); c != nil {
 		p.assign(c, call, now)
 		p.mu.Unlock()
 		c.send(call)
--- a/internal/targets/targetpool/queue.go
+++ b/internal/targets/targetpool/queue.go
@@ -18,6 +18,13 @@
 	p.waiting[at] = call
 }
 
+// enqueueFirst returns a call to the head of those that wait. The caller holds the lock.
+func (p *Pool) enqueueFirst(call *Call) {
+	p.waiting = append(p.waiting, nil)
+	copy(p.waiting[1:], p.waiting)
+	p.waiting[0] = call
+}
+
 // removeWaiting removes a call from those that wait. The caller holds the lock.
 func (p *Pool) removeWaiting(call *Call) {
 	call.waiting = false
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 	"github.com/swiftvane/swiftvane/internal/hosts/gatherlink"
 	"github.com/swiftvane/swiftvane/internal/querypath/relay"
+	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
 	"github.com/swiftvane/swiftvane/internal/support/listener"
 	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
@@ -47,6 +48,8 @@
 	Readers  func() []string
 	// Capacity is the host's processor capacity in thousandths of a core.
 	Capacity int
+	// MemoryBytes is the memory from which on the process is killed; 0 for no limit.
+	MemoryBytes int64
 	// Policy is relay.Adaptive except in measurements.
 	Policy relay.Policy
 	// FirstStart is set while the whole fleet starts for the first time and no
@@ -77,6 +80,9 @@
 	// firstStartWait gives the first readers time to start, so that a starting
 	// fleet reads the store few times.
 	firstStartWait = 900 * time.Millisecond
+	// memoryShare is the part of MemoryBytes that may be held for callers and targets, as
+	// a divisor.
+	memoryShare = 4
 	// stopReserve is the time kept between the last wait for connections and the
 	// kill.
 	stopReserve = 600 * time.Millisecond
@@ -101,7 +107,9 @@
 	server    *front.Server
 	ready     *readiness
 	metrics   *metricsServer
-	callers   net.Listener
+	// memory bounds what is held for callers and targets; nil for no limit.
+	memory  *bytebudget.Budget
+	callers net.Listener
 	// accepted is closed once no more connections of callers are accepted.
 	accepted chan struct{}
 	cancel   context.CancelFunc
@@ -116,6 +124,7 @@
 // New builds a host without starting it.
 func New(opts Options) *Edge {
 	e := &Edge{opts: opts, accepted: make(chan struct{}), metrics: newMetricsServer(opts.Log), warningBudget: logging.NewBudget(warningLinesPerSecond)}
+	e.memory = bytebudget.New(bytebudget.Options{Limit: opts.MemoryBytes / memoryShare, Scope: e.metrics.scope, Log: opts.Log})
 	e.directory = targetpool.NewDirectory(targetpool.Options{
 		Codec:  opts.TargetCodec,
 		Dialer: targetpool.TCPDialer{},
@@ -123,6 +132,7 @@
 		Extra:  opts.ownExtra(),
 		Host:   opts.Host, FailureDomain: opts.FailureDomain,
 		OnCrash: e.reportCrash, OnLeaving: e.reportLeaving, DrainWithin: opts.DrainWithin, Scope: e.metrics.scope,
+		Memory: e.memory,
 	})
 	guard := crashguard.New()
 	e.hub = catalogshare.NewHub(e.self(), guard, opts.Log)
@@ -141,10 +151,12 @@
 	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope})
 	executor := relay.NewExecutor(relay.Options{
 		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard, Policy: opts.Policy, Gatherers: e.gatherers,
+		Memory: e.memory,
 	})
 	e.gather = gatherlink.NewServer(executor, opts.Log)
 	e.server = front.New(front.Options{
 		Codec: opts.CallerCodec, Handler: executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
+		Memory: e.memory,
 	})
 	e.ready = newReadiness(opts.ReadyPath, e.follower)
 	return e
@@ -226,6 +238,9 @@
 		e.hub.SetSettled(hosts > 0)
 		e.updateFleet(hosts, domains.update(e.hub.Domains(), now), now.Sub(started))
 		e.metrics.fleet(hosts, e.follower.View())
+		if e.memory != nil {
+			e.metrics.scope.Gauge("bytes_held").Update(float64(e.memory.Held()))
+		}
 		e.reportHealth(hosts, now)
 		select {
 		case <-ctx.Done():
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -74,6 +74,8 @@
 	fault func(service, id string) searcher.Fault
 	// stopWithin is the hosts' grace, 3 s if it is zero.
 	stopWithin time.Duration
+	// memory is the hosts' memory limit in bytes, none if it is zero.
+	memory int64
 }
 
 func shardName(i int) string { return deployment.Shard(i) }
@@ -112,6 +114,7 @@
 		Host: "host-" + strconv.Itoa(i), FailureDomain: "z-1",
 		CallerAddr: addrs[0], ReadyAddr: addrs[1], ReadyPath: platform.ReadyPath,
 		StopWithin:  cmp.Or(c.opts.stopWithin, 3*time.Second),
+		MemoryBytes: c.opts.memory,
 		Extra:       extrabudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Readers:     func() []string { return nil },
 		Store:       platform.NewStore(c.Store.Addr()),
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -5,10 +5,13 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -148,3 +151,19 @@
 	lines := bytes.Split(bytes.TrimSpace([]byte(text)), []byte("\n"))
 	return string(bytes.Join(lines[max(0, len(lines)-count):], []byte("\n")))
 }
+
+// PeakResidentBytes returns the largest resident set of the running process so far.
+func (p *Process) PeakResidentBytes(tb testing.TB) int64 {
+	tb.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	require.NoError(tb, err)
+	for line := range strings.Lines(string(status)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kilobytes, err := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
+			require.NoError(tb, err)
+			return kilobytes << 10
+		}
+	}
+	tb.Fatal("the kernel states no peak of the resident set")
+	return 0
+}
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -37,6 +37,8 @@
 // environment is the hosts under test and everything they connect to.
 type environment struct {
 	t *testing.T
+	// memoryMB is the hosts' memory limit.
+	memoryMB int
 	// platform holds the store and the configuration; targets hold the searchers.
 	platform  *deployment.Deployment
 	targets   []*target
@@ -52,7 +54,7 @@
 
 // runSeed runs hosts under the faults of one seed and checks the guarantees.
 func runSeed(t *testing.T, seed uint64, hosts int, faultPeriod time.Duration) {
-	e := &environment{t: t, random: rand.New(rand.NewPCG(seed, seed)), startTime: time.Now()}
+	e := &environment{t: t, memoryMB: 1024, random: rand.New(rand.NewPCG(seed, seed)), startTime: time.Now()}
 	var err error
 	e.platform, err = deployment.Start(deployment.Options{
 		Shards: shards, Attempts: 3, Work: work, Records: records, TopK: topK,
--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -89,7 +89,7 @@
 	raw, err := json.Marshal(map[string]any{
 		"node_name": h.name, "ip": ip, "zone": deployment.FailureDomain, "seeds": seeds, "bootstrap": false,
 		"listen_addrs": map[string]string{"front": h.caller, "ready": h.ready, "control": control},
-		"limits":       map[string]any{"memory_mb": 1024},
+		"limits":       map[string]any{"memory_mb": h.env.memoryMB},
 		"bounds": map[string]any{
 			"grace_s": grace.Seconds(), "drain_ms": drain.Milliseconds(), "retry_budget_ratio": ratio, "budget_window_s": window.Seconds(), "retry_budget_slack": slack,
 		},
--- /dev/null
+++ b/test/soak/memory_test.go
@@ -0,0 +1,76 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/standin/deployment"
+	"github.com/swiftvane/swiftvane/internal/standin/searcher"
+	"github.com/swiftvane/swiftvane/test/harness"
+)
+
+// smallestHostMB is the memory limit of the smallest deployed hosts.
+const smallestHostMB = 184
+
+// TestHostIsNotKilledForEndlessReplies lets all targets of a service, and of one shard,
+// send bodies without end to many requests at once. It guards against a host whose
+// resident memory exceeds the limit from which on it is killed.
+func TestHostIsNotKilledForEndlessReplies(t *testing.T) {
+	const requests, targets = 120, 8
+	e := &environment{t: t, memoryMB: smallestHostMB, random: rand.New(rand.NewPCG(1, 1)), startTime: time.Now()}
+	var err error
+	e.platform, err = deployment.Start(deployment.Options{
+		Shards: shards, Attempts: 3, Work: work, Records: records, TopK: topK,
+		Timeout: 20 * time.Second, Objective: 10 * time.Second, LeastCoverage: minCoverage,
+		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 2 * time.Second, IdleTimeout: 5 * time.Second},
+		Fault: func(service, _ string) searcher.Fault {
+			if service == deployment.Single || service == deployment.Shard(0) {
+				return searcher.EndlessBody
+			}
+			return searcher.None
+		},
+	})
+	require.NoError(t, err)
+	t.Cleanup(e.platform.Close)
+	for i := range shards {
+		e.addTargets(deployment.Shard(i), replicas)
+	}
+	e.addTargets(deployment.Single, targets)
+	e.addHosts(1)
+	harness.Eventually(t, "the host is ready", e.allReady)
+	var all sync.WaitGroup
+	for i := range requests {
+		all.Go(func() {
+			route := []string{"order", "sweep"}[i%2]
+			e.log.add(e.ask(newClient(), e.hosts[0], route, fmt.Sprintf("%s-%d", route, i)))
+		})
+	}
+	all.Wait()
+	peak := e.hosts[0].process.PeakResidentBytes(t)
+	statuses := map[string]int{}
+	for _, a := range e.log.attempts {
+		statuses[fmt.Sprint(a.route, " ", a.status)]++
+		require.False(t, a.route == "order" && a.status == http.StatusOK, "%s: an answer without end is no success", a.id)
+		require.False(t, a.status == http.StatusServiceUnavailable && e.hasRun(a.id), "%s was refused but has run", a.id)
+	}
+	t.Logf("resident memory at its peak: %d MB; answers: %v", peak>>20, statuses)
+	require.Less(t, peak, int64(smallestHostMB)<<20)
+	e.hosts[0].requireRunning()
+}
+
+// hasRun reports whether a target has run the request.
+func (e *environment) hasRun(id string) bool {
+	for _, t := range e.targets {
+		if t.running().Runs()[id] > 0 {
+			return true
+		}
+	}
+	return false
+}
