--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -176,7 +176,7 @@
 	s.linked = true
 	s.opts.Hub.recordUpstream(m)
 	s.opts.Hub.addCrashReports(m.CrashReports)
-	s.opts.Hub.addLeaving(m.Leaving)
+	s.opts.Hub.addLeaving(m)
 	s.opts.Hub.notifyUnhealthy(m.Unhealthy)
 	batch := catalogsync.Batch{
 		Full: m.Full, Position: m.position(), AfterOutage: m.AfterOutage,
@@ -213,6 +213,11 @@
 	s.setLink(l)
 	if l == nil {
 		s.delayDial()
+		return
+	}
+	// A reader that has restarted has no reports of leaving targets.
+	if m := s.opts.Hub.leavingMessage(); m != nil {
+		l.send(m)
 	}
 }
 
@@ -295,7 +300,7 @@
 		for m := range l.messages {
 			s.opts.Hub.recordReaderCounts(addr, m)
 			s.opts.Hub.addCrashReports(m.CrashReports)
-			s.opts.Hub.addLeaving(m.Leaving)
+			s.opts.Hub.addLeaving(m)
 		}
 	}
 	timer := time.NewTimer(observeInterval)
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -13,6 +13,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/replica"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
 )
 
 const (
@@ -32,6 +33,11 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	out    []byte
+	// history, account and takeBytes are used by the reading goroutine only; the last two
+	// are nil without a memory limit.
+	history   replyHistory
+	account   *bytebudget.Account
+	takeBytes func(n int) bool
 
 	// The fields up to opened are guarded by the pool's lock.
 	call        *Call
@@ -40,6 +46,8 @@
 	replies     int
 	used        bool
 	opened      time.Time
+	// readUntil is until when the reply is read.
+	readUntil time.Time
 
 	// writing is held while a request is written. A reply that arrives before a
 	// long body is written completely must not make the connection available.
@@ -49,7 +57,9 @@
 }
 
 func newConn(p *Pool, raw net.Conn) *conn {
-	return &conn{pool: p, raw: raw, opened: time.Now(), reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	c := &conn{pool: p, raw: raw, opened: time.Now(), reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	c.initMemory()
+	return c
 }
 
 // reusable reports whether the target is expected to keep the idle connection open.
@@ -73,23 +83,26 @@
 func (c *conn) send(call *Call) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	now := time.Now()
-	deadline := call.Deadline.Add(deadlineSlack)
-	if err := c.raw.SetDeadline(deadline); err != nil {
-		c.broken = true
-		c.close()
-		return
-	}
-	c.out = c.pool.codec.AppendRequest(c.out[:0], call.Request, string(c.pool.target.ID), call.Deadline.Sub(now))
+	c.out = c.pool.codec.AppendRequest(c.out[:0], call.Request, string(c.pool.target.ID), time.Until(call.Deadline))
 	if _, err := c.raw.Write(c.out); err != nil {
 		c.broken = true
 		c.close()
 	}
 }
 
+// setDeadline sets the time until which the call's request is written and its reply
+// read. The pool's lock is held.
+func (c *conn) setDeadline(call *Call) {
+	c.readUntil = call.Deadline.Add(deadlineSlack)
+	if err := c.raw.SetDeadline(c.readUntil); err != nil {
+		go c.close()
+	}
+}
+
 // expireBy closes the connection at the given time unless the reply arrives
 // before. The pool's lock is held.
 func (c *conn) expireBy(at time.Time) {
+	c.readUntil = at
 	if err := c.raw.SetReadDeadline(at); err != nil {
 		go c.close()
 	}
@@ -115,12 +128,17 @@
 		c.fail(errStrayBytes)
 		return false
 	}
-	reply, err := c.pool.codec.ReadReply(c.reader, call.Request.Bodyless())
+	if err := c.awaitHead(); err != nil {
+		c.fail(err)
+		return false
+	}
+	defer c.account.End()
+	reply, err := c.readReply(call)
 	if err != nil {
 		c.fail(err)
 		return false
 	}
-	if reply.ID != "" && reply.ID != call.Request.ID {
+	if c.history.belongsToOther(reply, call.Request) {
 		c.pool.log.WithFields(logrus.Fields{"request_id": call.Request.ID, "stray_id": reply.ID}).Warn("reply to another request was dropped")
 		return true
 	}
@@ -134,11 +152,12 @@
 }
 
 // complete ends the call with the reply and releases the connection. It returns
-// false, and the caller must close the connection, if unread bytes are buffered,
-// writing the request has not finished or has failed, the target closes it, or its
-// deadline cannot be reset.
+// false, and the caller must close the connection, if unread bytes are buffered, the
+// reply names no request, writing the request has not finished or has failed, the
+// target closes it, or its deadline cannot be reset.
 func (c *conn) complete(call *Call, reply *exchange.Reply) bool {
-	good := !reply.Closes && c.reader.Buffered() == 0
+	c.history.add(reply, call.Request)
+	good := !reply.Closes && identifiable(reply) && c.reader.Buffered() == 0
 	if good && c.writing.TryLock() {
 		good = !c.broken
 		c.writing.Unlock()
@@ -157,7 +176,7 @@
 	if reply.OtherTarget {
 		p.moved = true
 	}
-	c.call = nil
+	p.unassign(c)
 	if !good {
 		delete(p.conns, c)
 	}
@@ -205,7 +224,7 @@
 	p := c.pool
 	p.mu.Lock()
 	call := c.call
-	c.call = nil
+	p.unassign(c)
 	if call != nil {
 		result := replica.Failed
 		if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -21,6 +21,8 @@
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 	"github.com/swiftvane/swiftvane/internal/hosts/gatherlink"
 	"github.com/swiftvane/swiftvane/internal/querypath/relay"
+	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
+	"github.com/swiftvane/swiftvane/internal/support/listener"
 	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
@@ -46,6 +48,8 @@
 	Readers  func() []string
 	// Capacity is the host's processor capacity in thousandths of a core.
 	Capacity int
+	// MemoryBytes is the memory from which on the process is killed; 0 for no limit.
+	MemoryBytes int64
 	// Policy is relay.Adaptive except in measurements.
 	Policy relay.Policy
 	// FirstStart is set while the whole fleet starts for the first time and no
@@ -76,6 +80,9 @@
 	// firstStartWait gives the first readers time to start, so that a starting
 	// fleet reads the store few times.
 	firstStartWait = 900 * time.Millisecond
+	// memoryShare is the part of MemoryBytes that may be held for callers and targets, as
+	// a divisor.
+	memoryShare = 4
 	// stopReserve is the time kept between the last wait for connections and the
 	// kill.
 	stopReserve = 600 * time.Millisecond
@@ -100,8 +107,12 @@
 	server    *front.Server
 	ready     *readiness
 	metrics   *metricsServer
-	callers   net.Listener
-	cancel    context.CancelFunc
+	// memory bounds what is held for callers and targets; nil for no limit.
+	memory  *bytebudget.Budget
+	callers net.Listener
+	// accepted is closed once no more connections of callers are accepted.
+	accepted chan struct{}
+	cancel   context.CancelFunc
 	// fleetHosts is the number of hosts in use, 0 while it is unknown.
 	fleetHosts atomic.Int64
 	// lastReport is the time of the last health report. It is used by one goroutine.
@@ -112,7 +123,8 @@
 
 // New builds a host without starting it.
 func New(opts Options) *Edge {
-	e := &Edge{opts: opts, metrics: newMetricsServer(opts.Log), warningBudget: logging.NewBudget(warningLinesPerSecond)}
+	e := &Edge{opts: opts, accepted: make(chan struct{}), metrics: newMetricsServer(opts.Log), warningBudget: logging.NewBudget(warningLinesPerSecond)}
+	e.memory = bytebudget.New(bytebudget.Options{Limit: opts.MemoryBytes / memoryShare, Scope: e.metrics.scope, Log: opts.Log})
 	e.directory = targetpool.NewDirectory(targetpool.Options{
 		Codec:  opts.TargetCodec,
 		Dialer: targetpool.TCPDialer{},
@@ -120,6 +132,7 @@
 		Extra:  opts.ownExtra(),
 		Host:   opts.Host, FailureDomain: opts.FailureDomain,
 		OnCrash: e.reportCrash, OnLeaving: e.reportLeaving, DrainWithin: opts.DrainWithin, Scope: e.metrics.scope,
+		Memory: e.memory,
 	})
 	guard := crashguard.New()
 	e.hub = catalogshare.NewHub(e.self(), guard, opts.Log)
@@ -138,10 +151,12 @@
 	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope})
 	executor := relay.NewExecutor(relay.Options{
 		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard, Policy: opts.Policy, Gatherers: e.gatherers,
+		Memory: e.memory,
 	})
 	e.gather = gatherlink.NewServer(executor, opts.Log)
 	e.server = front.New(front.Options{
 		Codec: opts.CallerCodec, Handler: executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
+		Memory: e.memory,
 	})
 	e.ready = newReadiness(opts.ReadyPath, e.follower)
 	return e
@@ -149,7 +164,7 @@
 
 // Start opens the listeners and starts to follow the store.
 func (e *Edge) Start() error {
-	callers, err := net.Listen("tcp", e.opts.CallerAddr)
+	callers, err := listener.Listen(e.opts.CallerAddr)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
@@ -167,6 +182,7 @@
 	}
 	go e.follower.Run(ctx)
 	go func() {
+		defer close(e.accepted)
 		e.opts.Log.WithError(e.server.Serve(callers)).Info("callers' listener closed")
 	}()
 	return nil
@@ -184,9 +200,9 @@
 	go e.source.SendLeaving(catalogshare.LeavingTarget{Target: string(t.ID), Born: t.Born})
 }
 
-// handleLeavingTarget records that another host found a target leaving.
-func (e *Edge) handleLeavingTarget(t catalogshare.LeavingTarget) {
-	e.directory.MarkLeaving(catalog.TargetID(t.Target), t.Born, time.Now())
+// handleLeavingTarget records that another host found a target leaving, first at since.
+func (e *Edge) handleLeavingTarget(t catalogshare.LeavingTarget, since time.Time) {
+	e.directory.MarkLeaving(catalog.TargetID(t.Target), t.Born, since)
 }
 
 // listenPeers starts to track the fleet's size and, with a PeerAddr, to accept the
@@ -223,6 +239,9 @@
 		e.hub.SetSettled(hosts > 0)
 		e.updateFleet(hosts, domains.update(e.hub.Domains(), now), now.Sub(started))
 		e.metrics.fleet(hosts, e.follower.View())
+		if e.memory != nil {
+			e.metrics.scope.Gauge("bytes_held").Update(float64(e.memory.Held()))
+		}
 		e.reportHealth(hosts, now)
 		select {
 		case <-ctx.Done():
@@ -246,8 +265,8 @@
 }
 
 // Stop stops the host in steps: it becomes not ready, then connections close after
-// their next answer, then idle ones close. It reports whether all connections
-// ended in time, so that no request was cut off.
+// their next answer, then idle ones close. It reports whether all connections and the
+// sweeps of other hosts ended in time, so that no request was cut off.
 func (e *Edge) Stop() bool {
 	began := time.Now()
 	at := func(share float64) time.Time {
@@ -258,14 +277,15 @@
 	time.Sleep(time.Until(at(drainAfter)))
 	e.server.Drain()
 	time.Sleep(time.Until(at(closeIdleAfter)))
-	if err := e.callers.Close(); err != nil {
+	if err := listener.Close(e.callers); err != nil {
 		e.opts.Log.WithError(err).Warn("callers' listener did not close")
 	}
+	<-e.accepted
 	end := began.Add(e.opts.StopWithin - stopReserve)
 	clean := false
 	for !clean && time.Now().Before(end) {
 		e.server.CloseIdle()
-		clean = e.server.Wait(time.Now().Add(closeIdleInterval))
+		clean = e.server.Wait(time.Now().Add(closeIdleInterval)) && e.gather.Idle()
 	}
 	e.cancel()
 	e.metrics.close()
