Read evacuations of failure domains and keep them across restores

Operators request the evacuation of a failure domain with a key op/evacuate/DOMAIN, which hosts neither read nor understood.

A filter in front of the state settles what a store from an older copy, or a late answer, says: an evacuation that the copy lacks is kept, and one that had been withdrawn held back, for copyDoubt; writes after the restore count at once. Readers tell followers what is disputed and for how long (message keys 19 and 25), so that hosts that start meanwhile agree, also when the reader is lost before.

Ruled out: a decision in the owner of the state only, since hosts that link would then get entries that this host itself doesn't believe.

Tests: go test -race of catalogsync, catalogshare, platform and domain passes; without the filter TestLateAnswersDoNotRevertEvacuations, TestRestoreNeitherEndsNorRevivesEvacuationsAtOnce, TestWritesAfterRestoreTakeEffectAtOnce and TestStartingHostLearnsDisputesFromItsReader fail.

--- a/internal/domain/catalog/view.go
+++ b/internal/domain/catalog/view.go
@@ -9,18 +9,25 @@
 	Config *Config
 	// Position is the store position that the view reflects.
 	Position Position
-	// ByService lists the targets that take new work, sorted by ID.
+	// ByService lists the targets that take new work, sorted by ID. It leaves out leaving
+	// targets and those in evacuated failure domains.
 	ByService map[ServiceName][]*Target
-	// Targets holds all known targets, including leaving ones.
+	// Targets holds all known targets, including leaving and evacuated ones.
 	Targets map[TargetID]*Target
+	// Evacuations holds the evacuations by failure domain. A domain need not have
+	// targets.
+	Evacuations map[string]Evacuation
 }
 
 // NewView returns a view of targets, grouped by service. The view keeps the map,
 // which must not change afterwards.
-func NewView(config *Config, position Position, targets map[TargetID]*Target) *View {
-	v := &View{Config: config, Position: position, ByService: map[ServiceName][]*Target{}, Targets: targets}
+func NewView(config *Config, position Position, targets map[TargetID]*Target, evacuations ...Evacuation) *View {
+	v := &View{Config: config, Position: position, ByService: map[ServiceName][]*Target{}, Targets: targets, Evacuations: map[string]Evacuation{}}
+	for _, e := range evacuations {
+		v.Evacuations[e.Domain] = e
+	}
 	for _, t := range targets {
-		if !t.Leaving {
+		if !t.Leaving && !v.Evacuated(t) {
 			v.ByService[t.Service] = append(v.ByService[t.Service], t)
 		}
 	}
@@ -29,3 +36,9 @@
 	}
 	return v
 }
+
+// Evacuated reports whether the target is in an evacuated failure domain.
+func (v *View) Evacuated(t *Target) bool {
+	_, evacuated := v.Evacuations[t.FailureDomain]
+	return evacuated
+}
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -47,6 +47,9 @@
 	// onLeaving is called with each new one.
 	leaving   map[LeavingTarget]time.Time
 	onLeaving func(LeavingTarget)
+	// disputed has what a restored store says differently, until disputedUntil.
+	disputed      []entry
+	disputedUntil time.Time
 	// gatherers is the current selection. The sent fields are what the last heartbeat
 	// with them had.
 	gatherers     []gathering.Member
@@ -191,6 +194,7 @@
 	for t := range h.leaving {
 		m.Leaving = append(m.Leaving, t)
 	}
+	h.addDisputed(m)
 	return m
 }
 
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -90,6 +90,11 @@
 	// Reports is set by a follower that sends its samples periodically, even if there
 	// are none: the reader takes its silence for its end.
 	Reports bool `cbor:"18,keyasint,omitempty"`
+	// Disputed, in a full message, has the evacuations and withdrawals by which a store
+	// that came back from an older copy differs from Entries; they take effect after
+	// DisputedMS milliseconds.
+	Disputed   []entry `cbor:"19,keyasint,omitempty"`
+	DisputedMS int64   `cbor:"25,keyasint,omitempty"`
 }
 
 // position returns the sender's position in the store's history.
--- a/internal/hosts/catalogshare/publish.go
+++ b/internal/hosts/catalogshare/publish.go
@@ -11,6 +11,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if b.Full {
+		h.setDisputed(&b)
 		h.entries = make(map[string]entry, len(b.Changes))
 	}
 	m := h.newMessage()
@@ -26,6 +27,7 @@
 		return
 	}
 	m.Full, m.AfterOutage = b.Full, b.AfterOutage
+	h.addDisputed(m)
 	m.Era, m.Revision = h.position.Era, h.position.Revision
 	m.AgeMS = time.Since(h.asOf).Milliseconds()
 	h.broadcast(m)
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -178,6 +178,10 @@
 	for _, e := range m.Entries {
 		batch.Changes = append(batch.Changes, s.opts.Decode(e.Key, e.Value, e.Revision, e.Deleted))
 	}
+	for _, e := range m.Disputed {
+		batch.Disputed = append(batch.Disputed, s.opts.Decode(e.Key, e.Value, e.Revision, e.Deleted))
+	}
+	batch.DisputedFor = time.Duration(m.DisputedMS) * time.Millisecond
 	return batch, nil
 }
 
--- a/internal/hosts/catalogsync/follower.go
+++ b/internal/hosts/catalogsync/follower.go
@@ -73,6 +73,7 @@
 // poll reads all entries once and then watches for changes.
 func (f *Follower) poll(ctx context.Context) {
 	p := progress{log: f.log, longestPause: f.hooks.LongestPause}
+	evacuated := newEvacuations(f.log)
 	for ctx.Err() == nil {
 		began := time.Now()
 		batch, err := f.fetch(p.position)
@@ -87,7 +88,7 @@
 			pause(ctx, p.failed(err))
 			continue
 		}
-		f.deliver(ctx, batch)
+		f.deliver(ctx, evacuated.settle(batch, time.Now()))
 		if batch.Direct && !batch.Full {
 			pause(ctx, minWatchInterval-time.Since(began))
 		}
--- a/internal/hosts/catalogsync/source.go
+++ b/internal/hosts/catalogsync/source.go
@@ -31,6 +31,8 @@
 	ConfigChange
 	// TargetChange concerns a target's entry.
 	TargetChange
+	// EvacuationChange concerns the evacuation of a failure domain.
+	EvacuationChange
 )
 
 // Change is one entry as written, or its removal.
@@ -45,6 +47,8 @@
 	// Deleted or Err is set.
 	Config *catalog.Config
 	Target *catalog.Target
+	// Domain is the failure domain of an EvacuationChange.
+	Domain string
 	// Err is the decoding error of an unreadable entry.
 	Err error
 }
@@ -62,6 +66,11 @@
 	// with an older copy.
 	AfterOutage bool
 	Changes     []Change
+	// Disputed, in a full batch, has the evacuations and withdrawals by which a store
+	// that came back from an older copy differs from Changes. They take effect after
+	// DisputedFor.
+	Disputed    []Change
+	DisputedFor time.Duration
 }
 
 // Source reads the store.
--- a/internal/hosts/catalogsync/state.go
+++ b/internal/hosts/catalogsync/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
@@ -26,10 +27,12 @@
 	// removals are delayed.
 	delayUntil time.Time
 	restore    restore
+	// evacuations has the evacuations in force, by failure domain.
+	evacuations map[string]catalog.Evacuation
 }
 
 func newState(log logrus.FieldLogger) *state {
-	return &state{log: log, targets: map[catalog.TargetID]*catalog.Target{}, pendingRemovals: map[catalog.TargetID]time.Time{}, restore: newRestore()}
+	return &state{log: log, targets: map[catalog.TargetID]*catalog.Target{}, pendingRemovals: map[catalog.TargetID]time.Time{}, restore: newRestore(), evacuations: map[string]catalog.Evacuation{}}
 }
 
 // apply applies a batch and reports whether the view changed.
@@ -51,6 +54,7 @@
 		changed = s.applyChange(c, now) || changed
 	}
 	if batch.Full {
+		changed = s.keepEvacuations(batch.Changes, now) || changed
 		s.restore.keepOnly(seen)
 		for id := range s.targets {
 			if !seen[id] {
@@ -67,6 +71,8 @@
 		return s.applyConfig(c)
 	case TargetChange:
 		return s.applyTarget(c, now)
+	case EvacuationChange:
+		return s.applyEvacuation(c, now)
 	default:
 		return false
 	}
@@ -189,7 +195,7 @@
 	for id, t := range s.targets {
 		targets[id] = t
 	}
-	return catalog.NewView(s.config, s.position, targets)
+	return catalog.NewView(s.config, s.position, targets, lo.Values(s.evacuations)...)
 }
 
 // targetIDOf returns the part of a key after its last slash.
