Send nothing to evacuated targets and return to them gradually

Where only evacuated targets hold a shard it is omitted and the leg's cause says so; below the least coverage, and for single requests, the refusal has the reason "evacuated".

Ruled out: a share proportional to time, which doubles the load in the first step; skipping a returning target whatever the others' state, which refuses callers while it is idle.

Tests: go test -race of targetpool, relay and replica passes. They fail without Evacuated in Load.Usable, with connections kept after a call, and without the return of targets that restarted.

--- a/internal/decision/replica/choose.go
+++ b/internal/decision/replica/choose.go
@@ -37,6 +37,10 @@
 	// distrustCost is the added cost of a target that other hosts report as slow or
 	// failing. It exceeds spareCost, so that a healthy spare target is preferred.
 	distrustCost = 3
+	// withheldCost is the added cost of a target for a request of the share that it
+	// doesn't get yet after an evacuation. It exceeds that of healthy targets in use and
+	// is below that of failing ones and of a queue of several calls.
+	withheldCost = 8
 	// leavingCost is the added cost of a target that is leaving. It exceeds all others
 	// of a target that can answer, so that a leaving target is the last choice.
 	leavingCost = 100
@@ -93,6 +97,9 @@
 	best, least := -1, 0.0
 	for i := range candidates {
 		cost := Cost(candidates[i], expected) * (1 + jitter*random())
+		if held := candidates[i].Load.Withheld; held > 0 && random() < held {
+			cost += withheldCost
+		}
 		if best < 0 || cost < least {
 			best, least = i, cost
 		}
--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -103,11 +103,15 @@
 	Left    bool
 	// PauseLeft is the rest of the time for which the target wants no request.
 	PauseLeft time.Duration
+	// Evacuated is set while the target's failure domain is evacuated. After that,
+	// Withheld is the share of requests, 0 to 1, that the target doesn't get yet.
+	Evacuated bool
+	Withheld  float64
 }
 
 // Usable reports whether a request may be sent to the target at all.
 func (l *Load) Usable() bool {
-	return !l.Unreachable && !l.Moved && !l.Left && l.PauseLeft <= 0
+	return !l.Unreachable && !l.Moved && !l.Left && !l.Evacuated && l.PauseLeft <= 0
 }
 
 // Sent records the start of an exchange.
--- a/internal/domain/catalog/config.go
+++ b/internal/domain/catalog/config.go
@@ -23,6 +23,8 @@
 	// MaxConns is the number of connections that each of its targets accepts
 	// from all hosts combined.
 	MaxConns int
+	// WarmUp is how long its targets are slow after a start.
+	WarmUp time.Duration
 }
 
 // Config is one published version of the configuration.
--- a/internal/domain/exchange/account.go
+++ b/internal/domain/exchange/account.go
@@ -57,6 +57,9 @@
 const (
 	// CauseNoTarget means that no target of the service could be reached.
 	CauseNoTarget Cause = "no_target"
+	// CauseEvacuated means that the service has evacuated targets and no other one could
+	// be reached.
+	CauseEvacuated Cause = "evacuated"
 	// CauseNotSent means that no attempt was made although a target was reachable.
 	CauseNotSent Cause = "not_sent"
 	// CauseQueue means that no attempt was made since the queue for the best target is
--- a/internal/querypath/relay/refusal.go
+++ b/internal/querypath/relay/refusal.go
@@ -14,13 +14,16 @@
 }
 
 // refuseUnserved refuses a request that no target of the group can take. If targets
-// have asked for a pause, the caller is told when the first one ends; otherwise the
-// refusal has the given reason.
+// have asked for a pause, the caller is told when the first one ends. If targets are
+// evacuated, the refusal says so; otherwise it has the given reason.
 func (r *run) refuseUnserved(g *targetpool.Group, reason exchange.Reason, now time.Time) *exchange.Answer {
 	if g != nil && !r.available(g, now) {
 		if left := g.PauseLeft(now); left > 0 {
 			return refuse(exchange.TargetsPaused, left)
 		}
+		if g.HasEvacuated() {
+			return refuse(exchange.Evacuated, retryNoRoom)
+		}
 	}
 	return refuse(reason, retryNoRoom)
 }
@@ -32,9 +35,10 @@
 
 // refuseUnserved refuses a sweep for which too few shards have a target. If enough
 // shards would have one after the pauses that targets have asked for, the caller is
-// told when; otherwise the refusal has the given reason.
+// told when. If enough would have one without the evacuations, the refusal says so;
+// otherwise it has the given reason.
 func (s *sweep) refuseUnserved(reason exchange.Reason, now time.Time) *exchange.Answer {
-	available := 0
+	available, evacuated := 0, 0
 	var pauses []time.Duration
 	for i := range s.legs {
 		g := s.legs[i].group
@@ -45,13 +49,19 @@
 		default:
 			if left := g.PauseLeft(now); left > 0 {
 				pauses = append(pauses, left)
+			} else if g.HasEvacuated() {
+				evacuated++
 			}
 		}
 	}
 	missing := s.minShards - available
-	if missing <= 0 || missing > len(pauses) {
+	switch {
+	case missing > 0 && missing <= len(pauses):
+		slices.Sort(pauses)
+		return refuse(exchange.TargetsPaused, pauses[missing-1])
+	case missing > 0 && missing <= len(pauses)+evacuated:
+		return refuse(exchange.Evacuated, retryNoRoom)
+	default:
 		return refuse(reason, retryNoRoom)
 	}
-	slices.Sort(pauses)
-	return refuse(exchange.TargetsPaused, pauses[missing-1])
 }
--- a/internal/querypath/relay/trace.go
+++ b/internal/querypath/relay/trace.go
@@ -79,6 +79,8 @@
 		return exchange.CauseQueue
 	case l.reachable:
 		return exchange.CauseNotSent
+	case l.group != nil && l.group.HasEvacuated():
+		return exchange.CauseEvacuated
 	default:
 		return exchange.CauseNoTarget
 	}
--- a/internal/targets/targetpool/assign.go
+++ b/internal/targets/targetpool/assign.go
@@ -51,12 +51,13 @@
 	p.stats.Sent(now)
 }
 
-// release assigns an open connection to the next waiting call or makes it idle.
+// release assigns an open connection to the next waiting call or makes it idle. It
+// closes the connection if the pool is closed or the target evacuated.
 func (p *Pool) release(c *conn) {
 	now := time.Now()
 	p.mu.Lock()
 	c.call = nil
-	if p.closed {
+	if p.closed || p.evacuated {
 		delete(p.conns, c)
 		p.mu.Unlock()
 		c.close()
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -58,8 +58,10 @@
 	// withdrawn has what targets without a pool have said. It outlasts the entry of a
 	// target in the store, which may vanish and return.
 	withdrawn map[targetStart]withdrawal.State
-	budgets   map[catalog.ServiceName]*guardedBudget
-	current   atomic.Pointer[Snapshot]
+	// evacuations has the failure domains that are or were evacuated.
+	evacuations evacuations
+	budgets     map[catalog.ServiceName]*guardedBudget
+	current     atomic.Pointer[Snapshot]
 }
 
 // Snapshot is a view together with the pools of its targets that take new work.
@@ -79,6 +81,7 @@
 		opts: opts, started: time.Now(),
 		pools: map[catalog.TargetID]*Pool{}, withdrawn: map[targetStart]withdrawal.State{}, budgets: map[catalog.ServiceName]*guardedBudget{},
 	}
+	d.evacuations.endedAt = map[string]time.Time{}
 	d.view = catalog.NewView(nil, catalog.Position{}, nil)
 	d.current.Store(&Snapshot{View: d.view})
 	return d
@@ -139,6 +142,7 @@
 			pool.Close()
 		}
 	}
+	d.settleEvacuations(time.Now())
 	used := map[catalog.ServiceName]bool{}
 	d.shards = map[catalog.ServiceName]bool{}
 	if v.Config != nil {
@@ -155,6 +159,7 @@
 		groups[name] = d.group(name)
 		d.fill(groups[name], targets)
 	}
+	d.countEvacuated(groups)
 	d.current.Store(&Snapshot{View: v, groups: groups})
 }
 
@@ -177,6 +182,7 @@
 			if spread := warmSpread(d.fleet.Hosts); spread > 0 {
 				pool.delayWarm(rand.N(spread))
 			}
+			d.returnGradually(pool, time.Now())
 			d.pools[t.ID] = pool
 		}
 		if i < own.targets {
--- a/internal/targets/targetpool/errors.go
+++ b/internal/targets/targetpool/errors.go
@@ -8,6 +8,7 @@
 	ErrClosed      = errors.New("the target is no longer in use")
 	ErrLeaving     = errors.New("the target is leaving")
 	ErrPaused      = errors.New("the target asked for a pause")
+	ErrEvacuated   = errors.New("the target's failure domain is evacuated")
 	ErrExpired     = errors.New("the deadline passed before a connection was free")
 	errNoReply     = errors.New("the connection ended before any reply")
 	errStrayBytes  = errors.New("unexpected bytes on an idle connection")
--- a/internal/targets/targetpool/group.go
+++ b/internal/targets/targetpool/group.go
@@ -15,7 +15,10 @@
 	// the host connects only on demand.
 	Pools []*Pool
 	Spare []*Pool
-	extra *guardedBudget
+	// Evacuated is the number of the service's targets that are evacuated and would
+	// accept new work otherwise.
+	Evacuated int
+	extra     *guardedBudget
 }
 
 // guardedBudget is a budget with its lock. It is shared by all successive groups
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -1,6 +1,7 @@
 package targetpool
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -51,7 +52,8 @@
 	moved bool
 	// withdrawal is whether the target is leaving or has asked for a pause.
 	withdrawal withdrawal.State
-	stats      replica.Stats
+	evacuation
+	stats replica.Stats
 	// sample counts the exchanges since the last takeSample.
 	sample targethealth.Sample
 	// distrustedUntil is when the last report of other hosts that the target is
@@ -140,6 +142,7 @@
 	load.Moved = p.moved
 	load.Leaving, load.Left = p.withdrawal.Leaving(), p.withdrawal.Left(now)
 	load.PauseLeft = p.withdrawal.PauseLeft(now)
+	load.Evacuated, load.Withheld = p.evacuated, p.withheld(now)
 	return load
 }
 
@@ -165,6 +168,9 @@
 	p.mu.Lock()
 	if err := p.refusal(now); err != nil {
 		p.mu.Unlock()
+		if errors.Is(err, ErrEvacuated) {
+			p.scope.Counter(callsKept).Inc(1)
+		}
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: err, Ended: now})
 		return
 	}
@@ -190,6 +196,8 @@
 	switch {
 	case p.closed, p.moved:
 		return ErrClosed
+	case p.evacuated:
+		return ErrEvacuated
 	case p.withdrawal.Left(now):
 		return ErrLeaving
 	case p.withdrawal.PauseLeft(now) > 0:
--- a/internal/targets/targetpool/withdraw.go
+++ b/internal/targets/targetpool/withdraw.go
@@ -144,8 +144,9 @@
 	least := time.Duration(0)
 	for i := range len(g.Pools) + len(g.Spare) {
 		p, _ := g.At(i)
-		left := p.Load(now).PauseLeft
-		if left > 0 && (least == 0 || left < least) {
+		load := p.Load(now)
+		left := load.PauseLeft
+		if left > 0 && !load.Evacuated && (least == 0 || left < least) {
 			least = left
 		}
 	}
