Show evacuations to operators; edge tests of evacuations under faults

Operators could not see whether a host knows an evacuation and has stopped.

Log lines when an evacuation is requested, in effect and withdrawn, and when calls are in flight after bounds.evacuate_ms; gauges and counters.

The deployment stand-in puts searchers into failure domains and evacuates them. test/edge covers two hosts and one that starts during an evacuation, shards and services with evacuated targets only, a withdrawal and a request while the store is away (with and without history), and an older copy of the store with linked hosts and one that starts meanwhile.

--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -20,7 +20,7 @@
 	HostName = "a.example"
 	// Single is the service of the routes that are not sweeps.
 	Single = "single"
-	// FailureDomain is the failure domain of all searchers.
+	// FailureDomain is the failure domain of all searchers without another one.
 	FailureDomain = "z-1"
 	// anyPort selects a free loopback port.
 	anyPort = "127.0.0.1:0"
@@ -56,6 +56,9 @@
 	// Fault returns the fault that the searchers of a service inject into a request;
 	// nil means none.
 	Fault func(service, requestID string) searcher.Fault
+	// Domain returns the failure domain of a searcher by its id; nil means FailureDomain
+	// for all.
+	Domain func(id string) string
 }
 
 // Deployment is a running stand-in.
@@ -140,7 +143,7 @@
 	}
 	key, value, err := platform.EncodeTarget(&catalog.Target{
 		ID: catalog.TargetID(id), Service: catalog.ServiceName(service), Addr: addr,
-		FailureDomain: FailureDomain, Slots: slots, Leaving: leaving, Born: 1,
+		FailureDomain: d.domainOf(id), Slots: slots, Leaving: leaving, Born: 1,
 	}, time.Now())
 	if err != nil {
 		return err
--- a/internal/standin/searcher/withdraw.go
+++ b/internal/standin/searcher/withdraw.go
@@ -38,3 +38,6 @@
 	w.Header().Set(platform.HeaderRetryAfter, strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
 	return true
 }
+
+// ID returns the searcher's id.
+func (s *Searcher) ID() string { return s.opts.ID }
--- a/internal/targets/targetpool/evacuate.go
+++ b/internal/targets/targetpool/evacuate.go
@@ -42,15 +42,17 @@
 		delete(p.conns, c)
 	}
 	p.mu.Unlock()
-	if len(calls) > 0 {
-		p.scope.Counter(callsKept).Inc(int64(len(calls)))
-	}
+	p.countKept(len(calls))
 	go closeAll(idle)
 	endAll(calls, ErrEvacuated, now)
 }
 
-// callsKept counts the calls that were not sent since the target is evacuated.
-const callsKept = "calls_kept_from_evacuated"
+// countKept counts calls that were not sent since the target is evacuated.
+func (p *Pool) countKept(calls int) {
+	if calls > 0 {
+		p.scope.Counter("calls_kept_from_evacuated").Inc(int64(calls))
+	}
+}
 
 func closeAll(conns []*conn) {
 	for _, c := range conns {
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -169,7 +169,7 @@
 	if err := p.refusal(now); err != nil {
 		p.mu.Unlock()
 		if errors.Is(err, ErrEvacuated) {
-			p.scope.Counter(callsKept).Inc(1)
+			p.countKept(1)
 		}
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: err, Ended: now})
 		return
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
 	"github.com/swiftvane/swiftvane/internal/face/front"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogshare"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
@@ -37,6 +39,9 @@
 	// DrainWithin is how long a target that reports that it is leaving may still be
 	// used.
 	DrainWithin time.Duration
+	// EvacuateWithin is the time within which an evacuation must be in effect; zero if
+	// it is unknown.
+	EvacuateWithin time.Duration
 	// Extra bounds the extra sub-requests of a service, summed over all hosts.
 	Extra extrabudget.Limit
 	// PeerAddr is the listen address for links of other hosts; empty for none.
@@ -108,6 +113,7 @@
 	lastReport time.Time
 	// warningBudget limits the log lines about unhealthy targets.
 	warningBudget *logging.Budget
+	evacuations   *evacuationMonitor
 }
 
 // New builds a host without starting it.
@@ -121,6 +127,7 @@
 		Host:   opts.Host, FailureDomain: opts.FailureDomain,
 		OnCrash: e.reportCrash, OnLeaving: e.reportLeaving, DrainWithin: opts.DrainWithin, Scope: e.metrics.scope,
 	})
+	e.evacuations = newEvacuationMonitor(opts.Log, e.metrics.scope, opts.EvacuateWithin)
 	guard := crashguard.New()
 	e.hub = catalogshare.NewHub(e.self(), guard, opts.Log)
 	e.hub.OnUnhealthyTargets(e.handleUnhealthyTargets)
@@ -157,7 +164,7 @@
 	if err := e.ready.listen(e.opts.ReadyAddr, e.opts.Log); err != nil {
 		return err
 	}
-	if err := e.metrics.listen(e.opts.MetricsAddr); err != nil {
+	if err := e.metrics.listen(e.opts.MetricsAddr, map[string]http.HandlerFunc{adminapi.PathEvacuations: e.serveEvacuations}); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -223,6 +230,7 @@
 		e.updateFleet(hosts, domains.update(e.hub.Domains(), now), now.Sub(started))
 		e.metrics.fleet(hosts, e.follower.View())
 		e.reportHealth(hosts, now)
+		e.evacuations.update(e.directory.Evacuations(), now)
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/wiring/edge/metrics.go
+++ b/internal/wiring/edge/metrics.go
@@ -28,8 +28,8 @@
 	return &metricsServer{scope: scope, handler: handler, closer: closer, log: log}
 }
 
-// listen serves metrics at addr; an empty addr serves none.
-func (m *metricsServer) listen(addr string) error {
+// listen serves metrics and the given paths at addr; an empty addr serves none.
+func (m *metricsServer) listen(addr string, paths map[string]http.HandlerFunc) error {
 	if addr == "" {
 		return nil
 	}
@@ -39,6 +39,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(MetricsPath, m.handler)
+	for path, handler := range paths {
+		mux.HandleFunc("GET "+path, handler)
+	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout}
 	go func() { m.log.WithError(server.Serve(l)).Info("scrapers' listener closed") }()
 	return nil
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -38,13 +38,16 @@
 	*deployment.Deployment
 	t     *testing.T
 	hosts []*host
+	// readers are the addresses for links of the hosts that read the store.
+	readers []string
 }
 
 type host struct {
-	edge  *edge.Edge
-	addr  string
-	ready string
-	log   *syncBuffer
+	edge    *edge.Edge
+	addr    string
+	ready   string
+	metrics string
+	log     *syncBuffer
 }
 
 // syncBuffer is a buffer that is safe for concurrent reads and writes.
@@ -70,6 +73,10 @@
 	hosts int
 	work  time.Duration
 	fault func(service, id string) searcher.Fault
+	// domain returns a searcher's failure domain; nil means that of the hosts for all.
+	domain func(id string) string
+	// linked makes the hosts follow the first one, which reads the store.
+	linked bool
 }
 
 func shardName(i int) string { return deployment.Shard(i) }
@@ -78,13 +85,16 @@
 	t.Helper()
 	t.Parallel()
 	d, err := deployment.Start(deployment.Options{
-		Shards: shards, Replicas: replicas, Singles: 3, Attempts: 2, Work: o.work, Records: records, TopK: topK, Fault: o.fault,
+		Shards: shards, Replicas: replicas, Singles: 3, Attempts: 2, Work: o.work, Records: records, TopK: topK, Fault: o.fault, Domain: o.domain,
 		Timeout: 10 * time.Second, Objective: 5 * time.Second, LeastCoverage: 0.75,
 		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 500 * time.Millisecond, IdleTimeout: 5 * time.Second},
 	})
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
 	c := &cluster{Deployment: d, t: t}
+	if o.linked {
+		c.readers = loopback.Addrs(1)
+	}
 	for i := range max(o.hosts, 1) {
 		c.addHost(i)
 	}
@@ -102,14 +112,23 @@
 	buffer := &syncBuffer{}
 	log.SetOutput(buffer)
 	log.SetFormatter(&logrus.JSONFormatter{})
-	addrs := loopback.Addrs(2)
-	h := &host{addr: addrs[0], ready: addrs[1], log: buffer}
+	addrs := loopback.Addrs(4)
+	h := &host{addr: addrs[0], ready: addrs[1], metrics: addrs[2], log: buffer}
+	peer := ""
+	if len(c.readers) > 0 {
+		peer = addrs[3]
+		if i == 0 {
+			peer = c.readers[0]
+		}
+	}
 	h.edge = edge.New(edge.Options{
 		Host: "host-" + strconv.Itoa(i), FailureDomain: "z-1",
 		CallerAddr: addrs[0], ReadyAddr: addrs[1], ReadyPath: platform.ReadyPath,
 		StopWithin:  3 * time.Second,
 		Extra:       extrabudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-		Readers:     func() []string { return nil },
+		PeerAddr:    peer,
+		Readers:     func() []string { return c.readers },
+		MetricsAddr: h.metrics,
 		Store:       platform.NewStore(c.Store.Addr()),
 		Decode:      platform.Decode,
 		CallerCodec: platform.CallerCodec{},
