Keep requests of routes with home regions in them

A route may now have allowed_regions, which hosts ignored.

The choice of a replica leaves out targets outside the home regions, for first attempts, hedges and retries; a failure domain that the settings' zones don't list counts as outside. Where nothing is left the request is refused at once; pauses and evacuations of targets outside are no reason.

A pool is replaced when its target's entry names another failure domain: the choice goes by the pool's target, and kept the old one.

--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/querypath/relay"
 	"github.com/swiftvane/swiftvane/internal/support/exitcode"
@@ -87,6 +88,7 @@
 		ReadyPath:      platform.ReadyPath,
 		StopWithin:     node.StopWithin,
 		DrainWithin:    node.DrainWithin,
+		Regions:        catalog.Regions{Own: node.Region, ByDomain: node.Regions},
 		EvacuateWithin: node.EvacuateWithin,
 		Extra:          extrabudget.Limit{Ratio: node.Extra.Ratio, Slack: node.Extra.Slack, Window: node.Extra.Window},
 		PeerAddr:       node.PeerAddr,
--- a/internal/domain/catalog/config.go
+++ b/internal/domain/catalog/config.go
@@ -41,6 +41,7 @@
 	// MaxConns of them.
 	shards          map[ServiceName]bool
 	leastShardConns int
+	homeRegions     bool
 }
 
 // NewConfig returns a configuration with its routes indexed.
@@ -87,10 +88,14 @@
 // accepts, 0 if there are no shards.
 func (c *Config) LeastShardConns() int { return c.leastShardConns }
 
+// HasHomeRegions reports whether a route is bound to regions.
+func (c *Config) HasHomeRegions() bool { return c.homeRegions }
+
 // indexShards collects the shards of all routes.
 func (c *Config) indexShards() {
 	c.shards = map[ServiceName]bool{}
 	for _, r := range c.Routes {
+		c.homeRegions = c.homeRegions || len(r.AllowedRegions) > 0
 		for _, s := range r.Shards {
 			c.shards[s] = true
 		}
--- a/internal/domain/catalog/fingerprint.go
+++ b/internal/domain/catalog/fingerprint.go
@@ -24,6 +24,10 @@
 	for _, n := range numbers {
 		_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, n))
 	}
+	for _, region := range r.AllowedRegions {
+		_, _ = digest.WriteString(region)
+		_, _ = digest.Write([]byte{0})
+	}
 	return digest.Sum64()
 }
 
--- a/internal/domain/catalog/route.go
+++ b/internal/domain/catalog/route.go
@@ -28,6 +28,9 @@
 	TopK int
 	// LeastCoverage is the minimum share of shards that a sweep's answer needs.
 	LeastCoverage float64
+	// AllowedRegions are the route's home regions: its requests reach only targets in
+	// them. Empty means all regions.
+	AllowedRegions []string
 	// Fingerprint identifies how a sweep is served: two hosts whose routes for a
 	// request have the same one send it to the same shards under the same bounds. It is
 	// set by NewConfig.
--- a/internal/hosts/gatherlink/client.go
+++ b/internal/hosts/gatherlink/client.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
@@ -37,6 +38,8 @@
 	// lines bounds the log lines of each reason that a gatherer did not serve a sweep.
 	lines *logging.Budget
 	wake  chan struct{}
+	// ownRegion is set if one of the preferred gatherers has to be in this host's region.
+	ownRegion bool
 }
 
 // Options configure a Client.
@@ -49,6 +52,8 @@
 	AcceptTimeout time.Duration
 	// Scope gets the counters; nil for none.
 	Scope metrics.Scope
+	// Regions has the regions of the failure domains, for routes with home regions.
+	Regions catalog.Regions
 }
 
 // NewClient returns a client without links.
@@ -73,8 +78,8 @@
 		// This host gathers itself.
 		ordered = nil
 	}
-	ordered = ordered[:min(linksPerHost, len(ordered))]
 	c.mu.Lock()
+	ordered = c.firstOf(ordered)
 	changed := !slices.Equal(ordered, c.preferred)
 	c.preferred = ordered
 	c.mu.Unlock()
@@ -86,6 +91,25 @@
 	}
 }
 
+// RequireOwnRegion sets whether one of the preferred gatherers has to be in this host's
+// region, if there is one: sweeps of routes with home regions may always be passed on to
+// it. It takes effect with the next SetGatherers.
+func (c *Client) RequireOwnRegion(required bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ownRegion = required
+}
+
+// firstOf returns the gatherers to link to. The caller holds the lock.
+func (c *Client) firstOf(ordered []gathering.Member) []gathering.Member {
+	own := func(m gathering.Member) bool { return c.opts.Regions.IsOwn(m.FailureDomain) }
+	first := ordered[:min(linksPerHost, len(ordered))]
+	if at := slices.IndexFunc(ordered, own); c.ownRegion && at >= linksPerHost {
+		first[linksPerHost-1] = ordered[at]
+	}
+	return first
+}
+
 // Run maintains the links until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	for {
@@ -141,16 +165,17 @@
 	c.links[addr] = l
 }
 
-// pick returns the most preferred usable link that is not in tried, or nil. Gatherers
+// pick returns the most preferred usable link to a gatherer that the route allows and that
+// is not in tried, or nil. Gatherers
 // whose last answer was late come last: they may be slow, but if the targets are, all
 // gatherers are late and must still be asked.
-func (c *Client) pick(tried []*link, now time.Time) *link {
+func (c *Client) pick(route *catalog.Route, tried []*link, now time.Time) *link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var last *link
 	for _, m := range c.preferred {
 		l := c.links[m.Addr]
-		if l == nil || slices.Contains(tried, l) || !l.usable(now) {
+		if l == nil || !c.opts.Regions.AllowsHost(route, m.FailureDomain) || slices.Contains(tried, l) || !l.usable(now) {
 			continue
 		}
 		if !l.isLate(now) {
--- a/internal/hosts/gatherlink/gatherlink_test.go
+++ b/internal/hosts/gatherlink/gatherlink_test.go
@@ -255,7 +255,7 @@
 	g := &fakeGatherer{accepts: true, gather: answering(200)}
 	m, _, _ := g.serve(t)
 	c := newClient(t, m)
-	l := c.pick(nil, time.Now())
+	l := c.pick(route(), nil, time.Now())
 	message := sweepOf(request("r-1"), route().Fingerprint, time.Now())
 	message.BeginByUS = 1
 	outcomes, _, err := l.send(message)
--- a/internal/hosts/gatherlink/sweep.go
+++ b/internal/hosts/gatherlink/sweep.go
@@ -67,7 +67,7 @@
 // the caller is told at once, and may send it again itself.
 func (p *passage) run() *exchange.Answer {
 	now := time.Now()
-	for l := p.client.pick(nil, now); l != nil; l = p.client.pick(p.tried, now) {
+	for l := p.client.pick(p.route, nil, now); l != nil; l = p.client.pick(p.route, p.tried, now) {
 		if len(p.tried) == 0 {
 			p.client.budget.count(p.route, now)
 		}
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -34,6 +34,8 @@
 	Snapshots Snapshots
 	// FailureDomain is the failure domain of this host.
 	FailureDomain string
+	// Regions has the regions of the failure domains, for routes with home regions.
+	Regions catalog.Regions
 	// Policy is Adaptive except in comparisons with the baseline.
 	Policy Policy
 	// Gatherers passes sweeps on to hosts that gather them; nil if this host serves all
@@ -169,15 +171,16 @@
 
 // choose returns the best target of a group that is not in tried, or a choice with
 // a nil pool if there is none. Targets that are unreachable, have moved or paused are
-// excluded, and leaving ones after the first attempt. Spare targets have a higher cost,
+// excluded, those outside the route's home regions, and leaving ones after the first
+// attempt. Spare targets have a higher cost,
 // so they are used only while those of the host's own share are slow, failing or gone.
-func (e *Executor) choose(g *targetpool.Group, tried []*targetpool.Pool, usual time.Duration, now time.Time) choice {
+func (e *Executor) choose(route *catalog.Route, g *targetpool.Group, tried []*targetpool.Pool, usual time.Duration, now time.Time) choice {
 	size := len(g.Pools) + len(g.Spare)
 	left := make([]*targetpool.Pool, 0, size)
 	candidates := make([]replica.Candidate, 0, size)
 	for i := range size {
 		p, spare := g.At(i)
-		if contains(tried, p) {
+		if contains(tried, p) || !e.opts.Regions.Allows(route, p.Target().FailureDomain) {
 			continue
 		}
 		c := e.candidate(p, now)
--- a/internal/querypath/relay/refusal.go
+++ b/internal/querypath/relay/refusal.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
@@ -18,19 +19,24 @@
 // evacuated, the refusal says so; otherwise it has the given reason.
 func (r *run) refuseUnserved(g *targetpool.Group, reason exchange.Reason, now time.Time) *exchange.Answer {
 	if g != nil && !r.available(g, now) {
-		if left := g.PauseLeft(now); left > 0 {
+		if left := g.PauseLeft(now, r.allows); left > 0 {
 			return refuse(exchange.TargetsPaused, left)
 		}
-		if g.HasEvacuated() {
+		if g.HasEvacuated(r.allows) {
 			return refuse(exchange.Evacuated, retryNoRoom)
 		}
 	}
 	return refuse(reason, retryNoRoom)
 }
 
+// allows reports whether the request may be sent to a target.
+func (r *run) allows(t *catalog.Target) bool {
+	return r.executor.opts.Regions.Allows(r.route, t.FailureDomain)
+}
+
 // available reports whether a target of the group can take a request.
 func (r *run) available(g *targetpool.Group, now time.Time) bool {
-	return r.executor.choose(g, nil, r.expectedTimes.usual, now).pool != nil
+	return r.executor.choose(r.route, g, nil, r.expectedTimes.usual, now).pool != nil
 }
 
 // refuseUnserved refuses a sweep for which too few shards have a target. If enough
@@ -47,9 +53,9 @@
 		case s.available(g, now):
 			available++
 		default:
-			if left := g.PauseLeft(now); left > 0 {
+			if left := g.PauseLeft(now, s.allows); left > 0 {
 				pauses = append(pauses, left)
-			} else if g.HasEvacuated() {
+			} else if g.HasEvacuated(s.allows) {
 				evacuated++
 			}
 		}
--- a/internal/querypath/relay/retry.go
+++ b/internal/querypath/relay/retry.go
@@ -37,7 +37,7 @@
 func (r *run) retryTarget(l *leg, ev event, now time.Time) choice {
 	other := choice{}
 	if r.mayRepeat(l) {
-		other = r.executor.choose(l.group, l.tried, r.expectedTimes.usual, now)
+		other = r.executor.choose(r.route, l.group, l.tried, r.expectedTimes.usual, now)
 	}
 	if other.pool != nil && r.inTime(other.load, now) {
 		return other
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -134,7 +134,7 @@
 		return
 	}
 	l.hedgeAt = now.Add(max(r.expectedTimes.usual, hedgeRecheckLeast))
-	chosen := r.executor.choose(l.group, l.tried, r.expectedTimes.usual, now)
+	chosen := r.executor.choose(r.route, l.group, l.tried, r.expectedTimes.usual, now)
 	if chosen.pool == nil || chosen.load.Room <= 0 && now.Before(r.times.onTime) {
 		return
 	}
--- a/internal/querypath/relay/single.go
+++ b/internal/querypath/relay/single.go
@@ -50,7 +50,7 @@
 	if s.leg.group == nil {
 		return refuse(exchange.NoTarget, retryNoRoom)
 	}
-	chosen := r.executor.choose(s.leg.group, nil, r.expectedTimes.usual, now)
+	chosen := r.executor.choose(r.route, s.leg.group, nil, r.expectedTimes.usual, now)
 	if chosen.pool == nil {
 		return r.refuseUnserved(s.leg.group, exchange.NoTarget, now)
 	}
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -103,7 +103,7 @@
 		if group == nil {
 			continue
 		}
-		chosen[i] = s.executor.choose(group, nil, s.expectedTimes.usual, now)
+		chosen[i] = s.executor.choose(s.route, group, nil, s.expectedTimes.usual, now)
 		if chosen[i].pool == nil {
 			continue
 		}
--- a/internal/querypath/relay/trace.go
+++ b/internal/querypath/relay/trace.go
@@ -40,17 +40,17 @@
 	} {
 		for i := range legs {
 			if l := &legs[i]; decisive(l) && len(t.Legs) < maxLegs {
-				t.Legs = append(t.Legs, l.explain(now))
+				t.Legs = append(t.Legs, r.explainLeg(l, now))
 			}
 		}
 	}
 }
 
-// explain describes why a leg has no reply, or that it came late.
-func (l *leg) explain(now time.Time) exchange.Leg {
+// explainLeg describes why a leg has no reply, or that it came late.
+func (r *run) explainLeg(l *leg, now time.Time) exchange.Leg {
 	e := exchange.Leg{Service: string(l.service), Tried: len(l.attempts)}
 	if len(l.attempts) == 0 {
-		e.Cause, e.EstimateMS = l.causeNotSent(), l.queue.Milliseconds()
+		e.Cause, e.EstimateMS = r.causeNotSent(l), l.queue.Milliseconds()
 		return e
 	}
 	last := l.attempts[l.lastAttempt()]
@@ -73,13 +73,13 @@
 }
 
 // causeNotSent returns why a leg has no attempt.
-func (l *leg) causeNotSent() exchange.Cause {
+func (r *run) causeNotSent(l *leg) exchange.Cause {
 	switch {
 	case l.queue > 0:
 		return exchange.CauseQueue
 	case l.reachable:
 		return exchange.CauseNotSent
-	case l.group != nil && l.group.HasEvacuated():
+	case l.group != nil && l.group.HasEvacuated(r.allows):
 		return exchange.CauseEvacuated
 	default:
 		return exchange.CauseNoTarget
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -136,7 +136,7 @@
 func (d *Directory) rebuild() {
 	v := d.view
 	for id, pool := range d.pools {
-		if t, ok := v.Targets[id]; !ok || !t.SameStart(pool.target) {
+		if t, ok := v.Targets[id]; !ok || !t.SameStart(pool.target) || t.FailureDomain != pool.target.FailureDomain {
 			delete(d.pools, id)
 			d.keepWithdrawal(pool)
 			pool.Close()
@@ -159,7 +159,7 @@
 		groups[name] = d.group(name)
 		d.fill(groups[name], targets)
 	}
-	d.countEvacuated(groups)
+	d.addEvacuated(groups)
 	d.current.Store(&Snapshot{View: v, groups: groups})
 }
 
--- a/internal/targets/targetpool/evacuate_test.go
+++ b/internal/targets/targetpool/evacuate_test.go
@@ -83,7 +83,7 @@
 		require.False(t, load.Usable())
 		require.Equal(t, 0, d.Evacuations()[0].InFlight)
 		require.Equal(t, 1, d.Evacuations()[0].Targets)
-		require.Equal(t, 1, d.Snapshot().Group("s").Evacuated)
+		require.Len(t, d.Snapshot().Group("s").Evacuated, 1)
 		d.Update(catalog.NewView(nil, catalog.Position{Revision: 3}, nil))
 	})
 }
@@ -133,3 +133,19 @@
 	require.True(t, load.Usable())
 	p.Close()
 }
+
+// TestTargetThatChangesFailureDomainIsKnownByTheNewOne guards against a choice by the
+// failure domain that a target had before: it decides about evacuations and home regions.
+func TestTargetThatChangesFailureDomainIsKnownByTheNewOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newEvacuationDirectory(&countingDialer{})
+		d.Update(domainView(1))
+		moved := domainView(2)
+		target := *moved.Targets["x"]
+		target.FailureDomain = "z"
+		d.Update(catalog.NewView(nil, catalog.Position{Revision: 2}, map[catalog.TargetID]*catalog.Target{"x": &target}))
+		require.Equal(t, "z", d.Snapshot().Group("s").Pools[0].Target().FailureDomain)
+		d.Update(catalog.NewView(nil, catalog.Position{Revision: 3}, nil))
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/targets/targetpool/evacuations.go
+++ b/internal/targets/targetpool/evacuations.go
@@ -93,8 +93,8 @@
 	return slowstart.Period(d.view.Config.Services[name].WarmUp)
 }
 
-// countEvacuated counts the evacuated targets of each group. The lock is held.
-func (d *Directory) countEvacuated(groups map[catalog.ServiceName]*Group) {
+// addEvacuated adds the evacuated targets to their groups. The lock is held.
+func (d *Directory) addEvacuated(groups map[catalog.ServiceName]*Group) {
 	if len(d.view.Evacuations) == 0 {
 		return
 	}
@@ -105,7 +105,7 @@
 		if groups[t.Service] == nil {
 			groups[t.Service] = d.group(t.Service)
 		}
-		groups[t.Service].Evacuated++
+		groups[t.Service].Evacuated = append(groups[t.Service].Evacuated, t)
 	}
 }
 
@@ -115,15 +115,15 @@
 	return p.evacuated
 }
 
-// HasEvacuated reports whether targets of the group are evacuated, also if they were not
-// when the group was made.
-func (g *Group) HasEvacuated() bool {
+// HasEvacuated reports whether allowed targets of the group are evacuated, also if they
+// were not when the group was made.
+func (g *Group) HasEvacuated(allowed func(*catalog.Target) bool) bool {
 	for i := range len(g.Pools) + len(g.Spare) {
-		if p, _ := g.At(i); p.isEvacuated() {
+		if p, _ := g.At(i); allowed(p.target) && p.isEvacuated() {
 			return true
 		}
 	}
-	return g.Evacuated > 0
+	return slices.ContainsFunc(g.Evacuated, allowed)
 }
 
 // EvacuationStatus is the state of one evacuation on this host.
--- a/internal/targets/targetpool/group.go
+++ b/internal/targets/targetpool/group.go
@@ -15,9 +15,9 @@
 	// the host connects only on demand.
 	Pools []*Pool
 	Spare []*Pool
-	// Evacuated is the number of the service's targets that are evacuated and would
-	// accept new work otherwise.
-	Evacuated int
+	// Evacuated are the service's targets that are evacuated and would accept new work
+	// otherwise.
+	Evacuated []*catalog.Target
 	extra     *guardedBudget
 }
 
--- a/internal/targets/targetpool/withdraw.go
+++ b/internal/targets/targetpool/withdraw.go
@@ -138,12 +138,15 @@
 	d.rememberWithdrawal(start, state)
 }
 
-// PauseLeft returns the least time until one of the group's targets that have asked
-// for a pause may be used again, 0 if none has asked for one.
-func (g *Group) PauseLeft(now time.Time) time.Duration {
+// PauseLeft returns the least time until one of the group's allowed targets that have
+// asked for a pause may be used again, 0 if none has asked for one.
+func (g *Group) PauseLeft(now time.Time, allowed func(*catalog.Target) bool) time.Duration {
 	least := time.Duration(0)
 	for i := range len(g.Pools) + len(g.Spare) {
 		p, _ := g.At(i)
+		if !allowed(p.target) {
+			continue
+		}
 		load := p.Load(now)
 		left := load.PauseLeft
 		if left > 0 && !load.Evacuated && (least == 0 || left < least) {
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -31,9 +31,12 @@
 type Options struct {
 	Host          string
 	FailureDomain string
-	CallerAddr    string
-	ReadyAddr     string
-	ReadyPath     string
+	// Regions has the regions of this host and of the failure domains, for routes with
+	// home regions.
+	Regions    catalog.Regions
+	CallerAddr string
+	ReadyAddr  string
+	ReadyPath  string
 	// StopWithin is the time from the stop signal until the process is killed.
 	StopWithin time.Duration
 	// DrainWithin is how long a target that reports that it is leaving may still be
@@ -142,9 +145,9 @@
 	e.follower = catalogsync.New(e.source, opts.Log, catalogsync.Hooks{
 		OnView: e.directory.Update, OnBatch: e.hub.Publish, LongestPause: e.longestStorePause,
 	})
-	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope})
+	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope, Regions: opts.Regions})
 	executor := relay.NewExecutor(relay.Options{
-		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard, Policy: opts.Policy, Gatherers: e.gatherers,
+		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Regions: opts.Regions, Guard: guard, Policy: opts.Policy, Gatherers: e.gatherers,
 	})
 	e.gather = gatherlink.NewServer(executor, opts.Log)
 	e.server = front.New(front.Options{
--- a/internal/wiring/edge/peers.go
+++ b/internal/wiring/edge/peers.go
@@ -62,6 +62,8 @@
 		e.hub.SelectGatherers(hosts)
 	}
 	gatherers := e.gatherersOf(hosts)
+	config := e.follower.View().Config
+	e.gatherers.RequireOwnRegion(config != nil && config.HasHomeRegions())
 	e.gatherers.SetGatherers(gatherers)
 	e.metrics.scope.Gauge("gatherers").Update(float64(len(gatherers)))
 	e.gatherers.SetExtra(targetpool.PassLimit(e.opts.ownExtra(), e.opts.Host, hosts, age))
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -40,6 +40,7 @@
 	hosts []*host
 	// readers are the addresses for links of the hosts that read the store.
 	readers []string
+	regions map[string]string
 }
 
 type host struct {
@@ -75,6 +76,8 @@
 	fault func(service, id string) searcher.Fault
 	// domain returns a searcher's failure domain; nil means that of the hosts for all.
 	domain func(id string) string
+	// regions has the regions of failure domains; hosts are in that of theirs.
+	regions map[string]string
 	// linked makes the hosts follow the first one, which reads the store.
 	linked bool
 }
@@ -91,7 +94,7 @@
 	})
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
-	c := &cluster{Deployment: d, t: t}
+	c := &cluster{Deployment: d, t: t, regions: o.regions}
 	if o.linked {
 		c.readers = loopback.Addrs(1)
 	}
@@ -126,6 +129,7 @@
 		CallerAddr: addrs[0], ReadyAddr: addrs[1], ReadyPath: platform.ReadyPath,
 		StopWithin:  3 * time.Second,
 		Extra:       extrabudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Regions:     catalog.Regions{Own: c.regions["z-1"], ByDomain: c.regions},
 		PeerAddr:    peer,
 		Readers:     func() []string { return c.readers },
 		MetricsAddr: h.metrics,
