--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/querypath/relay"
 	"github.com/swiftvane/swiftvane/internal/support/exitcode"
@@ -80,24 +81,26 @@
 
 func edgeOptions(node *platform.Node, file *nodeFile, log logrus.FieldLogger) edge.Options {
 	return edge.Options{
-		Host:          node.Host,
-		FailureDomain: node.FailureDomain,
-		CallerAddr:    node.CallerAddr,
-		ReadyAddr:     node.ReadyAddr,
-		ReadyPath:     platform.ReadyPath,
-		StopWithin:    node.StopWithin,
-		DrainWithin:   node.DrainWithin,
-		Extra:         extrabudget.Limit{Ratio: node.Extra.Ratio, Slack: node.Extra.Slack, Window: node.Extra.Window},
-		PeerAddr:      node.PeerAddr,
-		FirstStart:    node.FirstStart,
-		Readers:       file.seeds,
-		Capacity:      node.Capacity,
-		MemoryBytes:   node.MemoryBytes,
-		Store:         platform.NewStore(node.StoreAddr),
-		Decode:        platform.Decode,
-		CallerCodec:   platform.CallerCodec{},
-		TargetCodec:   platform.TargetCodec{},
-		MetricsAddr:   node.MetricsAddr,
-		Log:           log,
+		Host:           node.Host,
+		FailureDomain:  node.FailureDomain,
+		CallerAddr:     node.CallerAddr,
+		ReadyAddr:      node.ReadyAddr,
+		ReadyPath:      platform.ReadyPath,
+		StopWithin:     node.StopWithin,
+		DrainWithin:    node.DrainWithin,
+		Regions:        catalog.Regions{Own: node.Region, ByDomain: node.Regions},
+		EvacuateWithin: node.EvacuateWithin,
+		Extra:          extrabudget.Limit{Ratio: node.Extra.Ratio, Slack: node.Extra.Slack, Window: node.Extra.Window},
+		PeerAddr:       node.PeerAddr,
+		FirstStart:     node.FirstStart,
+		Readers:        file.seeds,
+		Capacity:       node.Capacity,
+		MemoryBytes:    node.MemoryBytes,
+		Store:          platform.NewStore(node.StoreAddr),
+		Decode:         platform.Decode,
+		CallerCodec:    platform.CallerCodec{},
+		TargetCodec:    platform.TargetCodec{},
+		MetricsAddr:    node.MetricsAddr,
+		Log:            log,
 	}
 }
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -47,6 +47,9 @@
 	// onLeaving is called with each new one.
 	leaving   map[LeavingTarget]time.Time
 	onLeaving func(t LeavingTarget, since time.Time)
+	// disputed has what a restored store says differently, until disputedUntil.
+	disputed      []entry
+	disputedUntil time.Time
 	// gatherers is the current selection. The sent fields are what the last heartbeat
 	// with them had.
 	gatherers     []gathering.Member
@@ -188,6 +191,7 @@
 	for _, e := range h.entries {
 		m.Entries = append(m.Entries, e)
 	}
+	h.addDisputed(m)
 	return m
 }
 
--- a/internal/querypath/relay/refusal.go
+++ b/internal/querypath/relay/refusal.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
@@ -14,27 +15,36 @@
 }
 
 // refuseUnserved refuses a request that no target of the group can take. If targets
-// have asked for a pause, the caller is told when the first one ends; otherwise the
-// refusal has the given reason.
+// have asked for a pause, the caller is told when the first one ends. If targets are
+// evacuated, the refusal says so; otherwise it has the given reason.
 func (r *run) refuseUnserved(g *targetpool.Group, reason exchange.Reason, now time.Time) *exchange.Answer {
 	if g != nil && !r.available(g, now) {
-		if left := g.PauseLeft(now); left > 0 {
+		if left := g.PauseLeft(now, r.allows); left > 0 {
 			return refuse(exchange.TargetsPaused, left)
 		}
+		if g.HasEvacuated(r.allows) {
+			return refuse(exchange.Evacuated, retryNoRoom)
+		}
 	}
 	return refuse(reason, retryNoRoom)
 }
 
+// allows reports whether the request may be sent to a target.
+func (r *run) allows(t *catalog.Target) bool {
+	return r.executor.opts.Regions.Allows(r.route, t.FailureDomain)
+}
+
 // available reports whether a target of the group can take a request.
 func (r *run) available(g *targetpool.Group, now time.Time) bool {
-	return r.executor.choose(g, nil, r.expectedTimes.usual, now).pool != nil
+	return r.executor.choose(r.route, g, nil, r.expectedTimes.usual, now).pool != nil
 }
 
 // refuseUnserved refuses a sweep for which too few shards have a target. If enough
 // shards would have one after the pauses that targets have asked for, the caller is
-// told when; otherwise the refusal has the given reason.
+// told when. If enough would have one without the evacuations, the refusal says so;
+// otherwise it has the given reason.
 func (s *sweep) refuseUnserved(reason exchange.Reason, now time.Time) *exchange.Answer {
-	available := 0
+	available, evacuated := 0, 0
 	var pauses []time.Duration
 	for i := range s.legs {
 		g := s.legs[i].group
@@ -43,15 +53,21 @@
 		case s.available(g, now):
 			available++
 		default:
-			if left := g.PauseLeft(now); left > 0 {
+			if left := g.PauseLeft(now, s.allows); left > 0 {
 				pauses = append(pauses, left)
+			} else if g.HasEvacuated(s.allows) {
+				evacuated++
 			}
 		}
 	}
 	missing := s.minShards - available
-	if missing <= 0 || missing > len(pauses) {
+	switch {
+	case missing > 0 && missing <= len(pauses):
+		slices.Sort(pauses)
+		return refuse(exchange.TargetsPaused, pauses[missing-1])
+	case missing > 0 && missing <= len(pauses)+evacuated:
+		return refuse(exchange.Evacuated, retryNoRoom)
+	default:
 		return refuse(reason, retryNoRoom)
 	}
-	slices.Sort(pauses)
-	return refuse(exchange.TargetsPaused, pauses[missing-1])
 }
--- a/internal/targets/targetpool/assign.go
+++ b/internal/targets/targetpool/assign.go
@@ -72,12 +72,13 @@
 	}
 }
 
-// release assigns an open connection to the next waiting call or makes it idle.
+// release assigns an open connection to the next waiting call or makes it idle. It
+// closes the connection if the pool is closed or the target evacuated.
 func (p *Pool) release(c *conn) {
 	now := time.Now()
 	p.mu.Lock()
 	p.unassign(c)
-	if p.closed {
+	if p.closed || p.evacuated {
 		delete(p.conns, c)
 		p.mu.Unlock()
 		c.close()
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -64,8 +64,10 @@
 	// withdrawn has what targets without a pool have said. It outlasts the entry of a
 	// target in the store, which may vanish and return.
 	withdrawn map[targetStart]withdrawal.State
-	budgets   map[catalog.ServiceName]*guardedBudget
-	current   atomic.Pointer[Snapshot]
+	// evacuations has the failure domains that are or were evacuated.
+	evacuations evacuations
+	budgets     map[catalog.ServiceName]*guardedBudget
+	current     atomic.Pointer[Snapshot]
 }
 
 // Snapshot is a view together with the pools of its targets that take new work.
@@ -85,6 +87,7 @@
 		opts: opts, started: time.Now(),
 		pools: map[catalog.TargetID]*Pool{}, withdrawn: map[targetStart]withdrawal.State{}, budgets: map[catalog.ServiceName]*guardedBudget{},
 	}
+	d.evacuations.endedAt = map[string]time.Time{}
 	d.view = catalog.NewView(nil, catalog.Position{}, nil)
 	d.current.Store(&Snapshot{View: d.view})
 	return d
@@ -139,12 +142,13 @@
 func (d *Directory) rebuild() {
 	v := d.view
 	for id, pool := range d.pools {
-		if t, ok := v.Targets[id]; !ok || !t.SameStart(pool.target) {
+		if t, ok := v.Targets[id]; !ok || !t.SameStart(pool.target) || t.FailureDomain != pool.target.FailureDomain {
 			delete(d.pools, id)
 			d.keepWithdrawal(pool)
 			pool.Close()
 		}
 	}
+	d.settleEvacuations(time.Now())
 	d.used, d.shards = nil, nil
 	if v.Config != nil {
 		d.used, d.shards = v.Config.InUse(), v.Config.Shards()
@@ -160,6 +164,7 @@
 		groups[name] = d.group(name)
 		d.fill(groups[name], targets)
 	}
+	d.addEvacuated(groups)
 	d.current.Store(&Snapshot{View: v, groups: groups})
 }
 
@@ -182,6 +187,7 @@
 			if spread := warmSpread(d.fleet.Hosts); spread > 0 {
 				pool.delayWarm(rand.N(spread))
 			}
+			d.returnGradually(pool, time.Now())
 			d.pools[t.ID] = pool
 		}
 		if i < own.targets {
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
 	"github.com/swiftvane/swiftvane/internal/face/front"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogshare"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
@@ -31,14 +33,20 @@
 type Options struct {
 	Host          string
 	FailureDomain string
-	CallerAddr    string
-	ReadyAddr     string
-	ReadyPath     string
+	// Regions has the regions of this host and of the failure domains, for routes with
+	// home regions.
+	Regions    catalog.Regions
+	CallerAddr string
+	ReadyAddr  string
+	ReadyPath  string
 	// StopWithin is the time from the stop signal until the process is killed.
 	StopWithin time.Duration
 	// DrainWithin is how long a target that reports that it is leaving may still be
 	// used.
 	DrainWithin time.Duration
+	// EvacuateWithin is the time within which an evacuation must be in effect; zero if
+	// it is unknown.
+	EvacuateWithin time.Duration
 	// Extra bounds the extra sub-requests of a service, summed over all hosts.
 	Extra extrabudget.Limit
 	// PeerAddr is the listen address for links of other hosts; empty for none.
@@ -119,6 +127,7 @@
 	lastReport time.Time
 	// warningBudget limits the log lines about unhealthy targets.
 	warningBudget *logging.Budget
+	evacuations   *evacuationMonitor
 }
 
 // New builds a host without starting it.
@@ -134,6 +143,7 @@
 		OnCrash: e.reportCrash, OnLeaving: e.reportLeaving, DrainWithin: opts.DrainWithin, Scope: e.metrics.scope,
 		Memory: e.memory,
 	})
+	e.evacuations = newEvacuationMonitor(opts.Log, e.metrics.scope, opts.EvacuateWithin)
 	guard := crashguard.New()
 	e.hub = catalogshare.NewHub(e.self(), guard, opts.Log)
 	e.hub.OnUnhealthyTargets(e.handleUnhealthyTargets)
@@ -148,9 +158,9 @@
 	e.follower = catalogsync.New(e.source, opts.Log, catalogsync.Hooks{
 		OnView: e.directory.Update, OnBatch: e.hub.Publish, LongestPause: e.longestStorePause,
 	})
-	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope})
+	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope, Regions: opts.Regions})
 	executor := relay.NewExecutor(relay.Options{
-		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard, Policy: opts.Policy, Gatherers: e.gatherers,
+		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Regions: opts.Regions, Guard: guard, Policy: opts.Policy, Gatherers: e.gatherers,
 		Memory: e.memory,
 	})
 	e.gather = gatherlink.NewServer(executor, opts.Log)
@@ -172,7 +182,7 @@
 	if err := e.ready.listen(e.opts.ReadyAddr, e.opts.Log); err != nil {
 		return err
 	}
-	if err := e.metrics.listen(e.opts.MetricsAddr); err != nil {
+	if err := e.metrics.listen(e.opts.MetricsAddr, map[string]http.HandlerFunc{adminapi.PathEvacuations: e.serveEvacuations}); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -243,6 +253,7 @@
 			e.metrics.scope.Gauge("bytes_held").Update(float64(e.memory.Held()))
 		}
 		e.reportHealth(hosts, now)
+		e.evacuations.update(e.directory.Evacuations(), now)
 		select {
 		case <-ctx.Done():
 			return
