Rate targets by the load that they report

Cause: a host rates a target's queue by its own requests in flight, while the target also has those of all other hosts. Under uneven demand it sends to full targets and avoids free ones.

Ruled out: passing reports on between hosts (older than their use on arrival); replacing the observed slowness by the reported time of work (a target behind a slow network would look healthy).

Change: platform reads Server-Load into exchange.Load; unreadable, negative and absurd values are ignored and counted. replica keeps the last report of each target, halves its weight every 100 ms and ignores it from 500 ms on. By that weight the reported wait replaces the wait assumed for requests in flight in Cost and Estimate, and a request is refused if its best target has just reported a queue that alone outlasts the caller's time. The header is still forwarded to callers. Without reports the arithmetic is the same as before.

--- a/internal/decision/replica/choose.go
+++ b/internal/decision/replica/choose.go
@@ -49,10 +49,12 @@
 
 // Cost returns the cost of sending a request to a candidate, in units of the
 // expected response time. It rises with the target's slowness, failures, stalls
-// and load.
+// and load. While the target's own report of its load is fresh, the wait that follows from
+// it replaces the one assumed for this host's requests in flight.
 func Cost(c Candidate, expected time.Duration) float64 {
 	l := c.Load
-	cost := l.Slowness * (1 + outstandingCost*float64(l.Outstanding+l.Waiting))
+	observedWait := l.Slowness * outstandingCost * float64(l.Outstanding+l.Waiting)
+	cost := l.slowness() + l.Reported.blend(l.Reported.Wait, observedWait)
 	if c.Warming {
 		cost *= warmingCost
 	}
--- a/internal/decision/replica/estimate.go
+++ b/internal/decision/replica/estimate.go
@@ -8,7 +8,23 @@
 // calls in the host's queue, the rate at which the target has worked off the queue so
 // far counts. Until that is known, the target is assumed to take the usual time for
 // each call and to serve as many at once as it has slots and the host connections.
+// While the target's own report of its load is fresh, the queue at the target counts
+// instead, behind which each connection of the host works off its part of the host's queue.
 func Estimate(l Load, usual time.Duration) time.Duration {
+	observed := estimateObserved(l, usual)
+	if l.Reported.Weight <= 0 {
+		return observed
+	}
+	once := (l.slowness() + l.Reported.Wait) * float64(usual)
+	rounds := 1.0
+	if l.Room <= 0 && l.Limit > 0 {
+		rounds += float64(1-l.Room) / float64(l.Limit)
+	}
+	return time.Duration(l.Reported.blend(once*rounds, float64(observed)))
+}
+
+// estimateObserved is Estimate from the host's own observations.
+func estimateObserved(l Load, usual time.Duration) time.Duration {
 	work := l.Slowness * float64(usual)
 	if l.Room > 0 || l.Limit <= 0 {
 		return time.Duration(work)
@@ -29,10 +45,16 @@
 
 // QueueExceeds reports whether a request sent now would wait in this host's queue
 // and take longer than within. It is false for any target with a free connection,
-// however slow, because a recovery can only be detected from replies.
+// however slow, because a recovery can only be detected from replies. The exception is a
+// target that has just reported a queue that alone takes longer: the report loses its
+// effect within reportHalfLife.
 //
 // Under overload, refusing such requests before any work on them starts keeps the
 // others in time.
 func QueueExceeds(l Load, usual, within time.Duration) bool {
-	return l.Room <= 0 && Estimate(l, usual) > within
+	if l.Room > 0 {
+		wait := l.Reported.Weight * l.Reported.Wait * float64(usual)
+		return l.Reported.Weight >= refusalWeight && wait > float64(within)
+	}
+	return Estimate(l, usual) > within
 }
--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -66,6 +66,7 @@
 	outstanding int
 	drain       drain
 	congestion  congestion
+	report      report
 }
 
 // Load is a snapshot of the state of a target.
@@ -103,6 +104,8 @@
 	Left    bool
 	// PauseLeft is the rest of the time for which the target wants no request.
 	PauseLeft time.Duration
+	// Reported is the load that the target reported recently.
+	Reported Reported
 }
 
 // Usable reports whether a request may be sent to the target at all.
@@ -116,6 +119,7 @@
 		s.silentSince = now
 	}
 	s.outstanding++
+	s.report.sentSince++
 }
 
 // Ended records the end of an exchange.
@@ -177,7 +181,7 @@
 // are left zero for the caller to set.
 func (s *Stats) Load(now time.Time) Load {
 	idle := now.Sub(s.updated)
-	load := Load{Slowness: 1, Outstanding: s.outstanding, Slots: s.Slots, DrainInterval: s.drain.interval()}
+	load := Load{Slowness: 1, Outstanding: s.outstanding, Slots: s.Slots, DrainInterval: s.drain.interval(), Reported: s.report.reported(now)}
 	if s.slowness > 0 {
 		load.Slowness = 1 + (s.slowness-1)*decayFactor(idle)
 	}
--- a/internal/domain/exchange/reply.go
+++ b/internal/domain/exchange/reply.go
@@ -32,6 +32,10 @@
 	// IdleTimeout is how long the target keeps an idle connection open; zero if
 	// the reply does not state it.
 	IdleTimeout time.Duration
+	// Load is the load that the target reported. InvalidLoad is set if it reported one that
+	// can't be read or can't be true.
+	Load        Load
+	InvalidLoad bool
 }
 
 // Success reports whether the reply has a 2xx status, a non-empty signature and a body
--- a/internal/standin/searcher/searcher.go
+++ b/internal/standin/searcher/searcher.go
@@ -75,6 +75,10 @@
 	leaving     bool
 	// pausedUntil is the end of the time in which all requests are refused.
 	pausedUntil time.Time
+	// reportsLoad, othersWaiting and reportedWork are what answers state of the load.
+	reportsLoad   bool
+	othersWaiting int
+	reportedWork  int
 }
 
 // Start starts a searcher that listens on addr; port 0 selects a free port.
@@ -169,6 +173,7 @@
 	if s.opts.Fault != nil {
 		fault = s.opts.Fault(id)
 	}
+	s.addLoad(w)
 	if s.refusing(w) || fault == Shed || !s.acquire(r) {
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.Header().Set(platform.HeaderRequestID, id)
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -149,6 +149,7 @@
 	p := c.pool
 	p.mu.Lock()
 	p.recordExchange(now, p.exchangeOf(call, resultOf(reply)))
+	p.noteLoad(reply, p.exchangeOf(call, resultOf(reply)), now)
 	c.idleTimeout = reply.IdleTimeout
 	first := c.replies == 0
 	c.replies++
