Share the rate of cold targets by leases of readers' lists

Cause: a service may state the rate that its targets sustain after a start. All hosts together must stay within a bound derived from it, although they don't know of each other's requests.

Ruled out: lists in the heartbeats with an age from the receipt (a message that was under way for a second gives a right that has ended); comparing the clocks of hosts (drift); 2 s until a new list is used (hosts of the old list, which send up to 1.6 s after its last confirmation, and hosts of the new one then send within one second).

Change: decision/warmup divides a third of the bound by each reader's list and states the invariant; a host may use a list after 2.65 s over one link while its last confirmation was asked for less than 1.6 s ago. catalogshare carries questions and answers under message key 24, only while a service has a bound. The answer is to one host and has no counts, so its cost doesn't grow with the fleet.

Tests: go test -race of both packages passes.

--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -12,6 +13,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
+	"github.com/swiftvane/swiftvane/internal/decision/warmup"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 )
@@ -56,6 +58,10 @@
 	upstream upstreamCount
 	// settled is set while this host considers its own count settled.
 	settled bool
+	// issuing issues lists of stewards. lease is this host's right to use one, which requests
+	// read without the lock.
+	issuing issuing
+	lease   atomic.Pointer[warmup.Lease]
 }
 
 // hostCount is what another reader last sent about itself and its followers.
@@ -248,6 +254,7 @@
 	}
 	h.addMembers(first, true)
 	h.followers[f] = true
+	h.issuing.joins++
 	h.mu.Unlock()
 	var reading sync.WaitGroup
 	// The server reuses the connection's buffers once this function returns, so
@@ -259,7 +266,7 @@
 		defer h.mu.Unlock()
 		h.remove(f)
 	}()
-	reading.Go(func() { h.readFollower(conn) })
+	reading.Go(func() { h.readFollower(conn, f) })
 	raw, err := encode(first)
 	if err != nil {
 		h.log.WithError(err).Error("catalog message can't be encoded")
@@ -272,7 +279,7 @@
 
 // readFollower handles a follower's crash reports and samples until the link ends, or a
 // follower that reports periodically is silent for reportTimeout. It then closes the link, which makes the next write on it fail.
-func (h *Hub) readFollower(conn *websocket.Conn) {
+func (h *Hub) readFollower(conn *websocket.Conn, f *follower) {
 	defer closeLink(conn, h.log)
 	for {
 		_, raw, err := conn.ReadMessage()
@@ -287,6 +294,7 @@
 		h.addCrashReports(m.CrashReports)
 		h.addLeaving(m.Leaving)
 		h.addSamples(m.Samples)
+		h.answerStewards(f, m.Stewards)
 		if !m.Reports {
 			continue
 		}
--- a/internal/hosts/catalogshare/link.go
+++ b/internal/hosts/catalogshare/link.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fasthttp/websocket"
@@ -19,6 +20,9 @@
 	errStale  = errors.New("the reader's data is stale")
 )
 
+// linkNumbers counts the links of this process. The first one has the number 1.
+var linkNumbers atomic.Uint64
+
 // link is an outgoing link to a reader.
 type link struct {
 	addr string
@@ -26,6 +30,8 @@
 	// messages is closed when the link ends.
 	messages chan *message
 	log      logrus.FieldLogger
+	// number tells the links of this process apart.
+	number uint64
 
 	// writing is held while a message is written.
 	writing sync.Mutex
@@ -49,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{addr: addr, conn: conn, messages: make(chan *message, outboxCapacity), log: log}
+	l := &link{addr: addr, conn: conn, messages: make(chan *message, outboxCapacity), log: log, number: linkNumbers.Add(1)}
 	go l.read()
 	return l, nil
 }
--- a/internal/hosts/catalogshare/members.go
+++ b/internal/hosts/catalogshare/members.go
@@ -13,13 +13,19 @@
 func (h *Hub) SelectGatherers(hosts int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.gatherers = gathering.Select(h.allMembers(), gathering.Count(hosts))
+}
+
+// allMembers returns the members that this reader and the others know. The caller holds the
+// lock.
+func (h *Hub) allMembers() []gathering.Member {
 	members := h.ownMembers()
 	for _, other := range h.readerCounts {
 		if time.Since(other.at) < countTTL {
 			members = append(members, other.members...)
 		}
 	}
-	h.gatherers = gathering.Select(members, gathering.Count(hosts))
+	return members
 }
 
 // Gatherers returns the gatherers that this host selected or, if it is a follower, got
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -52,7 +52,8 @@
 }
 
 // message is sent in both directions of a link. A hub fills all fields but
-// Samples; a follower sends only CrashReports, Leaving and Samples.
+// Samples; a follower sends only CrashReports, Leaving, Samples and Stewards. An answer to
+// Stewards has no counts.
 type message struct {
 	// Full messages hold all entries, others only changed ones.
 	Full bool `cbor:"1,keyasint,omitempty"`
@@ -90,6 +91,9 @@
 	// Reports is set by a follower that sends its samples periodically, even if there
 	// are none: the reader takes its silence for its end.
 	Reports bool `cbor:"18,keyasint,omitempty"`
+	// Stewards is a host's question about the hosts that may send to cold targets, or the
+	// reader's answer to one.
+	Stewards *stewards `cbor:"24,keyasint,omitempty"`
 }
 
 // position returns the sender's position in the store's history.
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -65,6 +65,9 @@
 	// mu guards sharedLink, the copy of link for goroutines other than the owner.
 	mu         sync.Mutex
 	sharedLink *link
+	// leaseMu is held while the hub's lease is replaced, and guards asked.
+	leaseMu sync.Mutex
+	asked   askedQuestions
 }
 
 var _ catalogsync.Source = (*Source)(nil)
@@ -167,10 +170,13 @@
 	if m.position().Before(known) {
 		return catalogsync.Batch{}, errStale
 	}
-	s.opts.Hub.recordUpstream(m)
+	if m.Stewards == nil {
+		s.opts.Hub.recordUpstream(m)
+	}
 	s.opts.Hub.addCrashReports(m.CrashReports)
 	s.opts.Hub.addLeaving(m.Leaving)
 	s.opts.Hub.notifyUnhealthy(m.Unhealthy)
+	s.confirmStewards(s.link, m.Stewards)
 	batch := catalogsync.Batch{
 		Full: m.Full, Position: m.position(), AfterOutage: m.AfterOutage,
 		AsOf: time.Now().Add(-time.Duration(m.AgeMS) * time.Millisecond),
