Bound the requests to cold targets over all hosts

Cause: cold targets of services with warmup_per_s crash if all hosts send them requests at the usual rate.

Ruled out: taking each first reading of an entry for a start just now where the target states its start time (a host that restarts would take all targets for cold); reading warmup_left_ms anew with each reading of an unchanged entry.

Change: a target is cold by its entry, by Warmup-Ms in a reply, by a start that the host sees first, or after an evacuation (Pool.resumed, to be connected). targetpool takes a permit when it assigns a call to a connection; without one the target is held (replica.Load.Held) and calls end as not run and move on. Metrics cold_targets, cold_permits and calls_held_for_cold. Without warmup_per_s nothing changes.

Tests: go test -race of targetpool, relay, catalogsync, catalogshare, platform, wiring/edge and the new tests of test/edge pass. With the check in Pool.Submit taken out, five of the new targetpool tests fail. In a first version of the edge test five requests came within a second where four were allowed, since arrivals are less evenly spaced than sends: the window is 50 ms longer than a second.

--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -88,6 +88,7 @@
 		StopWithin:    node.StopWithin,
 		DrainWithin:   node.DrainWithin,
 		Extra:         extrabudget.Limit{Ratio: node.Extra.Ratio, Slack: node.Extra.Slack, Window: node.Extra.Window},
+		Cold:          edge.ColdBound{Over: node.Cold.Over, Slack: node.Cold.Slack},
 		PeerAddr:      node.PeerAddr,
 		FirstStart:    node.FirstStart,
 		Readers:       file.seeds,
--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -104,13 +104,16 @@
 	Left    bool
 	// PauseLeft is the rest of the time for which the target wants no request.
 	PauseLeft time.Duration
+	// Held is the time until this host may send one more request to the target, which is
+	// cold; 0 if it may now.
+	Held time.Duration
 	// Reported is the load that the target reported recently.
 	Reported Reported
 }
 
 // Usable reports whether a request may be sent to the target at all.
 func (l *Load) Usable() bool {
-	return !l.Unreachable && !l.Moved && !l.Left && l.PauseLeft <= 0
+	return !l.Unreachable && !l.Moved && !l.Left && l.PauseLeft <= 0 && l.Held <= 0
 }
 
 // Sent records the start of an exchange.
--- a/internal/domain/catalog/config.go
+++ b/internal/domain/catalog/config.go
@@ -23,6 +23,11 @@
 	// MaxConns is the number of connections that each of its targets accepts
 	// from all hosts combined.
 	MaxConns int
+	// Warmup is how long a target is cold after a start.
+	Warmup time.Duration
+	// WarmupPerSecond is the number of requests a second that a cold target sustains; 0 if it
+	// is not bounded.
+	WarmupPerSecond float64
 }
 
 // Config is one published version of the configuration.
--- a/internal/domain/catalog/target.go
+++ b/internal/domain/catalog/target.go
@@ -24,6 +24,8 @@
 	Born int64
 	// WarmUntil is the end of the target's warm-up after its start.
 	WarmUntil time.Time
+	// Revision is the store's revision of the entry.
+	Revision int64
 }
 
 // SameStart reports whether t and other describe the same start of a process at
--- a/internal/domain/exchange/account.go
+++ b/internal/domain/exchange/account.go
@@ -57,6 +57,9 @@
 const (
 	// CauseNoTarget means that no target of the service could be reached.
 	CauseNoTarget Cause = "no_target"
+	// CauseWarming means that the targets that could be reached are cold and this host has
+	// no permit for a request to them.
+	CauseWarming Cause = "targets_warming"
 	// CauseNotSent means that no attempt was made although a target was reachable.
 	CauseNotSent Cause = "not_sent"
 	// CauseQueue means that no attempt was made since the queue for the best target is
--- a/internal/domain/exchange/answer.go
+++ b/internal/domain/exchange/answer.go
@@ -39,6 +39,7 @@
 	NoTarget        Reason = "no_target"
 	NoRoom          Reason = "no_room"
 	TargetsPaused   Reason = "targets_paused"
+	TargetsWarming  Reason = "targets_warming"
 	TargetFailed    Reason = "target_failed"
 	TargetSilent    Reason = "target_silent"
 	GathererLost    Reason = "gatherer_lost"
--- a/internal/domain/exchange/reply.go
+++ b/internal/domain/exchange/reply.go
@@ -36,6 +36,9 @@
 	// can't be read or can't be true.
 	Load        Load
 	InvalidLoad bool
+	// Warmup is for how long the target is still cold, if StatesWarmup is set.
+	Warmup       time.Duration
+	StatesWarmup bool
 }
 
 // Success reports whether the reply has a 2xx status, a non-empty signature and a body
--- a/internal/hosts/catalogsync/state.go
+++ b/internal/hosts/catalogsync/state.go
@@ -105,7 +105,7 @@
 	delete(s.pendingRemovals, t.ID)
 	s.restore.written(t, now)
 	s.targets[t.ID] = t
-	if known && old.SameStart(t) && old.Leaving == t.Leaving && old.FailureDomain == t.FailureDomain && old.Slots == t.Slots {
+	if known && old.SameStart(t) && old.Leaving == t.Leaving && old.FailureDomain == t.FailureDomain && old.Slots == t.Slots && !s.coldAgain(old, t) {
 		return false
 	}
 	s.log.WithFields(logrus.Fields{"target": t.ID, "service": t.Service, "addr": t.Addr, "leaving": t.Leaving, "revision": c.Revision}).Info("target changed")
--- a/internal/querypath/relay/refusal.go
+++ b/internal/querypath/relay/refusal.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"slices"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
@@ -14,12 +13,12 @@
 }
 
 // refuseUnserved refuses a request that no target of the group can take. If targets
-// have asked for a pause, the caller is told when the first one ends; otherwise the
-// refusal has the given reason.
+// have asked for a pause or are cold, the caller is told when the first one may take a
+// request; otherwise the refusal has the given reason.
 func (r *run) refuseUnserved(g *targetpool.Group, reason exchange.Reason, now time.Time) *exchange.Answer {
 	if g != nil && !r.available(g, now) {
-		if left := g.PauseLeft(now); left > 0 {
-			return refuse(exchange.TargetsPaused, left)
+		if w := waitFor(g, now); w.left > 0 {
+			return refuse(w.reason, w.left)
 		}
 	}
 	return refuse(reason, retryNoRoom)
@@ -31,11 +30,12 @@
 }
 
 // refuseUnserved refuses a sweep for which too few shards have a target. If enough
-// shards would have one after the pauses that targets have asked for, the caller is
-// told when; otherwise the refusal has the given reason.
+// shards would have one after the pauses that targets have asked for, or once this host
+// has permits for cold targets, the caller is told when; otherwise the refusal has the given
+// reason.
 func (s *sweep) refuseUnserved(reason exchange.Reason, now time.Time) *exchange.Answer {
 	available := 0
-	var pauses []time.Duration
+	var waits []wait
 	for i := range s.legs {
 		g := s.legs[i].group
 		switch {
@@ -43,15 +43,15 @@
 		case s.available(g, now):
 			available++
 		default:
-			if left := g.PauseLeft(now); left > 0 {
-				pauses = append(pauses, left)
+			if w := waitFor(g, now); w.left > 0 {
+				waits = append(waits, w)
 			}
 		}
 	}
 	missing := s.minShards - available
-	if missing <= 0 || missing > len(pauses) {
+	if missing <= 0 || missing > len(waits) {
 		return refuse(reason, retryNoRoom)
 	}
-	slices.Sort(pauses)
-	return refuse(exchange.TargetsPaused, pauses[missing-1])
+	sortWaits(waits)
+	return refuse(waits[missing-1].reason, waits[missing-1].left)
 }
--- a/internal/querypath/relay/trace.go
+++ b/internal/querypath/relay/trace.go
@@ -50,7 +50,7 @@
 func (l *leg) explain(now time.Time) exchange.Leg {
 	e := exchange.Leg{Service: string(l.service), Tried: len(l.attempts)}
 	if len(l.attempts) == 0 {
-		e.Cause, e.EstimateMS = l.causeNotSent(), l.queue.Milliseconds()
+		e.Cause, e.EstimateMS = l.causeNotSent(now), l.queue.Milliseconds()
 		return e
 	}
 	last := l.attempts[l.lastAttempt()]
@@ -73,12 +73,14 @@
 }
 
 // causeNotSent returns why a leg has no attempt.
-func (l *leg) causeNotSent() exchange.Cause {
+func (l *leg) causeNotSent(now time.Time) exchange.Cause {
 	switch {
 	case l.queue > 0:
 		return exchange.CauseQueue
 	case l.reachable:
 		return exchange.CauseNotSent
+	case l.group != nil && l.group.PermitLeft(now) > 0:
+		return exchange.CauseWarming
 	default:
 		return exchange.CauseNoTarget
 	}
--- /dev/null
+++ b/internal/querypath/relay/warming.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
+)
+
+// wait is after which time a group whose targets take no request may have one that does.
+type wait struct {
+	left   time.Duration
+	reason exchange.Reason
+}
+
+// waitFor returns the wait for a group: until the first pause ends that its targets have
+// asked for, or until this host has the next permit for a cold target, whichever is sooner.
+// It is zero if neither is the reason that they take no request.
+func waitFor(g *targetpool.Group, now time.Time) wait {
+	pause, permit := g.PauseLeft(now), g.PermitLeft(now)
+	switch {
+	case permit > 0 && (pause <= 0 || permit < pause):
+		return wait{left: permit, reason: exchange.TargetsWarming}
+	case pause > 0:
+		return wait{left: pause, reason: exchange.TargetsPaused}
+	default:
+		return wait{}
+	}
+}
+
+// sortWaits orders waits by their time.
+func sortWaits(waits []wait) {
+	slices.SortFunc(waits, func(a, b wait) int { return cmp.Compare(a.left, b.left) })
+}
--- a/internal/standin/searcher/searcher.go
+++ b/internal/standin/searcher/searcher.go
@@ -79,6 +79,9 @@
 	reportsLoad   bool
 	othersWaiting int
 	reportedWork  int
+	// coldUntil is the end of the warm-up, coldArrivals are the requests during it.
+	coldUntil    time.Time
+	coldArrivals []time.Time
 }
 
 // Start starts a searcher that listens on addr; port 0 selects a free port.
@@ -174,6 +177,7 @@
 		fault = s.opts.Fault(id)
 	}
 	s.addLoad(w)
+	s.noteCold(w)
 	if s.refusing(w) || fault == Shed || !s.acquire(r) {
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.Header().Set(platform.HeaderRequestID, id)
--- a/internal/targets/targetpool/assign.go
+++ b/internal/targets/targetpool/assign.go
@@ -49,6 +49,7 @@
 	c.call = call
 	c.used = true
 	p.stats.Sent(now)
+	p.countCold(now)
 }
 
 // release assigns an open connection to the next waiting call or makes it idle.
@@ -74,6 +75,9 @@
 // and returns the calls. The caller holds the lock and sends them after releasing it.
 func (p *Pool) assignWaiting(now time.Time) []*Call {
 	var assigned []*Call
+	if held := p.takeHeld(now); len(held) > 0 {
+		go endAll(held, ErrWarming, now)
+	}
 	for len(p.waiting) > 0 {
 		c := p.takeFree(now)
 		if c == nil {
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -163,8 +163,10 @@
 		delete(p.conns, c)
 	}
 	withdrawn := p.noteWithdrawal(reply, now)
+	held := p.noteWarmup(reply, now)
 	p.mu.Unlock()
 	p.endWithdrawn(withdrawn, now)
+	endAll(held, ErrWarming, now)
 	finish(call, Outcome{Reply: reply, Verdict: verdictOf(reply), FirstOnConn: first, Ended: now})
 	if !good {
 		return false
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -38,6 +38,8 @@
 	// that the host connects to.
 	Host          string
 	FailureDomain string
+	// Cold bounds the requests to cold targets.
+	Cold ColdOptions
 }
 
 // Directory holds the pools of the current view's targets. A target that was
@@ -59,6 +61,7 @@
 	// target in the store, which may vanish and return.
 	withdrawn map[targetStart]withdrawal.State
 	budgets   map[catalog.ServiceName]*guardedBudget
+	cold      *coldTargets
 	current   atomic.Pointer[Snapshot]
 }
 
@@ -79,6 +82,7 @@
 		opts: opts, started: time.Now(),
 		pools: map[catalog.TargetID]*Pool{}, withdrawn: map[targetStart]withdrawal.State{}, budgets: map[catalog.ServiceName]*guardedBudget{},
 	}
+	d.cold = newColdTargets(&opts)
 	d.view = catalog.NewView(nil, catalog.Position{}, nil)
 	d.current.Store(&Snapshot{View: d.view})
 	return d
@@ -136,6 +140,7 @@
 		if t, ok := v.Targets[id]; !ok || !t.SameStart(pool.target) {
 			delete(d.pools, id)
 			d.keepWithdrawal(pool)
+			d.cold.keep(pool, time.Now())
 			pool.Close()
 		}
 	}
@@ -144,6 +149,7 @@
 	if v.Config != nil {
 		used, d.shards = v.Config.InUse(), v.Config.Shards()
 	}
+	d.cold.notePermits(v.Config)
 	for name, b := range d.budgets {
 		b.setLimit(d.limitOf(name))
 	}
@@ -169,16 +175,13 @@
 			targets = sameDomainFirst(d.opts.FailureDomain, targets)
 		}
 	}
+	bound, now := d.boundOf(g.Service), time.Now()
 	for i, t := range targets {
 		pool, ok := d.pools[t.ID]
 		if !ok {
-			pool = NewPool(t, &d.opts)
-			pool.withdrawal = d.withdrawn[startOf(t)]
-			if spread := warmSpread(d.fleet.Hosts); spread > 0 {
-				pool.delayWarm(rand.N(spread))
-			}
-			d.pools[t.ID] = pool
+			pool = d.open(t)
 		}
+		pool.setBound(bound, t, !ok, now)
 		if i < own.targets {
 			pool.Resize(own.conns, warmPerTarget)
 			g.Pools = append(g.Pools, pool)
@@ -190,6 +193,19 @@
 	}
 }
 
+// open returns a new pool for a target. The lock is held.
+func (d *Directory) open(t *catalog.Target) *Pool {
+	pool := NewPool(t, &d.opts)
+	pool.withdrawal = d.withdrawn[startOf(t)]
+	pool.cold.shared = d.cold
+	d.cold.restore(pool)
+	if spread := warmSpread(d.fleet.Hosts); spread > 0 {
+		pool.delayWarm(rand.N(spread))
+	}
+	d.pools[t.ID] = pool
+	return pool
+}
+
 // shareOf returns this host's share of the connections to the targets of a service.
 // Where a few hosts gather sweeps for all, only these keep connections to shards. The
 // lock is held.
--- a/internal/targets/targetpool/errors.go
+++ b/internal/targets/targetpool/errors.go
@@ -8,6 +8,7 @@
 	ErrClosed      = errors.New("the target is no longer in use")
 	ErrLeaving     = errors.New("the target is leaving")
 	ErrPaused      = errors.New("the target asked for a pause")
+	ErrWarming     = errors.New("this host has no permit for the cold target")
 	ErrExpired     = errors.New("the deadline passed before a connection was free")
 	errNoReply     = errors.New("the connection ended before any reply")
 	errStrayBytes  = errors.New("unexpected bytes on an idle connection")
--- a/internal/targets/targetpool/load.go
+++ b/internal/targets/targetpool/load.go
@@ -13,9 +13,9 @@
 	switch {
 	case reply.OtherTarget:
 	case reply.InvalidLoad:
-		p.scope.Counter("target_loads_invalid").Inc(1)
+		p.loadsInvalid.Inc(1)
 	case reply.Load.Reported():
-		p.scope.Counter("target_loads").Inc(1)
+		p.loads.Inc(1)
 		p.stats.Reported(now, reply.Load, e)
 	}
 }
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -2,9 +2,11 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/swiftvane/swiftvane/internal/decision/replica"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
@@ -64,6 +66,11 @@
 	onLeaving func(*catalog.Target)
 	drain     time.Duration
 	scope     metrics.Scope
+	// loads and loadsInvalid count the loads that the target reported.
+	loads, loadsInvalid tally.Counter
+	cold                coldState
+	// coldUntil is until when the target is cold, nil for never. It is written with the lock.
+	coldUntil atomic.Pointer[time.Time]
 }
 
 // lostCall is a request that was in flight on a connection that broke.
@@ -96,9 +103,11 @@
 
 // NewPool returns a pool without connections.
 func NewPool(target *catalog.Target, opts *Options) *Pool {
+	scope := scopeOf(opts)
 	return &Pool{
+		loads: scope.Counter("target_loads"), loadsInvalid: scope.Counter("target_loads_invalid"),
 		target: target, codec: opts.Codec, dialer: opts.Dialer, limit: 1, onCrash: opts.OnCrash,
-		onLeaving: opts.OnLeaving, drain: opts.DrainWithin, scope: scopeOf(opts),
+		onLeaving: opts.OnLeaving, drain: opts.DrainWithin, scope: scope,
 		log:   opts.Log.WithFields(logrus.Fields{"target": target.ID, "service": target.Service, "addr": target.Addr}),
 		conns: map[*conn]bool{}, stats: replica.Stats{Slots: target.Slots},
 	}
@@ -140,6 +149,7 @@
 	load.Moved = p.moved
 	load.Leaving, load.Left = p.withdrawal.Leaving(), p.withdrawal.Left(now)
 	load.PauseLeft = p.withdrawal.PauseLeft(now)
+	load.Held = p.held(now)
 	return load
 }
 
@@ -168,6 +178,12 @@
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: err, Ended: now})
 		return
 	}
+	if p.held(now) > 0 {
+		p.cold.shared.heldBack(1)
+		p.mu.Unlock()
+		call.Done(Outcome{Verdict: verdict.NotRun, Err: ErrWarming, Ended: now})
+		return
+	}
 	if c := p.takeFree(now); c != nil {
 		p.assign(c, call, now)
 		p.mu.Unlock()
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -39,6 +39,8 @@
 	DrainWithin time.Duration
 	// Extra bounds the extra sub-requests of a service, summed over all hosts.
 	Extra extrabudget.Limit
+	// Cold bounds the requests to cold targets, summed over all hosts.
+	Cold ColdBound
 	// PeerAddr is the listen address for links of other hosts; empty for none.
 	// Readers returns the addresses of the hosts that read the store for the
 	// others.
@@ -106,23 +108,26 @@
 	fleetHosts atomic.Int64
 	// lastReport is the time of the last health report. It is used by one goroutine.
 	lastReport time.Time
+	// stewarding is set while a service bounds the requests to its cold targets. It is used by
+	// the same goroutine.
+	stewarding bool
 	// warningBudget limits the log lines about unhealthy targets.
 	warningBudget *logging.Budget
 }
 
 // New builds a host without starting it.
 func New(opts Options) *Edge {
+	guard := crashguard.New()
 	e := &Edge{opts: opts, metrics: newMetricsServer(opts.Log), warningBudget: logging.NewBudget(warningLinesPerSecond)}
+	e.hub = catalogshare.NewHub(e.self(), guard, opts.Log)
 	e.directory = targetpool.NewDirectory(targetpool.Options{
 		Codec:  opts.TargetCodec,
 		Dialer: targetpool.TCPDialer{},
 		Log:    opts.Log,
 		Extra:  opts.ownExtra(),
 		Host:   opts.Host, FailureDomain: opts.FailureDomain,
-		OnCrash: e.reportCrash, OnLeaving: e.reportLeaving, DrainWithin: opts.DrainWithin, Scope: e.metrics.scope,
+		OnCrash: e.reportCrash, OnLeaving: e.reportLeaving, DrainWithin: opts.DrainWithin, Scope: e.metrics.scope, Cold: e.coldOptions(),
 	})
-	guard := crashguard.New()
-	e.hub = catalogshare.NewHub(e.self(), guard, opts.Log)
 	e.hub.OnUnhealthyTargets(e.handleUnhealthyTargets)
 	e.hub.OnLeavingTarget(e.handleLeavingTarget)
 	firstWait := time.Duration(0)
@@ -223,8 +228,10 @@
 		e.updateFleet(hosts, domains.update(e.hub.Domains(), now), now.Sub(started))
 		e.metrics.fleet(hosts, e.follower.View())
 		e.reportHealth(hosts, now)
+		e.updateStewards(hosts, now)
 		select {
 		case <-ctx.Done():
+			e.stopStewards()
 			return
 		case now = <-ticker.C:
 		}
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -38,6 +38,9 @@
 	*deployment.Deployment
 	t     *testing.T
 	hosts []*host
+	// linked is set if the hosts have links to each other; then the first one is the reader.
+	linked  bool
+	readers []string
 }
 
 type host struct {
@@ -70,6 +73,8 @@
 	hosts int
 	work  time.Duration
 	fault func(service, id string) searcher.Fault
+	// linked gives the hosts links to the first one.
+	linked bool
 }
 
 func shardName(i int) string { return deployment.Shard(i) }
@@ -84,7 +89,7 @@
 	})
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
-	c := &cluster{Deployment: d, t: t}
+	c := &cluster{Deployment: d, t: t, linked: o.linked}
 	for i := range max(o.hosts, 1) {
 		c.addHost(i)
 	}
@@ -103,13 +108,21 @@
 	log.SetOutput(buffer)
 	log.SetFormatter(&logrus.JSONFormatter{})
 	addrs := loopback.Addrs(2)
+	peer := ""
+	if c.linked {
+		peer = loopback.Addr()
+		c.readers = append(c.readers, peer)
+	}
+	readers := c.readers[:min(len(c.readers), 1)]
 	h := &host{addr: addrs[0], ready: addrs[1], log: buffer}
 	h.edge = edge.New(edge.Options{
 		Host: "host-" + strconv.Itoa(i), FailureDomain: "z-1",
 		CallerAddr: addrs[0], ReadyAddr: addrs[1], ReadyPath: platform.ReadyPath,
 		StopWithin:  3 * time.Second,
 		Extra:       extrabudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-		Readers:     func() []string { return nil },
+		Cold:        edge.ColdBound{Over: 1.5, Slack: 5},
+		PeerAddr:    peer,
+		Readers:     func() []string { return readers },
 		Store:       platform.NewStore(c.Store.Addr()),
 		Decode:      platform.Decode,
 		CallerCodec: platform.CallerCodec{},
