Take a target that is reachable again for cold before its entry says so

Cause: a target that crashes and starts again is reachable before its new entry has come. The pool of the old start sent to it at the full rate meanwhile, and the new pool began with an unused share.

Ruled out: counting each lost connection as a start (a network fault would make warm targets cold for warmup_s).

Change: where a service bounds the requests to cold targets, an address that accepts a connection after one was refused (ECONNREFUSED) is cold for warmup_s. The count of requests outlasts the change of the start.

Tests: go test -race -count=3 of targetpool passes; the new test fails without the call in Pool.connect.

--- a/internal/targets/targetpool/cold.go
+++ b/internal/targets/targetpool/cold.go
@@ -1,6 +1,8 @@
 package targetpool
 
 import (
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/decision/warmup"
@@ -41,6 +43,8 @@
 	// revision is the revision of the entry whose warm-up is taken into account.
 	revision int64
 	sent     warmup.Window
+	// refused is set since the last dial found no process at the target's address.
+	refused bool
 	// shared belongs to the directory; nil for a pool without one, which has no bound.
 	shared *coldTargets
 }
@@ -88,6 +92,20 @@
 	}
 }
 
+// noteDial records the outcome of a dial. A target that accepts a connection after there was
+// no process at its address has started again, before its entry says so. The caller holds the
+// lock.
+func (p *Pool) noteDial(err error, now time.Time) {
+	if err != nil {
+		p.cold.refused = p.cold.refused || errors.Is(err, syscall.ECONNREFUSED)
+		return
+	}
+	if p.cold.refused && p.cold.bound.bounded {
+		p.extendCold(now.Add(p.cold.bound.warmup), coldByStart, now)
+	}
+	p.cold.refused = false
+}
+
 // noteWarmup records for how long a reply says that the target is cold, and returns the
 // waiting calls that may not be sent any more. The caller holds the lock and ends them after
 // releasing it.
--- a/internal/targets/targetpool/cold_test.go
+++ b/internal/targets/targetpool/cold_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,9 +43,13 @@
 	return reply, err
 }
 
-type plainDialer struct{}
+// coldDialer connects to the target unless its process is gone.
+type coldDialer struct{ gone atomic.Bool }
 
-func (plainDialer) Dial(string, time.Duration) (net.Conn, error) {
+func (d *coldDialer) Dial(string, time.Duration) (net.Conn, error) {
+	if d.gone.Load() {
+		return nil, syscall.ECONNREFUSED
+	}
 	return echo.Connect(echoTime, nil), nil
 }
 
@@ -51,15 +57,16 @@
 type coldDirectory struct {
 	*Directory
 	t        *testing.T
+	dialer   *coldDialer
 	mu       sync.Mutex
 	list     *warmup.List
 	revision int64
 }
 
 func newColdDirectory(t *testing.T, perSecond float64, target *catalog.Target) *coldDirectory {
-	d := &coldDirectory{t: t, list: &warmup.List{Hosts: 1}}
+	d := &coldDirectory{t: t, dialer: &coldDialer{}, list: &warmup.List{Hosts: 1}}
 	d.Directory = NewDirectory(Options{
-		Codec: coldCodec{}, Dialer: plainDialer{}, Log: discardLogger(), Host: "h",
+		Codec: coldCodec{}, Dialer: d.dialer, Log: discardLogger(), Host: "h",
 		Cold: ColdOptions{Over: 1.5, Slack: 3, Addr: "h", Stewards: func(time.Time) *warmup.List {
 			d.mu.Lock()
 			defer d.mu.Unlock()
@@ -257,3 +264,27 @@
 		require.Empty(t, d.cold.pools)
 	})
 }
+
+// TestTargetThatAcceptsAfterRefusalIsCold guards against the full rate to a restarted process
+// until its new entry has come, and against a second share when it comes.
+func TestTargetThatAcceptsAfterRefusalIsCold(t *testing.T) {
+	coldTest(t, coldPerS, bornLongAgo, func(d *coldDirectory) {
+		require.NoError(t, (<-d.submit("r")).Err)
+		d.dialer.gone.Store(true)
+		pool := d.pool()
+		pool.mu.Lock()
+		conn := pool.idle[0]
+		pool.mu.Unlock()
+		conn.close()
+		require.Eventually(t, func() bool { return pool.Load(time.Now()).Unreachable }, time.Minute, time.Millisecond)
+		d.dialer.gone.Store(false)
+		require.Eventually(t, func() bool { return !pool.Load(time.Now()).Unreachable }, time.Minute, time.Millisecond)
+		require.True(t, pool.Warming(time.Now()))
+		sent, _ := d.flood(300 * time.Millisecond)
+		require.Len(t, sent, coldShare)
+		d.update(coldPerS, bornNow())
+		require.NotSame(t, pool, d.pool())
+		sent, _ = d.flood(300 * time.Millisecond)
+		require.Empty(t, sent, "the share of this second is used")
+	})
+}
--- a/internal/targets/targetpool/coldtargets.go
+++ b/internal/targets/targetpool/coldtargets.go
@@ -43,7 +43,7 @@
 
 	mu    sync.Mutex
 	pools map[*Pool]bool
-	kept  map[targetStart]keptCold
+	kept  map[catalog.TargetID]keptCold
 	// reported is set if the gauges may differ from zero.
 	reported bool
 }
@@ -52,7 +52,7 @@
 	scope := scopeOf(opts)
 	return &coldTargets{
 		opts: opts.Cold, scope: scope, log: opts.Log, budget: logging.NewBudget(coldLinesPerSecond),
-		held: scope.Counter("calls_held_for_cold"), pools: map[*Pool]bool{}, kept: map[targetStart]keptCold{},
+		held: scope.Counter("calls_held_for_cold"), pools: map[*Pool]bool{}, kept: map[catalog.TargetID]keptCold{},
 	}
 }
 
--- a/internal/targets/targetpool/dial.go
+++ b/internal/targets/targetpool/dial.go
@@ -97,6 +97,7 @@
 	}
 	c := newConn(p, raw)
 	p.mu.Lock()
+	p.noteDial(nil, c.opened)
 	p.dialing--
 	p.lost = nil
 	p.conns[c] = true
@@ -115,6 +116,7 @@
 		p.connRefusedAt = now
 	}
 	p.recordFailure(now, err)
+	p.noteDial(err, now)
 	unserved := p.takeUnservable()
 	lost := p.lost
 	p.lost = nil
