Keep a host's share of a cold target for each list

Change: the pool keeps the share until the list or the bound changes.

Tests: go test -race of targetpool passes.

--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -169,8 +169,9 @@
 
 // choose returns the best target of a group that is not in tried, or a choice with
 // a nil pool if there is none. Targets that are unreachable, have moved or paused are
-// excluded, cold ones for which this host has no permit, and leaving ones after the first attempt. Spare targets have a higher cost,
-// so they are used only while those of the host's own share are slow, failing or gone.
+// excluded, cold ones for which this host has no permit, and leaving ones after the first
+// attempt. Spare targets have a higher cost, so they are used only while those of the host's
+// own share are slow, failing or gone.
 func (e *Executor) choose(g *targetpool.Group, tried []*targetpool.Pool, usual time.Duration, now time.Time) choice {
 	size := len(g.Pools) + len(g.Spare)
 	left := make([]*targetpool.Pool, 0, size)
--- a/internal/targets/targetpool/cold.go
+++ b/internal/targets/targetpool/cold.go
@@ -43,6 +43,9 @@
 	// revision is the revision of the entry whose warm-up is taken into account.
 	revision int64
 	sent     warmup.Window
+	// share is this host's share by the list, which is kept since it takes some hashing.
+	share int
+	list  *warmup.List
 	// refused is set since the last dial found no process at the target's address.
 	refused bool
 	// shared belongs to the directory; nil for a pool without one, which has no bound.
@@ -55,7 +58,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	unread := first || !p.cold.bound.bounded || entry.Revision != p.cold.revision
-	p.cold.bound, p.cold.revision = bound, entry.Revision
+	p.cold.bound, p.cold.revision, p.cold.list = bound, entry.Revision, nil
 	if !bound.bounded {
 		p.coldUntil.Store(nil)
 		return
--- a/internal/targets/targetpool/coldtargets.go
+++ b/internal/targets/targetpool/coldtargets.go
@@ -26,7 +26,7 @@
 	// Addr is this host's address in lists of stewards.
 	Addr string
 	// Stewards returns the list of stewards that this host may use at a time, nil for none. It
-	// must not block. A nil function counts as none, so that cold targets get nothing.
+	// must not block, and the list must not change. A nil function counts as none, so that cold targets get nothing.
 	Stewards func(now time.Time) *warmup.List
 }
 
@@ -66,7 +66,11 @@
 	if list == nil {
 		return 0
 	}
-	return list.Share(c.opts.Addr, string(p.target.ID), p.cold.bound.shard, p.cold.bound.permits)
+	if list != p.cold.list {
+		bound := p.cold.bound
+		p.cold.share, p.cold.list = list.Share(c.opts.Addr, string(p.target.ID), bound.shard, bound.permits), list
+	}
+	return p.cold.share
 }
 
 // begun records that a target has become cold. The pool's lock is held.
