Name stewards only where a service needs them

The list named stewards also where each host has a permit of its own, so each restart of one of them stopped all requests to cold targets for nothing.

Change: stewards are in the list only if some service has fewer permits than there are hosts.

Tests: go test -race of catalogshare, targetpool, wiring/edge and the tests of cold targets in test/edge passes.

--- a/internal/hosts/catalogshare/stewardship.go
+++ b/internal/hosts/catalogshare/stewardship.go
@@ -15,7 +15,9 @@
 // Stewardship says which lists of stewards a reader issues.
 type Stewardship struct {
 	// Permits is the greatest number of permits of any service, 0 if this host issues no list.
-	Permits int
+	// LeastPermits is the least one.
+	Permits      int
+	LeastPermits int
 	// Hosts is the number of hosts that are assumed at least.
 	Hosts int
 	// Gathers is set if the fleet has gatherers.
@@ -60,15 +62,19 @@
 	return i.list, i.generation
 }
 
-// stewardList returns the list that follows from the hosts known now. The caller holds the
+// stewardList returns the list that follows from the hosts known now. It names stewards only
+// where a service needs them, since each change of a list suspends its use. The caller holds the
 // lock.
 func (h *Hub) stewardList() warmup.List {
 	var list warmup.List
 	stewardship := h.issuing.stewardship
-	if hosts := max(h.hosts(), stewardship.Hosts); hosts <= stewardship.Permits {
+	hosts := max(h.hosts(), stewardship.Hosts)
+	if hosts <= stewardship.Permits {
 		list.Hosts = hosts
 	}
-	list.Stewards = addrsOf(gathering.Select(h.allMembers(), warmup.MaxStewards))
+	if hosts > stewardship.LeastPermits {
+		list.Stewards = addrsOf(gathering.Select(h.allMembers(), warmup.MaxStewards))
+	}
 	if stewardship.Gathers {
 		list.Gatherers = addrsOf(h.gatherers)
 	}
--- a/internal/targets/targetpool/cold_test.go
+++ b/internal/targets/targetpool/cold_test.go
@@ -255,7 +255,8 @@
 func TestServiceWithoutBoundIsServedAsBefore(t *testing.T) {
 	coldTest(t, 0, bornNow, func(d *coldDirectory) {
 		d.setList(nil)
-		require.Zero(t, d.ColdPermits())
+		_, most := d.ColdPermits()
+		require.Zero(t, most)
 		require.NoError(t, (<-d.submit("cold")).Err)
 		d.pool().resumed(time.Now(), coldWarmup)
 		require.False(t, d.pool().Warming(time.Now()))
--- a/internal/targets/targetpool/coldtargets.go
+++ b/internal/targets/targetpool/coldtargets.go
@@ -38,8 +38,8 @@
 	log    logrus.FieldLogger
 	budget *logging.Budget
 	held   tally.Counter
-	// most is the greatest number of permits of a service.
-	most atomic.Int64
+	// permitRange has the least and the greatest number of permits of a service.
+	permitRange atomic.Pointer[permitRange]
 
 	mu    sync.Mutex
 	pools map[*Pool]bool
@@ -50,10 +50,12 @@
 
 func newColdTargets(opts *Options) *coldTargets {
 	scope := scopeOf(opts)
-	return &coldTargets{
+	c := &coldTargets{
 		opts: opts.Cold, scope: scope, log: opts.Log, budget: logging.NewBudget(coldLinesPerSecond),
 		held: scope.Counter("calls_held_for_cold"), pools: map[*Pool]bool{}, kept: map[catalog.TargetID]keptCold{},
 	}
+	c.permitRange.Store(&permitRange{})
+	return c
 }
 
 // share returns how many requests in any one second this host may send to the pool's target.
@@ -109,22 +111,40 @@
 	return warmup.Permits(service.WarmupPerSecond, over, c.opts.Slack)
 }
 
-// notePermits records the greatest number of permits of the services of a configuration.
+// permitRange is a range of numbers of permits; both are 0 if there are none.
+type permitRange struct{ least, most int }
+
+// notePermits records the permits of the services of a configuration.
 func (c *coldTargets) notePermits(config *catalog.Config) {
-	most := 0
+	r := permitRange{}
 	if config != nil {
 		for _, service := range config.Services {
 			if service.WarmupPerSecond > 0 {
-				most = max(most, c.permits(service))
+				r.add(c.permits(service))
 			}
 		}
 	}
-	c.most.Store(int64(most))
+	c.permitRange.Store(&r)
 }
 
-// ColdPermits returns the greatest number of permits that a cold target of any service has for
-// the hosts with lists of one reader, 0 if no service bounds the requests to its cold targets.
-func (d *Directory) ColdPermits() int { return int(d.cold.most.Load()) }
+// add extends the range to include a number of permits, unless it is 0.
+func (r *permitRange) add(permits int) {
+	if permits <= 0 {
+		return
+	}
+	r.most = max(r.most, permits)
+	if r.least == 0 || permits < r.least {
+		r.least = permits
+	}
+}
+
+// ColdPermits returns the least and the greatest number of permits that a cold target of any
+// service has for the hosts with lists of one reader; 0 if no service bounds the requests to its
+// cold targets, or none has a permit.
+func (d *Directory) ColdPermits() (least, most int) {
+	r := d.cold.permitRange.Load()
+	return r.least, r.most
+}
 
 // UpdateCold sets the gauges of cold targets and logs those that have become warm. It must be
 // called periodically; its work grows with the number of cold targets only.
--- a/internal/wiring/edge/cold.go
+++ b/internal/wiring/edge/cold.go
@@ -27,8 +27,8 @@
 // issues as a reader. It does nothing while no service bounds the requests to its cold targets.
 func (e *Edge) updateStewards(hosts int, now time.Time) {
 	e.directory.UpdateCold(now)
-	permits := e.directory.ColdPermits()
-	if permits == 0 {
+	least, most := e.directory.ColdPermits()
+	if most == 0 {
 		e.stopStewards()
 		return
 	}
@@ -37,7 +37,7 @@
 	stewardship := catalogshare.Stewardship{}
 	if issues {
 		stewardship = catalogshare.Stewardship{
-			Permits: permits, Hosts: hosts, Gathers: len(e.gatherersOf(hosts)) > 0,
+			LeastPermits: least, Permits: most, Hosts: hosts, Gathers: len(e.gatherersOf(hosts)) > 0,
 		}
 	}
 	e.hub.SetStewardship(stewardship)
