--- a/cmd/swiftvaned/platform.go
+++ b/cmd/swiftvaned/platform.go
@@ -91,6 +91,7 @@
 		Regions:        catalog.Regions{Own: node.Region, ByDomain: node.Regions},
 		EvacuateWithin: node.EvacuateWithin,
 		Extra:          extrabudget.Limit{Ratio: node.Extra.Ratio, Slack: node.Extra.Slack, Window: node.Extra.Window},
+		Cold:           edge.ColdBound{Over: node.Cold.Over, Slack: node.Cold.Slack},
 		PeerAddr:       node.PeerAddr,
 		FirstStart:     node.FirstStart,
 		Readers:        file.seeds,
--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -66,6 +66,7 @@
 	outstanding int
 	drain       drain
 	congestion  congestion
+	report      report
 }
 
 // Load is a snapshot of the state of a target.
@@ -107,11 +108,16 @@
 	// Withheld is the share of requests, 0 to 1, that the target doesn't get yet.
 	Evacuated bool
 	Withheld  float64
+	// Held is the time until this host may send one more request to the target, which is
+	// cold; 0 if it may now.
+	Held time.Duration
+	// Reported is the load that the target reported recently.
+	Reported Reported
 }
 
 // Usable reports whether a request may be sent to the target at all.
 func (l *Load) Usable() bool {
-	return !l.Unreachable && !l.Moved && !l.Left && !l.Evacuated && l.PauseLeft <= 0
+	return !l.Unreachable && !l.Moved && !l.Left && !l.Evacuated && l.PauseLeft <= 0 && l.Held <= 0
 }
 
 // Sent records the start of an exchange.
@@ -120,6 +126,7 @@
 		s.silentSince = now
 	}
 	s.outstanding++
+	s.report.sentSince++
 }
 
 // Ended records the end of an exchange.
@@ -181,7 +188,7 @@
 // are left zero for the caller to set.
 func (s *Stats) Load(now time.Time) Load {
 	idle := now.Sub(s.updated)
-	load := Load{Slowness: 1, Outstanding: s.outstanding, Slots: s.Slots, DrainInterval: s.drain.interval()}
+	load := Load{Slowness: 1, Outstanding: s.outstanding, Slots: s.Slots, DrainInterval: s.drain.interval(), Reported: s.report.reported(now)}
 	if s.slowness > 0 {
 		load.Slowness = 1 + (s.slowness-1)*decayFactor(idle)
 	}
--- a/internal/domain/exchange/account.go
+++ b/internal/domain/exchange/account.go
@@ -62,6 +62,9 @@
 	// CauseEvacuated means that the service has evacuated targets and no other one could
 	// be reached.
 	CauseEvacuated Cause = "evacuated"
+	// CauseWarming means that the targets that could be reached are cold and this host has
+	// no permit for a request to them.
+	CauseWarming Cause = "targets_warming"
 	// CauseNotSent means that no attempt was made although a target was reachable.
 	CauseNotSent Cause = "not_sent"
 	// CauseQueue means that no attempt was made since the queue for the best target is
--- a/internal/domain/exchange/answer.go
+++ b/internal/domain/exchange/answer.go
@@ -40,6 +40,7 @@
 	NoRoom          Reason = "no_room"
 	TargetsPaused   Reason = "targets_paused"
 	Evacuated       Reason = "evacuated"
+	TargetsWarming  Reason = "targets_warming"
 	TargetFailed    Reason = "target_failed"
 	TargetSilent    Reason = "target_silent"
 	GathererLost    Reason = "gatherer_lost"
--- a/internal/querypath/relay/refusal.go
+++ b/internal/querypath/relay/refusal.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"slices"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
@@ -15,12 +14,12 @@
 }
 
 // refuseUnserved refuses a request that no target of the group can take. If targets
-// have asked for a pause, the caller is told when the first one ends. If targets are
-// evacuated, the refusal says so; otherwise it has the given reason.
+// have asked for a pause or are cold, the caller is told when the first one may take a
+// request. If targets are evacuated, the refusal says so; otherwise it has the given reason.
 func (r *run) refuseUnserved(g *targetpool.Group, reason exchange.Reason, now time.Time) *exchange.Answer {
 	if g != nil && !r.available(g, now) {
-		if left := g.PauseLeft(now, r.allows); left > 0 {
-			return refuse(exchange.TargetsPaused, left)
+		if w := waitFor(g, now, r.allows); w.left > 0 {
+			return refuse(w.reason, w.left)
 		}
 		if g.HasEvacuated(r.allows) {
 			return refuse(exchange.Evacuated, retryNoRoom)
@@ -40,12 +39,12 @@
 }
 
 // refuseUnserved refuses a sweep for which too few shards have a target. If enough
-// shards would have one after the pauses that targets have asked for, the caller is
-// told when. If enough would have one without the evacuations, the refusal says so;
-// otherwise it has the given reason.
+// shards would have one after the pauses that targets have asked for, or once this host
+// has permits for cold targets, the caller is told when. If enough would have one without
+// the evacuations, the refusal says so; otherwise it has the given reason.
 func (s *sweep) refuseUnserved(reason exchange.Reason, now time.Time) *exchange.Answer {
 	available, evacuated := 0, 0
-	var pauses []time.Duration
+	var waits []wait
 	for i := range s.legs {
 		g := s.legs[i].group
 		switch {
@@ -53,8 +52,8 @@
 		case s.available(g, now):
 			available++
 		default:
-			if left := g.PauseLeft(now, s.allows); left > 0 {
-				pauses = append(pauses, left)
+			if w := waitFor(g, now, s.allows); w.left > 0 {
+				waits = append(waits, w)
 			} else if g.HasEvacuated(s.allows) {
 				evacuated++
 			}
@@ -62,10 +61,10 @@
 	}
 	missing := s.minShards - available
 	switch {
-	case missing > 0 && missing <= len(pauses):
-		slices.Sort(pauses)
-		return refuse(exchange.TargetsPaused, pauses[missing-1])
-	case missing > 0 && missing <= len(pauses)+evacuated:
+	case missing > 0 && missing <= len(waits):
+		sortWaits(waits)
+		return refuse(waits[missing-1].reason, waits[missing-1].left)
+	case missing > 0 && missing <= len(waits)+evacuated:
 		return refuse(exchange.Evacuated, retryNoRoom)
 	default:
 		return refuse(reason, retryNoRoom)
--- a/internal/querypath/relay/trace.go
+++ b/internal/querypath/relay/trace.go
@@ -50,7 +50,7 @@
 func (r *run) explainLeg(l *leg, now time.Time) exchange.Leg {
 	e := exchange.Leg{Service: string(l.service), Tried: len(l.attempts)}
 	if len(l.attempts) == 0 {
-		e.Cause, e.EstimateMS = r.causeNotSent(l), l.queue.Milliseconds()
+		e.Cause, e.EstimateMS = r.causeNotSent(l, now), l.queue.Milliseconds()
 		return e
 	}
 	last := l.attempts[l.lastAttempt()]
@@ -73,7 +73,7 @@
 }
 
 // causeNotSent returns why a leg has no attempt.
-func (r *run) causeNotSent(l *leg) exchange.Cause {
+func (r *run) causeNotSent(l *leg, now time.Time) exchange.Cause {
 	switch {
 	case l.queue > 0:
 		return exchange.CauseQueue
@@ -81,6 +81,8 @@
 		return exchange.CauseNotSent
 	case l.group != nil && l.group.HasEvacuated(r.allows):
 		return exchange.CauseEvacuated
+	case l.group != nil && l.group.PermitLeft(now, r.allows) > 0:
+		return exchange.CauseWarming
 	default:
 		return exchange.CauseNoTarget
 	}
--- a/internal/standin/searcher/searcher.go
+++ b/internal/standin/searcher/searcher.go
@@ -84,6 +84,13 @@
 	leaving bool
 	// pausedUntil is the end of the time in which all requests are refused.
 	pausedUntil time.Time
+	// reportsLoad, othersWaiting and reportedWork are what answers state of the load.
+	reportsLoad   bool
+	othersWaiting int
+	reportedWork  int
+	// coldUntil is the end of the warm-up, coldArrivals are the requests during it.
+	coldUntil    time.Time
+	coldArrivals []time.Time
 }
 
 // Start starts a searcher that listens on addr; port 0 selects a free port.
@@ -178,6 +185,8 @@
 	if s.opts.Fault != nil {
 		fault = s.opts.Fault(id)
 	}
+	s.addLoad(w)
+	s.noteCold(w)
 	if s.refusing(w) || fault == Shed || !s.acquire(r) {
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.Header().Set(platform.HeaderRequestID, id)
--- a/internal/targets/targetpool/assign.go
+++ b/internal/targets/targetpool/assign.go
@@ -61,6 +61,7 @@
 	c.used = true
 	c.setDeadline(call)
 	p.stats.Sent(now)
+	p.countCold(now)
 }
 
 // unassign ends the binding of the connection to its call, if it has one. The caller
@@ -96,6 +97,9 @@
 // and returns the calls. The caller holds the lock and sends them after releasing it.
 func (p *Pool) assignWaiting(now time.Time) []*Call {
 	var assigned []*Call
+	if held := p.takeHeld(now); len(held) > 0 {
+		go endAll(held, ErrWarming, now)
+	}
 	for len(p.waiting) > 0 {
 		c := p.takeFree(now)
 		if c == nil {
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -168,6 +168,7 @@
 	p := c.pool
 	p.mu.Lock()
 	p.recordExchange(now, p.exchangeOf(call, resultOf(reply)))
+	p.noteLoad(reply, p.exchangeOf(call, resultOf(reply)), now)
 	c.idleTimeout = reply.IdleTimeout
 	first := c.replies == 0
 	c.replies++
@@ -181,8 +182,10 @@
 		delete(p.conns, c)
 	}
 	withdrawn := p.noteWithdrawal(reply, now)
+	held := p.noteWarmup(reply, now)
 	p.mu.Unlock()
 	p.endWithdrawn(withdrawn, now)
+	endAll(held, ErrWarming, now)
 	finish(call, Outcome{Reply: reply, Verdict: verdictOf(reply), FirstOnConn: first, Ended: now})
 	if !good {
 		return false
--- a/internal/targets/targetpool/errors.go
+++ b/internal/targets/targetpool/errors.go
@@ -9,6 +9,7 @@
 	ErrLeaving     = errors.New("the target is leaving")
 	ErrPaused      = errors.New("the target asked for a pause")
 	ErrEvacuated   = errors.New("the target's failure domain is evacuated")
+	ErrWarming     = errors.New("this host has no permit for the cold target")
 	ErrExpired     = errors.New("the deadline passed before a connection was free")
 	errNoReply     = errors.New("the connection ended before any reply")
 	errStrayBytes  = errors.New("unexpected bytes on an idle connection")
--- a/internal/targets/targetpool/evacuations.go
+++ b/internal/targets/targetpool/evacuations.go
@@ -48,6 +48,7 @@
 			d.evacuations.pools[t.FailureDomain] = append(d.evacuations.pools[t.FailureDomain], p)
 		case p.isEvacuated():
 			p.resume(now, d.returnPeriod(t.Service))
+			p.resumed(now, p.cold.bound.warmup)
 		}
 	}
 }
@@ -90,7 +91,7 @@
 	if d.view.Config == nil {
 		return slowstart.MinPeriod
 	}
-	return slowstart.Period(d.view.Config.Services[name].WarmUp)
+	return slowstart.Period(d.view.Config.Services[name].Warmup)
 }
 
 // addEvacuated adds the evacuated targets to their groups. The lock is held.
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/swiftvane/swiftvane/internal/decision/replica"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
@@ -69,6 +71,11 @@
 	onLeaving func(*catalog.Target)
 	drain     time.Duration
 	scope     metrics.Scope
+	// loads and loadsInvalid count the loads that the target reported.
+	loads, loadsInvalid tally.Counter
+	cold                coldState
+	// coldUntil is until when the target is cold, nil for never. It is written with the lock.
+	coldUntil atomic.Pointer[time.Time]
 }
 
 // lostCall is a request that was in flight on a connection that broke.
@@ -102,9 +109,11 @@
 // NewPool returns a pool without connections.
 func NewPool(target *catalog.Target, opts *Options) *Pool {
 	heads, _ := opts.Codec.(exchange.HeadChecker)
+	scope := scopeOf(opts)
 	return &Pool{
+		loads: scope.Counter("target_loads"), loadsInvalid: scope.Counter("target_loads_invalid"),
 		target: target, codec: opts.Codec, heads: heads, memory: newMemory(opts), dialer: opts.Dialer, limit: 1, onCrash: opts.OnCrash,
-		onLeaving: opts.OnLeaving, drain: opts.DrainWithin, scope: scopeOf(opts),
+		onLeaving: opts.OnLeaving, drain: opts.DrainWithin, scope: scope,
 		log:   opts.Log.WithFields(logrus.Fields{"target": target.ID, "service": target.Service, "addr": target.Addr}),
 		conns: map[*conn]bool{}, stats: replica.Stats{Slots: target.Slots},
 	}
@@ -147,6 +156,7 @@
 	load.Leaving, load.Left = p.withdrawal.Leaving(), p.withdrawal.Left(now)
 	load.PauseLeft = p.withdrawal.PauseLeft(now)
 	load.Evacuated, load.Withheld = p.evacuated, p.withheld(now)
+	load.Held = p.held(now)
 	return load
 }
 
@@ -178,6 +188,12 @@
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: err, Ended: now})
 		return
 	}
+	if p.held(now) > 0 {
+		p.cold.shared.heldBack(1)
+		p.mu.Unlock()
+		call.Done(Outcome{Verdict: verdict.NotRun, Err: ErrWarming, Ended: now})
+		return
+	}
 	if c := p.takeFreeFor(call, now); c != nil {
 		p.assign(c, call, now)
 		p.mu.Unlock()
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -49,6 +49,8 @@
 	EvacuateWithin time.Duration
 	// Extra bounds the extra sub-requests of a service, summed over all hosts.
 	Extra extrabudget.Limit
+	// Cold bounds the requests to cold targets, summed over all hosts.
+	Cold ColdBound
 	// PeerAddr is the listen address for links of other hosts; empty for none.
 	// Readers returns the addresses of the hosts that read the store for the
 	// others.
@@ -125,6 +127,9 @@
 	fleetHosts atomic.Int64
 	// lastReport is the time of the last health report. It is used by one goroutine.
 	lastReport time.Time
+	// stewarding is set while a service bounds the requests to its cold targets. It is used by
+	// the same goroutine.
+	stewarding bool
 	// warningBudget limits the log lines about unhealthy targets.
 	warningBudget *logging.Budget
 	evacuations   *evacuationMonitor
@@ -132,8 +137,10 @@
 
 // New builds a host without starting it.
 func New(opts Options) *Edge {
+	guard := crashguard.New()
 	e := &Edge{opts: opts, accepted: make(chan struct{}), metrics: newMetricsServer(opts.Log), warningBudget: logging.NewBudget(warningLinesPerSecond)}
 	e.memory = bytebudget.New(bytebudget.Options{Limit: opts.MemoryBytes / memoryShare, Scope: e.metrics.scope, Log: opts.Log})
+	e.hub = catalogshare.NewHub(e.self(), guard, opts.Log)
 	e.directory = targetpool.NewDirectory(targetpool.Options{
 		Codec:  opts.TargetCodec,
 		Dialer: targetpool.TCPDialer{},
@@ -141,11 +148,9 @@
 		Extra:  opts.ownExtra(),
 		Host:   opts.Host, FailureDomain: opts.FailureDomain,
 		OnCrash: e.reportCrash, OnLeaving: e.reportLeaving, DrainWithin: opts.DrainWithin, Scope: e.metrics.scope,
-		Memory: e.memory,
+		Cold: e.coldOptions(), Memory: e.memory,
 	})
 	e.evacuations = newEvacuationMonitor(opts.Log, e.metrics.scope, opts.EvacuateWithin)
-	guard := crashguard.New()
-	e.hub = catalogshare.NewHub(e.self(), guard, opts.Log)
 	e.hub.OnUnhealthyTargets(e.handleUnhealthyTargets)
 	e.hub.OnLeavingTarget(e.handleLeavingTarget)
 	firstWait := time.Duration(0)
@@ -254,8 +259,10 @@
 		}
 		e.reportHealth(hosts, now)
 		e.evacuations.update(e.directory.Evacuations(), now)
+		e.updateStewards(hosts, now)
 		select {
 		case <-ctx.Done():
+			e.stopStewards()
 			return
 		case now = <-ticker.C:
 		}
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -137,6 +137,7 @@
 		MemoryBytes: c.opts.memory,
 		Extra:       extrabudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Regions:     catalog.Regions{Own: c.regions["z-1"], ByDomain: c.regions},
+		Cold:        edge.ColdBound{Over: 1.5, Slack: 5},
 		PeerAddr:    peer,
 		Readers:     func() []string { return c.readers },
 		MetricsAddr: h.metrics,
