Learn the periodic pauses of targets and avoid them

Phases are discarded on a restart and after the wall clock and the monotonic clock have drifted apart by 50 ms.

Ruled out: a fixed share of fitting differences as the threshold (a period of 9.9 s beside 2% of late replies was not found, short periods fit by chance); evidence after Chernoff instead. Counting ends at other times against a period: once pauses are avoided, most late replies have other causes.

Tests with -race of stall, replica, targetpool, relay and edge pass.

--- a/internal/decision/replica/choose.go
+++ b/internal/decision/replica/choose.go
@@ -37,6 +37,9 @@
 	// distrustCost is the added cost of a target that other hosts report as slow or
 	// failing. It exceeds spareCost, so that a healthy spare target is preferred.
 	distrustCost = 3
+	// foreseenCap bounds the added cost of a predicted pause, so that a wrong prediction
+	// does not outweigh that a target is leaving or fails.
+	foreseenCap = 12
 	// leavingCost is the added cost of a target that is leaving. It exceeds all others
 	// of a target that can answer, so that a leaving target is the last choice.
 	leavingCost = 100
@@ -48,8 +51,8 @@
 )
 
 // Cost returns the cost of sending a request to a candidate, in units of the
-// expected response time. It rises with the target's slowness, failures, stalls
-// and load.
+// expected response time. It rises with the target's slowness, failures, stalls,
+// predicted pauses and load.
 func Cost(c Candidate, expected time.Duration) float64 {
 	l := c.Load
 	cost := l.Slowness * (1 + outstandingCost*float64(l.Outstanding+l.Waiting))
@@ -69,6 +72,7 @@
 	if l.Distrusted {
 		cost += distrustCost
 	}
+	cost += min(foreseen(l, expected), foreseenCap)
 	if l.Room <= 0 {
 		cost += fullCost * float64(1-l.Room)
 	}
@@ -81,6 +85,20 @@
 	return cost
 }
 
+// foreseen returns the extra time that a predicted pause costs a request sent now, in
+// expected response times.
+func foreseen(l Load, expected time.Duration) float64 {
+	if expected <= 0 {
+		return 0
+	}
+	return float64(l.ForeseenStall.Extra(workOf(l, expected))) / float64(expected)
+}
+
+// workOf returns the time that a target takes for a request.
+func workOf(l Load, expected time.Duration) time.Duration {
+	return time.Duration(l.Slowness * float64(expected))
+}
+
 // stalled reports whether the target has sent no reply for stallFactor times the
 // time it usually takes.
 func stalled(l Load, expected time.Duration) bool {
--- a/internal/decision/replica/congestion.go
+++ b/internal/decision/replica/congestion.go
@@ -10,6 +10,9 @@
 	// congested is the multiple of the work time from which on requests wait at the
 	// target.
 	congested = 2.5
+	// overloaded is the multiple from which on the queue explains late replies. A target
+	// that is slow for a while comes near congested without a queue.
+	overloaded = 3.5
 )
 
 // congestion measures how much longer a target takes than the work itself: requests of
--- a/internal/decision/replica/estimate.go
+++ b/internal/decision/replica/estimate.go
@@ -8,7 +8,14 @@
 // calls in the host's queue, the rate at which the target has worked off the queue so
 // far counts. Until that is known, the target is assumed to take the usual time for
 // each call and to serve as many at once as it has slots and the host connections.
+// A predicted pause adds the time that the request spends in it.
 func Estimate(l Load, usual time.Duration) time.Duration {
+	took := estimate(l, usual)
+	return took + l.ForeseenStall.Extra(took)
+}
+
+// estimate is Estimate without predicted pauses.
+func estimate(l Load, usual time.Duration) time.Duration {
 	work := l.Slowness * float64(usual)
 	if l.Room > 0 || l.Limit <= 0 {
 		return time.Duration(work)
--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/swiftvane/swiftvane/internal/decision/stall"
 )
 
 // Result classifies the end of an exchange with respect to the target's health.
@@ -31,6 +33,9 @@
 	// unknown.
 	Work   time.Duration
 	Result Result
+	// Foreseen is the part of the exchange that predicted pauses of the target took. It
+	// counts neither as slowness nor as a fault.
+	Foreseen time.Duration
 	// Queued is set if calls waited for a connection to the target when it ended.
 	Queued bool
 }
@@ -101,6 +106,9 @@
 	// must not be used any more.
 	Leaving bool
 	Left    bool
+	// ForeseenStall is the pause in progress or the next one, as predicted from earlier
+	// ones. Stalled does not include it.
+	ForeseenStall stall.Window
 	// PauseLeft is the rest of the time for which the target wants no request.
 	PauseLeft time.Duration
 }
@@ -123,20 +131,33 @@
 	s.outstanding--
 	s.decay(now)
 	s.drain.ended(now, e.Result, e.Queued, s.Slots)
-	s.congestion.ended(now.Sub(e.Sent), e.Work, e.Result)
+	took := now.Sub(e.Sent) - e.Foreseen
+	s.congestion.ended(took, e.Work, e.Result)
 	if e.Result != Silent {
 		s.silentSince = now
 	}
+	if e.Excused(now) {
+		return
+	}
 	failure := 0.0
 	if e.Result != Served {
 		failure = 1
 	}
 	s.failureRate += failureGain * (failure - s.failureRate)
 	if e.Result == Served || e.Result == Silent {
-		s.observe(now.Sub(e.Sent), e.Expected)
+		s.observe(took, e.Expected)
 	}
 }
 
+// Excused reports whether an exchange that ended at now without a reply did so because of
+// a predicted pause.
+func (e *Exchange) Excused(now time.Time) bool {
+	return e.Result == Silent && e.Foreseen > 0 && 2*e.Foreseen >= now.Sub(e.Sent)
+}
+
+// Overloaded reports whether most requests wait at the target.
+func (s *Stats) Overloaded() bool { return s.congestion.ratio >= overloaded }
+
 // UsableConns returns how many of conns connections may carry requests at once.
 func (s *Stats) UsableConns(conns int) int { return s.congestion.limit(conns) }
 
--- /dev/null
+++ b/internal/querypath/relay/foreseen_test.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"bufio"
+	"net"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/standin/echo"
+	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
+)
+
+const (
+	pausePeriod = 3 * time.Second
+	pauseLength = 120 * time.Millisecond
+	pauseWork   = 20 * time.Millisecond
+)
+
+// pausingDialer connects to targets that pause periodically from the phase in their address
+// on, in milliseconds, until stopped.
+type pausingDialer struct {
+	began time.Time
+	// lasts is how long after began the targets pause at all.
+	lasts time.Duration
+}
+
+func (d pausingDialer) Dial(addr string, _ time.Duration) (net.Conn, error) {
+	near, far := net.Pipe()
+	phase, err := strconv.Atoi(addr)
+	if err != nil {
+		return nil, err
+	}
+	go func() {
+		defer func() { _ = far.Close() }()
+		lines := bufio.NewReader(far)
+		for {
+			line, err := lines.ReadString('\n')
+			if err != nil {
+				return
+			}
+			time.Sleep(d.takes(time.Since(d.began), time.Duration(phase)*time.Millisecond))
+			if _, err := far.Write([]byte(line)); err != nil {
+				return
+			}
+		}
+	}()
+	return near, nil
+}
+
+// takes returns the time that a request takes that arrives at the given time.
+func (d pausingDialer) takes(at, phase time.Duration) time.Duration {
+	into := (at - phase + pausePeriod) % pausePeriod
+	switch {
+	case at > d.lasts:
+		return pauseWork
+	case into < pauseLength:
+		return pauseLength - into + pauseWork
+	case into+pauseWork > pausePeriod:
+		return pauseLength + pauseWork
+	default:
+		return pauseWork
+	}
+}
+
+// playPauses serves a request each 25 ms from two targets that pause for a while, and
+// returns the share of late answers in each ten seconds.
+func playPauses(t *testing.T, pausing, lasts time.Duration) []float64 {
+	var late []float64
+	synctest.Test(t, func(t *testing.T) {
+		const interval, slice = 25 * time.Millisecond, 10 * time.Second
+		dialer := pausingDialer{began: time.Now(), lasts: pausing}
+		route := &catalog.Route{
+			Name: "r", Prefix: "/", Host: "h", Timeout: 2 * time.Second, Objective: 500 * time.Millisecond, MaxAttempts: 1,
+			Split: []catalog.WeightedService{{Service: "s", Weight: 1}},
+		}
+		config := catalog.NewConfig(1, []*catalog.Route{route}, map[catalog.ServiceName]catalog.Service{"s": {Name: "s", MaxConns: 16}}, catalog.Limits{})
+		directory := targetpool.NewDirectory(targetpool.Options{Codec: echo.Codec{}, Dialer: dialer, Log: discardLogger(), Host: "host", Extra: extrabudget.Limit{Window: time.Second}})
+		directory.SetFleet(targetpool.Fleet{Hosts: 1})
+		directory.Update(catalog.NewView(config, catalog.Position{Revision: 1}, map[catalog.TargetID]*catalog.Target{
+			"a": {ID: "a", Service: "s", Addr: "100"}, "b": {ID: "b", Service: "s", Addr: "1400"},
+		}))
+		executor := NewExecutor(Options{Snapshots: directory, Guard: crashguard.New()})
+		slow := make(chan bool, int(slice/interval))
+		for range int(lasts / slice) {
+			for i := range int(slice / interval) {
+				go func() {
+					began := time.Now()
+					answer := executor.Serve(&exchange.Request{ID: "r", Method: "POST", Host: "h", URI: "/", Arrived: began}, nil)
+					slow <- answer.Status != 200 || time.Since(began) > 2*pauseWork
+				}()
+				time.Sleep(interval)
+				if i%16 == 0 {
+					directory.LearnStalls(time.Now())
+				}
+			}
+			time.Sleep(time.Second)
+			n := 0
+			for range int(slice / interval) {
+				if <-slow {
+					n++
+				}
+			}
+			late = append(late, float64(n)*float64(interval)/float64(slice))
+		}
+		directory.Update(catalog.NewView(config, catalog.Position{Revision: 2}, nil))
+		time.Sleep(time.Minute)
+	})
+	return late
+}
+
+// TestPredictedPausesAreAvoided guards against requests that are sent to a target that is
+// about to pause although the other replica answers at once.
+func TestPredictedPausesAreAvoided(t *testing.T) {
+	late := playPauses(t, time.Hour, 120*time.Second)
+	require.Greater(t, late[0], 0.015, "nothing is known yet")
+	known := late[len(late)/2:]
+	sum := 0.0
+	for _, share := range known {
+		sum += share
+	}
+	require.Less(t, sum/float64(len(known)), late[0]/4, "%v", late)
+}
+
+// TestRequestsAreServedAfterPausesStop guards against a wrong prediction that delays
+// requests.
+func TestRequestsAreServedAfterPausesStop(t *testing.T) {
+	late := playPauses(t, 80*time.Second, 110*time.Second)
+	require.Zero(t, late[len(late)-1], "%v", late)
+}
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -138,6 +138,10 @@
 	if chosen.pool == nil || chosen.load.Room <= 0 && now.Before(r.times.onTime) {
 		return
 	}
+	if wait := r.foreseenWait(l, chosen.load, now); wait > 0 {
+		l.hedgeAt = now.Add(wait)
+		return
+	}
 	if !l.group.TakeHedge(now) {
 		// Counted once, however often the hedge is considered.
 		l.denied = max(l.denied, 1)
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -59,7 +59,9 @@
 	// target in the store, which may vanish and return.
 	withdrawn map[targetStart]withdrawal.State
 	budgets   map[catalog.ServiceName]*guardedBudget
-	current   atomic.Pointer[Snapshot]
+	// stalls has a lock of its own, which may be taken while mu or a pool's is held.
+	stalls  *stallLearner
+	current atomic.Pointer[Snapshot]
 }
 
 // Snapshot is a view together with the pools of its targets that take new work.
@@ -79,6 +81,7 @@
 		opts: opts, started: time.Now(),
 		pools: map[catalog.TargetID]*Pool{}, withdrawn: map[targetStart]withdrawal.State{}, budgets: map[catalog.ServiceName]*guardedBudget{},
 	}
+	d.stalls = newStallLearner(&opts)
 	d.view = catalog.NewView(nil, catalog.Position{}, nil)
 	d.current.Store(&Snapshot{View: d.view})
 	return d
@@ -136,6 +139,7 @@
 		if t, ok := v.Targets[id]; !ok || !t.SameStart(pool.target) {
 			delete(d.pools, id)
 			d.keepWithdrawal(pool)
+			d.stalls.forget(id)
 			pool.Close()
 		}
 	}
@@ -144,6 +148,7 @@
 	if v.Config != nil {
 		used, d.shards = v.Config.InUse(), v.Config.Shards()
 	}
+	d.stalls.setConfig(v.Config)
 	for name, b := range d.budgets {
 		b.setLimit(d.limitOf(name))
 	}
@@ -173,6 +178,7 @@
 		pool, ok := d.pools[t.ID]
 		if !ok {
 			pool = NewPool(t, &d.opts)
+			pool.stalls.learner = d.stalls
 			pool.withdrawal = d.withdrawn[startOf(t)]
 			if spread := warmSpread(d.fleet.Hosts); spread > 0 {
 				pool.delayWarm(rand.N(spread))
--- a/internal/targets/targetpool/health.go
+++ b/internal/targets/targetpool/health.go
@@ -21,11 +21,15 @@
 
 // recordExchange counts an exchange that ended. The caller holds the lock.
 func (p *Pool) recordExchange(now time.Time, e replica.Exchange) {
+	p.observePause(now, &e)
 	p.stats.Ended(now, e)
-	if e.Result == replica.Served && now.Sub(e.Sent) < slowFactor*e.Expected {
+	if e.Result == replica.Served && now.Sub(e.Sent)-e.Foreseen < slowFactor*e.Expected {
 		p.sample.Good++
 		return
 	}
+	if e.Excused(now) {
+		return
+	}
 	p.sample.Bad++
 }
 
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -52,6 +52,8 @@
 	// withdrawal is whether the target is leaving or has asked for a pause.
 	withdrawal withdrawal.State
 	stats      replica.Stats
+	// stalls finds and predicts the target's pauses.
+	stalls stallState
 	// sample counts the exchanges since the last takeSample.
 	sample targethealth.Sample
 	// distrustedUntil is when the last report of other hosts that the target is
@@ -140,6 +142,7 @@
 	load.Moved = p.moved
 	load.Leaving, load.Left = p.withdrawal.Leaving(), p.withdrawal.Left(now)
 	load.PauseLeft = p.withdrawal.PauseLeft(now)
+	p.addForeseen(&load, now)
 	return load
 }
 
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -14,6 +14,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/decision/stall"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/face/front"
@@ -106,13 +107,16 @@
 	fleetHosts atomic.Int64
 	// lastReport is the time of the last health report. It is used by one goroutine.
 	lastReport time.Time
+	// clock detects that the monotonic clock did not run. It is used by the same goroutine.
+	clock   stall.Clock
+	started time.Time
 	// warningBudget limits the log lines about unhealthy targets.
 	warningBudget *logging.Budget
 }
 
 // New builds a host without starting it.
 func New(opts Options) *Edge {
-	e := &Edge{opts: opts, metrics: newMetricsServer(opts.Log), warningBudget: logging.NewBudget(warningLinesPerSecond)}
+	e := &Edge{opts: opts, started: time.Now(), metrics: newMetricsServer(opts.Log), warningBudget: logging.NewBudget(warningLinesPerSecond)}
 	e.directory = targetpool.NewDirectory(targetpool.Options{
 		Codec:  opts.TargetCodec,
 		Dialer: targetpool.TCPDialer{},
--- a/internal/wiring/edge/health.go
+++ b/internal/wiring/edge/health.go
@@ -27,6 +27,7 @@
 		return
 	}
 	e.lastReport = now
+	e.learnStalls(now)
 	samples := e.directory.TakeSamples()
 	if hosts >= minReportingHosts {
 		e.source.Report(samples)
