Share the pauses of targets between gatherers

Cause: a gatherer observes one target about 1.5 times a second, so it meets one of its pauses in 15 s and learns too slowly alone.

A follower that becomes a gatherer gets the learnt table (at most 4,096 entries) with the first message and uses it where it knows nothing. Fleets without gatherers send nothing.

Ruled out: passing ends of another reader on to readers, which would send them around for good; replacing what a host has learnt by a table.

--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -56,6 +56,7 @@
 	upstream upstreamCount
 	// settled is set while this host considers its own count settled.
 	settled bool
+	pauses  pauseRelay
 }
 
 // hostCount is what another reader last sent about itself and its followers.
@@ -89,6 +90,8 @@
 	// observe is set for links of other readers, which get counts and crash
 	// reports but no entries and aren't counted as hosts.
 	observe bool
+	// informed is set once the follower has got the table of pauses as a gatherer.
+	informed bool
 }
 
 // NewHub returns a hub without entries for the host self. Crash reports are added to
@@ -132,6 +135,7 @@
 		h.addMembers(m, false)
 		h.broadcast(m)
 	}
+	h.sendPauses(time.Now())
 	return unhealthy
 }
 
@@ -194,26 +198,6 @@
 	return m
 }
 
-// broadcast queues a message for all followers and disconnects those whose queue
-// is full. Observers get only messages without entries. The caller holds the lock.
-func (h *Hub) broadcast(m *message) {
-	raw, err := encode(m)
-	if err != nil {
-		h.log.WithError(err).Error("catalog message can't be encoded")
-		return
-	}
-	for f := range h.followers {
-		if f.observe && len(m.Entries) > 0 {
-			continue
-		}
-		select {
-		case f.out <- raw:
-		default:
-			h.remove(f)
-		}
-	}
-}
-
 // remove ends a link; its writer stops once the queue is empty. The caller holds
 // the lock.
 func (h *Hub) remove(f *follower) {
@@ -287,6 +271,7 @@
 		h.addCrashReports(m.CrashReports)
 		h.addLeaving(m.Leaving)
 		h.addSamples(m.Samples)
+		h.addPauseEnds(m.PauseEnds)
 		if !m.Reports {
 			continue
 		}
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
+	"github.com/swiftvane/swiftvane/internal/decision/stall"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
@@ -52,7 +53,8 @@
 }
 
 // message is sent in both directions of a link. A hub fills all fields but
-// Samples; a follower sends only CrashReports, Leaving and Samples.
+// Samples and PauseEnds; a follower sends only CrashReports, Leaving, Samples and
+// PauseEnds.
 type message struct {
 	// Full messages hold all entries, others only changed ones.
 	Full bool `cbor:"1,keyasint,omitempty"`
@@ -90,6 +92,10 @@
 	// Reports is set by a follower that sends its samples periodically, even if there
 	// are none: the reader takes its silence for its end.
 	Reports bool `cbor:"18,keyasint,omitempty"`
+	// PauseEnds are ends of pauses of targets that a follower has observed. Pauses has
+	// those of the whole fleet, for gatherers, and of a reader's followers, for readers.
+	PauseEnds []stall.SharedEnd `cbor:"22,keyasint,omitempty"`
+	Pauses    *pauseNews        `cbor:"23,keyasint,omitempty"`
 }
 
 // position returns the sender's position in the store's history.
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/stall"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
@@ -127,14 +128,15 @@
 	}
 }
 
-// Report sends this host's health samples to the reader that it follows or, if it
-// follows none, adds them to its own hub.
-func (s *Source) Report(samples []targethealth.Sample) {
+// Report sends this host's health samples and the ends of targets' pauses to the reader
+// that it follows or, if it follows none, adds them to its own hub.
+func (s *Source) Report(samples []targethealth.Sample, ends []stall.SharedEnd) {
 	if l := s.currentLink(); l != nil {
-		l.send(&message{Samples: samples, Reports: true})
+		l.send(&message{Samples: samples, PauseEnds: ends, Reports: true})
 		return
 	}
 	s.opts.Hub.addSamples(samples)
+	s.opts.Hub.addOwnPauseEnds(ends)
 }
 
 // currentLink returns the link for goroutines other than the owner, nil for none.
@@ -171,6 +173,7 @@
 	s.opts.Hub.addCrashReports(m.CrashReports)
 	s.opts.Hub.addLeaving(m.Leaving)
 	s.opts.Hub.notifyUnhealthy(m.Unhealthy)
+	s.opts.Hub.handlePauses(m.Pauses)
 	batch := catalogsync.Batch{
 		Full: m.Full, Position: m.position(), AfterOutage: m.AfterOutage,
 		AsOf: time.Now().Add(-time.Duration(m.AgeMS) * time.Millisecond),
@@ -280,6 +283,7 @@
 			s.opts.Hub.recordReaderCounts(addr, m)
 			s.opts.Hub.addCrashReports(m.CrashReports)
 			s.opts.Hub.addLeaving(m.Leaving)
+			s.opts.Hub.addReaderPauses(m.Pauses)
 		}
 	}
 	timer := time.NewTimer(observeInterval)
--- a/internal/querypath/relay/foreseen_test.go
+++ b/internal/querypath/relay/foreseen_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/decision/replica"
+	"github.com/swiftvane/swiftvane/internal/decision/stall"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/standin/echo"
@@ -135,3 +137,33 @@
 	late := playPauses(t, 80*time.Second, 110*time.Second)
 	require.Zero(t, late[len(late)-1], "%v", late)
 }
+
+// TestHedgeWaitsForPredictedEndOfPauseIfThatIsSooner guards against extra load for a delay
+// that was predicted and ends before a hedge would answer.
+func TestHedgeWaitsForPredictedEndOfPauseIfThatIsSooner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		directory := targetpool.NewDirectory(targetpool.Options{Codec: echo.Codec{}, Dialer: pausingDialer{began: time.Now(), lasts: time.Hour}, Log: discardLogger(), Host: "host"})
+		directory.Update(catalog.NewView(nil, catalog.Position{Revision: 1}, map[catalog.TargetID]*catalog.Target{"a": {ID: "a", Service: "s", Addr: "0"}}))
+		pool := directory.Snapshot().Group("s").Pools[0]
+		directory.AddStallTable([]stall.SharedPattern{
+			{Target: "a", PeriodUS: pausePeriod.Microseconds(), LengthMS: pauseLength.Milliseconds()}, {Target: "gone", PeriodUS: pausePeriod.Microseconds(), LengthMS: 100},
+		}, time.Now())
+		directory.LearnStalls(time.Now())
+		time.Sleep(20 * time.Millisecond)
+		deadline := time.Now().Add(time.Second)
+		call := &targetpool.Call{Request: &exchange.Request{ID: "r"}, Deadline: deadline, OnTime: deadline, Expected: pauseWork, Done: func(targetpool.Outcome) {}}
+		r := &run{expectedTimes: expectedTimes{usual: pauseWork}}
+		l := &leg{pending: 1, attempts: []attempt{{call: call, pool: pool}}}
+		quick, slow := replica.Load{Slowness: 1, Room: 1, Limit: 1}, replica.Load{Slowness: 7, Room: 1, Limit: 1}
+		require.Zero(t, r.foreseenWait(l, slow, time.Now()), "the request has not been sent")
+		pool.Submit(call)
+		time.Sleep(20 * time.Millisecond)
+		require.Zero(t, r.foreseenWait(l, quick, time.Now()), "the hedge is expected to answer sooner")
+		require.InDelta(t, 100*time.Millisecond, r.foreseenWait(l, slow, time.Now()), float64(5*time.Millisecond))
+		require.LessOrEqual(t, pool.Load(time.Now()).Stalled, time.Duration(0), "a predicted pause is no stall")
+		time.Sleep(pauseLength)
+		require.Zero(t, r.foreseenWait(l, slow, time.Now()), "the pause is over")
+		directory.Update(catalog.NewView(nil, catalog.Position{Revision: 2}, nil))
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -112,6 +112,7 @@
 		return
 	}
 	d.fleet, d.running = f, running
+	d.stalls.setSharing(f.Gatherers > 0)
 	d.rebuild()
 }
 
--- a/internal/targets/targetpool/stalllearner.go
+++ b/internal/targets/targetpool/stalllearner.go
@@ -33,6 +33,9 @@
 	config  *catalog.Config
 	// index has the index of each shard, by which targets share a period.
 	index map[catalog.ServiceName]catalog.ServiceName
+	// observed has the ends that wait to be reported to other hosts, if sharing is set.
+	observed []observedEnd
+	sharing  bool
 	// counted is when the targets with a prediction were last counted.
 	counted time.Time
 }
@@ -87,6 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.learner.Add(s.family(t.Service), string(t.ID), end, now)
+	s.keepObserved(t, end)
 }
 
 // judge records whether a predicted pause occurred.
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -129,6 +129,7 @@
 	e.hub = catalogshare.NewHub(e.self(), guard, opts.Log)
 	e.hub.OnUnhealthyTargets(e.handleUnhealthyTargets)
 	e.hub.OnLeavingTarget(e.handleLeavingTarget)
+	e.hub.SetPauseHooks(e.pauseHooks())
 	firstWait := time.Duration(0)
 	if opts.FirstStart {
 		firstWait = firstStartWait
--- a/internal/wiring/edge/health.go
+++ b/internal/wiring/edge/health.go
@@ -30,7 +30,7 @@
 	e.learnStalls(now)
 	samples := e.directory.TakeSamples()
 	if hosts >= minReportingHosts {
-		e.source.Report(samples)
+		e.source.Report(samples, e.directory.TakeStallEnds(now))
 	}
 }
 
