Rate targets by a lasting speed and a short-lived slowness; confirm pauses later

Cause: targets differ in speed for good (0.8, 1.0, 1.3) and some are 2.5 times slower for about 600 ms. One average that was half forgotten in 6 s kept neither: the speed faded between rare samples, and a target was avoided for seconds after a moment of slowness.

Pauses are detected against the target's own usual time.

Fault found with it: after a late reply the host prefers the other replica for more than the 1.5 s within which a pause had to be confirmed, so the phase of some targets was never learnt. Confirmation may now come within 4 s; only a late reply within 0.6 s means that the target is slow. A predicted pause begins 10 ms early instead of 6.

Ruled out: a half-life of 0.8 s alone (a target that stays slow would be tried each second or two); a plain mean since the start (two seconds of slowness after the start would count for minutes); decay of the speed between all samples (1.24 instead of 1.3 at 1.4 replies a second).

--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -41,13 +41,8 @@
 }
 
 const (
-	// slownessGain is the weight of a new sample in the moving average of the
-	// slowness.
-	slownessGain = 0.25
-	// slownessCap bounds each sample, which limits the effect of a single pause.
-	slownessCap = 12
-	// halfLife is the half-life of the statistics of a target without new samples.
-	// The decay makes an avoided target eligible again.
+	// halfLife is the half-life of the failure rate of a target without new samples, and
+	// the longest one of its slowness. The decay makes an avoided target eligible again.
 	halfLife = 6 * time.Second
 	// failureGain is the weight of a new sample in the moving average of the
 	// failure rate.
@@ -59,9 +54,10 @@
 	// Slots is the number of requests that the target processes concurrently, 0 if it
 	// is unknown.
 	Slots int
-	// slowness is the moving average of response time over expected response time,
-	// or 0 before the first sample.
-	slowness    float64
+	// speed and slowness are averages of response time over expected response time, over
+	// minutes and over the last replies.
+	speed       speed
+	slowness    slowness
 	failureRate float64
 	updated     time.Time
 	// silentSince is the start of the current period without a reply: the end of the
@@ -145,7 +141,7 @@
 	}
 	s.failureRate += failureGain * (failure - s.failureRate)
 	if e.Result == Served || e.Result == Silent {
-		s.observe(took, e.Expected)
+		s.observe(now, took, e.Expected)
 	}
 }
 
@@ -161,21 +157,22 @@
 // UsableConns returns how many of conns connections may carry requests at once.
 func (s *Stats) UsableConns(conns int) int { return s.congestion.limit(conns) }
 
-// observe adds a response time to the slowness.
-func (s *Stats) observe(took, expected time.Duration) {
+// observe adds a response time to the speed and the slowness.
+func (s *Stats) observe(now time.Time, took, expected time.Duration) {
 	if expected <= 0 {
 		return
 	}
-	sample := min(float64(took)/float64(expected), slownessCap)
-	if s.slowness == 0 {
-		s.slowness = sample
-		return
-	}
-	s.slowness += slownessGain * (sample - s.slowness)
+	ratio := float64(took) / float64(expected)
+	s.slowness.observe(now, ratio, s.speed.at(now))
+	s.speed.observe(now, ratio)
+}
+
+// Usual returns what the target usually takes for a request with the expected time.
+func (s *Stats) Usual(now time.Time, expected time.Duration) time.Duration {
+	return time.Duration(s.speed.at(now) * float64(expected))
 }
 
-// decay moves the statistics towards their initial values, according to the time
-// since the last update.
+// decay moves the failure rate towards zero, according to the time since the last update.
 func (s *Stats) decay(now time.Time) {
 	if s.updated.IsZero() {
 		s.updated = now
@@ -183,9 +180,6 @@
 	}
 	idle := now.Sub(s.updated)
 	s.updated = now
-	if s.slowness > 0 {
-		s.slowness = 1 + (s.slowness-1)*decayFactor(idle)
-	}
 	s.failureRate *= decayFactor(idle)
 }
 
@@ -198,10 +192,8 @@
 // are left zero for the caller to set.
 func (s *Stats) Load(now time.Time) Load {
 	idle := now.Sub(s.updated)
-	load := Load{Slowness: 1, Outstanding: s.outstanding, Slots: s.Slots, DrainInterval: s.drain.interval()}
-	if s.slowness > 0 {
-		load.Slowness = 1 + (s.slowness-1)*decayFactor(idle)
-	}
+	load := Load{Outstanding: s.outstanding, Slots: s.Slots, DrainInterval: s.drain.interval()}
+	load.Slowness = s.slowness.at(now, s.speed.at(now))
 	load.FailureRate = s.failureRate * decayFactor(idle)
 	if s.outstanding > 0 {
 		load.Stalled = now.Sub(s.silentSince)
--- a/internal/decision/stall/detector.go
+++ b/internal/decision/stall/detector.go
@@ -11,8 +11,12 @@
 	// promptFactor is the greatest time, as a factor of the usual one, of the reply that
 	// shows that the target answers at once after a pause.
 	promptFactor = 2
-	// confirmWithin is how long after the end of a pause that reply must be sent.
-	confirmWithin = 1500 * time.Millisecond
+	// confirmWithin is how long after the end of a pause that reply must be sent. After a
+	// late reply the host prefers another replica for some seconds.
+	confirmWithin = 4 * time.Second
+	// slowWithin is how long after a late reply another one means that the target is slow
+	// or overloaded. It is less than MinPeriod.
+	slowWithin = 600 * time.Millisecond
 	// MaxLength bounds the excess that counts as a pause; more is a fault.
 	MaxLength = time.Second
 	// lateGain is the weight of a new reply in the share of late ones, and steadyShare
@@ -66,8 +70,7 @@
 		d.pending.Length = max(d.pending.Length, min(excess, MaxLength))
 		return
 	}
-	// A late reply soon after a pause means that the target is slow or overloaded.
-	slow := !d.pending.At.IsZero() && r.Sent.Sub(d.pending.At) < confirmWithin
+	slow := !d.pending.At.IsZero() && r.Sent.Sub(d.pending.At) < slowWithin
 	steady := d.lateShare <= steadyShare && !r.Congested
 	d.lateShare += lateGain * (1 - d.lateShare)
 	d.pending = End{}
--- a/internal/decision/stall/pattern.go
+++ b/internal/decision/stall/pattern.go
@@ -5,7 +5,7 @@
 const (
 	// guardBefore and guardAfter widen a predicted pause by what the phase is uncertain
 	// and a request is under way.
-	guardBefore = 6 * time.Millisecond
+	guardBefore = 10 * time.Millisecond
 	guardAfter  = 4 * time.Millisecond
 )
 
--- a/internal/targets/targetpool/stallstate.go
+++ b/internal/targets/targetpool/stallstate.go
@@ -28,7 +28,7 @@
 	if s.learner == nil || p.closed || e.Result != replica.Served || e.Expected <= 0 {
 		return
 	}
-	r := stall.Reply{Sent: e.Sent, Replied: now, Usual: e.Expected, Congested: p.stats.Overloaded()}
+	r := stall.Reply{Sent: e.Sent, Replied: now, Usual: p.stats.Usual(now, e.Expected), Congested: p.stats.Overloaded()}
 	if verdict, end := s.pattern.Judge(r); verdict != stall.Untested && end.Sub(s.judged).Abs() > samePause {
 		s.judged = end
 		s.learner.judge(p.target.ID, verdict)
