Prefer a remote replica to a pause, learn rarely used replicas, keep sure phases longer

Of the replies that a pause delayed, most had been predicted and sent all the same.

Ruled out: a greater cost for each usual time of a pause (a long pause would reach the cap anyway, and it is the end of it that was underrated).

Tests with -race of internal/decision, targetpool, relay, edge, catalogshare, test/docs and test/edge pass; relay, stall and targetpool eight times over.

--- a/internal/decision/replica/choose.go
+++ b/internal/decision/replica/choose.go
@@ -37,6 +37,12 @@
 	// distrustCost is the added cost of a target that other hosts report as slow or
 	// failing. It exceeds spareCost, so that a healthy spare target is preferred.
 	distrustCost = 3
+	// foreseenCost is the added cost of a target that is expected to delay a request by a
+	// predicted pause, beside the delay itself. It exceeds remoteCost and spareCost: a
+	// sweep waits for the last of its shards, so such a replica is better even if the
+	// pause is nearly over. foreseenLeast is the least delay in expected response times.
+	foreseenCost  = 4
+	foreseenLeast = 0.3
 	// foreseenCap bounds the added cost of a predicted pause, so that a wrong prediction
 	// does not outweigh that a target is leaving or fails.
 	foreseenCap = 12
@@ -72,7 +78,9 @@
 	if l.Distrusted {
 		cost += distrustCost
 	}
-	cost += min(foreseen(l, expected), foreseenCap)
+	if extra := foreseen(l, expected); extra >= foreseenLeast {
+		cost += min(foreseenCost+extra, foreseenCap)
+	}
 	if l.Room <= 0 {
 		cost += fullCost * float64(1-l.Room)
 	}
--- a/internal/decision/replica/foreseen_test.go
+++ b/internal/decision/replica/foreseen_test.go
@@ -23,7 +23,8 @@
 	require.Equal(t, 1, choose(-50*time.Millisecond, 70*time.Millisecond))
 	require.Equal(t, 1, choose(usual/2, 120*time.Millisecond), "the pause would interrupt the work")
 	require.Equal(t, 0, choose(2*usual, 120*time.Millisecond), "the work ends before the pause")
-	require.Equal(t, 0, choose(-100*time.Millisecond, usual), "the rest of the pause is shorter than the detour")
+	require.Equal(t, 1, choose(-100*time.Millisecond, usual), "a sweep waits for its last shard")
+	require.Equal(t, 0, choose(-100*time.Millisecond, usual/5), "the rest of the pause hardly matters")
 	require.Equal(t, 70*time.Millisecond+usual, Estimate(Load{Slowness: 1, Room: 1, Limit: 1, ForeseenStall: stall.Window{StartsIn: -1, EndsIn: 70 * time.Millisecond}}, usual))
 	other.Load.Leaving = true
 	require.Equal(t, 0, choose(-time.Second, 10*time.Second), "a prediction never outweighs that the other target is leaving")
--- a/internal/decision/stall/detector.go
+++ b/internal/decision/stall/detector.go
@@ -11,9 +11,9 @@
 	// promptFactor is the greatest time, as a factor of the usual one, of the reply that
 	// shows that the target answers at once after a pause.
 	promptFactor = 2
-	// confirmWithin is how long after the end of a pause that reply must be sent. After a
-	// late reply the host prefers another replica for some seconds.
-	confirmWithin = 4 * time.Second
+	// confirmWithin is how long after the end of a pause that reply must be sent. A host
+	// uses a replica in another failure domain only while the near one pauses.
+	confirmWithin = 10 * time.Second
 	// slowWithin is how long after a late reply another one means that the target is slow
 	// or overloaded. It is less than MinPeriod.
 	slowWithin = 600 * time.Millisecond
--- a/internal/decision/stall/family.go
+++ b/internal/decision/stall/family.go
@@ -30,7 +30,9 @@
 	dropScore  = 0.3
 	firstScore = 0.8
 	// keepUnconfirmed is how long a period is kept without a pause that fits it.
-	keepUnconfirmed = 3 * time.Minute
+	keepUnconfirmed = 5 * time.Minute
+	// publishFrom is the error of a prediction from which on it is returned again.
+	publishFrom = 5 * time.Millisecond
 	// maxLengthShare bounds a pause as a share of the period.
 	maxLengthShare = 0.3
 )
@@ -54,6 +56,8 @@
 	period time.Duration
 	length time.Duration
 	least  time.Duration
+	// published is the period of the predictions that were returned last.
+	published time.Duration
 	// slope adjusts the period, score is the share of predicted pauses that occurred, and
 	// confirmed is when the last one did.
 	slope     leastSquares
@@ -147,13 +151,7 @@
 		f.wanted = min(2*f.wanted, maxSpans)
 		return false
 	}
-	f.period, f.score, f.slope, f.confirmed = period, firstScore, leastSquares{}, now
-	for _, span := range f.spans {
-		if fits(span, period) {
-			cycles, _ := cyclesOf(span, period)
-			f.slope.add(cycles, span)
-		}
-	}
+	f.period, f.score, f.slope, f.confirmed = period, firstScore, slopeOf(f.spans, period), now
 	for _, t := range f.tracks {
 		t.locate(period, now)
 		f.addLengths(t)
@@ -162,6 +160,28 @@
 	return true
 }
 
+// tune takes the period from the differences if they are more than what it is from, which
+// was few at first.
+func (f *family) tune() {
+	if f.period <= 0 || f.fresh < fitAfter {
+		return
+	}
+	f.fresh = 0
+	if l := slopeOf(f.spans, f.period); l.xx > f.slope.xx {
+		f.slope, f.period = l, l.slope(f.period)
+	}
+}
+
+// publish reports whether all predictions have to be returned again, because the error of
+// the period at the last time adds up to too much until they expire.
+func (f *family) publish() bool {
+	if f.period <= 0 || (f.period-f.published).Abs()*(sureExpiry/f.period) <= publishFrom {
+		return false
+	}
+	f.published = f.period
+	return true
+}
+
 // addLengths takes the lengths of the target's pauses that fit its phase.
 func (f *family) addLengths(t *track) {
 	for i := range t.ends[:t.n] {
--- a/internal/decision/stall/learner.go
+++ b/internal/decision/stall/learner.go
@@ -104,13 +104,16 @@
 		if f.due() && sought < seeksPerCall {
 			sought++
 			if f.seek(now) {
-				l.markAll(name)
 				changes = append(changes, Change{Family: name, Period: f.period, Length: f.length})
 			}
 		}
+		f.tune()
 		if f.relearn {
 			f.measureLength()
 		}
+		if f.publish() {
+			l.markAll(name)
+		}
 	}
 	return changes
 }
--- a/internal/decision/stall/learner_test.go
+++ b/internal/decision/stall/learner_test.go
@@ -182,8 +182,8 @@
 	watch(l, list, 0, 90*time.Second, 100*time.Millisecond, random)
 	now := epoch.Add(90 * time.Second)
 	require.Positive(t, l.Learnt(now))
-	require.Zero(t, l.Learnt(now.Add(expiry)))
-	require.Empty(t, l.Learn(now.Add(expiry)))
+	require.Zero(t, l.Learnt(now.Add(sureExpiry)))
+	require.Empty(t, l.Learn(now.Add(sureExpiry)))
 	changes := l.Learn(now.Add(keepUnconfirmed))
 	require.Equal(t, []Change{{Family: "index"}}, changes)
 }
--- a/internal/decision/stall/leastsquares.go
+++ b/internal/decision/stall/leastsquares.go
@@ -12,6 +12,17 @@
 	l.xy += x * float64(span)
 }
 
+// slopeOf returns the estimate from the differences that fit a period.
+func slopeOf(spans []time.Duration, period time.Duration) leastSquares {
+	var l leastSquares
+	for _, s := range spans {
+		if cycles, rest := cyclesOf(s, period); cycles > 0 && rest.Abs() <= toleranceOf(period) {
+			l.add(cycles, s)
+		}
+	}
+	return l
+}
+
 // forget reduces the weight of the samples so far.
 func (l *leastSquares) forget(keep float64) {
 	l.xx *= keep
--- a/internal/decision/stall/pattern.go
+++ b/internal/decision/stall/pattern.go
@@ -6,7 +6,7 @@
 	// guardBefore and guardAfter widen a predicted pause by what the phase is uncertain
 	// and a request is under way.
 	guardBefore = 10 * time.Millisecond
-	guardAfter  = 4 * time.Millisecond
+	guardAfter  = 10 * time.Millisecond
 	// testGuard is the part of the length by which a reply must come before the predicted
 	// end to disprove the pause, up to tolerance: with more, no reply would come early
 	// enough in a short pause.
--- a/internal/decision/stall/period.go
+++ b/internal/decision/stall/period.go
@@ -111,13 +111,7 @@
 // refine returns the period adjusted to the differences that fit it.
 func refine(period time.Duration, spans []time.Duration) time.Duration {
 	for range refinements {
-		var l leastSquares
-		for _, s := range spans {
-			if fits(s, period) {
-				cycles, _ := cyclesOf(s, period)
-				l.add(cycles, s)
-			}
-		}
+		l := slopeOf(spans, period)
 		period = l.slope(period)
 	}
 	return period
--- a/internal/decision/stall/table.go
+++ b/internal/decision/stall/table.go
@@ -27,7 +27,7 @@
 	if (p.Period-f.period).Abs() > adoptTolerance || known.inForce(now) {
 		return false
 	}
-	t.phase, t.first, t.confirmed, t.misses = p.End, p.End, now, 0
+	t.phase, t.first, t.confirmed, t.sure, t.misses = p.End, p.End, now, false, 0
 	return true
 }
 
--- a/internal/decision/stall/track.go
+++ b/internal/decision/stall/track.go
@@ -12,13 +12,17 @@
 	// ends fit by chance.
 	maxByChance = 0.15
 	// recentEnds is the age up to which ends must fit a phase.
-	recentEnds = time.Minute
+	recentEnds = 3 * time.Minute
 	// maxMisses is the number of pauses in a row that did not occur as predicted after
 	// which a phase is dropped.
 	maxMisses = 3
-	// expiry is how long a phase is used that no pause has confirmed. The error of the
-	// period adds up meanwhile, and requests avoid what would disprove it.
-	expiry = time.Minute
+	// expiry is how long a phase is used that no pause has confirmed, and sureExpiry that
+	// of a sure one: sureByChance or less are expected by chance, or a later end has
+	// fitted it. The error of the period adds up meanwhile, and requests avoid what would
+	// disprove the phase.
+	expiry       = time.Minute
+	sureExpiry   = 3 * time.Minute
+	sureByChance = 0.03
 	// longestBase is the longest time over which the period is measured: beyond it, the
 	// clocks of host and target may have drifted apart.
 	longestBase = 5 * time.Minute
@@ -33,8 +37,10 @@
 	n    int
 	next int
 	// phase is the end of any one pause, zero while it is unknown, and confirmed when a
-	// pause last fitted it. first is the end from which the period is measured.
+	// pause last fitted it. sure is set if chance hardly explains it. first is the end from
+	// which the period is measured.
 	phase     time.Time
+	sure      bool
 	first     time.Time
 	confirmed time.Time
 	misses    int
@@ -83,7 +89,7 @@
 	correction := time.Duration((1 - phaseGain) * float64(rest))
 	t.phase = later(t.phase, end.At.Add(-correction))
 	t.confirmed = later(t.confirmed, end.At)
-	t.misses = 0
+	t.misses, t.sure = 0, true
 	span := end.At.Sub(t.first)
 	cycles, _ := cyclesOf(span, period)
 	if span > longestBase {
@@ -104,11 +110,12 @@
 			best, anchor = n, t.ends[i]
 		}
 	}
-	if expectedByChance(recent, best, chanceOf(period)) > maxByChance {
+	expected := expectedByChance(recent, best, chanceOf(period))
+	if expected > maxByChance {
 		return
 	}
 	t.phase, t.confirmed, t.misses = t.center(anchor.At, period, now), anchor.At, 0
-	t.first = t.phase
+	t.first, t.sure = t.phase, expected <= sureByChance
 }
 
 // expectedByChance returns how many of n random ends are expected to have fitting-1 others
@@ -156,10 +163,18 @@
 	return true
 }
 
+// expires returns until when the phase is used.
+func (t *track) expires() time.Time {
+	if t.sure {
+		return t.confirmed.Add(sureExpiry)
+	}
+	return t.confirmed.Add(expiry)
+}
+
 // pattern returns the prediction for a target, zero if its phase is unknown.
 func (f *family) pattern(t *track) Pattern {
 	if f.period <= 0 || t.phase.IsZero() {
 		return Pattern{}
 	}
-	return Pattern{Period: f.period, End: t.phase, Length: f.length, Least: f.least, Until: t.confirmed.Add(expiry)}
+	return Pattern{Period: f.period, End: t.phase, Length: f.length, Least: f.least, Until: t.expires()}
 }
--- a/internal/querypath/relay/foreseen_test.go
+++ b/internal/querypath/relay/foreseen_test.go
@@ -159,7 +159,7 @@
 		pool.Submit(call)
 		time.Sleep(20 * time.Millisecond)
 		require.Zero(t, r.foreseenWait(l, quick, time.Now()), "the hedge is expected to answer sooner")
-		require.InDelta(t, 100*time.Millisecond, r.foreseenWait(l, slow, time.Now()), float64(5*time.Millisecond))
+		require.Equal(t, 110*time.Millisecond, r.foreseenWait(l, slow, time.Now()), "80 ms of the pause, 10 ms of guard and the work")
 		require.LessOrEqual(t, pool.Load(time.Now()).Stalled, time.Duration(0), "a predicted pause is no stall")
 		time.Sleep(pauseLength)
 		require.Zero(t, r.foreseenWait(l, slow, time.Now()), "the pause is over")
@@ -167,3 +167,42 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestHedgeIsNotSentToPausingReplica guards against extra load that would wait at the other
+// replica for the end of a pause.
+func TestHedgeIsNotSentToPausingReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		directory := targetpool.NewDirectory(targetpool.Options{
+			Codec: echo.Codec{}, Dialer: pausingDialer{began: time.Now(), lasts: 0}, Log: discardLogger(), Host: "host",
+			Extra: extrabudget.Limit{Window: 10 * time.Second, Slack: 100},
+		})
+		directory.SetFleet(targetpool.Fleet{Hosts: 1})
+		directory.Update(catalog.NewView(nil, catalog.Position{Revision: 1}, map[catalog.TargetID]*catalog.Target{
+			"a": {ID: "a", Service: "s", Addr: "0"}, "b": {ID: "b", Service: "s", Addr: "0"},
+		}))
+		time.Sleep(time.Second)
+		directory.AddStallTable([]stall.SharedPattern{{Target: "b", PeriodUS: pausePeriod.Microseconds(), LengthMS: pauseLength.Milliseconds()}}, time.Now())
+		directory.LearnStalls(time.Now())
+		group := directory.Snapshot().Group("s")
+		deadline := time.Now().Add(time.Second)
+		call := &targetpool.Call{Request: &exchange.Request{ID: "r"}, Deadline: deadline, OnTime: deadline, Expected: pauseWork, Done: func(targetpool.Outcome) {}}
+		r := &run{
+			executor: NewExecutor(Options{Snapshots: directory}), route: &catalog.Route{Idempotent: true, MaxAttempts: 2}, request: call.Request, routeStats: newRouteStats(),
+			expectedTimes: expectedTimes{usual: pauseWork}, times: schedule{onTime: deadline, deadline: deadline}, events: make(chan event, 4),
+		}
+		first := group.Pools[0]
+		if first.Target().ID != "a" {
+			first = group.Pools[1]
+		}
+		l := &leg{group: group, pending: 1, attempts: []attempt{{call: call, pool: first}}, tried: []*targetpool.Pool{first}}
+		r.hedge(l, 0, time.Now())
+		require.False(t, l.hedged)
+		require.WithinDuration(t, time.Now().Add(pauseWork), l.hedgeAt, 0, "it is considered again")
+		time.Sleep(2 * pauseLength)
+		r.hedge(l, 0, time.Now())
+		require.True(t, l.hedged)
+		require.Equal(t, 1, l.hedges)
+		directory.Update(catalog.NewView(nil, catalog.Position{Revision: 2}, nil))
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -142,6 +142,10 @@
 		l.hedgeAt = now.Add(wait)
 		return
 	}
+	if chosen.load.ForeseenStall.Pausing() {
+		// The hedge would wait there; it is considered again until the pause is over.
+		return
+	}
 	if !l.group.TakeHedge(now) {
 		// Counted once, however often the hedge is considered.
 		l.denied = max(l.denied, 1)
