--- a/internal/hosts/catalogshare/doc.go
+++ b/internal/hosts/catalogshare/doc.go
@@ -5,8 +5,8 @@
 // The hosts listed as seeds, called readers, read the store. Every other host is
 // a follower: it keeps one WebSocket link to one reader and receives CBOR
 // messages on it. A host without a link, or whose reader's data is stale, calls
-// the store itself. The links also carry host counts, crash reports and
-// health samples of targets.
+// the store itself. The links also carry host counts, crash reports, health
+// samples of targets and the ends of their pauses.
 //
 // A Hub runs one goroutine that sends heartbeats and two for each link; a Source
 // runs one while it dials or has a link and, on a reader, two for each other reader
