Merge part D: learnt pauses, lasting speed and short-lived slowness of targets

Changed at the merge: a predicted pause adds to the estimate that uses a target's own report where that is fresh.

--- a/internal/decision/replica/choose.go
+++ b/internal/decision/replica/choose.go
@@ -41,6 +41,15 @@
 	// doesn't get yet after an evacuation. It exceeds that of healthy targets in use and
 	// is below that of failing ones and of a queue of several calls.
 	withheldCost = 8
+	// foreseenCost is the added cost of a target that is expected to delay a request by a
+	// predicted pause, beside the delay itself. It exceeds remoteCost and spareCost: a
+	// sweep waits for the last of its shards, so such a replica is better even if the
+	// pause is nearly over. foreseenLeast is the least delay in expected response times.
+	foreseenCost  = 4
+	foreseenLeast = 0.3
+	// foreseenCap bounds the added cost of a predicted pause, so that a wrong prediction
+	// does not outweigh that a target is leaving or fails.
+	foreseenCap = 12
 	// leavingCost is the added cost of a target that is leaving. It exceeds all others
 	// of a target that can answer, so that a leaving target is the last choice.
 	leavingCost = 100
@@ -52,9 +61,9 @@
 )
 
 // Cost returns the cost of sending a request to a candidate, in units of the
-// expected response time. It rises with the target's slowness, failures, stalls
-// and load. While the target's own report of its load is fresh, the wait that follows from
-// it replaces the one assumed for this host's requests in flight.
+// expected response time. It rises with the target's slowness, failures, stalls,
+// predicted pauses and load. While the target's own report of its load is fresh, the wait
+// that follows from it replaces the one assumed for this host's requests in flight.
 func Cost(c Candidate, expected time.Duration) float64 {
 	l := c.Load
 	observedWait := l.Slowness * outstandingCost * float64(l.Outstanding+l.Waiting)
@@ -76,6 +85,9 @@
 	if l.Distrusted {
 		cost += distrustCost
 	}
+	if extra := foreseen(l, expected); extra >= foreseenLeast {
+		cost += min(foreseenCost+extra, foreseenCap)
+	}
 	if l.Room <= 0 {
 		cost += fullCost * float64(1-l.Room)
 	}
@@ -88,6 +100,20 @@
 	return cost
 }
 
+// foreseen returns the extra time that a predicted pause costs a request sent now, in
+// expected response times.
+func foreseen(l Load, expected time.Duration) float64 {
+	if expected <= 0 {
+		return 0
+	}
+	return float64(l.ForeseenStall.Extra(workOf(l, expected))) / float64(expected)
+}
+
+// workOf returns the time that a target takes for a request.
+func workOf(l Load, expected time.Duration) time.Duration {
+	return time.Duration(l.Slowness * float64(expected))
+}
+
 // stalled reports whether the target has sent no reply for stallFactor times the
 // time it usually takes.
 func stalled(l Load, expected time.Duration) bool {
--- a/internal/decision/replica/estimate.go
+++ b/internal/decision/replica/estimate.go
@@ -10,7 +10,14 @@
 // each call and to serve as many at once as it has slots and the host connections.
 // While the target's own report of its load is fresh, the queue at the target counts
 // instead, behind which each connection of the host works off its part of the host's queue.
+// A predicted pause adds the time that the request spends in it.
 func Estimate(l Load, usual time.Duration) time.Duration {
+	took := estimate(l, usual)
+	return took + l.ForeseenStall.Extra(took)
+}
+
+// estimate is Estimate without predicted pauses.
+func estimate(l Load, usual time.Duration) time.Duration {
 	observed := estimateObserved(l, usual)
 	if l.Reported.Weight <= 0 {
 		return observed
--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -6,6 +6,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/swiftvane/swiftvane/internal/decision/stall"
 )
 
 // Result classifies the end of an exchange with respect to the target's health.
@@ -31,18 +33,16 @@
 	// unknown.
 	Work   time.Duration
 	Result Result
+	// Foreseen is the part of the exchange that predicted pauses of the target took. It
+	// counts neither as slowness nor as a fault.
+	Foreseen time.Duration
 	// Queued is set if calls waited for a connection to the target when it ended.
 	Queued bool
 }
 
 const (
-	// slownessGain is the weight of a new sample in the moving average of the
-	// slowness.
-	slownessGain = 0.25
-	// slownessCap bounds each sample, which limits the effect of a single pause.
-	slownessCap = 12
-	// halfLife is the half-life of the statistics of a target without new samples.
-	// The decay makes an avoided target eligible again.
+	// halfLife is the half-life of the failure rate of a target without new samples, and
+	// the longest one of its slowness. The decay makes an avoided target eligible again.
 	halfLife = 6 * time.Second
 	// failureGain is the weight of a new sample in the moving average of the
 	// failure rate.
@@ -54,9 +54,10 @@
 	// Slots is the number of requests that the target processes concurrently, 0 if it
 	// is unknown.
 	Slots int
-	// slowness is the moving average of response time over expected response time,
-	// or 0 before the first sample.
-	slowness    float64
+	// speed and slowness are averages of response time over expected response time, over
+	// minutes and over the last replies.
+	speed       speed
+	slowness    slowness
 	failureRate float64
 	updated     time.Time
 	// silentSince is the start of the current period without a reply: the end of the
@@ -102,6 +103,9 @@
 	// must not be used any more.
 	Leaving bool
 	Left    bool
+	// ForeseenStall is the pause in progress or the next one, as predicted from earlier
+	// ones. Stalled does not include it.
+	ForeseenStall stall.Window
 	// PauseLeft is the rest of the time for which the target wants no request.
 	PauseLeft time.Duration
 	// Evacuated is set while the target's failure domain is evacuated. After that,
@@ -134,38 +138,52 @@
 	s.outstanding--
 	s.decay(now)
 	s.drain.ended(now, e.Result, e.Queued, s.Slots)
-	s.congestion.ended(now.Sub(e.Sent), e.Work, e.Result)
+	took := now.Sub(e.Sent) - e.Foreseen
+	s.congestion.ended(took, e.Work, e.Result)
 	if e.Result != Silent {
 		s.silentSince = now
 	}
+	if e.Excused(now) {
+		return
+	}
 	failure := 0.0
 	if e.Result != Served {
 		failure = 1
 	}
 	s.failureRate += failureGain * (failure - s.failureRate)
 	if e.Result == Served || e.Result == Silent {
-		s.observe(now.Sub(e.Sent), e.Expected)
+		s.observe(now, took, e.Expected)
 	}
 }
 
+// Excused reports whether an exchange that ended at now without a reply did so because of
+// a predicted pause.
+func (e *Exchange) Excused(now time.Time) bool {
+	return e.Result == Silent && e.Foreseen > 0 && 2*e.Foreseen >= now.Sub(e.Sent)
+}
+
+// Overloaded reports whether most requests wait at the target.
+func (s *Stats) Overloaded() bool { return s.congestion.ratio >= overloaded }
+
 // UsableConns returns how many of conns connections may carry requests at once.
 func (s *Stats) UsableConns(conns int) int { return s.congestion.limit(conns) }
 
-// observe adds a response time to the slowness.
-func (s *Stats) observe(took, expected time.Duration) {
+// observe adds a response time to the speed and the slowness.
+func (s *Stats) observe(now time.Time, took, expected time.Duration) {
 	if expected <= 0 {
 		return
 	}
-	sample := min(float64(took)/float64(expected), slownessCap)
-	if s.slowness == 0 {
-		s.slowness = sample
-		return
-	}
-	s.slowness += slownessGain * (sample - s.slowness)
+	ratio := float64(took) / float64(expected)
+	s.slowness.observe(now, ratio, s.speed.at(now))
+	s.speed.observe(now, ratio)
+}
+
+// Usual returns what the target usually takes for a request with the expected time.
+func (s *Stats) Usual(now time.Time, expected time.Duration) time.Duration {
+	return time.Duration(s.speed.at(now) * float64(expected))
 }
 
-// decay moves the statistics towards their initial values, according to the time
-// since the last update.
+// decay moves the failure rate towards zero, according to the time since the last update.
 func (s *Stats) decay(now time.Time) {
 	if s.updated.IsZero() {
 		s.updated = now
@@ -173,9 +191,6 @@
 	}
 	idle := now.Sub(s.updated)
 	s.updated = now
-	if s.slowness > 0 {
-		s.slowness = 1 + (s.slowness-1)*decayFactor(idle)
-	}
 	s.failureRate *= decayFactor(idle)
 }
 
@@ -188,10 +203,8 @@
 // are left zero for the caller to set.
 func (s *Stats) Load(now time.Time) Load {
 	idle := now.Sub(s.updated)
-	load := Load{Slowness: 1, Outstanding: s.outstanding, Slots: s.Slots, DrainInterval: s.drain.interval(), Reported: s.report.reported(now)}
-	if s.slowness > 0 {
-		load.Slowness = 1 + (s.slowness-1)*decayFactor(idle)
-	}
+	load := Load{Outstanding: s.outstanding, Slots: s.Slots, DrainInterval: s.drain.interval(), Reported: s.report.reported(now)}
+	load.Slowness = s.slowness.at(now, s.speed.at(now))
 	load.FailureRate = s.failureRate * decayFactor(idle)
 	if s.outstanding > 0 {
 		load.Stalled = now.Sub(s.silentSince)
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
+	"github.com/swiftvane/swiftvane/internal/decision/stall"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
@@ -52,8 +53,8 @@
 }
 
 // message is sent in both directions of a link. A hub fills all fields but
-// Samples; a follower sends only CrashReports, Leaving, Samples and Stewards. An answer to
-// Stewards has no counts.
+// Samples and PauseEnds; a follower sends only CrashReports, Leaving, Samples, PauseEnds
+// and Stewards. An answer to Stewards has no counts.
 type message struct {
 	// Full messages hold all entries, others only changed ones.
 	Full bool `cbor:"1,keyasint,omitempty"`
@@ -101,6 +102,10 @@
 	// Stewards is a host's question about the hosts that may send to cold targets, or the
 	// reader's answer to one.
 	Stewards *stewards `cbor:"24,keyasint,omitempty"`
+	// PauseEnds are ends of pauses of targets that a follower has observed. Pauses has
+	// those of the whole fleet, for gatherers, and of a reader's followers, for readers.
+	PauseEnds []stall.SharedEnd `cbor:"22,keyasint,omitempty"`
+	Pauses    *pauseNews        `cbor:"23,keyasint,omitempty"`
 }
 
 // position returns the sender's position in the store's history.
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -70,7 +70,9 @@
 	evacuations evacuations
 	budgets     map[catalog.ServiceName]*guardedBudget
 	cold        *coldTargets
-	current     atomic.Pointer[Snapshot]
+	// stalls has a lock of its own, which may be taken while mu or a pool's is held.
+	stalls  *stallLearner
+	current atomic.Pointer[Snapshot]
 }
 
 // Snapshot is a view together with the pools of its targets that take new work.
@@ -92,6 +94,7 @@
 	}
 	d.evacuations.endedAt = map[string]time.Time{}
 	d.cold = newColdTargets(&opts)
+	d.stalls = newStallLearner(&opts)
 	d.view = catalog.NewView(nil, catalog.Position{}, nil)
 	d.current.Store(&Snapshot{View: d.view})
 	return d
@@ -122,6 +125,7 @@
 		return
 	}
 	d.fleet, d.running = f, running
+	d.stalls.setSharing(f.Gatherers > 0)
 	d.rebuild()
 }
 
@@ -150,6 +154,7 @@
 			delete(d.pools, id)
 			d.keepWithdrawal(pool)
 			d.cold.keep(pool, time.Now())
+			d.stalls.forget(id)
 			pool.Close()
 		}
 	}
@@ -159,6 +164,7 @@
 		d.used, d.shards = v.Config.InUse(), v.Config.Shards()
 	}
 	d.cold.notePermits(v.Config)
+	d.stalls.setConfig(v.Config)
 	for name, b := range d.budgets {
 		b.setLimit(d.limitOf(name))
 	}
@@ -211,6 +217,7 @@
 	pool := NewPool(t, &d.opts)
 	pool.withdrawal = d.withdrawn[startOf(t)]
 	pool.cold.shared = d.cold
+	pool.stalls.learner = d.stalls
 	d.cold.restore(pool)
 	if spread := warmSpread(d.fleet.Hosts); spread > 0 {
 		pool.delayWarm(rand.N(spread))
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -59,6 +59,8 @@
 	withdrawal withdrawal.State
 	evacuation
 	stats replica.Stats
+	// stalls finds and predicts the target's pauses.
+	stalls stallState
 	// sample counts the exchanges since the last takeSample.
 	sample targethealth.Sample
 	// distrustedUntil is when the last report of other hosts that the target is
@@ -157,6 +159,7 @@
 	load.PauseLeft = p.withdrawal.PauseLeft(now)
 	load.Evacuated, load.Withheld = p.evacuated, p.withheld(now)
 	load.Held = p.held(now)
+	p.addForeseen(&load, now)
 	return load
 }
 
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -15,6 +15,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/decision/stall"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/face/adminapi"
@@ -130,6 +131,9 @@
 	// stewarding is set while a service bounds the requests to its cold targets. It is used by
 	// the same goroutine.
 	stewarding bool
+	// clock detects that the monotonic clock did not run. It is used by the same goroutine.
+	clock   stall.Clock
+	started time.Time
 	// warningBudget limits the log lines about unhealthy targets.
 	warningBudget *logging.Budget
 	evacuations   *evacuationMonitor
@@ -138,7 +142,7 @@
 // New builds a host without starting it.
 func New(opts Options) *Edge {
 	guard := crashguard.New()
-	e := &Edge{opts: opts, accepted: make(chan struct{}), metrics: newMetricsServer(opts.Log), warningBudget: logging.NewBudget(warningLinesPerSecond)}
+	e := &Edge{opts: opts, started: time.Now(), accepted: make(chan struct{}), metrics: newMetricsServer(opts.Log), warningBudget: logging.NewBudget(warningLinesPerSecond)}
 	e.memory = bytebudget.New(bytebudget.Options{Limit: opts.MemoryBytes / memoryShare, Scope: e.metrics.scope, Log: opts.Log})
 	e.hub = catalogshare.NewHub(e.self(), guard, opts.Log)
 	e.directory = targetpool.NewDirectory(targetpool.Options{
@@ -153,6 +157,7 @@
 	e.evacuations = newEvacuationMonitor(opts.Log, e.metrics.scope, opts.EvacuateWithin)
 	e.hub.OnUnhealthyTargets(e.handleUnhealthyTargets)
 	e.hub.OnLeavingTarget(e.handleLeavingTarget)
+	e.hub.SetPauseHooks(e.pauseHooks())
 	firstWait := time.Duration(0)
 	if opts.FirstStart {
 		firstWait = firstStartWait
