--- a/internal/hosts/catalogsync/state.go
+++ b/internal/hosts/catalogsync/state.go
@@ -174,8 +174,9 @@
 // nextExpiry returns the time until expire must run again.
 func (s *state) nextExpiry(now time.Time) time.Duration {
 	next := idleExpiry
-	if len(s.pendingRemovals) > 0 {
-		next = s.delayUntil.Sub(now)
+	// A second outage moves delayUntil, but not the removals that were marked before.
+	for _, until := range s.pendingRemovals {
+		next = min(next, until.Sub(now))
 	}
 	if len(s.restore.held) > 0 {
 		next = min(next, s.restore.until.Sub(now))
--- a/internal/hosts/catalogsync/state_test.go
+++ b/internal/hosts/catalogsync/state_test.go
@@ -92,3 +92,18 @@
 	restarted.Target.Born = 5
 	require.True(t, s.apply(Batch{Position: at(3), Changes: []Change{restarted}}, now))
 }
+
+// TestSecondOutageDoesNotDelayEarlierRemovals guards against targets that stay in use after
+// their time, since the next check was scheduled for the removals of a later outage.
+func TestSecondOutageDoesNotDelayEarlierRemovals(t *testing.T) {
+	s := newState(nullLogger())
+	now := time.Now()
+	s.apply(Batch{Full: true, Position: at(1), Changes: []Change{target("a"), target("b")}}, now)
+	s.apply(Batch{AfterOutage: true, Position: at(2), Changes: []Change{removal("a")}}, now)
+	second := now.Add(removalDelay / 2)
+	s.apply(Batch{AfterOutage: true, Position: at(3), Changes: []Change{removal("b")}}, second)
+	require.Equal(t, removalDelay/2, s.nextExpiry(second))
+	require.True(t, s.expire(now.Add(removalDelay)))
+	require.Len(t, s.view().Targets, 1)
+	require.Equal(t, removalDelay/2, s.nextExpiry(now.Add(removalDelay)))
+}
--- a/internal/hosts/peer/selfcall.go
+++ b/internal/hosts/peer/selfcall.go
@@ -14,20 +14,22 @@
 func (m *Mesh) callSelf(kind Kind, payload cbor.RawMessage, deadline time.Time, done func(cbor.RawMessage, error)) (cancel func()) {
 	ctx := &inboundContext{deadline: deadline}
 	var once sync.Once
-	finish := func(reply cbor.RawMessage, err error) {
+	end := func(reply cbor.RawMessage, err error) {
 		once.Do(func() {
 			ctx.end(context.Canceled)
 			done(reply, err)
 		})
 	}
+	finish := end
 	if !deadline.IsZero() {
+		// The timer may fire before this function returns, so it uses end, which is not
+		// changed any more.
 		timer := time.AfterFunc(time.Until(deadline), func() {
-			finish(nil, transportError(true, verdict.DeadlinePassed, "the deadline passed before this host answered"))
+			end(nil, transportError(true, verdict.DeadlinePassed, "the deadline passed before this host answered"))
 		})
-		next := done
-		done = func(reply cbor.RawMessage, err error) {
+		finish = func(reply cbor.RawMessage, err error) {
 			timer.Stop()
-			next(reply, err)
+			end(reply, err)
 		}
 	}
 	in := &Inbound{Ctx: ctx, From: m.opts.Self, Kind: kind, Deadline: deadline, Payload: payload}
--- a/internal/targets/dispatch/fake_test.go
+++ b/internal/targets/dispatch/fake_test.go
@@ -27,7 +27,10 @@
 
 	// probeFails is the error of every probe. reportsIdle leaves the running
 	// sub-requests out of load reports.
-	probeFails  error
+	probeFails error
+	// dialFails is the error of dials to targets that are down; nil means that nothing
+	// listens there.
+	dialFails   error
 	reportsIdle bool
 
 	mu        sync.Mutex
@@ -53,6 +56,9 @@
 func (f *fakeTargets) Dial(_ context.Context, t *model.Target, _ time.Duration) (target.Conn, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.dialFails != nil && f.down[t.ID] {
+		return nil, fmt.Errorf("dial %s: %w", t.ID, f.dialFails)
+	}
 	if f.down[t.ID] {
 		return nil, fmt.Errorf("dial %s: %w", t.ID, syscall.ECONNREFUSED)
 	}
--- a/internal/targets/dispatch/observe.go
+++ b/internal/targets/dispatch/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
@@ -72,9 +73,9 @@
 }
 
 // processDied reports whether the target's process died, after a connection broke
-// during an exchange. If it died, the control connection is broken as well, or a new
-// connection fails before its timeout; the loss of a single connection causes
-// neither.
+// during an exchange. If it died, the control connection is broken as well, or nothing
+// listens at the target's address; the loss of a single connection causes neither. Other
+// failures to connect may be this host's own, or those of a target at its connection limit.
 func (p *pool) processDied(now time.Time) bool {
 	if p.ctl.lostConnection() {
 		return true
@@ -82,7 +83,7 @@
 	conn, err := p.dial(p.l.limits.ProbeTimeout)
 	if err != nil {
 		p.connectFailed(now, err)
-		return errors.Is(err, errRefused)
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	p.closeConn(conn)
 	return false
--- a/internal/targets/dispatch/state_test.go
+++ b/internal/targets/dispatch/state_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -56,6 +58,33 @@
 	require.Equal(t, verdict.TargetUnreachable, submitAndWait(l, subrequest("t0", "s0", time.Minute)).Reason)
 }
 
+// TestDialThatFailsOnThisSideIsNotReportedAsCrash covers a host that cannot open a new
+// connection for a reason of its own, or of a target at its connection limit. It guards
+// against requests that are quarantined although no target crashed.
+func TestDialThatFailsOnThisSideIsNotReportedAsCrash(t *testing.T) {
+	for _, failure := range []error{syscall.EMFILE, syscall.ENETUNREACH, syscall.EHOSTUNREACH, io.EOF} {
+		targets := newFakeTargets()
+		targets.dialFails = failure
+		started := make(chan struct{}, 1)
+		targets.serve = func(ctx context.Context, req *subquery.Request) *subquery.Answer {
+			started <- struct{}{}
+			return blockUntilDone(ctx, req)
+		}
+		// The quota leaves no control connection, which would tell a crash itself.
+		l := newTestLocal(newViews(ownView("h0", 1, 1, 1)), targets)
+		l.opts.OnCrash = func(*subquery.Request) { t.Errorf("a failed dial was reported as a crash: %v", failure) }
+		l.Start()
+		got := make(chan *subquery.Answer, 1)
+		l.Submit(subrequest("t0", "s0", time.Minute), func(a *subquery.Answer) { got <- a })
+		<-started
+		targets.kill("t0")
+		a := <-got
+		require.Equal(t, verdict.Unknown, a.Verdict)
+		require.NotEqual(t, verdict.TargetCrashed, a.Reason)
+		stopLocal(l)
+	}
+}
+
 func TestLossOfOneConnectionIsNotReportedAsCrash(t *testing.T) {
 	targets := newFakeTargets()
 	started := make(chan struct{}, 1)
--- a/internal/targets/target/dialer.go
+++ b/internal/targets/target/dialer.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"fmt"
 	"net"
 	"time"
 
@@ -37,7 +38,8 @@
 }
 
 // Dial implements Dialer. It waits for the first load report, so that the target
-// has accepted the connection when Dial returns it. Its error is a *verdict.Error.
+// has accepted the connection when Dial returns it. Its error wraps a *verdict.Error and
+// the cause.
 func (d *HTTPDialer) Dial(ctx context.Context, t *model.Target, timeout time.Duration) (Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -54,5 +56,5 @@
 }
 
 func dialError(t *model.Target, err error) error {
-	return verdict.Refuse(verdict.TargetUnreachable, 0, "dial target %s at %s: %v", t.ID, t.Addr, err)
+	return fmt.Errorf("%w: %w", verdict.Refuse(verdict.TargetUnreachable, 0, "dial target %s at %s", t.ID, t.Addr), err)
 }
--- a/internal/targets/targetpool/dial.go
+++ b/internal/targets/targetpool/dial.go
@@ -137,8 +137,12 @@
 }
 
 // recordFailure counts a failed dial or refused connection and schedules the next
-// dial with exponential backoff and jitter. The caller holds the lock.
+// dial with exponential backoff and jitter. A closed pool dials no more. The caller holds
+// the lock.
 func (p *Pool) recordFailure(now time.Time, err error) {
+	if p.closed {
+		return
+	}
 	p.failures++
 	if p.failures == 1 {
 		p.log.WithError(err).Warn("target lost: no connection")
@@ -146,9 +150,7 @@
 	wait := min(redialFirst<<min(p.failures-1, maxDoublings), redialLast)
 	wait = wait/2 + rand.N(wait/2)
 	p.retryDial = now.Add(wait)
-	if !p.closed {
-		time.AfterFunc(wait, p.redial)
-	}
+	time.AfterFunc(wait, p.redial)
 }
 
 // resetFailures ends the backoff after a reply. The caller holds the lock.
--- a/internal/tool/citest/result.go
+++ b/internal/tool/citest/result.go
@@ -69,6 +69,10 @@
 		_, _ = fmt.Fprintf(w, "FAIL %s\n%s", name, strings.Join(r.output[name], ""))
 	}
 	for _, pkg := range sorted(r.failedPackages) {
+		if line := r.endedBy(pkg); line != "" {
+			ok = false
+			_, _ = fmt.Fprintf(w, "FAIL %s ended before all of its tests had run: %s\n", pkg, line)
+		}
 		if _, explained := packagesWithFailedTests[pkg]; !explained {
 			ok = false
 			_, _ = fmt.Fprintf(w, "FAIL %s did not build, or ended outside a test\n%s", pkg, strings.Join(r.output[pkg+"."], ""))
@@ -92,6 +96,27 @@
 	return ok
 }
 
+// endings begin the lines with which a test's process ends.
+var endings = []string{"panic: ", "fatal error: "}
+
+// endedBy returns the line with which the package's process ended before all of its tests
+// had run, empty if it did not. The tests after it are in no event.
+func (r *result) endedBy(pkg string) string {
+	for name, lines := range r.output {
+		if packageOf(name) != pkg {
+			continue
+		}
+		for _, line := range lines {
+			for _, ending := range endings {
+				if strings.HasPrefix(line, ending) {
+					return strings.TrimSpace(line)
+				}
+			}
+		}
+	}
+	return ""
+}
+
 // evaluateListed reports whether each listed test failed, or at least ran if its
 // entry says that it fails at times. It prints the tests for which this does
 // not hold and the flaky ones that passed.
--- a/internal/tool/citest/result_test.go
+++ b/internal/tool/citest/result_test.go
@@ -61,3 +61,19 @@
 		t.Errorf("a failure outside the list passed: %s", out.String())
 	}
 }
+
+// TestListedTestThatPanicsFailsTheRun guards against a run that passes although a panic in
+// a listed test ended the package, so that the tests after it did not run.
+func TestListedTestThatPanicsFailsTheRun(t *testing.T) {
+	for _, output := range []string{"panic: runtime error: index out of range\n", "fatal error: all goroutines are asleep\n", "panic: test timed out after 15m0s\n"} {
+		res := run("fail")
+		res.add(event{Action: "output", Package: "a/b", Test: "TestListed", Output: output})
+		var out strings.Builder
+		if res.evaluate(knownRed{listedTest: failsAlways}, &out) {
+			t.Errorf("a run without the tests after %q passed: %s", output, out.String())
+		}
+		if !strings.Contains(out.String(), "a/b ended before all of its tests had run") {
+			t.Errorf("printed %q", out.String())
+		}
+	}
+}
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
@@ -162,28 +161,23 @@
 	return e
 }
 
-// Start opens the listeners and starts to follow the store.
+// Start opens the listeners and starts to follow the store. If a listener can't be opened,
+// those before it are closed and nothing is started.
 func (e *Edge) Start() error {
-	callers, err := listener.Listen(e.opts.CallerAddr)
+	l, err := e.listen()
 	if err != nil {
-		return eris.Wrap(err, "listen for callers")
-	}
-	e.callers = callers
-	if err := e.ready.listen(e.opts.ReadyAddr, e.opts.Log); err != nil {
-		return err
-	}
-	if err := e.metrics.listen(e.opts.MetricsAddr); err != nil {
 		return err
 	}
+	e.callers = l.callers
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
-	if err := e.listenPeers(ctx); err != nil {
-		return err
-	}
+	e.ready.serve(l.ready, e.opts.Log)
+	e.metrics.serve(l.metrics)
+	e.startPeers(ctx, l.peers)
 	go e.follower.Run(ctx)
 	go func() {
 		defer close(e.accepted)
-		e.opts.Log.WithError(e.server.Serve(callers)).Info("callers' listener closed")
+		e.opts.Log.WithError(e.server.Serve(l.callers)).Info("callers' listener closed")
 	}()
 	return nil
 }
@@ -205,22 +199,17 @@
 	e.directory.MarkLeaving(catalog.TargetID(t.Target), t.Born, since)
 }
 
-// listenPeers starts to track the fleet's size and, with a PeerAddr, to accept the
-// links of other hosts.
-func (e *Edge) listenPeers(ctx context.Context) error {
+// startPeers starts to track the fleet's size and, with a listener, to accept the links of
+// other hosts.
+func (e *Edge) startPeers(ctx context.Context, peers net.Listener) {
 	go e.trackFleetSize(ctx)
-	if e.opts.PeerAddr == "" {
-		return nil
-	}
-	peers, err := net.Listen("tcp", e.opts.PeerAddr)
-	if err != nil {
-		return eris.Wrap(err, "listen for other hosts")
+	if peers == nil {
+		return
 	}
 	go e.hub.Run(ctx)
 	go e.source.Observe(ctx)
 	go e.gatherers.Run(ctx)
 	go e.servePeers(peers)
-	return nil
 }
 
 // trackFleetSize updates this host's share of the targets' connections and of the
--- a/internal/wiring/edge/metrics.go
+++ b/internal/wiring/edge/metrics.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
@@ -28,20 +27,15 @@
 	return &metricsServer{scope: scope, handler: handler, closer: closer, log: log}
 }
 
-// listen serves metrics at addr; an empty addr serves none.
-func (m *metricsServer) listen(addr string) error {
-	if addr == "" {
-		return nil
-	}
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return eris.Wrap(err, "listen for scrapers")
+// serve serves metrics until the listener is closed; a nil listener serves none.
+func (m *metricsServer) serve(l net.Listener) {
+	if l == nil {
+		return
 	}
 	mux := http.NewServeMux()
 	mux.Handle(MetricsPath, m.handler)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout}
 	go func() { m.log.WithError(server.Serve(l)).Info("scrapers' listener closed") }()
-	return nil
 }
 
 // fleet sets the gauges of the fleet's size and of the current view.
--- a/internal/wiring/edge/readiness.go
+++ b/internal/wiring/edge/readiness.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
@@ -27,11 +26,8 @@
 	return &readiness{path: path, follower: follower}
 }
 
-func (r *readiness) listen(addr string, log logrus.FieldLogger) error {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return eris.Wrap(err, "listen for the balancer")
-	}
+// serve answers readiness checks until the listener is closed.
+func (r *readiness) serve(l net.Listener, log logrus.FieldLogger) {
 	mux := http.NewServeMux()
 	mux.HandleFunc(r.path, r.answer)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout}
@@ -40,7 +36,6 @@
 			log.WithError(err).Info("balancer's listener closed")
 		}
 	}()
-	return nil
 }
 
 func (r *readiness) stop() { r.stopping.Store(true) }
