Withhold doubted entries of an older copy from hosts that start

Cause: after the store comes back from an older copy, hosts hold back targets that had left, by their own memory.

Change: the state names the entries that it doubts (catalogsync.Doubt); the hub leaves them out of the first message to a new follower until they are written again or the doubt ends, and sends those that are released then.

--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -31,6 +31,9 @@
 	mu       sync.Mutex
 	entries  map[string]entry
 	position catalog.Position
+	// withheld has the entries of an older copy of the store that are not passed on
+	// before the given times.
+	withheld map[string]time.Time
 	// config is the newest configuration seen; its Config is nil before the first.
 	config    catalogsync.Change
 	asOf      time.Time
@@ -96,7 +99,7 @@
 func NewHub(self gathering.Member, guard *crashguard.Guard, log logrus.FieldLogger) *Hub {
 	return &Hub{
 		log: log, self: self, guard: guard, entries: map[string]entry{}, followers: map[*follower]bool{}, readerCounts: map[string]hostCount{},
-		leaving:  map[LeavingTarget]time.Time{},
+		leaving: map[LeavingTarget]time.Time{}, withheld: map[string]time.Time{},
 		upgrader: websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }},
 	}
 }
@@ -185,8 +188,11 @@
 func (h *Hub) fullMessage() *message {
 	m := h.newMessage()
 	m.Full = true
-	for _, e := range h.entries {
-		m.Entries = append(m.Entries, e)
+	now := time.Now()
+	for key, e := range h.entries {
+		if h.passesOn(key, now) {
+			m.Entries = append(m.Entries, e)
+		}
 	}
 	return m
 }
--- a/internal/hosts/catalogshare/publish.go
+++ b/internal/hosts/catalogshare/publish.go
@@ -12,6 +12,7 @@
 	defer h.mu.Unlock()
 	if b.Full {
 		h.entries = make(map[string]entry, len(b.Changes))
+		clear(h.withheld)
 	}
 	m := h.newMessage()
 	for i := range b.Changes {
@@ -41,6 +42,7 @@
 	if c.Kind == catalogsync.ConfigChange && h.config.Config != nil {
 		c = &h.config
 	}
+	delete(h.withheld, c.Key)
 	e := entry{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted}
 	if c.Deleted {
 		delete(h.entries, c.Key)
--- a/internal/hosts/catalogsync/follower.go
+++ b/internal/hosts/catalogsync/follower.go
@@ -49,6 +49,9 @@
 	// OnBatch gets each batch as it was read, before the view that includes it. It
 	// may be nil.
 	OnBatch func(Batch)
+	// OnDoubt gets what the host does not believe of an older copy of the store, before
+	// the view without it. It may be nil.
+	OnDoubt func(Doubt)
 	// LongestPause returns the longest pause between failed calls of a host that has
 	// entries, before jitter. It may be nil and applies only above maxBackoff.
 	LongestPause func() time.Duration
@@ -129,6 +132,9 @@
 		case <-timer.C:
 			changed = s.expire(time.Now())
 		}
+		if doubt := s.takeDoubt(); !doubt.isZero() && f.hooks.OnDoubt != nil {
+			f.hooks.OnDoubt(doubt)
+		}
 		if changed {
 			v := s.view()
 			// The hook installs the view for requests, so it runs before View
--- a/internal/hosts/catalogsync/restore.go
+++ b/internal/hosts/catalogsync/restore.go
@@ -23,6 +23,12 @@
 	at   time.Time
 }
 
+// heldTarget is a target of the copy and the key of its entry.
+type heldTarget struct {
+	target *catalog.Target
+	key    string
+}
+
 // restore decides which entries of an older copy of the store to believe: the copy may
 // show targets as ready that have left since it was made. What a target writes after
 // the restore is believed.
@@ -31,14 +37,14 @@
 	departed map[catalog.TargetID]departure
 	// held has the targets of the copy that had left, until they write again or
 	// copyDoubt has passed.
-	held map[catalog.TargetID]*catalog.Target
+	held map[catalog.TargetID]heldTarget
 	// at is the first position read in the current era, until the end of copyDoubt.
 	at    catalog.Position
 	until time.Time
 }
 
 func newRestore() restore {
-	return restore{departed: map[catalog.TargetID]departure{}, held: map[catalog.TargetID]*catalog.Target{}}
+	return restore{departed: map[catalog.TargetID]departure{}, held: map[catalog.TargetID]heldTarget{}}
 }
 
 // begin starts a new era, whose entries were first read at the position.
@@ -80,7 +86,7 @@
 }
 
 // hold keeps a target of the copy for release.
-func (r *restore) hold(t *catalog.Target) { r.held[t.ID] = t }
+func (r *restore) hold(t *catalog.Target, key string) { r.held[t.ID] = heldTarget{target: t, key: key} }
 
 // keepOnly drops the held targets whose entries are no longer there.
 func (r *restore) keepOnly(seen map[catalog.TargetID]bool) {
@@ -101,11 +107,11 @@
 }
 
 // release returns the targets that are held once copyDoubt has passed.
-func (r *restore) release(now time.Time) []*catalog.Target {
+func (r *restore) release(now time.Time) []heldTarget {
 	if now.Before(r.until) || len(r.held) == 0 {
 		return nil
 	}
-	released := make([]*catalog.Target, 0, len(r.held))
+	released := make([]heldTarget, 0, len(r.held))
 	for _, t := range r.held {
 		released = append(released, t)
 	}
--- a/internal/hosts/catalogsync/restore_test.go
+++ b/internal/hosts/catalogsync/restore_test.go
@@ -83,3 +83,23 @@
 	require.False(t, s.expire(now.Add(copyDoubt)))
 	require.Empty(t, s.view().Targets)
 }
+
+// TestDoubtNamesWhatStartingHostsMustNotGet guards against hosts that start shortly after
+// the store came back from an older copy and use targets of it that have left.
+func TestDoubtNamesWhatStartingHostsMustNotGet(t *testing.T) {
+	s := newState(nullLogger())
+	now := time.Now()
+	leaving := target("leaving")
+	leaving.Target.Leaving = true
+	all := []Change{target("gone"), target("leaving"), target("stays")}
+	s.apply(Batch{Full: true, Position: at(3), Changes: all}, now)
+	s.apply(Batch{Position: at(5), Changes: []Change{removal("gone"), leaving}}, now)
+	require.True(t, s.takeDoubt().isZero())
+	s.apply(Batch{Full: true, Position: catalog.Position{Era: 1, Revision: 3}, Changes: []Change{target("gone"), target("leaving"), target("stays")}}, now)
+	doubt := s.takeDoubt()
+	require.Equal(t, []string{"t/gone", "t/leaving"}, doubt.Withheld)
+	require.Equal(t, now.Add(copyDoubt), doubt.Until)
+	require.True(t, s.takeDoubt().isZero())
+	s.expire(now.Add(copyDoubt))
+	require.Equal(t, []string{"t/gone"}, s.takeDoubt().Released)
+}
--- a/internal/hosts/catalogsync/state.go
+++ b/internal/hosts/catalogsync/state.go
@@ -26,6 +26,8 @@
 	// removals are delayed.
 	delayUntil time.Time
 	restore    restore
+	// doubt is what takeDoubt returns next.
+	doubt Doubt
 }
 
 func newState(log logrus.FieldLogger) *state {
@@ -100,7 +102,7 @@
 	t := c.Target
 	old, known := s.targets[t.ID]
 	if s.restore.outdated(c, old, now) {
-		return s.applyOutdated(t, known)
+		return s.applyOutdated(c, old)
 	}
 	delete(s.pendingRemovals, t.ID)
 	s.restore.written(t, now)
@@ -115,12 +117,16 @@
 // applyOutdated applies an entry that the copy has of a target which has left, is
 // leaving or has restarted since: the host keeps what it knows. A target that it no
 // longer knows is held back.
-func (s *state) applyOutdated(t *catalog.Target, known bool) bool {
-	if known {
+func (s *state) applyOutdated(c *Change, known *catalog.Target) bool {
+	t := c.Target
+	if known == nil || known.Leaving {
+		s.doubt.Withheld = append(s.doubt.Withheld, c.Key)
+	}
+	if known != nil {
 		delete(s.pendingRemovals, t.ID)
 		return false
 	}
-	s.restore.hold(t)
+	s.restore.hold(t, c.Key)
 	s.log.WithFields(logrus.Fields{"target": t.ID, "service": t.Service, "store_era": s.position.Era}).Info("target of the older copy is held back")
 	return false
 }
@@ -163,9 +169,10 @@
 		s.log.WithFields(logrus.Fields{"target": id, "reason": "entry was not rewritten after the store outage"}).Info("target gone")
 		changed = true
 	}
-	for _, t := range s.restore.release(now) {
-		s.log.WithFields(logrus.Fields{"target": t.ID, "reason": "entry of the older copy is still there"}).Info("target is used again")
-		s.targets[t.ID] = t
+	for _, h := range s.restore.release(now) {
+		s.log.WithFields(logrus.Fields{"target": h.target.ID, "reason": "entry of the older copy is still there"}).Info("target is used again")
+		s.targets[h.target.ID] = h.target
+		s.doubt.Released = append(s.doubt.Released, h.key)
 		changed = true
 	}
 	return changed
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -145,7 +145,7 @@
 		Store: opts.Store, Decode: opts.Decode, Hub: e.hub, Self: opts.PeerAddr, Readers: opts.Readers, FirstWait: firstWait, Log: opts.Log,
 	})
 	e.follower = catalogsync.New(e.source, opts.Log, catalogsync.Hooks{
-		OnView: e.directory.Update, OnBatch: e.hub.Publish, LongestPause: e.longestStorePause,
+		OnView: e.directory.Update, OnBatch: e.hub.Publish, OnDoubt: e.hub.Doubt, LongestPause: e.longestStorePause,
 	})
 	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope})
 	executor := relay.NewExecutor(relay.Options{
