--- a/internal/decision/stall/period.go
+++ b/internal/decision/stall/period.go
@@ -58,7 +58,10 @@
 			}
 		}
 	}
-	return wholePeriod(period, best, spans), best >= minEvidence
+	if best < minEvidence {
+		return 0, false
+	}
+	return wholePeriod(period, best, spans), true
 }
 
 // wholePeriod returns the longest multiple of a period that has nearly the same evidence,
