Evacuate failure domains in the product's own mode

Operators of swiftvane's own interface had no way to take a failure domain out of use; marking each target as leaving lasts only until the next list.

The configuration has a list evacuated_domains with a reason each, checked like the rest (no empty or repeated domain) and distributed with it. Not built: a gradual return of load.

Ruled out: refusing with not_owner, which sends sub-requests on to the stand-by.

--- a/internal/domain/config/crosscheck.go
+++ b/internal/domain/config/crosscheck.go
@@ -16,6 +16,7 @@
 		p.checkIndex(name, index)
 	}
 	p.checkExceptions()
+	p.indexEvacuated()
 }
 
 func (p *parser) checkWorkloads() {
--- a/internal/domain/config/document.go
+++ b/internal/domain/config/document.go
@@ -2,7 +2,8 @@
 // publishes, validates documents and computes the differences between revisions.
 //
 // A document is a set of keys with JSON values. The keys are "defaults",
-// "workloads/NAME", "index/WORKLOAD", "targets/ID" and "exceptions/NAME".
+// "workloads/NAME", "index/WORKLOAD", "targets/ID", "exceptions/NAME" and
+// "evacuated_domains".
 //
 // The package starts no goroutines. A checked document is immutable and safe for
 // concurrent use.
@@ -57,7 +58,10 @@
 	Indexes    map[model.WorkloadName]*model.Index
 	Targets    map[model.TargetID]*model.Target
 	Exceptions []Exception
-
+	// EvacuatedDomains are the failure domains to whose targets nothing is sent.
+	EvacuatedDomains []EvacuatedDomain
+	// EvacuatedTargets are the targets in EvacuatedDomains.
+	EvacuatedTargets map[model.TargetID]struct{}
 	// source holds the document's raw keys. ParseIncremental compares them with
 	// those of the next document to find the changed ones.
 	source map[string]json.RawMessage
--- a/internal/domain/config/parse.go
+++ b/internal/domain/config/parse.go
@@ -88,6 +88,10 @@
 		p.decode(key, raw, &p.fleet.Defaults)
 		return
 	}
+	if key == KeyEvacuated {
+		p.parseEvacuated(raw)
+		return
+	}
 	kind, name, _ := strings.Cut(key, "/")
 	if !validName(name) {
 		p.addProblem(key, name, "the name after the slash must be 1 to 128 letters, digits, '.', '_', ':' or '-'")
@@ -112,7 +116,7 @@
 			p.fleet.Exceptions = append(p.fleet.Exceptions, x)
 		}
 	default:
-		p.problems = append(p.problems, Problem{Path: key, Allowed: "unknown key, allowed are defaults, workloads/NAME, index/WORKLOAD, targets/ID and exceptions/NAME"})
+		p.problems = append(p.problems, Problem{Path: key, Allowed: "unknown key, allowed are defaults, workloads/NAME, index/WORKLOAD, targets/ID, exceptions/NAME and evacuated_domains"})
 	}
 }
 
--- a/internal/domain/config/reuse.go
+++ b/internal/domain/config/reuse.go
@@ -21,6 +21,10 @@
 		p.fleet.Defaults = p.base.Defaults
 		return true
 	}
+	if key == KeyEvacuated {
+		p.fleet.EvacuatedDomains = p.base.EvacuatedDomains
+		return true
+	}
 	kind, name, _ := strings.Cut(key, "/")
 	switch kind + "/" {
 	case PrefixWorkload:
--- a/internal/domain/verdict/reason.go
+++ b/internal/domain/verdict/reason.go
@@ -43,6 +43,7 @@
 	PredictedWait       Reason = "predicted_wait"
 	TargetShed          Reason = "target_shed"
 	TargetLeaving       Reason = "target_leaving"
+	TargetEvacuated     Reason = "target_evacuated"
 	TargetUnreachable   Reason = "target_unreachable"
 	TargetFailed        Reason = "target_failed"
 	TargetCrashed       Reason = "target_crashed"
--- a/internal/domain/view/view.go
+++ b/internal/domain/view/view.go
@@ -42,3 +42,13 @@
 type Source interface {
 	Current() *View
 }
+
+// IsEvacuated reports whether the target is in an evacuated failure domain.
+func (v *View) IsEvacuated(id model.TargetID) bool { return v.Fleet != nil && v.Fleet.IsEvacuated(id) }
+
+// TakesWork reports whether the target may get new work: it is neither leaving nor
+// evacuated.
+func (v *View) TakesWork(id model.TargetID) bool {
+	_, leaving := v.LeavingTargets[id]
+	return !leaving && !v.IsEvacuated(id)
+}
--- a/internal/face/adminapi/target.go
+++ b/internal/face/adminapi/target.go
@@ -11,6 +11,8 @@
 	TargetLive TargetState = "live"
 	// TargetLeaving means that the target gets no new work.
 	TargetLeaving TargetState = "leaving"
+	// TargetEvacuated means that the target's failure domain is evacuated.
+	TargetEvacuated TargetState = "evacuated"
 	// TargetUnreachable means that the last connection to the target was refused
 	// or lost.
 	TargetUnreachable TargetState = "unreachable"
--- a/internal/querypath/plan/plan_test.go
+++ b/internal/querypath/plan/plan_test.go
@@ -58,6 +58,9 @@
 	require.Equal(t, model.SnapshotID(3), pinned(t, h, v, q))
 	v.LeavingTargets["b1"] = struct{}{}
 	require.Equal(t, model.SnapshotID(2), pinned(t, h, v, q), "the only target with 3 is leaving")
+	delete(v.LeavingTargets, "b1")
+	v.Fleet.EvacuatedTargets = map[model.TargetID]struct{}{"b1": {}}
+	require.Equal(t, model.SnapshotID(2), pinned(t, h, v, q), "the only target with 3 is evacuated")
 }
 
 func TestSnapshotWithMostShardsIsPinnedIfNoneCoversAll(t *testing.T) {
--- a/internal/querypath/plan/planner.go
+++ b/internal/querypath/plan/planner.go
@@ -96,12 +96,12 @@
 }
 
 // covered returns the number of shards with a target that may hold the snapshot and
-// is not leaving.
+// takes new work.
 func (p *Planner) covered(v *view.View, w model.WorkloadName, s model.SnapshotID, shards []model.Shard) int {
 	n := 0
 	for i := range shards {
 		for _, t := range shards[i].Replicas {
-			if _, leaving := v.LeavingTargets[t]; !leaving && p.holdings.Holds(w, t, s) {
+			if v.TakesWork(t) && p.holdings.Holds(w, t, s) {
 				n++
 				break
 			}
--- a/internal/querypath/scatter/choose.go
+++ b/internal/querypath/scatter/choose.go
@@ -8,13 +8,13 @@
 )
 
 // chooseReplica returns the cheaper of two random replicas among those that were
-// not tried for the shard and are not leaving. Replicas that reported not to hold
+// not tried for the shard and take new work. Replicas that reported not to hold
 // the pinned snapshot are used only if there is no other.
 func (r *run) chooseReplica(shard int, now time.Time) (model.TargetID, bool) {
 	var holding, others [maxCandidates]model.TargetID
 	nHolding, nOthers := 0, 0
 	for _, t := range r.plan.Shards[shard].Replicas {
-		if _, leaving := r.plan.View.LeavingTargets[t]; leaving || r.tried(shard, t) {
+		if !r.plan.View.TakesWork(t) || r.tried(shard, t) {
 			continue
 		}
 		if r.s.holdings.Holds(r.plan.Workload, t, r.plan.Snapshot) {
@@ -63,12 +63,12 @@
 	return a
 }
 
-// chooseTriedReplica returns the cheapest replica that is not leaving, for a shard
-// whose replicas were all tried.
+// chooseTriedReplica returns the cheapest replica that takes new work, for a shard whose
+// replicas were all tried.
 func (r *run) chooseTriedReplica(shard int, now time.Time) (model.TargetID, bool) {
 	best, found := model.TargetID(""), false
 	for _, t := range r.plan.Shards[shard].Replicas {
-		if _, leaving := r.plan.View.LeavingTargets[t]; leaving {
+		if !r.plan.View.TakesWork(t) {
 			continue
 		}
 		if !found || r.s.targets.Get(t).cost(now) < r.s.targets.Get(best).cost(now) {
--- a/internal/targets/dispatch/control.go
+++ b/internal/targets/dispatch/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/domain/view"
 )
 
@@ -40,7 +41,7 @@
 
 // reconcile opens pools for the targets that this host may dispatch to and
 // replaces those whose target's record changed. It suspends the pools of targets
-// that moved to other hosts or were removed, and closes them after the grace period.
+// that moved to other hosts, were removed or are evacuated, and closes them after the grace period.
 func (l *Local) reconcile() {
 	v := l.opts.Views.Current()
 	if v.Fleet == nil {
@@ -55,6 +56,9 @@
 		switch {
 		case !l.mayDispatchTo(v, id):
 			p.suspend()
+			if v.IsEvacuated(id) {
+				p.refuseQueue(verdict.TargetEvacuated, 0)
+			}
 			if p.idleFor(l.limits.Grace) {
 				lost = append(lost, id)
 			}
--- a/internal/targets/dispatch/local.go
+++ b/internal/targets/dispatch/local.go
@@ -134,6 +134,9 @@
 	if l.stopping.Load() {
 		return l.refuse(done, notRunAnswer(verdict.HostStopping, 0))
 	}
+	if l.opts.Views.Current().IsEvacuated(req.Target) {
+		return l.refuse(done, notRunAnswer(verdict.TargetEvacuated, 0))
+	}
 	p := (*l.pools.Load())[req.Target]
 	if p == nil {
 		p = l.openPool(req.Target)
@@ -183,7 +186,7 @@
 
 // mayDispatchTo reports whether this host may dispatch to the target.
 func (l *Local) mayDispatchTo(v *view.View, id model.TargetID) bool {
-	if v.Fleet == nil || v.Fleet.Targets[id] == nil {
+	if v.Fleet == nil || v.Fleet.Targets[id] == nil || v.IsEvacuated(id) {
 		return false
 	}
 	if l.opts.Direct {
--- a/internal/tool/cli/root.go
+++ b/internal/tool/cli/root.go
@@ -43,7 +43,7 @@
 	opts.register(root.PersistentFlags())
 	root.AddCommand(
 		newQuery(opts), newStatus(opts), newTargets(opts), newQuarantine(opts),
-		newConfig(opts), newDrain(opts), newEvacuations(opts), newExplain(opts), newVersion(opts),
+		newConfig(opts), newDrain(opts), newEvacuate(opts), newEvacuations(opts), newExplain(opts), newVersion(opts),
 		withUsageErrors(capacity.NewCommand()), withUsageErrors(demo.NewCommand()), withUsageErrors(load.NewCommand()),
 	)
 	return root
--- a/internal/wiring/daemon/targetlister.go
+++ b/internal/wiring/daemon/targetlister.go
@@ -40,6 +40,8 @@
 	s, known := statuses[id]
 	_, leaving := v.LeavingTargets[id]
 	switch {
+	case v.IsEvacuated(id):
+		return adminapi.TargetEvacuated
 	case leaving || s.Leaving:
 		return adminapi.TargetLeaving
 	case !known:
