--- /dev/null
+++ b/internal/decision/overload/limiter.go
@@ -0,0 +1,158 @@
+package overload
+
+import "time"
+
+const (
+	// leastEnded and leastLate are the numbers of results from which on they are enough
+	// to detect overload; a single pause of a target makes a few requests late.
+	leastEnded = 6
+	leastLate  = 3
+	// limitedEnded and limitedLate replace them while a limit is in force, when few
+	// requests are admitted.
+	limitedEnded = 3
+	limitedLate  = 2
+	// lateShare is the share of late results from which on a group is overloaded.
+	lateShare = 0.2
+	// delayedShare is the share of results with queueing above which the limit doesn't
+	// rise, and queueShare that above which it falls slowly.
+	delayedShare = 0.05
+	queueShare   = 0.3
+	// cutWeight is by how much a share of late results cuts the limit.
+	cutWeight = 0.5
+	// drainShare is the part of the new limit that is admitted after a cut, until the
+	// requests in flight are expected to have ended, at least drainLeast and at most
+	// drainMost: those that are admitted behind a queue are late, too.
+	drainShare = 0.4
+	drainLeast = 200 * time.Millisecond
+	drainMost  = 800 * time.Millisecond
+	// raise is a step up, lower one down while calls are queued, as shares of the limit.
+	// Steps down stop at lowerLeast of the limit that was last reached, since a slow target
+	// without a queue may look queued.
+	raise      = 0.03
+	lower      = 0.04
+	lowerLeast = 0.85
+	// regain replaces raise below regainShare of what was served when calls last queued.
+	regain      = 0.08
+	regainShare = 0.85
+	// usedShare is the share of the limit that must be used for it to rise. What a host
+	// admits may be limited by the fleet's shares as well.
+	usedShare = 0.85
+	// stepInterval is the time between two steps.
+	stepInterval = 200 * time.Millisecond
+	// settleTime is how long the end of a drain takes until it shows in the results.
+	settleTime = 400 * time.Millisecond
+	// releaseAfter is how long less must be offered than admitted until a limit ends.
+	releaseAfter = 2 * time.Second
+	// leastLimit is the least limit of a group, per second. Beside it a host may always
+	// have one request in flight, see Group.
+	leastLimit = 0.5
+)
+
+// observation is what was measured about a group since its limit last fell.
+type observation struct {
+	// offered, completed and inTime are rates per second.
+	offered   float64
+	completed float64
+	inTime    float64
+	// ended, late and delayed are numbers of results.
+	ended   int
+	late    int
+	delayed int
+	// inFlight is the number of requests in flight.
+	inFlight int
+}
+
+// limiter finds the rate at which a group is served in time by additive increase and
+// multiplicative decrease.
+type limiter struct {
+	// limit is the admitted rate per second, 0 while there is no limit.
+	limit float64
+	// reached is the limit after the last rise or cut.
+	reached float64
+	// served is what was completed per second when calls last queued.
+	served float64
+	// cutAt is when the limit was last cut and drainUntil until when less is admitted after
+	// it. nextStep is when the limit may change again.
+	cutAt      time.Time
+	drainUntil time.Time
+	nextStep   time.Time
+	// exceededAt is when more was last offered than admitted.
+	exceededAt time.Time
+}
+
+// rate returns the admitted rate at now.
+func (l *limiter) rate(now time.Time) float64 {
+	if now.Before(l.drainUntil) {
+		return l.limit * drainShare
+	}
+	return l.limit
+}
+
+func (l *limiter) limited() bool { return l.limit > 0 }
+
+// overloaded reports whether enough results are late.
+func (o *observation) overloaded(ended, late int) bool {
+	return o.ended >= ended && o.late >= late && float64(o.late) >= lateShare*float64(o.ended)
+}
+
+// detect sets a limit if the group is overloaded.
+func (l *limiter) detect(now time.Time, o observation) {
+	if !o.overloaded(leastEnded, leastLate) {
+		return
+	}
+	l.exceededAt = now
+	l.limit = o.completed
+	l.cut(now, o)
+}
+
+// adjust changes a limit in force according to the results under it.
+func (l *limiter) adjust(now time.Time, o observation) {
+	if o.offered >= l.limit {
+		l.exceededAt = now
+	}
+	if now.Sub(l.exceededAt) >= releaseAfter {
+		*l = limiter{}
+		return
+	}
+	if now.Before(l.nextStep) {
+		return
+	}
+	l.nextStep = now.Add(stepInterval)
+	queued := float64(o.delayed + o.late)
+	switch {
+	case o.overloaded(limitedEnded, limitedLate):
+		l.cut(now, o)
+	case queued > queueShare*float64(o.ended):
+		l.served = min(l.limit, o.completed)
+		lowered := min(l.limit, max(o.completed, leastLimit)) * (1 - lower)
+		l.limit = max(lowered, l.reached*lowerLeast, leastLimit)
+	case queued <= delayedShare*float64(o.ended) && o.completed >= usedShare*l.limit || l.limit <= leastLimit:
+		l.limit = max(l.limit, o.inTime) * (1 + l.step())
+		l.reached = l.limit
+	}
+}
+
+// step returns the next step up.
+func (l *limiter) step() float64 {
+	if l.limit < regainShare*l.served {
+		return regain
+	}
+	return raise
+}
+
+// cut lowers the limit from what was completed towards what was in time, the more the
+// larger the share of late results is, and lets the queue drain.
+func (l *limiter) cut(now time.Time, o observation) {
+	share := float64(o.late) / float64(max(o.ended, 1))
+	capacity := min(l.limit, max(o.completed, leastLimit))
+	l.served = capacity
+	l.limit = max(capacity*(1-cutWeight*share), min(o.inTime, capacity), leastLimit)
+	l.reached = l.limit
+	wait := drainMost
+	if o.completed > 0 {
+		wait = time.Duration(min(float64(o.inFlight)/o.completed*float64(time.Second), float64(drainMost)))
+	}
+	l.cutAt = now
+	l.drainUntil = now.Add(max(wait, drainLeast))
+	l.nextStep = l.drainUntil.Add(settleTime)
+}
