--- a/internal/decision/overload/control.go
+++ b/internal/decision/overload/control.go
@@ -45,13 +45,12 @@
 func (g *Group) observe(slices int) observation {
 	n := g.known(slices)
 	per := 1 / (float64(n) * sliceLength.Seconds())
-	ended := g.results.completed.sum(g.slice, n)
 	return observation{
 		offered:   float64(g.offered.sum(g.slice, n)) * per,
-		completed: float64(ended) * per,
+		completed: float64(g.results.completed.sum(g.slice, n)) * per,
 		inTime:    float64(g.results.inTime.sum(g.slice, n)) * per,
 		inFlight:  g.inFlight,
-		ended:     ended, late: g.results.late.sum(g.slice, n), delayed: g.results.delayed.sum(g.slice, n),
+		ended:     g.results.ended.sum(g.slice, n), late: g.results.late.sum(g.slice, n), delayed: g.results.delayed.sum(g.slice, n),
 	}
 }
 
--- a/internal/decision/overload/counts.go
+++ b/internal/decision/overload/counts.go
@@ -30,6 +30,7 @@
 
 // results counts what became of admitted requests.
 type results struct {
+	ended     ring
 	completed ring
 	inTime    ring
 	delayed   ring
@@ -37,6 +38,7 @@
 }
 
 func (r *results) clear(slice int64) {
+	r.ended.clear(slice)
 	r.completed.clear(slice)
 	r.inTime.clear(slice)
 	r.delayed.clear(slice)
@@ -44,12 +46,15 @@
 }
 
 // add counts a result. One of a request that was admitted before the last cut of the
-// limit tells nothing about the limit in force and counts only as completed.
+// limit tells nothing about the limit in force and counts only as ended.
 func (r *results) add(slice int64, result Result, beforeCut bool) {
 	if result == Excused {
 		return
 	}
-	r.completed.add(slice)
+	r.ended.add(slice)
+	if result != Unserved {
+		r.completed.add(slice)
+	}
 	if result == InTime || result == Delayed {
 		r.inTime.add(slice)
 	}
@@ -59,7 +64,7 @@
 	switch result {
 	case Delayed:
 		r.delayed.add(slice)
-	case Overdue:
+	case Overdue, Unserved:
 		r.late.add(slice)
 	}
 }
--- a/internal/decision/overload/report.go
+++ b/internal/decision/overload/report.go
@@ -24,11 +24,17 @@
 	case Delayed:
 		c.InTime++
 		c.Delayed++
-	case Overdue:
+	case Overdue, Unserved:
 		c.Late++
 	}
 }
 
+// Plus returns the sum of c and other.
+func (c Counts) Plus(other Counts) Counts {
+	c.plus(other)
+	return c
+}
+
 func (c *Counts) plus(other Counts) {
 	c.Offered += other.Offered
 	c.Returning += other.Returning
--- a/internal/decision/overload/request.go
+++ b/internal/decision/overload/request.go
@@ -36,8 +36,12 @@
 	InTime Result = iota
 	// Delayed means an answer in time although calls were queued.
 	Delayed
-	// Overdue means a late, failed or refused request whose calls were queued.
+	// Overdue means a late or failed request whose calls were queued.
 	Overdue
+	// Unserved means a request that was refused after all, before any work, since its calls
+	// would have waited too long. It tells that the limit is too high, but nothing about
+	// the capacity.
+	Unserved
 	// Excused means a request that was late or failed for another reason, or whose
 	// caller left. It doesn't count.
 	Excused
--- a/internal/decision/replica/choose.go
+++ b/internal/decision/replica/choose.go
@@ -81,6 +81,10 @@
 	return cost
 }
 
+// Silent reports whether the target has sent no reply for much longer than it usually
+// takes.
+func (l *Load) Silent(expected time.Duration) bool { return stalled(*l, expected) }
+
 // stalled reports whether the target has sent no reply for stallFactor times the
 // time it usually takes.
 func stalled(l Load, expected time.Duration) bool {
--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -20,6 +20,9 @@
 	Failed
 	// Silent means that no reply arrived in time.
 	Silent
+	// Withdrawn means that the host cancelled the request at once. It tells nothing about
+	// the target.
+	Withdrawn
 )
 
 // Exchange is one finished exchange.
@@ -121,6 +124,9 @@
 // Ended records the end of an exchange.
 func (s *Stats) Ended(now time.Time, e Exchange) {
 	s.outstanding--
+	if e.Result == Withdrawn {
+		return
+	}
 	s.decay(now)
 	s.drain.ended(now, e.Result, e.Queued, s.Slots)
 	s.congestion.ended(now.Sub(e.Sent), e.Work, e.Result)
@@ -140,6 +146,21 @@
 // UsableConns returns how many of conns connections may carry requests at once.
 func (s *Stats) UsableConns(conns int) int { return s.congestion.limit(conns) }
 
+// Congested reports whether the target takes so much longer than the work itself that
+// requests of all hosts are likely to wait at it.
+func (s *Stats) Congested() bool { return s.congestion.ratio >= congested }
+
+// Crowded reports whether requests wait at the target, which also takes much longer than
+// it recently did at best. Unlike Congested it does not hold for a target that is only
+// slow.
+func (s *Stats) Crowded() bool { return s.congestion.crowded() }
+
+// OwnTime returns the time that the target recently took at best for a request whose work
+// takes the given time, 0 if it is unknown.
+func (s *Stats) OwnTime(work time.Duration) time.Duration {
+	return time.Duration(s.congestion.least * float64(work))
+}
+
 // observe adds a response time to the slowness.
 func (s *Stats) observe(took, expected time.Duration) {
 	if expected <= 0 {
--- a/internal/hosts/gatherlink/frame.go
+++ b/internal/hosts/gatherlink/frame.go
@@ -71,6 +71,8 @@
 	// ReservedUS is the part of the objective that is not left for the targets, in
 	// microseconds.
 	ReservedUS int64 `cbor:"12,keyasint,omitempty"`
+	// Domain is the failure domain of the host that the caller reached.
+	Domain string `cbor:"13,keyasint,omitempty"`
 }
 
 // answer is the answer to a sweep.
@@ -99,7 +101,7 @@
 	return &exchange.Request{
 		ID: s.RequestID, Method: s.Method, Host: s.Host, URI: s.URI, Forward: s.Forward, Body: s.Body, HasBody: s.HasBody,
 		CallerTimeout: time.Duration(s.CallerTimeoutUS) * time.Microsecond, Arrived: now.Add(-elapsed),
-		Reserved: time.Duration(s.ReservedUS) * time.Microsecond,
+		Reserved: time.Duration(s.ReservedUS) * time.Microsecond, Domain: s.Domain,
 	}
 }
 
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -3,10 +3,13 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/replica"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/support/metrics"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
@@ -41,6 +44,9 @@
 	Gatherers Gatherers
 	// Guard identifies requests that crash targets; required.
 	Guard *crashguard.Guard
+	// Log and Scope get the log lines and the metrics of overload; nil for none.
+	Log   logrus.FieldLogger
+	Scope metrics.Scope
 }
 
 // Executor serves requests. It is safe for concurrent use.
@@ -48,10 +54,13 @@
 	opts         Options
 	statsByRoute statsByRoute
 	splits       splits
+	gate         *gate
 }
 
 // NewExecutor returns an Executor.
-func NewExecutor(opts Options) *Executor { return &Executor{opts: opts} }
+func NewExecutor(opts Options) *Executor {
+	return &Executor{opts: opts, gate: newGate(opts.Log, opts.Scope)}
+}
 
 // Limits returns the limits in force, or false if there is no configuration yet.
 func (e *Executor) Limits() (catalog.Limits, bool) {
@@ -79,8 +88,11 @@
 	}
 	stats := e.statsByRoute.of(route)
 	spent := stats.patience.spent(r.CallerTimeout, r.Arrived)
+	returning := stats.patience.returning(r.CallerTimeout)
 	if !route.Sweep() {
-		return e.newRun(snapshot, route, reserve(r, spent), callerGone).single(e.splits.pick(route))
+		service := e.splits.pick(route)
+		one := e.newRun(snapshot, route, reserve(r, spent), callerGone)
+		return one.admitted(service, returning, func() *exchange.Answer { return one.single(service) })
 	}
 	if e.opts.Gatherers != nil {
 		again := func() bool { return attemptsCoverTargets(snapshot, route) }
@@ -92,7 +104,8 @@
 		}
 	}
 	return stats.ownOverrun.serve(route, r, spent, func(r *exchange.Request) *exchange.Answer {
-		return e.newRun(snapshot, route, r, callerGone).sweep()
+		own := e.newRun(snapshot, route, r, callerGone)
+		return own.admitted(route.Shards[0], returning, own.sweep)
 	})
 }
 
@@ -125,7 +138,10 @@
 	if e.opts.Guard.Blocks(r, time.Now()) {
 		return refuse(exchange.CrashesTargets, retryCrashing)
 	}
-	return e.newRun(snapshot, route, r, callerGone).sweep()
+	stats := e.statsByRoute.of(route)
+	stats.patience.spent(r.CallerTimeout, r.Arrived)
+	gathered := e.newRun(snapshot, route, r, callerGone)
+	return gathered.admitted(route.Shards[0], stats.patience.returning(r.CallerTimeout), gathered.sweep)
 }
 
 // sweepRoute returns the route of a sweep, nil if there is none.
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/decision/overload"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
@@ -40,6 +41,9 @@
 	times         schedule
 	// events receives the outcomes of all attempts.
 	events chan event
+	// limited is set if the gate limits the run's group, and result is how the run ended.
+	limited bool
+	result  overload.Result
 }
 
 // leg is the part of a run that one service handles: one shard of a sweep, or the
@@ -62,6 +66,10 @@
 	hedgeAt time.Time
 	// hedged is set once a hedge was sent or none may be.
 	hedged bool
+	// shed is set if a target, or the host's own queue for it, refused an attempt for lack
+	// of room; waited is the longest time that an attempt waited for a connection in use.
+	shed   bool
+	waited time.Duration
 	// settled is set once the leg has answered or gets no more attempts.
 	settled bool
 	// reply is the successful reply.
@@ -153,6 +161,7 @@
 	l.pending--
 	o := ev.outcome
 	l.recordUnreached(o)
+	l.recordQueueing(l.attempts[ev.attempt].begun, o)
 	if !o.Sent.IsZero() {
 		l.arrived++
 	}
--- a/internal/querypath/relay/single.go
+++ b/internal/querypath/relay/single.go
@@ -33,10 +33,16 @@
 	answer := s.serve(service)
 	legs := []leg{s.leg}
 	now := time.Now()
+	r.result = r.resultOf(answer, legs, 0, now)
 	answer.Trace = r.trace(legs, now)
 	if answer.Trace.Late || answer.Reason != "" {
 		r.explain(answer.Trace, legs, now)
 	}
+	grace := abandonGrace
+	if answer.Reason == exchange.CallerLeft {
+		grace = callerLeftGrace
+	}
+	s.cancelPending(&s.leg, grace)
 	return answer
 }
 
@@ -56,17 +62,12 @@
 	}
 	s.leg.reachable = true
 	if replica.QueueExceeds(chosen.load, r.expectedTimes.usual, r.times.final.Sub(now)) {
+		s.leg.shed = true
 		return refuse(exchange.NoRoom, min(replica.Estimate(chosen.load, r.expectedTimes.usual), retryLongest))
 	}
 	r.sendTo(chosen, &s.leg, 0, now)
 	s.leg.group.CountRequest(now)
-	answer := s.wait()
-	grace := abandonGrace
-	if answer.Reason == exchange.CallerLeft {
-		grace = callerLeftGrace
-	}
-	s.leg.cancelPending(grace)
-	return answer
+	return s.wait()
 }
 
 // wait processes outcomes, hedges and timeouts until there is an answer.
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -44,6 +44,7 @@
 		answer = s.wait()
 	}
 	now := time.Now()
+	r.result = r.resultOf(answer, s.legs, len(s.legs)-s.minShards, now)
 	answer.Trace = s.trace(s.legs, now)
 	if answer.Trace.Late || answer.Missing > 0 || answer.Reason != "" {
 		s.explain(answer.Trace, s.legs, now)
@@ -53,7 +54,7 @@
 		grace = callerLeftGrace
 	}
 	for i := range s.legs {
-		s.legs[i].cancelPending(grace)
+		s.cancelPending(&s.legs[i], grace)
 	}
 	return answer
 }
@@ -176,7 +177,9 @@
 	case !now.Before(s.times.final):
 		return s.failed(exchange.TimedOut)
 	default:
-		s.overdue = !now.Before(s.times.onTime)
+		if s.overdue = !now.Before(s.times.onTime); s.overdue {
+			s.dropWaiting()
+		}
 		return nil
 	}
 }
--- a/internal/targets/targetpool/assign.go
+++ b/internal/targets/targetpool/assign.go
@@ -16,10 +16,10 @@
 	}
 }
 
-// takeFree returns an idle connection, nil if there is none or as many are in use as may
-// be. The caller holds the lock.
-func (p *Pool) takeFree(now time.Time) *conn {
-	if p.inUse() >= p.usableConns(now) {
+// takeFree returns an idle connection for a call of the given priority, nil if there is
+// none or as many are in use as may be. The caller holds the lock.
+func (p *Pool) takeFree(now time.Time, priority int) *conn {
+	if p.inUse() >= p.usableConns(now) || priority > p.leastUrgent(now) {
 		return nil
 	}
 	return p.takeIdle(now)
@@ -75,11 +75,12 @@
 func (p *Pool) assignWaiting(now time.Time) []*Call {
 	var assigned []*Call
 	for len(p.waiting) > 0 {
-		c := p.takeFree(now)
+		least := p.leastUrgent(now)
+		c := p.takeFree(now, p.waiting[0].Priority)
 		if c == nil {
 			break
 		}
-		call := p.nextWaiting(now)
+		call := p.nextWaiting(now, least)
 		if call == nil {
 			p.idle = append(p.idle, c)
 			break
--- a/internal/targets/targetpool/call.go
+++ b/internal/targets/targetpool/call.go
@@ -26,10 +26,12 @@
 	// Done receives the outcome at most once, on any goroutine. It must not block.
 	Done func(Outcome)
 
-	// conn, sent and waiting are guarded by the pool's lock.
+	// The fields up to withdrawn are guarded by the pool's lock. withdrawn is set if the
+	// call was cancelled without time to end.
 	conn      *conn
 	sent      time.Time
 	waiting   bool
+	withdrawn bool
 	cancelled atomic.Bool
 }
 
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -208,10 +208,13 @@
 	c.call = nil
 	if call != nil {
 		result := replica.Failed
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			result = replica.Silent
-		} else {
+		switch {
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			p.lost = append(p.lost, lostCall{request: call.Request, at: now})
+		case call.withdrawn:
+			result = replica.Withdrawn
+		default:
+			result = replica.Silent
 		}
 		p.recordExchange(now, p.exchangeOf(call, result))
 	}
--- a/internal/targets/targetpool/health.go
+++ b/internal/targets/targetpool/health.go
@@ -22,6 +22,9 @@
 // recordExchange counts an exchange that ended. The caller holds the lock.
 func (p *Pool) recordExchange(now time.Time, e replica.Exchange) {
 	p.stats.Ended(now, e)
+	if e.Result == replica.Withdrawn {
+		return
+	}
 	if e.Result == replica.Served && now.Sub(e.Sent) < slowFactor*e.Expected {
 		p.sample.Good++
 		return
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -24,7 +24,7 @@
 
 	mu sync.Mutex
 	// Invariant: while calls wait, idle is empty or as many connections carry calls as
-	// may (usableConns).
+	// may (usableConns), or as may for the calls that wait (urgency).
 	idle    []*conn
 	waiting []*Call
 	conns   map[*conn]bool
@@ -52,6 +52,7 @@
 	// withdrawal is whether the target is leaving or has asked for a pause.
 	withdrawal withdrawal.State
 	stats      replica.Stats
+	urgency    urgency
 	// sample counts the exchanges since the last takeSample.
 	sample targethealth.Sample
 	// distrustedUntil is when the last report of other hosts that the target is
@@ -168,7 +169,8 @@
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: err, Ended: now})
 		return
 	}
-	if c := p.takeFree(now); c != nil {
+	p.urgency.note(call.Priority, now)
+	if c := p.takeFree(now, call.Priority); c != nil {
 		p.assign(c, call, now)
 		p.mu.Unlock()
 		c.send(call)
@@ -207,6 +209,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	call.cancelled.Store(true)
+	call.withdrawn = within <= 0
 	if call.waiting {
 		p.removeWaiting(call)
 		return
