Tell queueing from pauses under overload, and limit hosts with few requests

Change: a request in time counts as delayed only if more shards than may be missing had no reply at three quarters of the time because of queueing. Late replies count as queued if the target's best recent time would have been in time. Few results suffice if most are late; else eight in a second are needed. An idle host's gap between requests beyond the limit doubles up to a second while even these are late.

Tests of overload and relay pass.

--- a/internal/decision/overload/control.go
+++ b/internal/decision/overload/control.go
@@ -17,7 +17,7 @@
 func (g *Group) control(now time.Time) {
 	if !g.limiter.limited() {
 		if g.meanBusy() > leastBusy {
-			g.limiter.detect(now, g.observe(detectSlices))
+			g.limiter.detect(now, g.observe(detectSlices), g.observe(demandSlices))
 		}
 		g.credit, g.creditAt = 0, now
 	} else {
--- a/internal/decision/overload/group.go
+++ b/internal/decision/overload/group.go
@@ -12,6 +12,9 @@
 	burst = 100 * time.Millisecond
 	// debt bounds how long requests within their share may exceed the limit.
 	debt = 250 * time.Millisecond
+	// idleGapMost and idleDoublings bound the time between two requests of an idle host.
+	idleGapMost   = time.Second
+	idleDoublings = 3
 	// leastBusy is the mean number of requests in flight below which a limit would be
 	// without effect, since one may always be in flight.
 	leastBusy = 1
@@ -30,8 +33,10 @@
 	// busy is the sum of the durations in each slice, over all requests in flight.
 	busy     [demandSlices + 1]time.Duration
 	inFlight int
-	// admitted is when a request was last admitted.
-	admitted time.Time
+	// admitted is when a request was last admitted, and lateInRow how many have ended since
+	// the last one in time.
+	admitted  time.Time
+	lateInRow int
 	// plan is the division of the limit in force.
 	plan Plan
 	// credit is how many more requests the limit allows at creditAt.
@@ -76,9 +81,8 @@
 
 // admits decides by the stream's share and the limit. A request within a share that
 // covers the whole demand is admitted; others need a credit of their stream and one of
-// this host's limit. If nothing is in flight and none was admitted for the time of an objective,
-// a request is admitted unless a more urgent one was refused, so that the limit is never
-// below one request in flight that uses up its objective.
+// this host's limit. If nothing is in flight and none was admitted for idleGap, a request
+// is admitted unless a more urgent one was refused.
 func (g *Group) admits(now time.Time, s *stream, r Request) bool {
 	if !g.Limited(now) {
 		return true
@@ -89,7 +93,7 @@
 	case a.ratio >= 1:
 	case a.credit >= 1 && (!g.limiter.limited() || g.credit >= 0):
 		a.credit--
-	case g.inFlight == 0 && now.Sub(g.admitted) >= r.Objective && !g.refusedMoreUrgent(now, r.Rank):
+	case g.inFlight == 0 && now.Sub(g.admitted) >= g.idleGap(r.Objective) && !g.refusedMoreUrgent(now, r.Rank):
 	default:
 		return false
 	}
@@ -97,6 +101,14 @@
 	return true
 }
 
+// idleGap returns the time after which an idle host admits a request beyond its limit: an
+// objective, so that one request is kept in flight. While even these are late behind other
+// hosts' queues, the gap doubles up to idleGapMost: many hosts with one request each may
+// exceed what the targets serve in time.
+func (g *Group) idleGap(objective time.Duration) time.Duration {
+	return min(objective<<min(g.lateInRow, idleDoublings), max(idleGapMost, objective))
+}
+
 func (g *Group) refill(now time.Time) {
 	rate := g.limiter.rate(now)
 	g.credit = min(g.credit+rate*now.Sub(g.creditAt).Seconds(), 1+rate*burst.Seconds())
@@ -119,6 +131,12 @@
 	g.inFlight = max(g.inFlight-1, 0)
 	g.results.add(g.slice, result, admitted.Before(g.limiter.cutAt))
 	g.streamOf(now, key).counts.add(result)
+	switch result {
+	case InTime, Delayed:
+		g.lateInRow = 0
+	case Overdue, Unserved:
+		g.lateInRow++
+	}
 }
 
 // streamOf returns the state of a stream.
--- a/internal/decision/overload/limiter.go
+++ b/internal/decision/overload/limiter.go
@@ -3,14 +3,14 @@
 import "time"
 
 const (
-	// leastEnded and leastLate are the numbers of results from which on they are enough
-	// to detect overload; a single pause of a target makes a few requests late.
-	leastEnded = 6
-	leastLate  = 3
-	// limitedEnded and limitedLate replace them while a limit is in force, when few
-	// requests are admitted.
-	limitedEnded = 3
-	limitedLate  = 2
+	// mostLate is the share of late results from which on leastLate of them are enough to
+	// detect overload. Otherwise it takes severalLate in the longer window, since pauses of
+	// targets make a few requests late.
+	mostLate    = 0.5
+	leastLate   = 3
+	severalLate = 8
+	// limitedLate replaces them while a limit is in force, when few requests are admitted.
+	limitedLate = 2
 	// lateShare is the share of late results from which on a group is overloaded.
 	lateShare = 0.2
 	// delayedShare is the share of results with queueing above which the limit doesn't
@@ -18,7 +18,7 @@
 	delayedShare = 0.05
 	queueShare   = 0.3
 	// cutWeight is by how much a share of late results cuts the limit.
-	cutWeight = 0.5
+	cutWeight = 0.3
 	// drainShare is the part of the new limit that is admitted after a cut, until the
 	// requests in flight are expected to have ended, at least drainLeast and at most
 	// drainMost: those that are admitted behind a queue are late, too.
@@ -91,13 +91,16 @@
 func (l *limiter) limited() bool { return l.limit > 0 }
 
 // overloaded reports whether enough results are late.
-func (o *observation) overloaded(ended, late int) bool {
-	return o.ended >= ended && o.late >= late && float64(o.late) >= lateShare*float64(o.ended)
+func (o *observation) overloaded(late int, share float64) bool {
+	return o.late >= late && float64(o.late) >= share*float64(o.ended)
 }
 
-// detect sets a limit if the group is overloaded.
-func (l *limiter) detect(now time.Time, o observation) {
-	if !o.overloaded(leastEnded, leastLate) {
+// detect sets a limit if the group is overloaded, by the results of a shorter and those of
+// a longer window.
+func (l *limiter) detect(now time.Time, o, longer observation) {
+	switch {
+	case o.overloaded(leastLate, mostLate), longer.overloaded(leastLate, mostLate), longer.overloaded(severalLate, lateShare):
+	default:
 		return
 	}
 	l.exceededAt = now
@@ -120,7 +123,7 @@
 	l.nextStep = now.Add(stepInterval)
 	queued := float64(o.delayed + o.late)
 	switch {
-	case o.overloaded(limitedEnded, limitedLate):
+	case o.overloaded(limitedLate, lateShare):
 		l.cut(now, o)
 	case queued > queueShare*float64(o.ended):
 		l.served = min(l.limit, o.completed)
--- a/internal/querypath/relay/overload.go
+++ b/internal/querypath/relay/overload.go
@@ -14,9 +14,14 @@
 	// queuedShare is the share of the objective from which on the time that a call waited
 	// for a connection counts as lost to queueing.
 	queuedShare = 0.2
-	// ownTimeFactor is the multiple of a target's best recent time from which on a late
-	// reply had to wait at the target.
-	ownTimeFactor = 1.3
+	// delayedShare is the share of the time until the objective after which a reply that was
+	// queued shows that the limit is close to the capacity.
+	delayedShare = 0.75
+	// waitFactor is the multiple of a target's best recent time from which on a late reply
+	// had to wait at the target, and limitedWaitFactor that while the group is limited, when
+	// the queue is known.
+	waitFactor        = 2.0
+	limitedWaitFactor = 1.3
 	// limitedDeadline is the deadline of requests to a limited group, as a factor of the
 	// objective: later answers would take slots from requests that can be in time.
 	limitedDeadline = 1.5
@@ -82,12 +87,14 @@
 	case inTime && !r.limited:
 		return overload.InTime
 	}
+	if inTime {
+		if r.delayed(legs, now) > missing {
+			return overload.Delayed
+		}
+		return overload.InTime
+	}
 	queued, lateElse := r.countQueued(legs, now)
 	switch {
-	case inTime && queued > missing/2:
-		return overload.Delayed
-	case inTime:
-		return overload.InTime
 	case queued == 0 || lateElse > missing:
 		return overload.Excused
 	case unsent(legs):
@@ -102,6 +109,21 @@
 	return !slices.ContainsFunc(legs, func(l leg) bool { return len(l.attempts) > 0 || l.reply != nil })
 }
 
+// delayed returns the number of legs that lost time to queueing and had no reply when most
+// of the time for an answer in time had passed.
+func (r *run) delayed(legs []leg, now time.Time) int {
+	arrived := r.request.Arrived
+	closing := arrived.Add(time.Duration(delayedShare * float64(r.times.onTime.Sub(arrived))))
+	delayed := 0
+	for i := range legs {
+		l := &legs[i]
+		if (l.reply == nil || l.replied.After(closing)) && r.queued(l, now) {
+			delayed++
+		}
+	}
+	return delayed
+}
+
 // countQueued returns the number of legs that lost time to queueing, and of those that are
 // late for another reason.
 func (r *run) countQueued(legs []leg, now time.Time) (queued, lateElse int) {
@@ -120,10 +142,10 @@
 }
 
 // queued reports whether a leg lost time to queueing: its call waited long for a
-// connection, a target shed it, or it wasn't sent because of the queue. While the group is
-// limited, one at a crowded target counts, too, and a late one that took longer than its
-// target does at best. Before, calls must also wait for that target in this host, since
-// slow targets alone must not lead to a limit.
+// connection or, since its target takes less at best, at the target, a target shed it, or
+// it wasn't sent because of the queue. While the group is limited, one at a crowded target
+// counts, too; before, calls must also wait for that target in this host, since slow targets
+// alone must not lead to a limit.
 func (r *run) queued(l *leg, now time.Time) bool {
 	long := time.Duration(queuedShare * float64(r.route.Objective))
 	switch {
@@ -137,11 +159,21 @@
 	if l.reply == nil && c.Queued && last.pool.SentAt(last.call).IsZero() && now.Sub(last.begun) >= long {
 		return true
 	}
-	if c.Crowded && (r.limited || c.Queued) {
-		return true
-	}
-	return r.limited && l.reply != nil && l.replied.After(r.times.onTime) && c.OwnTime > 0 &&
-		l.replied.Sub(last.pool.SentAt(last.call)) > time.Duration(ownTimeFactor*float64(c.OwnTime))
+	return c.Crowded && (r.limited || c.Queued) || r.waitedAtTarget(l, last, c.OwnTime)
+}
+
+// waitedAtTarget reports whether a late reply would have been in time if its target had
+// taken as long as it recently did at best.
+func (r *run) waitedAtTarget(l *leg, a *attempt, own time.Duration) bool {
+	if l.reply == nil || !l.replied.After(r.times.onTime) || own <= 0 {
+		return false
+	}
+	factor := waitFactor
+	if r.limited {
+		factor = limitedWaitFactor
+	}
+	sent := a.pool.SentAt(a.call)
+	return l.replied.Sub(sent) > time.Duration(factor*float64(own)) && sent.Add(own).Before(r.times.onTime)
 }
 
 // recordQueueing records whether an attempt was shed or waited for a connection in use.
