Share the demand of overloaded groups between hosts

Cause: each host divided its limit among its own callers only, so that one with less urgent callers admitted them while another refused urgent ones of the same targets.

Shares older than 1.6 s are not used. A fleet without overload gets no message more.

They get no shares, and 1,400 of them would be most of a reader's messages.

Result: go test -race ./internal/hosts/catalogshare ./internal/wiring/edge passes.

--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -56,6 +56,7 @@
 	upstream upstreamCount
 	// settled is set while this host considers its own count settled.
 	settled bool
+	demand  fleetDemand
 }
 
 // hostCount is what another reader last sent about itself and its followers.
@@ -116,6 +117,7 @@
 			return
 		case <-ticker.C:
 			h.notifyUnhealthy(h.sendHeartbeat())
+			h.notifyShares(h.fleetShares())
 		}
 	}
 }
@@ -132,6 +134,7 @@
 		h.addMembers(m, false)
 		h.broadcast(m)
 	}
+	h.sendDemand(time.Now())
 	return unhealthy
 }
 
@@ -206,11 +209,17 @@
 		if f.observe && len(m.Entries) > 0 {
 			continue
 		}
-		select {
-		case f.out <- raw:
-		default:
-			h.remove(f)
-		}
+		h.queue(f, raw)
+	}
+}
+
+// queue queues an encoded message for a follower and disconnects it if its queue is full.
+// The caller holds the lock.
+func (h *Hub) queue(f *follower, raw []byte) {
+	select {
+	case f.out <- raw:
+	default:
+		h.remove(f)
 	}
 }
 
@@ -247,6 +256,9 @@
 		first = h.fullMessage()
 	}
 	h.addMembers(first, true)
+	if h.getsShares(f) {
+		first.FleetDemand = h.demand.shares
+	}
 	h.followers[f] = true
 	h.mu.Unlock()
 	var reading sync.WaitGroup
@@ -287,6 +299,7 @@
 		h.addCrashReports(m.CrashReports)
 		h.addLeaving(m.Leaving)
 		h.addSamples(m.Samples)
+		h.addDemand(m.Demand)
 		if !m.Reports {
 			continue
 		}
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
+	"github.com/swiftvane/swiftvane/internal/decision/overload"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
@@ -52,7 +53,7 @@
 }
 
 // message is sent in both directions of a link. A hub fills all fields but
-// Samples; a follower sends only CrashReports, Leaving and Samples.
+// Samples; a follower sends only CrashReports, Leaving, Samples and Demand.
 type message struct {
 	// Full messages hold all entries, others only changed ones.
 	Full bool `cbor:"1,keyasint,omitempty"`
@@ -90,6 +91,11 @@
 	// Reports is set by a follower that sends its samples periodically, even if there
 	// are none: the reader takes its silence for its end.
 	Reports bool `cbor:"18,keyasint,omitempty"`
+	// Demand is what a follower, or a reader's followers in sum, offered to overloaded
+	// groups since the last report. FleetDemand has the fleet's totals and the shares that
+	// are admitted.
+	Demand      []overload.Entry `cbor:"20,keyasint,omitempty"`
+	FleetDemand []overload.Share `cbor:"21,keyasint,omitempty"`
 }
 
 // position returns the sender's position in the store's history.
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/overload"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
@@ -127,14 +128,24 @@
 	}
 }
 
-// Report sends this host's health samples to the reader that it follows or, if it
-// follows none, adds them to its own hub.
-func (s *Source) Report(samples []targethealth.Sample) {
+// Report sends this host's health samples and its demand to the reader that it follows
+// or, if it follows none, adds them to its own hub.
+func (s *Source) Report(samples []targethealth.Sample, demand []overload.Entry) {
 	if l := s.currentLink(); l != nil {
-		l.send(&message{Samples: samples, Reports: true})
+		l.send(&message{Samples: samples, Demand: demand, Reports: true})
 		return
 	}
 	s.opts.Hub.addSamples(samples)
+	s.opts.Hub.addDemand(demand)
+}
+
+// ReportDemand is Report for a host that doesn't report periodically.
+func (s *Source) ReportDemand(demand []overload.Entry) {
+	if l := s.currentLink(); l != nil {
+		l.send(&message{Demand: demand})
+		return
+	}
+	s.opts.Hub.addDemand(demand)
 }
 
 // currentLink returns the link for goroutines other than the owner, nil for none.
@@ -171,6 +182,7 @@
 	s.opts.Hub.addCrashReports(m.CrashReports)
 	s.opts.Hub.addLeaving(m.Leaving)
 	s.opts.Hub.notifyUnhealthy(m.Unhealthy)
+	s.opts.Hub.notifyShares(m.FleetDemand)
 	batch := catalogsync.Batch{
 		Full: m.Full, Position: m.position(), AfterOutage: m.AfterOutage,
 		AsOf: time.Now().Add(-time.Duration(m.AgeMS) * time.Millisecond),
@@ -280,6 +292,7 @@
 			s.opts.Hub.recordReaderCounts(addr, m)
 			s.opts.Hub.addCrashReports(m.CrashReports)
 			s.opts.Hub.addLeaving(m.Leaving)
+			s.opts.Hub.addReaderDemand(m.Demand)
 		}
 	}
 	timer := time.NewTimer(observeInterval)
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -14,6 +14,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/decision/overload"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/face/front"
@@ -97,6 +98,7 @@
 	directory *targetpool.Directory
 	gatherers *gatherlink.Client
 	gather    *gatherlink.Server
+	executor  *relay.Executor
 	server    *front.Server
 	ready     *readiness
 	metrics   *metricsServer
@@ -104,8 +106,10 @@
 	cancel    context.CancelFunc
 	// fleetHosts is the number of hosts in use, 0 while it is unknown.
 	fleetHosts atomic.Int64
-	// lastReport is the time of the last health report. It is used by one goroutine.
-	lastReport time.Time
+	// lastReport is the time of the last health report, and servesSweeps is set if the host
+	// serves sweeps for itself or others. They are used by one goroutine.
+	lastReport   time.Time
+	servesSweeps bool
 	// warningBudget limits the log lines about unhealthy targets.
 	warningBudget *logging.Budget
 }
@@ -136,13 +140,15 @@
 		OnView: e.directory.Update, OnBatch: e.hub.Publish, LongestPause: e.longestStorePause,
 	})
 	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope})
-	executor := relay.NewExecutor(relay.Options{
+	e.executor = relay.NewExecutor(relay.Options{
 		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Guard: guard, Policy: opts.Policy, Gatherers: e.gatherers,
+		Log: opts.Log, Scope: e.metrics.scope,
 	})
-	e.gather = gatherlink.NewServer(executor, opts.Log)
+	e.gather = gatherlink.NewServer(e.executor, opts.Log)
 	e.server = front.New(front.Options{
-		Codec: opts.CallerCodec, Handler: executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
+		Codec: opts.CallerCodec, Handler: e.executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
 	})
+	e.hub.OnFleetShares(func(list []overload.Share) { e.executor.SetFleetShares(time.Now(), list) })
 	e.ready = newReadiness(opts.ReadyPath, e.follower)
 	return e
 }
--- a/internal/wiring/edge/health.go
+++ b/internal/wiring/edge/health.go
@@ -20,16 +20,24 @@
 )
 
 // reportHealth takes this host's health samples of targets and, in a fleet of at
-// least minReportingHosts, sends them to the host that aggregates them. It is called
-// by the goroutine that tracks the fleet's size.
+// least minReportingHosts, sends them to the host that aggregates them, together with its
+// demand of overloaded targets if it serves sweeps: only such hosts get the fleet's shares.
+// It is called by the goroutine that tracks the fleet's size.
 func (e *Edge) reportHealth(hosts int, now time.Time) {
 	if now.Sub(e.lastReport) < reportInterval {
 		return
 	}
 	e.lastReport = now
 	samples := e.directory.TakeSamples()
-	if hosts >= minReportingHosts {
-		e.source.Report(samples)
+	demand := e.executor.OverloadReport(now)
+	if !e.servesSweeps {
+		demand = nil
+	}
+	switch {
+	case hosts >= minReportingHosts:
+		e.source.Report(samples, demand)
+	case len(demand) > 0:
+		e.source.ReportDemand(demand)
 	}
 }
 
--- a/internal/wiring/edge/peers.go
+++ b/internal/wiring/edge/peers.go
@@ -63,12 +63,12 @@
 	}
 	gatherers := e.gatherersOf(hosts)
 	e.gatherers.SetGatherers(gatherers)
+	e.hub.SetSweepServers(gatherers)
 	e.metrics.scope.Gauge("gatherers").Update(float64(len(gatherers)))
 	e.gatherers.SetExtra(targetpool.PassLimit(e.opts.ownExtra(), e.opts.Host, hosts, age))
-	e.directory.SetFleet(targetpool.Fleet{
-		Hosts: hosts, Domains: domains, Gatherers: len(gatherers),
-		Gathers: slices.ContainsFunc(gatherers, func(m gathering.Member) bool { return m.Addr == e.opts.PeerAddr }),
-	})
+	gathers := slices.ContainsFunc(gatherers, func(m gathering.Member) bool { return m.Addr == e.opts.PeerAddr })
+	e.servesSweeps = gathers || len(gatherers) == 0
+	e.directory.SetFleet(targetpool.Fleet{Hosts: hosts, Domains: domains, Gatherers: len(gatherers), Gathers: gathers})
 }
 
 // needsGatherers reports whether a fleet of this many hosts has gatherers. While the size
