Count the fleet's window from its first report; rise faster after long calm

Cause: slices by the wall clock stop when it is set back, so that totals would stay; and a limit found while targets were slow rose by 3% a step after they had recovered.

--- a/internal/decision/overload/fleet.go
+++ b/internal/decision/overload/fleet.go
@@ -21,6 +21,8 @@
 // zero value is ready for use.
 type Fleet struct {
 	groups map[string]*fleetGroup
+	// began is the start of the first slice: steps of the wall clock don't count.
+	began time.Time
 }
 
 // fleetGroup has the totals of one group.
@@ -31,11 +33,12 @@
 
 // Add adds the report of one host, or of another reader for the hosts that follow it.
 func (f *Fleet) Add(now time.Time, entries []Entry) {
+	if f.groups == nil {
+		f.groups, f.began = map[string]*fleetGroup{}, now.Add(-(fleetSlices+1)*fleetSlice)
+	}
+	newest := f.slice(now)
 	for i := range entries {
 		e := &entries[i]
-		if f.groups == nil {
-			f.groups = map[string]*fleetGroup{}
-		}
 		g, ok := f.groups[e.Group]
 		if !ok {
 			if len(f.groups) >= maxShares {
@@ -44,7 +47,7 @@
 			g = &fleetGroup{}
 			f.groups[e.Group] = g
 		}
-		g.advance(now)
+		g.advance(newest)
 		current := g.slices[g.newest%int64(len(g.slices))]
 		if _, known := current[e.Stream()]; !known && len(current) >= maxShares {
 			continue
@@ -60,7 +63,7 @@
 func (f *Fleet) Shares(now time.Time) []Share {
 	var list []Share
 	for name, g := range f.groups {
-		g.advance(now)
+		g.advance(f.slice(now))
 		totals := g.totals()
 		if len(totals) == 0 {
 			if len(g.slices[g.newest%int64(len(g.slices))]) == 0 {
@@ -76,9 +79,12 @@
 	return list[:min(len(list), maxShares)]
 }
 
+// slice returns the number of the slice of now. The first report is in a slice that has a
+// whole window before it.
+func (f *Fleet) slice(now time.Time) int64 { return int64(now.Sub(f.began) / fleetSlice) }
+
 // advance clears the slices that are no longer in the window.
-func (g *fleetGroup) advance(now time.Time) {
-	newest := now.UnixNano() / int64(fleetSlice)
+func (g *fleetGroup) advance(newest int64) {
 	size := int64(len(g.slices))
 	for n := max(g.newest+1, newest-size+1); n <= newest; n++ {
 		g.slices[n%size] = map[Stream]Counts{}
--- a/internal/decision/overload/limiter.go
+++ b/internal/decision/overload/limiter.go
@@ -34,6 +34,8 @@
 	// regain replaces raise below regainShare of what was served when calls last queued.
 	regain      = 0.08
 	regainShare = 0.85
+	// calmSteps is the number of steps up without queueing after which they are larger.
+	calmSteps = 20
 	// usedShare is the share of the limit that must be used for it to rise. What a host
 	// admits may be limited by the fleet's shares as well.
 	usedShare = 0.85
@@ -69,6 +71,8 @@
 	limit float64
 	// reached is the limit after the last rise or cut.
 	reached float64
+	// calm is the number of steps up since calls last queued.
+	calm int
 	// served is what was completed per second when calls last queued.
 	served float64
 	// cutAt is when the limit was last cut and drainUntil until when less is admitted after
@@ -132,12 +136,17 @@
 	case queued <= delayedShare*float64(o.ended) && o.completed >= usedShare*l.limit || l.limit <= leastLimit:
 		l.limit = max(l.limit, o.inTime) * (1 + l.step())
 		l.reached = l.limit
+		l.calm++
+	}
+	if queued > 0 {
+		l.calm = 0
 	}
 }
 
-// step returns the next step up.
+// step returns the next step up. After many steps without any queueing the capacity has
+// grown, for example since slow targets have recovered.
 func (l *limiter) step() float64 {
-	if l.limit < regainShare*l.served {
+	if l.limit < regainShare*l.served || l.calm >= calmSteps {
 		return regain
 	}
 	return raise
