Count late answers as completed whatever made them late

Result: go test -race of overload, relay, targetpool, replica, catalogshare, gatherlink and wiring/edge passes.

--- a/internal/decision/overload/counts.go
+++ b/internal/decision/overload/counts.go
@@ -51,7 +51,9 @@
 	if result == Excused {
 		return
 	}
-	r.ended.add(slice)
+	if result != Slow {
+		r.ended.add(slice)
+	}
 	if result != Unserved {
 		r.completed.add(slice)
 	}
--- a/internal/decision/overload/group_test.go
+++ b/internal/decision/overload/group_test.go
@@ -36,7 +36,7 @@
 // TestNothingIsRefusedWithoutQueueing guards against a limit on a calm fleet and on one
 // whose targets are dead, silent or slow without a queue.
 func TestNothingIsRefusedWithoutQueueing(t *testing.T) {
-	for _, result := range []Result{InTime, Delayed, Excused} {
+	for _, result := range []Result{InTime, Delayed, Slow, Excused} {
 		g := NewGroup(testStart)
 		_, refused := drive(g, testStart, 10*time.Second, 100, 300*time.Millisecond, result)
 		require.Zero(t, refused, result)
--- a/internal/decision/overload/request.go
+++ b/internal/decision/overload/request.go
@@ -42,7 +42,10 @@
 	// would have waited too long. It tells that the limit is too high, but nothing about
 	// the capacity.
 	Unserved
-	// Excused means a request that was late or failed for another reason, or whose
-	// caller left. It doesn't count.
+	// Slow means an answer that was late for another reason. It tells nothing about the
+	// limit, but was served.
+	Slow
+	// Excused means a request that failed for another reason, or whose caller left. It
+	// doesn't count.
 	Excused
 )
--- a/internal/querypath/relay/overload.go
+++ b/internal/querypath/relay/overload.go
@@ -95,6 +95,8 @@
 	}
 	queued, lateElse := r.countQueued(legs, now)
 	switch {
+	case (queued == 0 || lateElse > missing) && answer.Status < 500:
+		return overload.Slow
 	case queued == 0 || lateElse > missing:
 		return overload.Excused
 	case unsent(legs):
--- a/internal/querypath/relay/overloadresult_test.go
+++ b/internal/querypath/relay/overloadresult_test.go
@@ -34,14 +34,14 @@
 		want   overload.Result
 	}{
 		"in time":                     {good, []leg{answered, dead}, onTime, overload.InTime},
-		"late without a queue":        {good, []leg{answered, answered}, late, overload.Excused},
+		"late without a queue":        {good, []leg{answered, answered}, late, overload.Slow},
 		"late since a call waited":    {good, []leg{answered, waited}, late, overload.Overdue},
 		"failed since targets shed":   {failed, []leg{answered, shed, shed}, onTime, overload.Overdue},
 		"failed since targets died":   {failed, []leg{answered, dead, dead, shed}, onTime, overload.Excused},
 		"refused since queues full":   {refused, []leg{unsent, unsent, unsent, full, full}, onTime, overload.Unserved},
 		"refused since targets died":  {refused, []leg{unsent, dead, dead, full}, onTime, overload.Excused},
 		"caller left behind a queue":  {&exchange.Answer{Status: 499, Reason: exchange.CallerLeft}, []leg{waited}, late, overload.Excused},
-		"late though little to blame": {good, []leg{waited, dead, dead}, late, overload.Excused},
+		"late though little to blame": {good, []leg{waited, dead, dead}, late, overload.Slow},
 	} {
 		r := &run{
 			route: &catalog.Route{Objective: objective}, request: &exchange.Request{Arrived: arrived},
