Don't take a freeze of the host for overload

Cause: after a freeze of under 2 s all requests in flight end late behind calls that waited in the frozen host, which looked like a queue. The new test failed without the change.

Change: after 0.7 s without any event, reports included, requests admitted before don't count.

Result: go test -race ./internal/decision/overload ./internal/querypath/relay passes.

--- a/internal/decision/overload/counts.go
+++ b/internal/decision/overload/counts.go
@@ -46,8 +46,9 @@
 }
 
 // add counts a result. One of a request that was admitted before the last cut of the
-// limit tells nothing about the limit in force and counts only as ended.
-func (r *results) add(slice int64, result Result, beforeCut bool) {
+// limit or a freeze of the host tells nothing about the limit in force and counts only as
+// ended.
+func (r *results) add(slice int64, result Result, outdated bool) {
 	if result == Excused {
 		return
 	}
@@ -60,7 +61,7 @@
 	if result == InTime || result == Delayed {
 		r.inTime.add(slice)
 	}
-	if beforeCut {
+	if outdated {
 		return
 	}
 	switch result {
--- a/internal/decision/overload/group.go
+++ b/internal/decision/overload/group.go
@@ -8,6 +8,9 @@
 	// expireAfter is how long a host without any event, such as a frozen one, keeps its
 	// limits.
 	expireAfter = 2 * time.Second
+	// frozenAfter is the time without any event, reports included, from which on a host was
+	// frozen. What was in flight is late for that reason.
+	frozenAfter = 700 * time.Millisecond
 	// burst is how long the unused part of the limit is kept.
 	burst = 100 * time.Millisecond
 	// debt bounds how long requests within their share may exceed the limit.
@@ -25,9 +28,11 @@
 type Group struct {
 	limiter limiter
 	// slice is the newest slice, counted from began.
-	began   time.Time
-	slice   int64
-	last    time.Time
+	began time.Time
+	slice int64
+	last  time.Time
+	// thawed is the end of the last freeze of the host.
+	thawed  time.Time
 	streams map[Stream]*stream
 	results results
 	// busy is the sum of the durations in each slice, over all requests in flight.
@@ -129,7 +134,7 @@
 func (g *Group) Ended(now time.Time, key Stream, admitted time.Time, result Result) {
 	g.Advance(now)
 	g.inFlight = max(g.inFlight-1, 0)
-	g.results.add(g.slice, result, admitted.Before(g.limiter.cutAt))
+	g.results.add(g.slice, result, admitted.Before(g.limiter.cutAt) || admitted.Before(g.thawed))
 	g.streamOf(now, key).counts.add(result)
 	switch result {
 	case InTime, Delayed:
@@ -177,6 +182,9 @@
 
 // addBusy adds the time since the last event to the newest slice.
 func (g *Group) addBusy(now time.Time) {
+	if now.Sub(g.last) >= frozenAfter {
+		g.last, g.thawed = now, now
+	}
 	if now.After(g.last) {
 		g.busy[g.slice%int64(len(g.busy))] += now.Sub(g.last) * time.Duration(g.inFlight)
 		g.last = now
@@ -187,7 +195,7 @@
 func (g *Group) restart(now time.Time) {
 	inFlight, fleet := g.inFlight, g.fleet
 	*g = *NewGroup(now)
-	g.inFlight, g.fleet = inFlight, fleet
+	g.inFlight, g.fleet, g.thawed = inFlight, fleet, now
 }
 
 // clear begins a slice.
--- a/internal/decision/overload/group_test.go
+++ b/internal/decision/overload/group_test.go
@@ -107,3 +107,20 @@
 	}
 	require.LessOrEqual(t, len(g.streams), maxStreams+3)
 }
+
+// TestRequestsInFlightDuringAFreezeCauseNoLimit guards against a host that refuses callers
+// since it was frozen itself.
+func TestRequestsInFlightDuringAFreezeCauseNoLimit(t *testing.T) {
+	g := NewGroup(testStart)
+	now, _ := drive(g, testStart, 3*time.Second, 50, 50*time.Millisecond, InTime)
+	for range 20 {
+		require.True(t, g.Admit(now, Request{Left: time.Second}).Admitted)
+	}
+	frozen := now
+	now = now.Add(900 * time.Millisecond)
+	for range 20 {
+		g.Ended(now, Stream{}, frozen, Overdue)
+	}
+	_, refused := drive(g, now, 3*time.Second, 50, 50*time.Millisecond, InTime)
+	require.Zero(t, refused)
+}
