--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -38,6 +38,9 @@
 	*deployment.Deployment
 	t     *testing.T
 	hosts []*host
+	// readers are the addresses of the hosts that read the store for linked ones.
+	readers []string
+	linked  bool
 }
 
 type host struct {
@@ -70,6 +73,10 @@
 	hosts int
 	work  time.Duration
 	fault func(service, id string) searcher.Fault
+	// objective is that of all routes, 5 s if it is zero.
+	objective time.Duration
+	// linked hosts follow the first one.
+	linked bool
 }
 
 func shardName(i int) string { return deployment.Shard(i) }
@@ -77,14 +84,17 @@
 func start(t *testing.T, o options) *cluster {
 	t.Helper()
 	t.Parallel()
+	if o.objective == 0 {
+		o.objective = 5 * time.Second
+	}
 	d, err := deployment.Start(deployment.Options{
 		Shards: shards, Replicas: replicas, Singles: 3, Attempts: 2, Work: o.work, Records: records, TopK: topK, Fault: o.fault,
-		Timeout: 10 * time.Second, Objective: 5 * time.Second, LeastCoverage: 0.75,
+		Timeout: 10 * time.Second, Objective: o.objective, LeastCoverage: 0.75,
 		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 500 * time.Millisecond, IdleTimeout: 5 * time.Second},
 	})
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
-	c := &cluster{Deployment: d, t: t}
+	c := &cluster{Deployment: d, t: t, linked: o.linked}
 	for i := range max(o.hosts, 1) {
 		c.addHost(i)
 	}
@@ -102,14 +112,23 @@
 	buffer := &syncBuffer{}
 	log.SetOutput(buffer)
 	log.SetFormatter(&logrus.JSONFormatter{})
-	addrs := loopback.Addrs(2)
+	addrs := loopback.Addrs(3)
+	peer := ""
+	if c.linked {
+		peer = addrs[2]
+		if i == 0 {
+			c.readers = []string{peer}
+		}
+	}
+	readers := c.readers
 	h := &host{addr: addrs[0], ready: addrs[1], log: buffer}
 	h.edge = edge.New(edge.Options{
 		Host: "host-" + strconv.Itoa(i), FailureDomain: "z-1",
 		CallerAddr: addrs[0], ReadyAddr: addrs[1], ReadyPath: platform.ReadyPath,
 		StopWithin:  3 * time.Second,
 		Extra:       extrabudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-		Readers:     func() []string { return nil },
+		PeerAddr:    peer,
+		Readers:     func() []string { return readers },
 		Store:       platform.NewStore(c.Store.Addr()),
 		Decode:      platform.Decode,
 		CallerCodec: platform.CallerCodec{},
