--- a/internal/decision/replica/choose.go
+++ b/internal/decision/replica/choose.go
@@ -114,6 +114,10 @@
 	return time.Duration(l.Slowness * float64(expected))
 }
 
+// Silent reports whether the target has sent no reply for much longer than it usually
+// takes.
+func (l *Load) Silent(expected time.Duration) bool { return stalled(*l, expected) }
+
 // stalled reports whether the target has sent no reply for stallFactor times the
 // time it usually takes.
 func stalled(l Load, expected time.Duration) bool {
--- a/internal/hosts/catalogshare/broadcast.go
+++ b/internal/hosts/catalogshare/broadcast.go
@@ -3,12 +3,17 @@
 // broadcast queues a message for all followers and disconnects those whose queue
 // is full. Observers get only messages without entries. The caller holds the lock.
 func (h *Hub) broadcast(m *message) {
+	h.multicast(m, func(f *follower) bool { return !f.observe || len(m.Entries) == 0 })
+}
+
+// multicast queues a message for the wanted followers and disconnects those whose queue
+// is full. The caller holds the lock.
+func (h *Hub) multicast(m *message, wanted func(*follower) bool) {
 	raw := h.encoded(m)
 	for f := range h.followers {
-		if f.observe && len(m.Entries) > 0 {
-			continue
+		if wanted(f) {
+			h.queue(f, raw)
 		}
-		h.queue(f, raw)
 	}
 }
 
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -69,6 +69,7 @@
 	issuing issuing
 	lease   atomic.Pointer[warmup.Lease]
 	pauses  pauseRelay
+	demand  fleetDemand
 }
 
 // hostCount is what another reader last sent about itself and its followers.
@@ -131,6 +132,7 @@
 			return
 		case <-ticker.C:
 			h.notifyUnhealthy(h.sendHeartbeat())
+			h.notifyShares(h.fleetShares())
 		}
 	}
 }
@@ -148,6 +150,7 @@
 		h.broadcast(m)
 	}
 	h.sendPauses(time.Now())
+	h.sendDemand(time.Now())
 	return unhealthy
 }
 
@@ -246,6 +249,9 @@
 	// Another reader may have restarted and know none of these any more.
 	h.addAllLeaving(first)
 	h.addMembers(first, true)
+	if h.getsShares(f) {
+		first.FleetDemand = h.demand.shares
+	}
 	h.followers[f] = true
 	h.issuing.joins++
 	h.mu.Unlock()
@@ -289,6 +295,7 @@
 		h.addSamples(m.Samples)
 		h.answerStewards(f, m.Stewards)
 		h.addPauseEnds(m.PauseEnds)
+		h.addDemand(m.Demand)
 		if !m.Reports {
 			continue
 		}
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
+	"github.com/swiftvane/swiftvane/internal/decision/overload"
 	"github.com/swiftvane/swiftvane/internal/decision/stall"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
@@ -53,8 +54,8 @@
 }
 
 // message is sent in both directions of a link. A hub fills all fields but
-// Samples and PauseEnds; a follower sends only CrashReports, Leaving, Samples, PauseEnds
-// and Stewards. An answer to Stewards has no counts.
+// Samples and PauseEnds; a follower sends only CrashReports, Leaving, Samples, Demand,
+// PauseEnds and Stewards. An answer to Stewards has no counts.
 type message struct {
 	// Full messages hold all entries, others only changed ones.
 	Full bool `cbor:"1,keyasint,omitempty"`
@@ -106,6 +107,11 @@
 	// those of the whole fleet, for gatherers, and of a reader's followers, for readers.
 	PauseEnds []stall.SharedEnd `cbor:"22,keyasint,omitempty"`
 	Pauses    *pauseNews        `cbor:"23,keyasint,omitempty"`
+	// Demand is what a follower, or a reader's followers in sum, offered to overloaded
+	// groups since the last report. FleetDemand has the fleet's totals and the shares that
+	// are admitted.
+	Demand      []overload.Entry `cbor:"20,keyasint,omitempty"`
+	FleetDemand []overload.Share `cbor:"21,keyasint,omitempty"`
 }
 
 // position returns the sender's position in the store's history.
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
+	"github.com/swiftvane/swiftvane/internal/decision/overload"
 	"github.com/swiftvane/swiftvane/internal/decision/stall"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
@@ -137,17 +138,27 @@
 	}
 }
 
-// Report sends this host's health samples and the ends of targets' pauses to the reader
-// that it follows or, if it follows none, adds them to its own hub.
-func (s *Source) Report(samples []targethealth.Sample, ends []stall.SharedEnd) {
+// Report sends this host's health samples, its demand and the ends of targets' pauses to
+// the reader that it follows or, if it follows none, adds them to its own hub.
+func (s *Source) Report(samples []targethealth.Sample, demand []overload.Entry, ends []stall.SharedEnd) {
 	if l := s.currentLink(); l != nil {
-		l.send(&message{Samples: samples, PauseEnds: ends, Reports: true})
+		l.send(&message{Samples: samples, Demand: demand, PauseEnds: ends, Reports: true})
 		return
 	}
 	s.opts.Hub.addSamples(samples)
+	s.opts.Hub.addDemand(demand)
 	s.opts.Hub.addOwnPauseEnds(ends)
 }
 
+// ReportDemand is Report for a host that doesn't report periodically.
+func (s *Source) ReportDemand(demand []overload.Entry) {
+	if l := s.currentLink(); l != nil {
+		l.send(&message{Demand: demand})
+		return
+	}
+	s.opts.Hub.addDemand(demand)
+}
+
 // currentLink returns the link for goroutines other than the owner, nil for none.
 func (s *Source) currentLink() *link {
 	s.mu.Lock()
@@ -187,6 +198,7 @@
 	s.opts.Hub.notifyUnhealthy(m.Unhealthy)
 	s.confirmStewards(s.link, m.Stewards)
 	s.opts.Hub.handlePauses(m.Pauses)
+	s.opts.Hub.notifyShares(m.FleetDemand)
 	batch := catalogsync.Batch{
 		Full: m.Full, Position: m.position(), AfterOutage: m.AfterOutage,
 		AsOf: time.Now().Add(-time.Duration(m.AgeMS) * time.Millisecond),
@@ -315,6 +327,7 @@
 			s.opts.Hub.addCrashReports(m.CrashReports)
 			s.opts.Hub.addLeaving(m)
 			s.opts.Hub.addReaderPauses(m.Pauses)
+			s.opts.Hub.addReaderDemand(m.Demand)
 		}
 	}
 	timer := time.NewTimer(observeInterval)
--- a/internal/hosts/catalogshare/stewards.go
+++ b/internal/hosts/catalogshare/stewards.go
@@ -56,24 +56,9 @@
 	if generation != question.Generation {
 		answer.List = &list
 	}
-	h.sendTo(f, &message{
+	h.queue(f, h.encoded(&message{
 		Era: h.position.Era, Revision: h.position.Revision, AgeMS: now.Sub(h.asOf).Milliseconds(), Stewards: answer,
-	})
-}
-
-// sendTo queues a message for one follower and disconnects it if its queue is full. The
-// caller holds the lock.
-func (h *Hub) sendTo(f *follower, m *message) {
-	raw, err := encode(m)
-	if err != nil {
-		h.log.WithError(err).Error("catalog message can't be encoded")
-		return
-	}
-	select {
-	case f.out <- raw:
-	default:
-		h.remove(f)
-	}
+	}))
 }
 
 // confirmStewards records an answer to a question that was asked at asked. Calls must not
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -230,10 +230,13 @@
 	p.unassign(c)
 	if call != nil {
 		result := replica.Failed
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			result = replica.Silent
-		} else {
+		switch {
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			p.lost = append(p.lost, lostCall{request: call.Request, at: now})
+		case call.withdrawn:
+			result = replica.Withdrawn
+		default:
+			result = replica.Silent
 		}
 		p.recordExchange(now, p.exchangeOf(call, result))
 	}
--- a/internal/targets/targetpool/health.go
+++ b/internal/targets/targetpool/health.go
@@ -23,6 +23,9 @@
 func (p *Pool) recordExchange(now time.Time, e replica.Exchange) {
 	p.observePause(now, &e)
 	p.stats.Ended(now, e)
+	if e.Result == replica.Withdrawn {
+		return
+	}
 	if e.Result == replica.Served && now.Sub(e.Sent)-e.Foreseen < slowFactor*e.Expected {
 		p.sample.Good++
 		return
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -30,7 +30,8 @@
 
 	mu sync.Mutex
 	// Invariant: while calls wait, idle is empty, or as many connections carry calls as
-	// may (usableConns), or as many bytes (memory.fits).
+	// may (usableConns), or as may for the calls that wait (urgency), or as many bytes
+	// (memory.fits).
 	idle    []*conn
 	waiting []*Call
 	conns   map[*conn]bool
@@ -60,7 +61,8 @@
 	evacuation
 	stats replica.Stats
 	// stalls finds and predicts the target's pauses.
-	stalls stallState
+	stalls  stallState
+	urgency urgency
 	// sample counts the exchanges since the last takeSample.
 	sample targethealth.Sample
 	// distrustedUntil is when the last report of other hosts that the target is
@@ -197,6 +199,7 @@
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: ErrWarming, Ended: now})
 		return
 	}
+	p.urgency.note(call.Priority, now)
 	if c := p.takeFreeFor(call, now); c != nil {
 		p.assign(c, call, now)
 		p.mu.Unlock()
@@ -238,6 +241,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	call.cancelled.Store(true)
+	call.withdrawn = within <= 0
 	if call.waiting {
 		p.removeWaiting(call)
 		return
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -14,6 +14,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
+	"github.com/swiftvane/swiftvane/internal/decision/overload"
 	"github.com/swiftvane/swiftvane/internal/decision/stall"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
@@ -114,6 +115,7 @@
 	directory *targetpool.Directory
 	gatherers *gatherlink.Client
 	gather    *gatherlink.Server
+	executor  *relay.Executor
 	server    *front.Server
 	ready     *readiness
 	metrics   *metricsServer
@@ -133,6 +135,9 @@
 	// clock detects that the monotonic clock did not run. It is used by the same goroutine.
 	clock   stall.Clock
 	started time.Time
+	// servesSweeps is set if the host serves sweeps for itself or others. It is used by the
+	// same goroutine.
+	servesSweeps bool
 	// warningBudget limits the log lines about unhealthy targets.
 	warningBudget *logging.Budget
 	evacuations   *evacuationMonitor
@@ -168,15 +173,17 @@
 		OnView: e.directory.Update, OnBatch: e.hub.Publish, OnDoubt: e.hub.Doubt, LongestPause: e.longestStorePause,
 	})
 	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope, Regions: opts.Regions})
-	executor := relay.NewExecutor(relay.Options{
+	e.executor = relay.NewExecutor(relay.Options{
 		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Regions: opts.Regions, Guard: guard, Policy: opts.Policy, Gatherers: e.gatherers,
 		Memory: e.memory,
+		Log:    opts.Log, Scope: e.metrics.scope,
 	})
-	e.gather = gatherlink.NewServer(executor, opts.Log)
+	e.gather = gatherlink.NewServer(e.executor, opts.Log)
 	e.server = front.New(front.Options{
-		Codec: opts.CallerCodec, Handler: executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
+		Codec: opts.CallerCodec, Handler: e.executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
 		Memory: e.memory,
 	})
+	e.hub.OnFleetShares(func(list []overload.Share) { e.executor.SetFleetShares(time.Now(), list) })
 	e.ready = newReadiness(opts.ReadyPath, e.follower)
 	return e
 }
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -84,6 +84,8 @@
 	domain func(id string) string
 	// regions has the regions of failure domains; hosts are in that of theirs.
 	regions map[string]string
+	// objective is that of all routes, 5 s if it is zero.
+	objective time.Duration
 	// linked makes the hosts follow the first one, which reads the store.
 	linked bool
 }
@@ -93,9 +95,12 @@
 func start(t *testing.T, o options) *cluster {
 	t.Helper()
 	t.Parallel()
+	if o.objective == 0 {
+		o.objective = 5 * time.Second
+	}
 	d, err := deployment.Start(deployment.Options{
 		Shards: shards, Replicas: replicas, Singles: 3, Attempts: 2, Work: o.work, Records: records, TopK: topK, Fault: o.fault, Domain: o.domain,
-		Timeout: 10 * time.Second, Objective: 5 * time.Second, LeastCoverage: 0.75,
+		Timeout: 10 * time.Second, Objective: o.objective, LeastCoverage: 0.75,
 		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 500 * time.Millisecond, IdleTimeout: 5 * time.Second},
 	})
 	require.NoError(t, err)
