Soak: evacuations of a failure domain beside the other faults

The soak knew no evacuations. After a restore of the store the operator writes its last word again.

Left out: a check that all hosts learn of an evacuation after the faults.

--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -38,11 +38,12 @@
 type environment struct {
 	t *testing.T
 	// platform holds the store and the configuration; targets hold the searchers.
-	platform  *deployment.Deployment
-	targets   []*target
-	hosts     []*host
-	log       attemptLog
-	startTime time.Time
+	platform    *deployment.Deployment
+	targets     []*target
+	hosts       []*host
+	log         attemptLog
+	startTime   time.Time
+	evacuations evacuations
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -59,6 +60,7 @@
 		Timeout: timeout, Objective: objective, LeastCoverage: minCoverage,
 		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 2 * time.Second, IdleTimeout: 5 * time.Second},
 		Fault:  func(string, string) searcher.Fault { return e.pickTargetFault() },
+		Domain: domainOf,
 	})
 	require.NoError(t, err)
 	t.Cleanup(e.platform.Close)
@@ -69,7 +71,10 @@
 	e.addHosts(hosts)
 	harness.Eventually(t, "all hosts are ready", e.allReady)
 	stop := e.startCallers()
+	var evacuating sync.WaitGroup
+	evacuating.Go(func() { e.injectEvacuations(seed, faultPeriod) })
 	e.injectFaults(faultPeriod)
+	evacuating.Wait()
 	e.awaitRecovery()
 	stop()
 	e.check()
--- /dev/null
+++ b/test/soak/evacuation_test.go
@@ -0,0 +1,69 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/standin/deployment"
+)
+
+const (
+	// evacuatedDomain is the failure domain that the operator evacuates now and then.
+	evacuatedDomain = "z-2"
+	// meanEvacuationInterval is roughly the mean time between two changes of it.
+	meanEvacuationInterval = 400 * time.Millisecond
+)
+
+// domainOf returns the failure domain of a searcher: that of the hosts or, for every
+// second target of a service, evacuatedDomain.
+func domainOf(id string) string {
+	name, _, _ := strings.Cut(id, "-start-")
+	if (name[len(name)-1]-'0')%2 == 1 {
+		return evacuatedDomain
+	}
+	return deployment.FailureDomain
+}
+
+// evacuations is the operator's say about evacuatedDomain. A restore of the store may
+// lose it, so that it is written again.
+type evacuations struct {
+	mu        sync.Mutex
+	requested bool
+}
+
+// evacuate requests or withdraws the evacuation.
+func (e *environment) evacuate(requested bool) {
+	e.evacuations.mu.Lock()
+	defer e.evacuations.mu.Unlock()
+	e.evacuations.requested = requested
+	e.writeEvacuation()
+}
+
+// writeEvacuationAgain writes what a restore of the store may have lost.
+func (e *environment) writeEvacuationAgain() {
+	e.evacuations.mu.Lock()
+	defer e.evacuations.mu.Unlock()
+	e.writeEvacuation()
+}
+
+// writeEvacuation writes the operator's say to the store. The lock is held.
+func (e *environment) writeEvacuation() {
+	if e.evacuations.requested {
+		e.platform.Evacuate(evacuatedDomain)
+		return
+	}
+	e.platform.TakeBack(evacuatedDomain)
+}
+
+// injectEvacuations requests and withdraws evacuations for the given period. It has its
+// own random numbers, so that the other faults of a seed stay the same.
+func (e *environment) injectEvacuations(seed uint64, period time.Duration) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	for end := time.Now().Add(period); time.Now().Before(end); {
+		e.evacuate(random.IntN(2) == 0)
+		time.Sleep(time.Duration(random.Int64N(int64(2 * meanEvacuationInterval))))
+	}
+	e.evacuate(false)
+}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -146,6 +146,7 @@
 // writeAgain lets the operator and all targets write again what a restore lost.
 func (e *environment) writeAgain() {
 	e.publish()
+	e.writeEvacuationAgain()
 	for _, t := range e.targets {
 		t.registerAgain()
 	}
