Don't send a known full batch on to followers

In the soak two hosts stayed at one revision for up to a minute. A host that gets a full message passes it on in full; two hosts that follow each other sent it to and fro every half millisecond, and since ages are cut to milliseconds at each hop it never looked stale. A trace of the batches showed the loop.

A full batch of another host that is no later than the hub's entries isn't passed on. The check that all hosts learn of an evacuation after the faults, and serve completely without the domain, is back in the soak.

Ruled out: the filter of late evacuations, which dropped nothing in the trace.

--- a/internal/hosts/catalogshare/publish.go
+++ b/internal/hosts/catalogshare/publish.go
@@ -6,7 +6,9 @@
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
 )
 
-// Publish applies a batch to the hub's entries and sends it to all followers.
+// Publish applies a batch to the hub's entries and sends it to all followers, except a
+// full batch of another host that is no later than the entries: two hosts that follow each
+// other would send it to and fro without end, and take it for new each time.
 func (h *Hub) Publish(b catalogsync.Batch) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -14,6 +16,7 @@
 		h.setDisputed(&b)
 		h.entries = make(map[string]entry, len(b.Changes))
 	}
+	known := b.Full && !b.Direct && !h.position.Before(b.Position)
 	m := h.newMessage()
 	for i := range b.Changes {
 		m.Entries = append(m.Entries, h.applyChange(&b.Changes[i]))
@@ -23,7 +26,7 @@
 	}
 	h.position = h.position.Later(b.Position)
 	h.asOf = b.AsOf
-	if len(h.followers) == 0 || len(m.Entries) == 0 && !b.AfterOutage {
+	if known || len(h.followers) == 0 || len(m.Entries) == 0 && !b.AfterOutage {
 		return
 	}
 	m.Full, m.AfterOutage = b.Full, b.AfterOutage
--- a/test/soak/check_test.go
+++ b/test/soak/check_test.go
@@ -22,8 +22,9 @@
 // maxShownFailures bounds the failures reported for a host that does not recover.
 const maxShownFailures = 10
 
-// awaitRecovery waits until each host serves all routes again, with complete sweeps.
-func (e *environment) awaitRecovery() {
+// awaitRecovery waits until each host serves all routes again, with complete sweeps, after
+// what is named.
+func (e *environment) awaitRecovery(after string) {
 	client := newClient()
 	for _, h := range e.hosts {
 		n, complete := 0, 0
@@ -31,7 +32,7 @@
 		end := time.Now().Add(harness.ConditionTimeout)
 		for complete < recoveryRounds {
 			n++
-			if failure := e.tryAllRoutes(client, h, n); failure != "" {
+			if failure := e.tryAllRoutes(client, h, fmt.Sprint(after, "-", n)); failure != "" {
 				failures = append(failures, fmt.Sprintf("%s %s", time.Now().UTC().Format(time.RFC3339Nano), failure))
 				complete = 0
 				time.Sleep(pauseAfterFailure)
@@ -46,9 +47,9 @@
 
 // tryAllRoutes sends one request for each route and describes those that failed; the
 // result is empty if all succeeded.
-func (e *environment) tryAllRoutes(client *http.Client, h *host, n int) (failure string) {
+func (e *environment) tryAllRoutes(client *http.Client, h *host, name string) (failure string) {
 	for _, route := range []string{"sweep", "read", "order"} {
-		a := e.ask(client, h, route, fmt.Sprintf("%s-after-%s-%d", route, h.name, n))
+		a := e.ask(client, h, route, fmt.Sprintf("%s-after-%s-%s", route, h.name, name))
 		e.log.add(a)
 		if a.err != nil || a.status != http.StatusOK || route == "sweep" && a.header.Get(platform.HeaderMissingParts) != "0" {
 			failure += fmt.Sprintf("%s: status %d, missing %q, error %v; ", a.id, a.status, a.header.Get(platform.HeaderMissingParts), a.err)
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -75,7 +75,8 @@
 	evacuating.Go(func() { e.injectEvacuations(seed, faultPeriod) })
 	e.injectFaults(faultPeriod)
 	evacuating.Wait()
-	e.awaitRecovery()
+	e.awaitRecovery("faults")
+	e.checkEvacuation()
 	stop()
 	e.check()
 }
--- a/test/soak/evacuation_test.go
+++ b/test/soak/evacuation_test.go
@@ -1,12 +1,19 @@
 package soak
 
 import (
+	"io"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/face/adminapi"
 	"github.com/swiftvane/swiftvane/internal/standin/deployment"
+	"github.com/swiftvane/swiftvane/test/harness"
 )
 
 const (
@@ -14,6 +21,8 @@
 	evacuatedDomain = "z-2"
 	// meanEvacuationInterval is roughly the mean time between two changes of it.
 	meanEvacuationInterval = 400 * time.Millisecond
+	// metricsPort is the port of the hosts' metrics addresses.
+	metricsPort = "9464"
 )
 
 // domainOf returns the failure domain of a searcher: that of the hosts or, for every
@@ -67,3 +76,52 @@
 	}
 	e.evacuate(false)
 }
+
+// checkEvacuation evacuates the failure domain after all faults, while callers send
+// requests. Once all hosts know it they serve all routes completely without it.
+func (e *environment) checkEvacuation() {
+	e.evacuate(true)
+	harness.Eventually(e.t, "all hosts know the evacuation", func() bool {
+		for _, h := range e.hosts {
+			if !h.knowsEvacuation() {
+				return false
+			}
+		}
+		return true
+	})
+	before := e.evacuatedArrivals()
+	e.awaitRecovery("evacuation")
+	require.Equal(e.t, before, e.evacuatedArrivals(), "requests arrived in an evacuated failure domain")
+	e.evacuate(false)
+}
+
+func (h *host) knowsEvacuation() bool {
+	ip, _, err := net.SplitHostPort(h.caller)
+	require.NoError(h.env.t, err)
+	resp, err := http.Get("http://" + net.JoinHostPort(ip, metricsPort) + adminapi.PathEvacuations)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return err == nil && strings.Contains(string(body), `"`+evacuatedDomain+`"`) && strings.Contains(string(body), `"calls_in_flight":0`)
+}
+
+// evacuatedArrivals returns the number of requests that arrived in evacuatedDomain.
+func (e *environment) evacuatedArrivals() int {
+	arrived := 0
+	for _, t := range e.targets {
+		if domainOf(t.id()) != evacuatedDomain {
+			continue
+		}
+		t.mu.Lock()
+		searchers := t.allSearchers
+		t.mu.Unlock()
+		for _, s := range searchers {
+			for _, n := range s.Arrivals() {
+				arrived += n
+			}
+		}
+	}
+	return arrived
+}
