--- a/internal/decision/overload/limiter.go
+++ b/internal/decision/overload/limiter.go
@@ -4,19 +4,19 @@
 
 const (
 	// mostLate is the share of late results from which on leastLate of them are enough to
-	// detect overload. Otherwise it takes severalLate in the longer window, since pauses of
-	// targets make a few requests late.
-	mostLate    = 0.5
-	leastLate   = 3
-	severalLate = 8
+	// detect overload, in both windows. Fewer are no sign of it: pauses of targets make some
+	// requests late, and at the start of a burst requests wait for new connections.
+	mostLate  = 0.35
+	leastLate = 3
 	// limitedLate replaces them while a limit is in force, when few requests are admitted.
 	limitedLate = 2
-	// lateShare is the share of late results from which on a group is overloaded.
+	// lateShare is the share of late results from which on a limit is cut.
 	lateShare = 0.2
-	// delayedShare is the share of results with queueing above which the limit doesn't
-	// rise, and queueShare that above which it falls slowly.
-	delayedShare = 0.05
-	queueShare   = 0.3
+	// fewLate is the share of late results up to which the limit rises. queueShare is the
+	// share of results with queueing above which it falls slowly: below that share requests
+	// that waited and are in time are no reason to refuse others.
+	fewLate    = 0.05
+	queueShare = 0.3
 	// cutWeight is by how much a share of late results cuts the limit.
 	cutWeight = 0.3
 	// drainShare is the part of the new limit that is admitted after a cut, until the
@@ -25,7 +25,7 @@
 	drainShare = 0.4
 	drainLeast = 200 * time.Millisecond
 	drainMost  = 800 * time.Millisecond
-	// raise is a step up, lower one down while calls are queued, as shares of the limit.
+	// raise is a step up, lower one down while many calls are queued, as shares of the limit.
 	// Steps down stop at lowerLeast of the limit that was last reached, since a slow target
 	// without a queue may look queued.
 	raise      = 0.03
@@ -34,8 +34,10 @@
 	// regain replaces raise below regainShare of what was served when calls last queued.
 	regain      = 0.08
 	regainShare = 0.85
-	// calmSteps is the number of steps up without queueing after which they are larger.
-	calmSteps = 20
+	// calmSteps is the number of steps up without late requests after which they are larger.
+	// A limit that was set while a burst began is far below the capacity: it must be gone
+	// within seconds.
+	calmSteps = 4
 	// usedShare is the share of the limit that must be used for it to rise. What a host
 	// admits may be limited by the fleet's shares as well.
 	usedShare = 0.85
@@ -71,7 +73,7 @@
 	limit float64
 	// reached is the limit after the last rise or cut.
 	reached float64
-	// calm is the number of steps up since calls last queued.
+	// calm is the number of steps up since requests were last late.
 	calm int
 	// served is what was completed per second when calls last queued.
 	served float64
@@ -102,9 +104,7 @@
 // detect sets a limit if the group is overloaded, by the results of a shorter and those of
 // a longer window.
 func (l *limiter) detect(now time.Time, o, longer observation) {
-	switch {
-	case o.overloaded(leastLate, mostLate), longer.overloaded(leastLate, mostLate), longer.overloaded(severalLate, lateShare):
-	default:
+	if !o.overloaded(leastLate, mostLate) || !longer.overloaded(leastLate, mostLate) {
 		return
 	}
 	l.exceededAt = now
@@ -133,18 +133,18 @@
 		l.served = min(l.limit, o.completed)
 		lowered := min(l.limit, max(o.completed, leastLimit)) * (1 - lower)
 		l.limit = max(lowered, l.reached*lowerLeast, leastLimit)
-	case queued <= delayedShare*float64(o.ended) && o.completed >= usedShare*l.limit || l.limit <= leastLimit:
+	case float64(o.late) <= fewLate*float64(o.ended) && o.completed >= usedShare*l.limit || l.limit <= leastLimit:
 		l.limit = max(l.limit, o.inTime) * (1 + l.step())
 		l.reached = l.limit
 		l.calm++
 	}
-	if queued > 0 {
+	if o.late > 0 {
 		l.calm = 0
 	}
 }
 
-// step returns the next step up. After many steps without any queueing the capacity has
-// grown, for example since slow targets have recovered.
+// step returns the next step up. After some steps without late requests the capacity is
+// larger, for example since slow targets have recovered.
 func (l *limiter) step() float64 {
 	if l.limit < regainShare*l.served || l.calm >= calmSteps {
 		return regain
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -40,11 +40,12 @@
 	// memoryMB is the hosts' memory limit.
 	memoryMB int
 	// platform holds the store and the configuration; targets hold the searchers.
-	platform  *deployment.Deployment
-	targets   []*target
-	hosts     []*host
-	log       attemptLog
-	startTime time.Time
+	platform    *deployment.Deployment
+	targets     []*target
+	hosts       []*host
+	log         attemptLog
+	startTime   time.Time
+	evacuations evacuations
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -61,6 +62,7 @@
 		Timeout: timeout, Objective: objective, LeastCoverage: minCoverage,
 		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 2 * time.Second, IdleTimeout: 5 * time.Second},
 		Fault:  func(string, string) searcher.Fault { return e.pickTargetFault() },
+		Domain: domainOf,
 	})
 	require.NoError(t, err)
 	t.Cleanup(e.platform.Close)
@@ -71,8 +73,12 @@
 	e.addHosts(hosts)
 	harness.Eventually(t, "all hosts are ready", e.allReady)
 	stop := e.startCallers()
+	var evacuating sync.WaitGroup
+	evacuating.Go(func() { e.injectEvacuations(seed, faultPeriod) })
 	e.injectFaults(faultPeriod)
-	e.awaitRecovery()
+	evacuating.Wait()
+	e.awaitRecovery("faults")
+	e.checkEvacuation()
 	stop()
 	e.check()
 }
