Measure a host's memory without the race detector

Change: that test's daemon is always built without the detector; the bound is unchanged, and the daemon that the platform runs is what is measured.

--- a/test/harness/daemon.go
+++ b/test/harness/daemon.go
@@ -9,15 +9,27 @@
 	"github.com/stretchr/testify/require"
 )
 
+// StartMeasuredDaemon is StartDaemon for tests that measure the daemon's memory: it never
+// has the race detector.
+func StartMeasuredDaemon(tb testing.TB, name string, env ...string) *Process {
+	tb.Helper()
+	return startDaemon(tb, measuredDaemon, name, env...)
+}
+
 // StartDaemon runs a daemon with the given additional environment variables until
 // the test ends. Its standard output and standard error go to the process log.
 func StartDaemon(tb testing.TB, name string, env ...string) *Process {
+	tb.Helper()
+	return startDaemon(tb, "swiftvaned", name, env...)
+}
+
+func startDaemon(tb testing.TB, program, name string, env ...string) *Process {
 	tb.Helper()
 	p := &Process{Name: name, log: filepath.Join(tb.TempDir(), "log"), exited: make(chan struct{})}
 	logFile, err := os.Create(p.log)
 	require.NoError(tb, err)
 	defer func() { _ = logFile.Close() }()
-	p.cmd = exec.Command(programPath(tb, "swiftvaned"))
+	p.cmd = exec.Command(programPath(tb, program))
 	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.SysProcAttr = killWithParent()
 	p.cmd.Stdout = logFile
--- a/test/harness/programs.go
+++ b/test/harness/programs.go
@@ -39,6 +39,10 @@
 	return filepath.Join(programs.dir, name)
 }
 
+// measuredDaemon is the daemon built without the race detector, whose own memory is
+// several times that of the program.
+const measuredDaemon = "swiftvaned-measured"
+
 // buildPrograms builds the daemon with the race detector if the test binary has it,
 // and the other programs without.
 func buildPrograms() {
@@ -54,16 +58,25 @@
 	if programs.err == nil {
 		programs.err = goBuild(nil, "standin", "swiftvanectl")
 	}
+	if programs.err == nil {
+		programs.err = goBuildAs(measuredDaemon, nil, "swiftvaned")
+	}
 }
 
 func goBuild(flags []string, names ...string) error {
-	args := append([]string{"build", "-o", programs.dir + string(filepath.Separator)}, flags...)
+	return goBuildAs(string(filepath.Separator), flags, names...)
+}
+
+// goBuildAs builds programs to a path below that of the built programs.
+func goBuildAs(path string, flags []string, names ...string) error {
+	output := programs.dir + string(filepath.Separator) + path
+	args := append([]string{"build", "-o", output}, flags...)
 	for _, name := range names {
 		args = append(args, modulePath+"/cmd/"+name)
 	}
-	output, err := exec.Command("go", args...).CombinedOutput()
+	messages, err := exec.Command("go", args...).CombinedOutput()
 	if err != nil {
-		return fmt.Errorf("go %v: %w\n%s", args, err, output)
+		return fmt.Errorf("go %v: %w\n%s", args, err, messages)
 	}
 	return nil
 }
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -39,6 +39,8 @@
 	t *testing.T
 	// memoryMB is the hosts' memory limit.
 	memoryMB int
+	// measured is set if the hosts' memory is measured.
+	measured bool
 	// platform holds the store and the configuration; targets hold the searchers.
 	platform    *deployment.Deployment
 	targets     []*target
--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -110,7 +110,11 @@
 		return
 	}
 	h.setFile(h.validSettings)
-	process := harness.StartDaemon(h.env.t, h.name, platform.SettingsVariable+"="+h.file)
+	startDaemon := harness.StartDaemon
+	if h.env.measured {
+		startDaemon = harness.StartMeasuredDaemon
+	}
+	process := startDaemon(h.env.t, h.name, platform.SettingsVariable+"="+h.file)
 	h.started = true
 	h.mu.Lock()
 	defer h.mu.Unlock()
