--- a/internal/face/entry/server.go
+++ b/internal/face/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/listener"
 )
 
 // stoppingRetryAfter is the Retry-After of refusals by a host that is stopping or
@@ -62,13 +63,13 @@
 // Listen opens the caller listener and serves it in the background. It fails if
 // the address cannot be opened.
 func (s *Server) Listen() error {
-	listener, err := net.Listen("tcp", s.opts.ListenAddr)
+	opened, err := listener.Listen(s.opts.ListenAddr)
 	if err != nil {
 		return eris.Wrap(err, "caller listener")
 	}
-	s.listener = listener
+	s.listener = opened
 	go func() {
-		if err := s.app.Listener(listener); err != nil && !errors.Is(err, net.ErrClosed) {
+		if err := s.app.Listener(opened); err != nil && !errors.Is(err, net.ErrClosed) {
 			s.opts.Log.WithError(err).Error("caller listener failed")
 		}
 	}()
@@ -90,6 +91,10 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.draining.Store(true)
 	s.closed.Store(true)
+	if s.listener != nil {
+		// Callers whose connections are not accepted yet get a refusal, not a reset.
+		listener.Drain(s.listener)
+	}
 	err := s.app.ShutdownWithContext(ctx)
 	if s.listener != nil {
 		_ = s.listener.Close() // needed if the library has not started to serve it yet
--- a/internal/support/listener/stop.go
+++ b/internal/support/listener/stop.go
@@ -45,20 +45,26 @@
 	return config.Listen(context.Background(), "tcp", addr)
 }
 
-// Close lets the listener take no further handshakes, waits until the goroutine that
-// accepts has taken those that are complete, and closes the listener. Closing at once
-// would reset them, although their callers may have sent requests. Where the filter is
-// not available it closes at once. The error is that of closing.
+// Close drains and closes the listener. The error is that of closing.
 func Close(l net.Listener) error {
-	if refuseHandshakes(l) == nil {
-		time.Sleep(handshakeWait)
-		for end := time.Now().Add(backlogWait); backlog(l) > 0 && time.Now().Before(end); {
-			time.Sleep(backlogInterval)
-		}
-	}
+	Drain(l)
 	return l.Close()
 }
 
+// Drain lets the listener take no further handshakes and waits until the goroutine that
+// accepts has taken those that are complete. Closing at once would reset them, although
+// their callers may have sent requests. Where the filter is not available it returns at
+// once.
+func Drain(l net.Listener) {
+	if refuseHandshakes(l) != nil {
+		return
+	}
+	time.Sleep(handshakeWait)
+	for end := time.Now().Add(backlogWait); backlog(l) > 0 && time.Now().Before(end); {
+		time.Sleep(backlogInterval)
+	}
+}
+
 // backlog returns the number of connections that wait to be accepted, 0 if unknown.
 func backlog(l net.Listener) int {
 	waiting := 0
