Let the copying target of a test answer after its request was written

Cause: TestLateCopyOfReplyWithoutIDIsDropped failed in 10 of 360 repetitions at a load of 32. Its target answered before the request was written completely, which ends the connection, so the copy came on a new one.

--- a/internal/targets/targetpool/copies_test.go
+++ b/internal/targets/targetpool/copies_test.go
@@ -87,8 +87,10 @@
 		d := &scriptDialer{answer: func(id string, to io.Writer) {
 			if id == "second" {
 				_, _ = io.WriteString(to, "signed-first\n")
-				time.Sleep(echoTime)
 			}
+			// A reply that comes before the request is written completely ends the
+			// connection.
+			time.Sleep(echoTime)
 			_, _ = io.WriteString(to, "signed-"+id+"\n")
 		}}
 		p := scriptPool(d)
