--- a/internal/decision/overload/allocate.go
+++ b/internal/decision/overload/allocate.go
@@ -51,8 +51,9 @@
 
 // Divide divides a capacity, per second, among streams. A more urgent rank gets its
 // demand first. Each less urgent one keeps a floor of a tenth of the capacity, at most its
-// part in proportion to the demand: it is never served better than the most urgent one. Half of a rank's part goes first to callers that
-// were refused before. The rest is divided max-min fairly between the failure domains.
+// part in proportion to the demand: it is never served better than the most urgent one.
+// Half of a rank's part goes first to callers that were refused before. The rest is divided
+// max-min fairly between the failure domains.
 func Divide(capacity float64, demands []Demand) Plan {
 	plan := Plan{byStream: make(map[Stream]Ratios, len(demands)), byRank: map[int]Ratios{}}
 	byRank := map[int]Demand{}
