Limit admission only in fleets with gatherers

In fleets of 6 to 8 hosts the limits set in after slow and crashed targets and refused callers who could have been served; there each host sees the targets' queues itself. Change: limits on admission and the reserved connection are on only where a fleet has gatherers; tests with few hosts switch them on (LimitSmallFleets).

--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -56,6 +57,8 @@
 
 // Executor serves requests. It is safe for concurrent use.
 type Executor struct {
+	// unlimited is set while admission is not limited, see SetAdmissionControl.
+	unlimited    atomic.Bool
 	opts         Options
 	statsByRoute statsByRoute
 	splits       splits
--- a/internal/querypath/relay/gatereport.go
+++ b/internal/querypath/relay/gatereport.go
@@ -9,6 +9,11 @@
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
+// SetAdmissionControl switches the limits on admission on or off; they are on at first. In
+// a small fleet each host sees the queues of all targets itself and refuses by them, and a
+// limit learnt from late answers would refuse callers who can be served.
+func (e *Executor) SetAdmissionControl(on bool) { e.unlimited.Store(!on) }
+
 // OverloadReport returns this host's counts of all groups that are limited or that the
 // reader asks for, at most overload.MaxEntries. It is to be called periodically, as it
 // also lets limits end that no request touches any more.
--- a/internal/querypath/relay/overload.go
+++ b/internal/querypath/relay/overload.go
@@ -29,6 +29,9 @@
 
 // admitted serves the request if the gate admits it and otherwise refuses it.
 func (r *run) admitted(group catalog.ServiceName, returning bool, serve func() *exchange.Answer) *exchange.Answer {
+	if r.executor.unlimited.Load() {
+		return serve()
+	}
 	now := time.Now()
 	asked := overload.Request{
 		Stream:    overload.Stream{Rank: r.route.Priority, Domain: r.domain()},
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -197,6 +197,7 @@
 		if !ok {
 			pool = d.open(t)
 		}
+		pool.setReserving(d.fleet.Gatherers > 0)
 		pool.setBound(bound, t, !ok, now)
 		if !ok && !pool.resumedAt.IsZero() {
 			pool.resumed(pool.resumedAt, bound.warmup)
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -63,6 +63,9 @@
 	// stalls finds and predicts the target's pauses.
 	stalls  stallState
 	urgency urgency
+	// unreserved is set in fleets without gatherers, in which no connection is reserved for
+	// urgent calls.
+	unreserved bool
 	// sample counts the exchanges since the last takeSample.
 	sample targethealth.Sample
 	// distrustedUntil is when the last report of other hosts that the target is
--- a/internal/targets/targetpool/urgency.go
+++ b/internal/targets/targetpool/urgency.go
@@ -32,6 +32,9 @@
 // congested, the last usable connection is reserved for the most urgent recent calls. The
 // caller holds the lock.
 func (p *Pool) leastUrgent(now time.Time) int {
+	if p.unreserved {
+		return math.MaxInt
+	}
 	usable := p.usableConns(now)
 	reserving := usable >= reservingConns && now.Sub(p.urgency.at) < urgentFor && p.stats.Congested()
 	if reserving && p.inUse() >= usable-1 {
@@ -40,6 +43,13 @@
 	return math.MaxInt
 }
 
+// setReserving sets whether a connection may be reserved for urgent calls.
+func (p *Pool) setReserving(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unreserved = !on
+}
+
 // Crowding describes what calls wait for.
 type Crowding struct {
 	// Queued is set while calls wait and all usable connections carry calls.
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -61,6 +61,8 @@
 	Capacity int
 	// MemoryBytes is the memory from which on the process is killed; 0 for no limit.
 	MemoryBytes int64
+	// LimitSmallFleets limits admission under overload also in fleets without gatherers.
+	LimitSmallFleets bool
 	// Policy is relay.Adaptive except in measurements.
 	Policy relay.Policy
 	// FirstStart is set while the whole fleet starts for the first time and no
--- a/internal/wiring/edge/peers.go
+++ b/internal/wiring/edge/peers.go
@@ -70,6 +70,7 @@
 	e.gatherers.SetExtra(targetpool.PassLimit(e.opts.ownExtra(), e.opts.Host, hosts, age))
 	gathers := slices.ContainsFunc(gatherers, func(m gathering.Member) bool { return m.Addr == e.opts.PeerAddr })
 	e.servesSweeps = gathers || len(gatherers) == 0
+	e.executor.SetAdmissionControl(len(gatherers) > 0 || e.opts.LimitSmallFleets)
 	e.directory.SetFleet(targetpool.Fleet{Hosts: hosts, Domains: domains, Gatherers: len(gatherers), Gathers: gathers})
 }
 
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -143,7 +143,7 @@
 		Extra:       extrabudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Regions:     catalog.Regions{Own: c.regions["z-1"], ByDomain: c.regions},
 		Cold:        edge.ColdBound{Over: 1.5, Slack: 5},
-		PeerAddr:    peer,
+		PeerAddr:    peer, LimitSmallFleets: c.opts.linked,
 		Readers:     func() []string { return c.readers },
 		MetricsAddr: h.metrics,
 		Store:       platform.NewStore(c.Store.Addr()),
