Read and log the request rate that targets limit themselves to

Change: Server-Limit is decoded in platform/, the pool logs a limit that begins, changes or ends with what was sent under it, and counts such replies, unreadable ones and the calls sent. No decision uses it yet. The stand-in target states limits and records arrivals.

--- a/internal/domain/exchange/reply.go
+++ b/internal/domain/exchange/reply.go
@@ -36,6 +36,11 @@
 	// can't be read or can't be true.
 	Load        Load
 	InvalidLoad bool
+	// Limit is the rate that the target takes from all hosts together, in requests a second,
+	// if StatesLimit is set. InvalidLimit is set if the target stated it unreadably.
+	Limit        float64
+	StatesLimit  bool
+	InvalidLimit bool
 	// Warmup is for how long the target is still cold, if StatesWarmup is set.
 	Warmup       time.Duration
 	StatesWarmup bool
--- a/internal/standin/searcher/searcher.go
+++ b/internal/standin/searcher/searcher.go
@@ -91,6 +91,11 @@
 	// coldUntil is the end of the warm-up, coldArrivals are the requests during it.
 	coldUntil    time.Time
 	coldArrivals []time.Time
+	// limit is what answers state as the rate limit, limitedArrivals are the requests since
+	// limitedSince.
+	limit           string
+	limitedSince    time.Time
+	limitedArrivals []time.Time
 }
 
 // Start starts a searcher that listens on addr; port 0 selects a free port.
@@ -187,6 +192,7 @@
 	}
 	s.addLoad(w)
 	s.noteCold(w)
+	s.noteLimit(w)
 	if s.refusing(w) || fault == Shed || !s.acquire(r) {
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.Header().Set(platform.HeaderRequestID, id)
--- a/internal/targets/targetpool/assign.go
+++ b/internal/targets/targetpool/assign.go
@@ -62,6 +62,7 @@
 	c.setDeadline(call)
 	p.stats.Sent(now)
 	p.countCold(now)
+	p.countLimited()
 }
 
 // unassign ends the binding of the connection to its call, if it has one. The caller
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -183,6 +183,7 @@
 	}
 	withdrawn := p.noteWithdrawal(reply, now)
 	held := p.noteWarmup(reply, now)
+	p.noteLimit(reply, now)
 	p.mu.Unlock()
 	p.endWithdrawn(withdrawn, now)
 	endAll(held, ErrWarming, now)
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -81,6 +81,7 @@
 	// loads and loadsInvalid count the loads that the target reported.
 	loads, loadsInvalid tally.Counter
 	cold                coldState
+	rateLimit           rateLimit
 	// coldUntil is until when the target is cold, nil for never. It is written with the lock.
 	coldUntil atomic.Pointer[time.Time]
 }
@@ -122,7 +123,7 @@
 		target: target, codec: opts.Codec, heads: heads, memory: newMemory(opts), dialer: opts.Dialer, limit: 1, onCrash: opts.OnCrash,
 		onLeaving: opts.OnLeaving, drain: opts.DrainWithin, scope: scope,
 		log:   opts.Log.WithFields(logrus.Fields{"target": target.ID, "service": target.Service, "addr": target.Addr}),
-		conns: map[*conn]bool{}, stats: replica.Stats{Slots: target.Slots},
+		conns: map[*conn]bool{}, stats: replica.Stats{Slots: target.Slots}, rateLimit: newRateLimit(scope),
 	}
 }
 
