Divide the request rate that a target states among all hosts

Cause: the limit was passed on to callers and not read; and a bound on the sum over all hosts can't be kept by hosts that don't know of each other.

Change: hosts tell each other over their links what targets state and their demand for the services of such targets. Each gets the part of the limit that its demand has in the total, an equal part while that is unknown. Decisions are pure code in decision/targetlimit.

--- a/internal/decision/replica/stats.go
+++ b/internal/decision/replica/stats.go
@@ -116,8 +116,10 @@
 	Evacuated bool
 	Withheld  float64
 	// Held is the time until this host may send one more request to the target, which is
-	// cold; 0 if it may now.
-	Held time.Duration
+	// cold or limits its request rate; 0 if it may now. Limited is set if the limit is the
+	// reason.
+	Held    time.Duration
+	Limited bool
 	// Reported is the load that the target reported recently.
 	Reported Reported
 }
--- a/internal/domain/exchange/account.go
+++ b/internal/domain/exchange/account.go
@@ -65,6 +65,9 @@
 	// CauseWarming means that the targets that could be reached are cold and this host has
 	// no permit for a request to them.
 	CauseWarming Cause = "targets_warming"
+	// CauseLimited means that the targets that could be reached limit their request rate and
+	// this host has no permit for a request to them.
+	CauseLimited Cause = "targets_limited"
 	// CauseNotSent means that no attempt was made although a target was reachable.
 	CauseNotSent Cause = "not_sent"
 	// CauseQueue means that no attempt was made since the queue for the best target is
--- a/internal/domain/exchange/answer.go
+++ b/internal/domain/exchange/answer.go
@@ -41,6 +41,7 @@
 	TargetsPaused   Reason = "targets_paused"
 	Evacuated       Reason = "evacuated"
 	TargetsWarming  Reason = "targets_warming"
+	TargetsLimited  Reason = "targets_limited"
 	TargetFailed    Reason = "target_failed"
 	TargetSilent    Reason = "target_silent"
 	GathererLost    Reason = "gatherer_lost"
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -13,6 +13,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
+	"github.com/swiftvane/swiftvane/internal/decision/targetlimit"
 	"github.com/swiftvane/swiftvane/internal/decision/warmup"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
@@ -69,6 +70,7 @@
 	issuing issuing
 	lease   atomic.Pointer[warmup.Lease]
 	pauses  pauseRelay
+	limits  limitRelay
 	demand  fleetDemand
 }
 
@@ -103,6 +105,8 @@
 	// observe is set for links of other readers, which get counts and crash
 	// reports but no entries and aren't counted as hosts.
 	observe bool
+	// limitDemand is the follower's last report, as a reader that of its followers too.
+	limitDemand targetlimit.Report
 	// informed is set once the follower has got the table of pauses as a gatherer.
 	informed bool
 }
@@ -112,7 +116,7 @@
 func NewHub(self gathering.Member, guard *crashguard.Guard, log logrus.FieldLogger) *Hub {
 	return &Hub{
 		log: log, self: self, guard: guard, entries: map[string]entry{}, followers: map[*follower]bool{}, readerCounts: map[string]hostCount{},
-		leaving: map[LeavingTarget]time.Time{}, withheld: map[string]time.Time{},
+		leaving: map[LeavingTarget]time.Time{}, withheld: map[string]time.Time{}, limits: newLimitRelay(),
 		upgrader: websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }},
 	}
 }
@@ -131,18 +135,21 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			h.notifyUnhealthy(h.sendHeartbeat())
+			unhealthy, limitTotals := h.sendHeartbeat()
+			h.notifyUnhealthy(unhealthy)
+			h.notifyLimitTotals(limitTotals)
 			h.notifyShares(h.fleetShares())
 		}
 	}
 }
 
-// sendHeartbeat sends all followers a message with the unhealthy targets and
-// returns these.
-func (h *Hub) sendHeartbeat() []string {
+// sendHeartbeat sends all followers a message with the unhealthy targets and what else is sent
+// periodically. It returns the unhealthy targets and the totals of the fleet's demand for
+// services with limited targets.
+func (h *Hub) sendHeartbeat() (unhealthy []string, limitTotals []targetlimit.ServiceDemand) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	unhealthy := h.health.Unhealthy(time.Now())
+	unhealthy = h.health.Unhealthy(time.Now())
 	if len(h.followers) > 0 {
 		m := h.newMessage()
 		m.Unhealthy = unhealthy
@@ -151,7 +158,7 @@
 	}
 	h.sendPauses(time.Now())
 	h.sendDemand(time.Now())
-	return unhealthy
+	return unhealthy, h.sendLimitDemand(time.Now())
 }
 
 // notifyUnhealthy calls onUnhealthy if there are unhealthy targets.
@@ -248,6 +255,7 @@
 	}
 	// Another reader may have restarted and know none of these any more.
 	h.addAllLeaving(first)
+	h.addAllLimits(first)
 	h.addMembers(first, true)
 	if h.getsShares(f) {
 		first.FleetDemand = h.demand.shares
@@ -295,6 +303,8 @@
 		h.addSamples(m.Samples)
 		h.answerStewards(f, m.Stewards)
 		h.addPauseEnds(m.PauseEnds)
+		h.addLimitNotices(m.Limits)
+		h.setFollowerLimitDemand(f, m.LimitDemand)
 		h.addDemand(m.Demand)
 		if !m.Reports {
 			continue
--- a/internal/hosts/catalogshare/leaving.go
+++ b/internal/hosts/catalogshare/leaving.go
@@ -72,14 +72,15 @@
 	}
 }
 
-// leavingMessage returns a message with the reports that this host knows, nil if there
-// are none.
-func (h *Hub) leavingMessage() *message {
+// knownTargetReports returns a message with the targets that this host knows to be leaving or
+// to limit their request rate, nil if there are none.
+func (h *Hub) knownTargetReports() *message {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	m := &message{}
 	h.addAllLeaving(m)
-	if len(m.Leaving) == 0 {
+	h.addAllLimits(m)
+	if len(m.Leaving)+len(m.Limits) == 0 {
 		return nil
 	}
 	return m
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -8,6 +8,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/overload"
 	"github.com/swiftvane/swiftvane/internal/decision/stall"
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
+	"github.com/swiftvane/swiftvane/internal/decision/targetlimit"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 )
 
@@ -55,7 +56,7 @@
 
 // message is sent in both directions of a link. A hub fills all fields but
 // Samples and PauseEnds; a follower sends only CrashReports, Leaving, Samples, Demand,
-// PauseEnds and Stewards. An answer to Stewards has no counts.
+// PauseEnds, Limits, LimitDemand and Stewards. An answer to Stewards has no counts.
 type message struct {
 	// Full messages hold all entries, others only changed ones.
 	Full bool `cbor:"1,keyasint,omitempty"`
@@ -112,6 +113,11 @@
 	// are admitted.
 	Demand      []overload.Entry `cbor:"20,keyasint,omitempty"`
 	FleetDemand []overload.Share `cbor:"21,keyasint,omitempty"`
+	// Limits are statements of targets that limit their request rate, or no longer do.
+	// LimitDemand is the demand for services with such targets: a follower's own, to other
+	// readers that of the sender and its followers, and to followers that of the fleet.
+	Limits      []targetlimit.Notice        `cbor:"27,keyasint,omitempty"`
+	LimitDemand []targetlimit.ServiceDemand `cbor:"28,keyasint,omitempty"`
 }
 
 // position returns the sender's position in the store's history.
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -198,6 +198,8 @@
 	s.opts.Hub.notifyUnhealthy(m.Unhealthy)
 	s.confirmStewards(s.link, m.Stewards)
 	s.opts.Hub.handlePauses(m.Pauses)
+	s.opts.Hub.addLimitNotices(m.Limits)
+	s.opts.Hub.notifyLimitTotals(m.LimitDemand)
 	s.opts.Hub.notifyShares(m.FleetDemand)
 	batch := catalogsync.Batch{
 		Full: m.Full, Position: m.position(), AfterOutage: m.AfterOutage,
@@ -240,8 +242,8 @@
 		s.delayDial()
 		return
 	}
-	// A reader that has restarted has no reports of leaving targets.
-	if m := s.opts.Hub.leavingMessage(); m != nil {
+	// A reader that has restarted knows none of these.
+	if m := s.opts.Hub.knownTargetReports(); m != nil {
 		l.send(m)
 	}
 }
@@ -328,6 +330,8 @@
 			s.opts.Hub.addLeaving(m)
 			s.opts.Hub.addReaderPauses(m.Pauses)
 			s.opts.Hub.addReaderDemand(m.Demand)
+			s.opts.Hub.addLimitNotices(m.Limits)
+			s.opts.Hub.setReaderLimitDemand(addr, m.LimitDemand)
 		}
 	}
 	timer := time.NewTimer(observeInterval)
--- a/internal/querypath/relay/single.go
+++ b/internal/querypath/relay/single.go
@@ -57,6 +57,7 @@
 	if s.leg.group == nil {
 		return refuse(exchange.NoTarget, retryNoRoom)
 	}
+	s.leg.group.CountDemand()
 	chosen := r.executor.choose(r.route, s.leg.group, nil, r.expectedTimes.usual, now)
 	if chosen.pool == nil {
 		return r.refuseUnserved(s.leg.group, exchange.NoTarget, now)
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -105,6 +105,7 @@
 		if group == nil {
 			continue
 		}
+		group.CountDemand()
 		chosen[i] = s.executor.choose(s.route, group, nil, s.expectedTimes.usual, now)
 		if chosen[i].pool == nil {
 			continue
--- a/internal/querypath/relay/trace.go
+++ b/internal/querypath/relay/trace.go
@@ -81,13 +81,25 @@
 		return exchange.CauseNotSent
 	case l.group != nil && l.group.HasEvacuated(r.allows):
 		return exchange.CauseEvacuated
-	case l.group != nil && l.group.PermitLeft(now, r.allows) > 0:
-		return exchange.CauseWarming
+	case l.group != nil:
+		return causeOf(l.group.NextPermit(now, r.allows))
 	default:
 		return exchange.CauseNoTarget
 	}
 }
 
+// causeOf returns why a leg has no attempt whose next permit is the given one.
+func causeOf(next targetpool.Permit) exchange.Cause {
+	switch {
+	case next.Left <= 0:
+		return exchange.CauseNoTarget
+	case next.Limited:
+		return exchange.CauseLimited
+	default:
+		return exchange.CauseWarming
+	}
+}
+
 // cause returns why a leg with at least one attempt has no reply or a late one. sent is
 // when its last attempt was sent, or zero if it still waits for a connection.
 func (l *leg) cause(sent time.Time) exchange.Cause {
--- a/internal/targets/targetpool/assign.go
+++ b/internal/targets/targetpool/assign.go
@@ -62,7 +62,7 @@
 	c.setDeadline(call)
 	p.stats.Sent(now)
 	p.countCold(now)
-	p.countLimited()
+	p.countLimited(now)
 }
 
 // unassign ends the binding of the connection to its call, if it has one. The caller
@@ -101,6 +101,9 @@
 	if held := p.takeHeld(now); len(held) > 0 {
 		go endAll(held, ErrWarming, now)
 	}
+	if held := p.takeOverLimit(now); len(held) > 0 {
+		go endAll(held, ErrLimited, now)
+	}
 	for len(p.waiting) > 0 {
 		least := p.leastUrgent(now)
 		c := p.takeFree(now, p.waiting[0].Priority)
--- a/internal/targets/targetpool/cold.go
+++ b/internal/targets/targetpool/cold.go
@@ -141,9 +141,9 @@
 	return until != nil && now.Before(*until)
 }
 
-// held returns the time until one more call may be sent to a cold target, 0 if one may now.
-// Calls that wait already go first. The caller holds the lock.
-func (p *Pool) held(now time.Time) time.Duration {
+// coldHeld returns the time until one more call may be sent to a cold target, 0 if one may
+// now. Calls that wait already go first. The caller holds the lock.
+func (p *Pool) coldHeld(now time.Time) time.Duration {
 	if !p.isCold(now) {
 		return 0
 	}
@@ -172,30 +172,7 @@
 		return nil
 	}
 	keep := max(p.cold.shared.share(p, now)-p.cold.sent.Count(now), 0)
-	if keep >= len(p.waiting) {
-		return nil
-	}
-	taken := append([]*Call(nil), p.waiting[keep:]...)
-	p.waiting = p.waiting[:keep]
-	for _, call := range taken {
-		call.waiting = false
-	}
+	taken := p.takeLast(len(p.waiting) - keep)
 	p.cold.shared.heldBack(len(taken))
 	return taken
 }
-
-// PermitLeft returns the least time until one of the group's allowed cold targets may get a
-// request of this host, 0 if there is no permit missing.
-func (g *Group) PermitLeft(now time.Time, allowed func(*catalog.Target) bool) time.Duration {
-	least := time.Duration(0)
-	for i := range len(g.Pools) + len(g.Spare) {
-		p, _ := g.At(i)
-		if !allowed(p.target) {
-			continue
-		}
-		if left := p.Load(now).Held; left > 0 && (least == 0 || left < least) {
-			least = left
-		}
-	}
-	return least
-}
--- a/internal/targets/targetpool/cold_test.go
+++ b/internal/targets/targetpool/cold_test.go
@@ -175,7 +175,8 @@
 			load := d.pool().Load(time.Now())
 			require.Equal(t, noShareRetry, load.Held)
 			require.False(t, load.Usable())
-			require.Equal(t, noShareRetry, d.Snapshot().Group("s").PermitLeft(time.Now(), func(*catalog.Target) bool { return true }))
+			next := d.Snapshot().Group("s").NextPermit(time.Now(), func(*catalog.Target) bool { return true })
+			require.Equal(t, Permit{Left: noShareRetry}, next)
 		}
 	})
 }
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -183,10 +183,11 @@
 	}
 	withdrawn := p.noteWithdrawal(reply, now)
 	held := p.noteWarmup(reply, now)
-	p.noteLimit(reply, now)
+	limited := p.noteLimit(reply, now)
 	p.mu.Unlock()
 	p.endWithdrawn(withdrawn, now)
 	endAll(held, ErrWarming, now)
+	endAll(limited, ErrLimited, now)
 	finish(call, Outcome{Reply: reply, Verdict: verdictOf(reply), FirstOnConn: first, Ended: now})
 	if !good {
 		return false
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -70,6 +70,7 @@
 	evacuations evacuations
 	budgets     map[catalog.ServiceName]*guardedBudget
 	cold        *coldTargets
+	limits      *limitedTargets
 	// stalls has a lock of its own, which may be taken while mu or a pool's is held.
 	stalls  *stallLearner
 	current atomic.Pointer[Snapshot]
@@ -94,6 +95,7 @@
 	}
 	d.evacuations.endedAt = map[string]time.Time{}
 	d.cold = newColdTargets(&opts)
+	d.limits = newLimitedTargets(&opts)
 	d.stalls = newStallLearner(&opts)
 	d.view = catalog.NewView(nil, catalog.Position{}, nil)
 	d.current.Store(&Snapshot{View: d.view})
@@ -168,6 +170,7 @@
 	for name, b := range d.budgets {
 		b.setLimit(d.limitOf(name))
 	}
+	d.limits.forgetServices(d.servicesWithPools())
 	groups := map[catalog.ServiceName]*Group{}
 	for name := range d.used {
 		groups[name] = d.group(name)
@@ -195,7 +198,7 @@
 	for i, t := range targets {
 		pool, ok := d.pools[t.ID]
 		if !ok {
-			pool = d.open(t)
+			pool = d.open(t, g.demand)
 		}
 		pool.setReserving(d.fleet.Gatherers > 0)
 		pool.setBound(bound, t, !ok, now)
@@ -213,13 +216,15 @@
 	}
 }
 
-// open returns a new pool for a target. The lock is held.
-func (d *Directory) open(t *catalog.Target) *Pool {
+// open returns a new pool for a target of a service with the given demand. The lock is held.
+func (d *Directory) open(t *catalog.Target, demand *serviceDemand) *Pool {
 	pool := NewPool(t, &d.opts)
 	pool.withdrawal = d.withdrawn[startOf(t)]
 	pool.cold.shared = d.cold
+	pool.rateLimit.shared, pool.rateLimit.demand = d.limits, demand
 	pool.stalls.learner = d.stalls
 	d.cold.restore(pool)
+	d.limits.restore(pool, time.Now())
 	if spread := warmSpread(d.fleet.Hosts); spread > 0 {
 		pool.delayWarm(rand.N(spread))
 	}
@@ -259,5 +264,5 @@
 		budget = &guardedBudget{budget: extrabudget.New(d.limitOf(name), time.Now())}
 		d.budgets[name] = budget
 	}
-	return &Group{Service: name, extra: budget}
+	return &Group{Service: name, extra: budget, demand: d.limits.demandOf(name, d.sharersOf(name), time.Now())}
 }
--- a/internal/targets/targetpool/group.go
+++ b/internal/targets/targetpool/group.go
@@ -19,6 +19,7 @@
 	// otherwise.
 	Evacuated []*catalog.Target
 	extra     *guardedBudget
+	demand    *serviceDemand
 }
 
 // guardedBudget is a budget with its lock. It is shared by all successive groups
@@ -42,6 +43,10 @@
 	b.budget.SetLimit(limit)
 }
 
+// CountDemand counts a request that callers want the service to serve, whether or not it is
+// sent.
+func (g *Group) CountDemand() { g.demand.requests.Add(1) }
+
 // CountRequest counts one request to the service.
 func (g *Group) CountRequest(now time.Time) {
 	g.extra.mu.Lock()
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -15,6 +15,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/support/metrics"
 )
 
@@ -123,7 +124,7 @@
 		target: target, codec: opts.Codec, heads: heads, memory: newMemory(opts), dialer: opts.Dialer, limit: 1, onCrash: opts.OnCrash,
 		onLeaving: opts.OnLeaving, drain: opts.DrainWithin, scope: scope,
 		log:   opts.Log.WithFields(logrus.Fields{"target": target.ID, "service": target.Service, "addr": target.Addr}),
-		conns: map[*conn]bool{}, stats: replica.Stats{Slots: target.Slots}, rateLimit: newRateLimit(scope),
+		conns: map[*conn]bool{}, stats: replica.Stats{Slots: target.Slots}, rateLimit: rateLimit{lines: logging.NewBudget(limitLinesPerSecond)},
 	}
 }
 
@@ -164,7 +165,7 @@
 	load.Leaving, load.Left = p.withdrawal.Leaving(), p.withdrawal.Left(now)
 	load.PauseLeft = p.withdrawal.PauseLeft(now)
 	load.Evacuated, load.Withheld = p.evacuated, p.withheld(now)
-	load.Held = p.held(now)
+	load.Held, load.Limited = p.loadHeld(now)
 	p.addForeseen(&load, now)
 	return load
 }
@@ -197,10 +198,10 @@
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: err, Ended: now})
 		return
 	}
-	if p.held(now) > 0 {
-		p.cold.shared.heldBack(1)
+	if _, err := p.held(now); err != nil {
+		p.countHeld(err)
 		p.mu.Unlock()
-		call.Done(Outcome{Verdict: verdict.NotRun, Err: ErrWarming, Ended: now})
+		call.Done(Outcome{Verdict: verdict.NotRun, Err: err, Ended: now})
 		return
 	}
 	p.urgency.note(call.Priority, now)
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -164,6 +164,7 @@
 	e.hub.OnUnhealthyTargets(e.handleUnhealthyTargets)
 	e.hub.OnLeavingTarget(e.handleLeavingTarget)
 	e.hub.SetPauseHooks(e.pauseHooks())
+	e.hub.SetLimitHooks(catalogshare.LimitHooks{AddNotices: e.directory.AddLimitNotices, SetTotals: e.directory.SetLimitTotals})
 	firstWait := time.Duration(0)
 	if opts.FirstStart {
 		firstWait = firstStartWait
--- a/internal/wiring/edge/health.go
+++ b/internal/wiring/edge/health.go
@@ -29,6 +29,7 @@
 	}
 	e.lastReport = now
 	e.learnStalls(now)
+	e.reportLimits(now)
 	samples := e.directory.TakeSamples()
 	demand := e.executor.OverloadReport(now)
 	if !e.servesSweeps {
@@ -42,6 +43,14 @@
 	}
 }
 
+// reportLimits tells the other hosts of targets that limit their request rate and of this
+// host's demand for them, and renews this host's shares of the limits.
+func (e *Edge) reportLimits(now time.Time) {
+	if r := e.directory.TakeLimitReport(now); !r.Empty() {
+		e.source.ReportLimits(r.Notices, r.Demand)
+	}
+}
+
 // handleUnhealthyTargets lowers for a while the preference for targets that many
 // hosts found slow or failing. It logs at most one line per second, since each
 // heartbeat of a link repeats the list while the targets are unhealthy.
