Count the targets that a host reaches, and log when most are lost

Change: each pool knows whether its target is reached (answers, dials, silence), a host counts them each 250 ms, logs the loss and the return of most links and sets gauges. No decision about requests uses it yet.

--- a/internal/targets/targetpool/assign.go
+++ b/internal/targets/targetpool/assign.go
@@ -61,6 +61,7 @@
 	c.used = true
 	c.setDeadline(call)
 	p.stats.Sent(now)
+	p.links.expected = call.Expected
 	p.countCold(now)
 	p.countLimited(now)
 }
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -174,6 +174,7 @@
 	c.replies++
 	p.resetFailures()
 	p.lastReply = now
+	p.noteHeard(now)
 	if reply.OtherTarget {
 		p.moved = true
 	}
--- a/internal/targets/targetpool/dial.go
+++ b/internal/targets/targetpool/dial.go
@@ -101,6 +101,7 @@
 	p.dialing--
 	p.lost = nil
 	p.conns[c] = true
+	p.noteHeard(c.opened)
 	p.mu.Unlock()
 	go c.read()
 	p.release(c)
@@ -146,6 +147,7 @@
 		return
 	}
 	p.failures++
+	p.noteUnreachable()
 	if p.failures == 1 {
 		p.log.WithError(err).Warn("target lost: no connection")
 	}
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -33,6 +33,9 @@
 	// DrainWithin is how long a leaving target may be used where no other replica can
 	// take a request.
 	DrainWithin time.Duration
+	// OnLinks is called with each change of the number of targets that this host reaches. It
+	// must not block and may be nil.
+	OnLinks func(LinkState)
 	// Scope gets the counters; nil for none.
 	Scope metrics.Scope
 	// Memory bounds the replies that are read and the requests in flight at a target;
@@ -71,6 +74,7 @@
 	budgets     map[catalog.ServiceName]*guardedBudget
 	cold        *coldTargets
 	limits      *limitedTargets
+	links       *Links
 	// stalls has a lock of its own, which may be taken while mu or a pool's is held.
 	stalls  *stallLearner
 	current atomic.Pointer[Snapshot]
@@ -96,12 +100,16 @@
 	d.evacuations.endedAt = map[string]time.Time{}
 	d.cold = newColdTargets(&opts)
 	d.limits = newLimitedTargets(&opts)
+	d.links = newLinks(&opts)
 	d.stalls = newStallLearner(&opts)
 	d.view = catalog.NewView(nil, catalog.Position{}, nil)
 	d.current.Store(&Snapshot{View: d.view})
 	return d
 }
 
+// Links returns whether this host reaches the targets.
+func (d *Directory) Links() *Links { return d.links }
+
 // Snapshot returns the newest snapshot.
 func (d *Directory) Snapshot() *Snapshot { return d.current.Load() }
 
@@ -222,6 +230,7 @@
 	pool.withdrawal = d.withdrawn[startOf(t)]
 	pool.cold.shared = d.cold
 	pool.rateLimit.shared, pool.rateLimit.demand = d.limits, demand
+	pool.links.links = d.links
 	pool.stalls.learner = d.stalls
 	d.cold.restore(pool)
 	d.limits.restore(pool, time.Now())
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -83,6 +83,7 @@
 	loads, loadsInvalid tally.Counter
 	cold                coldState
 	rateLimit           rateLimit
+	links               poolReach
 	// coldUntil is until when the target is cold, nil for never. It is written with the lock.
 	coldUntil atomic.Pointer[time.Time]
 }
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -261,6 +261,7 @@
 		if e.memory != nil {
 			e.metrics.scope.Gauge("bytes_held").Update(float64(e.memory.Held()))
 		}
+		e.directory.CheckLinks(now)
 		e.reportHealth(hosts, now)
 		e.evacuations.update(e.directory.Evacuations(), now)
 		e.updateStewards(hosts, now)
