Failing test: callers of hosts without links to targets

Callers of hosts that lost their links to targets are refused or wait in vain while other hosts serve.

Change: a test of four linked hosts, two of which, the reader among them, lose their links, in each form: connections hang, are reset, or live on while new ones are refused.

--- a/internal/targets/targetpool/links.go
+++ b/internal/targets/targetpool/links.go
@@ -61,7 +61,9 @@
 }
 
 // quiet returns for how long no target was heard from.
-func (l *Links) quiet(now time.Time) time.Duration { return now.Sub(l.base) - time.Duration(l.heard.Load()) }
+func (l *Links) quiet(now time.Time) time.Duration {
+	return now.Sub(l.base) - time.Duration(l.heard.Load())
+}
 
 // CheckLinks checks which targets this host reaches. It is called periodically and when
 // replies are late; calls within checkInterval of the last check do nothing.
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -73,6 +73,8 @@
 	Decode      catalogshare.Decoder
 	CallerCodec exchange.CallerCodec
 	TargetCodec exchange.TargetCodec
+	// Dialer opens connections to targets; nil for TCP.
+	Dialer targetpool.Dialer
 	// MetricsAddr is the listen address for metrics; empty for none.
 	MetricsAddr string
 	Log         logrus.FieldLogger
@@ -148,12 +150,15 @@
 // New builds a host without starting it.
 func New(opts Options) *Edge {
 	guard := crashguard.New()
+	if opts.Dialer == nil {
+		opts.Dialer = targetpool.TCPDialer{}
+	}
 	e := &Edge{opts: opts, started: time.Now(), accepted: make(chan struct{}), metrics: newMetricsServer(opts.Log), warningBudget: logging.NewBudget(warningLinesPerSecond)}
 	e.memory = bytebudget.New(bytebudget.Options{Limit: opts.MemoryBytes / memoryShare, Scope: e.metrics.scope, Log: opts.Log})
 	e.hub = catalogshare.NewHub(e.self(), guard, opts.Log)
 	e.directory = targetpool.NewDirectory(targetpool.Options{
 		Codec:  opts.TargetCodec,
-		Dialer: targetpool.TCPDialer{},
+		Dialer: opts.Dialer,
 		Log:    opts.Log,
 		Extra:  opts.ownExtra(),
 		Host:   opts.Host, FailureDomain: opts.FailureDomain,
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -21,6 +21,7 @@
 	"github.com/swiftvane/swiftvane/internal/standin/deployment"
 	"github.com/swiftvane/swiftvane/internal/standin/searcher"
 	"github.com/swiftvane/swiftvane/internal/support/loopback"
+	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 	"github.com/swiftvane/swiftvane/internal/wiring/edge"
 	"github.com/swiftvane/swiftvane/platform"
 )
@@ -51,6 +52,8 @@
 	ready   string
 	metrics string
 	log     *syncBuffer
+	// dialer is nil unless the links to targets can be cut.
+	dialer *cutDialer
 }
 
 // syncBuffer is a buffer that is safe for concurrent reads and writes.
@@ -88,6 +91,8 @@
 	objective time.Duration
 	// linked makes the hosts follow the first one, which reads the store.
 	linked bool
+	// cuttable makes the hosts' links to targets such that can be cut.
+	cuttable bool
 }
 
 func shardName(i int) string { return deployment.Shard(i) }
@@ -135,8 +140,14 @@
 			peer = c.readers[0]
 		}
 	}
+	var dialer targetpool.Dialer
+	if c.opts.cuttable {
+		h.dialer = newCutDialer()
+		dialer = h.dialer
+	}
 	h.edge = edge.New(edge.Options{
-		Host: "host-" + strconv.Itoa(i), FailureDomain: "z-1",
+		Dialer: dialer,
+		Host:   "host-" + strconv.Itoa(i), FailureDomain: "z-1",
 		CallerAddr: addrs[0], ReadyAddr: addrs[1], ReadyPath: platform.ReadyPath,
 		StopWithin:  cmp.Or(c.opts.stopWithin, 3*time.Second),
 		MemoryBytes: c.opts.memory,
--- a/test/edge/limit_test.go
+++ b/test/edge/limit_test.go
@@ -22,14 +22,14 @@
 // limit per second.
 func limitBound(perSecond float64) int { return int(1.5*perSecond*limitSpan.Seconds()) + 5 }
 
-// flood sends requests to a path through all hosts at once, each over two connections, and
+// flood sends requests to a path through the hosts at once, each over two connections, and
 // returns how many were served and refused.
-func (c *cluster) flood(path, id string, lasts, pause time.Duration) (served, refused int) {
+func flood(hosts []*host, path, id string, lasts, pause time.Duration) (served, refused int) {
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	end := time.Now().Add(lasts)
-	for i := range 2 * len(c.hosts) {
-		caller := c.hosts[i%len(c.hosts)].caller()
+	for i := range 2 * len(hosts) {
+		caller := hosts[i%len(hosts)].caller()
 		wait.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
 				r, err := caller.ask("GET", path, fmt.Sprintf("%s-%d-%d", id, i, n), nil)
@@ -55,7 +55,7 @@
 	singles := c.Searchers[deployment.Single]
 	singles[0].StateLimit("12.5")
 	singles[1].StateLimit("4")
-	served, _ := c.flood("/read/x", "limit", limitSettles+2*limitSpan, 5*time.Millisecond)
+	served, _ := flood(c.hosts, "/read/x", "limit", limitSettles+2*limitSpan, 5*time.Millisecond)
 	require.LessOrEqual(t, singles[0].MostArrivals(limitSpan, limitSettles), limitBound(12.5))
 	require.LessOrEqual(t, singles[1].MostArrivals(limitSpan, limitSettles), limitBound(4))
 	require.Greater(t, singles[0].MostArrivals(limitSpan, limitSettles), int(12.5*limitSpan.Seconds()/2), "the limit is used")
@@ -70,7 +70,7 @@
 	for _, s := range limited {
 		s.StateLimit("10")
 	}
-	served, _ := c.flood("/sweep/x", "limit", limitSettles+limitSpan, 10*time.Millisecond)
+	served, _ := flood(c.hosts, "/sweep/x", "limit", limitSettles+limitSpan, 10*time.Millisecond)
 	for _, s := range limited {
 		require.LessOrEqual(t, s.MostArrivals(limitSpan, limitSettles), limitBound(10))
 	}
