Hand requests over to other hosts while the targets can't be reached

The test failed before: 0, 0 and 20 of 120 requests served, by form of the cut.

Change: a host that has lost a tenth of its targets or more links to other hosts, which say what share they have lost, and hands requests over to those that have lost at most half as much: all while it is cut off, else those that need a service without a usable target. Idempotent requests in flight are handed over when the cut is noticed, within the bound on extra load; their own attempts end by a reset, so that nothing held up arrives later. Others are handed over only if nothing was sent. Readers name hosts that can help. Ruled out: not being ready (open connections stay, and a zone that is mostly not ready gets new ones all the same), closing callers' connections (failed attempts).

--- a/internal/decision/reach/counts.go
+++ b/internal/decision/reach/counts.go
@@ -45,6 +45,9 @@
 	return c.Share() >= cutShare && (c.Lost >= cutLeast || c.Reached == 0)
 }
 
+// Unable reports whether a host with this share of lost targets takes no requests of others.
+func Unable(lostShare float64) bool { return lostShare >= cutShare }
+
 // Doubtful reports whether a host with this share of lost targets should ask others.
 func Doubtful(lostShare float64) bool { return lostShare >= doubtShare }
 
@@ -55,5 +58,8 @@
 // QuietTogether reports whether targets that are overdue count as lost together: no target has
 // been heard from for the time quiet.
 func QuietTogether(overdue int, quiet time.Duration) bool {
-	return overdue >= quietLeast && quiet >= overdueLeast
+	return overdue >= quietLeast && Quiet(quiet)
 }
+
+// Quiet reports whether no target has been heard from for so long that links may be lost.
+func Quiet(quiet time.Duration) bool { return quiet >= overdueLeast }
--- a/internal/domain/exchange/answer.go
+++ b/internal/domain/exchange/answer.go
@@ -42,6 +42,7 @@
 	Evacuated       Reason = "evacuated"
 	TargetsWarming  Reason = "targets_warming"
 	TargetsLimited  Reason = "targets_limited"
+	LinksLost       Reason = "links_lost"
 	TargetFailed    Reason = "target_failed"
 	TargetSilent    Reason = "target_silent"
 	GathererLost    Reason = "gatherer_lost"
--- a/internal/hosts/catalogshare/counting.go
+++ b/internal/hosts/catalogshare/counting.go
@@ -77,7 +77,11 @@
 func (h *Hub) recordUpstream(m *message) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.upstream = upstreamCount{hosts: m.Hosts, domains: m.Domains, settled: m.Settled, at: time.Now()}
+	helpers := h.upstream.helpers
+	if m.Helpers != nil {
+		helpers = m.Helpers
+	}
+	h.upstream = upstreamCount{hosts: m.Hosts, domains: m.Domains, settled: m.Settled, helpers: helpers, at: time.Now()}
 	if m.Gatherers != nil {
 		h.gatherers = m.Gatherers
 	}
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -61,6 +61,7 @@
 	gatherers     []gathering.Member
 	sentGatherers []gathering.Member
 	sentMembers   []gathering.Member
+	sentHelpers   []gathering.Member
 	// upstream has the latest counts of the reader that this host follows.
 	upstream upstreamCount
 	// settled is set while this host considers its own count settled.
@@ -89,6 +90,8 @@
 	hosts   int
 	domains map[string]int
 	settled bool
+	// helpers are the hosts that it last named as such.
+	helpers []gathering.Member
 	// at is the time of receipt.
 	at time.Time
 }
--- a/internal/hosts/catalogshare/members.go
+++ b/internal/hosts/catalogshare/members.go
@@ -36,6 +36,24 @@
 	return h.gatherers
 }
 
+// Helpers returns hosts that may serve requests for one that can't reach the targets, spread
+// over the failure domains: as a reader from the members that it knows, otherwise those that its
+// reader named.
+func (h *Hub) Helpers() []gathering.Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.freshUpstream().helpers) > 0 {
+		return h.upstream.helpers
+	}
+	return h.selectHelpers()
+}
+
+// selectHelpers returns the helpers among the members that this host knows. The caller holds
+// the lock.
+func (h *Hub) selectHelpers() []gathering.Member {
+	return slices.Compact(gathering.Select(h.allMembers(), gathering.MaxGatherers))
+}
+
 // ownMembers returns this host and its followers as candidates, at most as many as can
 // become gatherers. The caller holds the lock.
 func (h *Hub) ownMembers() []gathering.Member {
@@ -48,7 +66,7 @@
 	return gathering.Select(members, gathering.MaxGatherers)
 }
 
-// addMembers adds the members and gatherers to a message if they have changed since the
+// addMembers adds the members, gatherers and helpers to a message if they have changed since the
 // last one, or if all is set. The caller holds the lock.
 func (h *Hub) addMembers(m *message, all bool) {
 	own := h.ownMembers()
@@ -58,7 +76,11 @@
 	if all || !slices.Equal(h.gatherers, h.sentGatherers) {
 		m.Gatherers = h.gatherers
 	}
+	helpers := h.selectHelpers()
+	if all || !slices.Equal(helpers, h.sentHelpers) {
+		m.Helpers = helpers
+	}
 	if !all {
-		h.sentMembers, h.sentGatherers = own, h.gatherers
+		h.sentMembers, h.sentGatherers, h.sentHelpers = own, h.gatherers, helpers
 	}
 }
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -84,6 +84,9 @@
 	// sent when they change. Gatherers are those that the sender selected or got.
 	Members   []gathering.Member `cbor:"16,keyasint,omitempty"`
 	Gatherers []gathering.Member `cbor:"17,keyasint,omitempty"`
+	// Helpers are hosts that may serve requests for one that can't reach the targets; they
+	// are sent when they change.
+	Helpers []gathering.Member `cbor:"29,keyasint,omitempty"`
 	// Leaving are targets that have reported that they are leaving. LeavingAgesMS has,
 	// in the same order, the times since the first reports, in milliseconds.
 	Leaving       []LeavingTarget `cbor:"15,keyasint,omitempty"`
--- a/internal/hosts/gatherlink/budget.go
+++ b/internal/hosts/gatherlink/budget.go
@@ -39,17 +39,30 @@
 	if b.limit.Window <= 0 {
 		return nil
 	}
-	found, ok := b.byService[route.Shards[0]]
+	service := firstService(route)
+	found, ok := b.byService[service]
 	if !ok {
 		if len(b.byService) >= maxBudgets {
 			clear(b.byService)
 		}
 		found = extrabudget.New(b.limit, now)
-		b.byService[route.Shards[0]] = found
+		b.byService[service] = found
 	}
 	return found
 }
 
+// firstService returns the service by which the requests of a route are counted.
+func firstService(route *catalog.Route) catalog.ServiceName {
+	switch {
+	case route.Sweep():
+		return route.Shards[0]
+	case len(route.Split) > 0:
+		return route.Split[0].Service
+	default:
+		return ""
+	}
+}
+
 // count counts a sweep that is passed on for the first time.
 func (b *budget) count(route *catalog.Route, now time.Time) {
 	b.mu.Lock()
--- a/internal/hosts/gatherlink/client.go
+++ b/internal/hosts/gatherlink/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
+	"github.com/swiftvane/swiftvane/internal/decision/reach"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/support/metrics"
@@ -19,6 +21,8 @@
 const (
 	// linksPerHost is the number of gatherers that a host is linked to.
 	linksPerHost = 3
+	// cutFor is how long a gatherer isn't preferred that is cut off from its targets.
+	cutFor = 5 * time.Second
 	// linesPerSecond bounds the log lines of each reason.
 	linesPerSecond = 5
 	// maintainInterval is the time between two checks of the links, before jitter.
@@ -30,14 +34,22 @@
 	opts Options
 
 	mu sync.Mutex
-	// preferred are the gatherers in the order of preference, at most linksPerHost.
+	// ordered are all gatherers in the order of preference, preferred the first of them that
+	// are not cut off, at most Options.Links.
+	ordered   []gathering.Member
 	preferred []gathering.Member
-	links     map[string]*link
-	dialing   map[string]bool
-	budget    *budget
+	// cutUntil is until when gatherers that are cut off are not preferred, by address.
+	cutUntil map[string]time.Time
+	links    map[string]*link
+	dialing  map[string]bool
+	budget   *budget
 	// lines bounds the log lines of each reason that a gatherer did not serve a sweep.
 	lines *logging.Budget
 	wake  chan struct{}
+	// neededSince is since when there are preferred gatherers.
+	neededSince time.Time
+	// turn counts the requests that were handed over, so that hosts take turns.
+	turn int
 	// ownRegion is set if one of the preferred gatherers has to be in this host's region.
 	ownRegion bool
 }
@@ -53,6 +65,11 @@
 	// RetireAfter is how long a link stays open at least that is no longer preferred;
 	// zero means defaultRetireAfter.
 	RetireAfter time.Duration
+	// Links is the number of hosts to link to; zero means linksPerHost.
+	Links int
+	// HandsOver is set if the client is used for HandOver and not for Sweep; other counters
+	// count its requests.
+	HandsOver bool
 	// Scope gets the counters; nil for none.
 	Scope metrics.Scope
 	// Regions has the regions of the failure domains, for routes with home regions.
@@ -67,11 +84,14 @@
 	if opts.RetireAfter == 0 {
 		opts.RetireAfter = defaultRetireAfter
 	}
+	if opts.Links == 0 {
+		opts.Links = linksPerHost
+	}
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
 	return &Client{
-		opts: opts, links: map[string]*link{}, dialing: map[string]bool{}, budget: newBudget(),
+		opts: opts, links: map[string]*link{}, dialing: map[string]bool{}, budget: newBudget(), cutUntil: map[string]time.Time{},
 		lines: logging.NewBudget(linesPerSecond), wake: make(chan struct{}, 1),
 	}
 }
@@ -85,9 +105,8 @@
 		ordered = nil
 	}
 	c.mu.Lock()
-	ordered = c.firstOf(ordered)
-	changed := !slices.Equal(ordered, c.preferred)
-	c.preferred = ordered
+	c.ordered = ordered
+	changed := c.prefer(time.Now())
 	c.mu.Unlock()
 	if changed {
 		select {
@@ -97,6 +116,34 @@
 	}
 }
 
+// prefer selects the gatherers to link to and reports whether they have changed. The caller
+// holds the lock.
+func (c *Client) prefer(now time.Time) bool {
+	able := slices.DeleteFunc(slices.Clone(c.ordered), func(m gathering.Member) bool { return now.Before(c.cutUntil[m.Addr]) })
+	preferred := c.firstOf(able)
+	changed := !slices.Equal(preferred, c.preferred)
+	if len(c.preferred) == 0 {
+		c.neededSince = now
+	}
+	c.preferred = preferred
+	return changed
+}
+
+// avoidCut stops preferring gatherers that say that they are cut off from their targets. The
+// caller holds the lock.
+func (c *Client) avoidCut(now time.Time) {
+	for addr, l := range c.links {
+		if reach.Unable(l.lost()) {
+			c.cutUntil[addr] = now.Add(cutFor)
+		}
+	}
+	if len(c.cutUntil) == 0 {
+		return
+	}
+	maps.DeleteFunc(c.cutUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	c.prefer(now)
+}
+
 // RequireOwnRegion sets whether one of the preferred gatherers has to be in this host's
 // region, if there is one: sweeps of routes with home regions may always be passed on to
 // it. It takes effect with the next SetGatherers.
@@ -109,9 +156,9 @@
 // firstOf returns the gatherers to link to. The caller holds the lock.
 func (c *Client) firstOf(ordered []gathering.Member) []gathering.Member {
 	own := func(m gathering.Member) bool { return c.opts.Regions.IsOwn(m.FailureDomain) }
-	first := ordered[:min(linksPerHost, len(ordered))]
-	if at := slices.IndexFunc(ordered, own); c.ownRegion && at >= linksPerHost {
-		first[linksPerHost-1] = ordered[at]
+	first := ordered[:min(c.opts.Links, len(ordered))]
+	if at := slices.IndexFunc(ordered, own); c.ownRegion && at >= c.opts.Links {
+		first[c.opts.Links-1] = ordered[at]
 	}
 	return first
 }
@@ -136,6 +183,7 @@
 func (c *Client) maintain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.avoidCut(time.Now())
 	for addr, l := range c.links {
 		if l.isEnded() {
 			c.opts.Log.WithField("gatherer", addr).Info("gather link lost")
--- a/internal/hosts/gatherlink/frame.go
+++ b/internal/hosts/gatherlink/frame.go
@@ -28,11 +28,11 @@
 const (
 	// kindHeartbeat shows that the server's process runs.
 	kindHeartbeat frameKind = iota
-	// kindSweep asks for a sweep, kindCancel withdraws it.
-	kindSweep
+	// kindRequest asks for an answer to a request, kindCancel withdraws it.
+	kindRequest
 	kindCancel
-	// kindAccepted and kindRefused answer a kindSweep at once; after the first follows
-	// kindAnswer, or kindRefused if the sweep did not begin in time, unless it is
+	// kindAccepted and kindRefused answer a kindRequest at once; after the first follows
+	// kindAnswer, or kindRefused if the request was not begun in time, unless it is
 	// withdrawn.
 	kindAccepted
 	kindRefused
@@ -42,16 +42,19 @@
 // frame is one message of a link.
 type frame struct {
 	Kind frameKind `cbor:"1,keyasint"`
-	// ID identifies a sweep on its link.
-	ID     uint64  `cbor:"2,keyasint,omitempty"`
-	Sweep  *sweep  `cbor:"3,keyasint,omitempty"`
-	Answer *answer `cbor:"4,keyasint,omitempty"`
+	// ID identifies a request on its link.
+	ID      uint64         `cbor:"2,keyasint,omitempty"`
+	Request *passedRequest `cbor:"3,keyasint,omitempty"`
+	Answer  *answer        `cbor:"4,keyasint,omitempty"`
 	// ClockUS is the reading of the server's clock at a heartbeat, in microseconds.
 	ClockUS int64 `cbor:"5,keyasint,omitempty"`
+	// LostPerMille is, in a heartbeat, the share of its targets that the server can't reach,
+	// in thousandths.
+	LostPerMille int `cbor:"6,keyasint,omitempty"`
 }
 
-// sweep is a caller's request for a sweep.
-type sweep struct {
+// passedRequest is a caller's request on its way to another host.
+type passedRequest struct {
 	RequestID string `cbor:"1,keyasint"`
 	Method    string `cbor:"2,keyasint"`
 	Host      string `cbor:"3,keyasint"`
@@ -66,7 +69,7 @@
 	// Fingerprint identifies the route, see catalog.Route.
 	Fingerprint uint64 `cbor:"10,keyasint"`
 	// BeginByUS is the reading of the server's clock after which it must refuse the
-	// sweep, in microseconds; 0 for none.
+	// request, in microseconds; 0 for none.
 	BeginByUS int64 `cbor:"11,keyasint,omitempty"`
 	// ReservedUS is the part of the objective that is not left for the targets, in
 	// microseconds.
@@ -75,7 +78,7 @@
 	Domain string `cbor:"13,keyasint,omitempty"`
 }
 
-// answer is the answer to a sweep.
+// answer is the answer to a request.
 type answer struct {
 	Status       int             `cbor:"1,keyasint"`
 	Signatures   []string        `cbor:"2,keyasint,omitempty"`
@@ -85,18 +88,26 @@
 	Reason       exchange.Reason `cbor:"6,keyasint,omitempty"`
 	Trace        *exchange.Trace `cbor:"7,keyasint,omitempty"`
 	CutOff       bool            `cbor:"8,keyasint,omitempty"`
+	// Relayed is set if the answer is a target's reply, whose body it has.
+	Relayed *relayedReply `cbor:"9,keyasint,omitempty"`
 }
 
-func sweepOf(r *exchange.Request, fingerprint uint64, now time.Time) *sweep {
-	return &sweep{
+// relayedReply is what a caller gets of a target's reply, beside its status and body.
+type relayedReply struct {
+	Signature string `cbor:"1,keyasint,omitempty"`
+	Forward   []byte `cbor:"2,keyasint,omitempty"`
+}
+
+func passedRequestOf(r *exchange.Request, fingerprint uint64, now time.Time) *passedRequest {
+	return &passedRequest{
 		RequestID: r.ID, Method: r.Method, Host: r.Host, URI: r.URI, Forward: r.Forward, Body: r.Body, HasBody: r.HasBody,
 		CallerTimeoutUS: r.CallerTimeout.Microseconds(), ElapsedUS: now.Sub(r.Arrived).Microseconds(), Fingerprint: fingerprint,
 		ReservedUS: r.Reserved.Microseconds(),
 	}
 }
 
-// request returns the caller's request as the gatherer serves it.
-func (s *sweep) request(now time.Time) *exchange.Request {
+// request returns the caller's request as the other host serves it.
+func (s *passedRequest) request(now time.Time) *exchange.Request {
 	elapsed := time.Duration(s.ElapsedUS) * time.Microsecond
 	return &exchange.Request{
 		ID: s.RequestID, Method: s.Method, Host: s.Host, URI: s.URI, Forward: s.Forward, Body: s.Body, HasBody: s.HasBody,
@@ -106,17 +117,27 @@
 }
 
 func answerOf(a *exchange.Answer) *answer {
-	return &answer{
+	to := &answer{
 		Status: a.Status, Signatures: a.Signatures, Missing: a.Missing, Body: a.Body,
 		RetryAfterUS: a.RetryAfter.Microseconds(), Reason: a.Reason, Trace: a.Trace, CutOff: a.CutOff,
 	}
+	if a.Relayed != nil {
+		to.Body = a.Relayed.Body
+		to.Relayed = &relayedReply{Signature: a.Relayed.Signature, Forward: a.Relayed.Forward}
+	}
+	return to
 }
 
 func (a *answer) answer() *exchange.Answer {
-	return &exchange.Answer{
+	to := &exchange.Answer{
 		Status: a.Status, Signatures: a.Signatures, Missing: a.Missing, Body: a.Body,
 		RetryAfter: time.Duration(a.RetryAfterUS) * time.Microsecond, Reason: a.Reason, Trace: a.Trace, CutOff: a.CutOff,
 	}
+	if a.Relayed != nil {
+		to.Body = nil
+		to.Relayed = &exchange.Reply{Status: a.Status, Signature: a.Relayed.Signature, Forward: a.Relayed.Forward, Body: a.Body}
+	}
+	return to
 }
 
 // frameWriter writes frames to a link from several goroutines.
--- a/internal/hosts/gatherlink/gatherlink_test.go
+++ b/internal/hosts/gatherlink/gatherlink_test.go
@@ -42,7 +42,9 @@
 // fakeGatherer gathers sweeps with a function.
 type fakeGatherer struct {
 	accepts bool
-	gather  func(r *exchange.Request, gone <-chan struct{}) *exchange.Answer
+	// lostShare is the share of targets that the host says to have lost.
+	lostShare float64
+	gather    func(r *exchange.Request, gone <-chan struct{}) *exchange.Answer
 
 	mu       sync.Mutex
 	requests []*exchange.Request
@@ -69,7 +71,7 @@
 func (g *fakeGatherer) serve(t *testing.T) (gathering.Member, *Server, func()) {
 	t.Helper()
 	log, _ := test.NewNullLogger()
-	s := NewServer(g, log)
+	s := NewServer(g, func() float64 { return g.lostShare }, log)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	links := &linkListener{Listener: l}
@@ -256,7 +258,7 @@
 	m, _, _ := g.serve(t)
 	c := newClient(t, m)
 	l := c.pick(route(), nil, time.Now())
-	message := sweepOf(request("r-1"), route().Fingerprint, time.Now())
+	message := passedRequestOf(request("r-1"), route().Fingerprint, time.Now())
 	message.BeginByUS = 1
 	outcomes, _, err := l.send(message)
 	require.NoError(t, err)
@@ -274,7 +276,7 @@
 	t.Cleanup(func() { close(frozen) })
 	silent := &fakeGatherer{accepts: true, gather: answering(200)}
 	log, _ := test.NewNullLogger()
-	server := NewServer(&silentHandler{fakeGatherer: silent, frozen: frozen}, log)
+	server := NewServer(&silentHandler{fakeGatherer: silent, frozen: frozen}, nil, log)
 	go func() { _ = fasthttp.Serve(l, server.Handle) }()
 	other := &fakeGatherer{accepts: true, gather: answering(200)}
 	m2, _, _ := other.serve(t)
--- /dev/null
+++ b/internal/hosts/gatherlink/handover.go
@@ -0,0 +1,81 @@
+package gatherlink
+
+import (
+	"slices"
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/decision/reach"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+)
+
+const (
+	// linkWait is how long a request waits for a first link, which takes a round trip or two.
+	linkWait = 150 * time.Millisecond
+	// linksOpenWithin is the time within which the first links usually open.
+	linksOpenWithin = time.Second
+	// linkWaitStep is the time between two checks for one.
+	linkWaitStep = 5 * time.Millisecond
+)
+
+// HandOver passes a request on to a host that reaches more targets than this one, and returns
+// its answer, which is a target's reply unless the route is a sweep. It returns nil if no host
+// took the request. gone is closed when the caller has disconnected.
+func (c *Client) HandOver(r *exchange.Request, route *catalog.Route, h exchange.Handover, gone <-chan struct{}) *exchange.Answer {
+	p := newPassage(c, r, route, h.Again, gone)
+	p.mayHaveRun = h.MayHaveRun
+	p.pick = func(now time.Time) *link { return c.pickAble(route, h.LostShare, p.tried, now) }
+	c.awaitLink(gone)
+	return p.run()
+}
+
+// pickAble returns a usable link to a host that the route allows, that has lost far fewer
+// targets than this one and that is not in tried, or nil. The hosts take turns.
+func (c *Client) pickAble(route *catalog.Route, lostShare float64, tried []*link, now time.Time) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var able []*link
+	for _, m := range c.preferred {
+		l := c.links[m.Addr]
+		if l == nil || slices.Contains(tried, l) || !c.opts.Regions.AllowsHost(route, m.FailureDomain) {
+			continue
+		}
+		if l.usable(now) && reach.Better(l.lost(), lostShare) {
+			able = append(able, l)
+		}
+	}
+	if len(able) == 0 {
+		return nil
+	}
+	c.turn++
+	return able[c.turn%len(able)]
+}
+
+// awaitLink waits for a first usable link if none is open yet.
+func (c *Client) awaitLink(gone <-chan struct{}) {
+	ticker := time.NewTicker(linkWaitStep)
+	defer ticker.Stop()
+	for end := time.Now().Add(linkWait); c.linkExpected() && time.Now().Before(end); {
+		select {
+		case <-ticker.C:
+		case <-gone:
+			return
+		}
+	}
+}
+
+// linkExpected reports whether no link is usable yet and one may soon be.
+func (c *Client) linkExpected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if now.Sub(c.neededSince) > linksOpenWithin {
+		return false
+	}
+	for _, l := range c.links {
+		if l.usable(now) {
+			return false
+		}
+	}
+	return len(c.preferred) > 0
+}
--- a/internal/hosts/gatherlink/link.go
+++ b/internal/hosts/gatherlink/link.go
@@ -13,6 +13,9 @@
 // dialTimeout bounds the set-up of a link, handshake included.
 const dialTimeout = 600 * time.Millisecond
 
+// perMille is the number of thousandths in a share of 1.
+const perMille = 1000
+
 var errLinkEnded = errors.New("the gather link ended")
 
 // outcome is what became of a sweep on a link.
@@ -40,6 +43,8 @@
 	// lateUntil is until when a gatherer whose answer came late is the last choice.
 	lateUntil time.Time
 	clock     remoteClock
+	// lostShare is the share of its targets that the gatherer can't reach.
+	lostShare float64
 }
 
 // dialLink opens a link and starts the goroutine that reads it.
@@ -71,18 +76,26 @@
 			return
 		}
 		if f.Kind == kindHeartbeat {
-			l.heard(f.ClockUS)
+			l.heard(f)
 			continue
 		}
 		l.pass(f.ID, outcome{kind: f.Kind, answer: f.Answer})
 	}
 }
 
-// heard records the reading of the gatherer's clock in a heartbeat.
-func (l *link) heard(clockUS int64) {
+// heard records a heartbeat.
+func (l *link) heard(f *frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.clock.heard(time.Now(), f.ClockUS)
+	l.lostShare = float64(f.LostPerMille) / perMille
+}
+
+// lost returns the share of its targets that the other host last reported as lost.
+func (l *link) lost() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.clock.heard(time.Now(), clockUS)
+	return l.lostShare
 }
 
 // beginBy returns the reading of the gatherer's clock at the given time, 0 if unknown.
@@ -142,7 +155,7 @@
 
 // send passes a sweep on and returns the channel of its outcomes and its id. It fails
 // only if nothing was sent.
-func (l *link) send(s *sweep) (<-chan outcome, uint64, error) {
+func (l *link) send(r *passedRequest) (<-chan outcome, uint64, error) {
 	waiting := make(chan outcome, maxOutcomes)
 	l.mu.Lock()
 	if l.ended {
@@ -153,7 +166,7 @@
 	id := l.lastID
 	l.pending[id] = waiting
 	l.mu.Unlock()
-	if err := l.write(&frame{Kind: kindSweep, ID: id, Sweep: s}); err != nil {
+	if err := l.write(&frame{Kind: kindRequest, ID: id, Request: r}); err != nil {
 		// Some of it may have been sent; the link's end tells the sweep.
 		l.end()
 	}
--- a/internal/hosts/gatherlink/sweep.go
+++ b/internal/hosts/gatherlink/passage.go
@@ -31,13 +31,15 @@
 	finalMargin = 5 * time.Millisecond
 )
 
-// passage is one sweep that is passed on.
+// passage is one request that is passed on.
 type passage struct {
 	client  *Client
 	request *exchange.Request
 	route   *catalog.Route
 	gone    <-chan struct{}
 	tried   []*link
+	// pick returns the next host to ask, nil if there is none.
+	pick func(now time.Time) *link
 	// mayHaveRun is set once a gatherer may have begun the sweep.
 	mayHaveRun bool
 	// again reports whether a sweep that may have run may be passed on again.
@@ -52,6 +54,12 @@
 // caller has disconnected. again reports whether the sweep may run once more on any of
 // its targets.
 func (c *Client) Sweep(r *exchange.Request, route *catalog.Route, again func() bool, gone <-chan struct{}) *exchange.Answer {
+	p := newPassage(c, r, route, again, gone)
+	p.pick = func(now time.Time) *link { return c.pick(route, p.tried, now) }
+	return p.run()
+}
+
+func newPassage(c *Client, r *exchange.Request, route *catalog.Route, again func() bool, gone <-chan struct{}) *passage {
 	p := &passage{client: c, request: r, route: route, again: again, gone: gone}
 	p.objective = r.Arrived.Add(route.Objective)
 	timeout := route.Timeout
@@ -59,15 +67,15 @@
 		timeout = r.CallerTimeout
 	}
 	p.final = r.Arrived.Add(timeout - finalMargin)
-	return p.run()
+	return p
 }
 
-// run asks one gatherer after the other until one answers. A sweep that may have run is
-// passed on again only if again allows it and within the bound on extra load. Otherwise
-// the caller is told at once, and may send it again itself.
+// run asks one host after the other until one answers. A request that may have run is passed
+// on again only if again allows it and within the bound on extra load. Otherwise the caller is
+// told at once, and may send it again itself.
 func (p *passage) run() *exchange.Answer {
 	now := time.Now()
-	for l := p.client.pick(p.route, nil, now); l != nil; l = p.client.pick(p.route, p.tried, now) {
+	for l := p.pick(now); l != nil; l = p.pick(now) {
 		if len(p.tried) == 0 {
 			p.client.budget.count(p.route, now)
 		}
@@ -80,13 +88,13 @@
 		}
 		now = time.Now()
 	}
-	if !p.mayHaveRun {
+	if !p.mayHaveRun || len(p.tried) == 0 {
 		return nil
 	}
-	return &exchange.Answer{Status: 502, Reason: exchange.GathererLost}
+	return &exchange.Answer{Status: http.StatusBadGateway, Reason: exchange.GathererLost}
 }
 
-// mayRunAgain reports whether a sweep that may have run can be passed on again, and counts
+// mayRunAgain reports whether a request that may have run can be passed on again, and counts
 // it as extra load if so.
 func (p *passage) mayRunAgain(now time.Time) bool {
 	return p.route.Idempotent && p.again() && p.client.budget.take(p.route, now)
@@ -109,7 +117,7 @@
 // ask passes the sweep on over one link and waits for the answer. It returns nil if the
 // gatherer did not take the sweep or lost it.
 func (p *passage) ask(l *link, now time.Time) *exchange.Answer {
-	message := sweepOf(p.request, p.route.Fingerprint, now)
+	message := passedRequestOf(p.request, p.route.Fingerprint, now)
 	message.Domain = p.client.opts.Self.FailureDomain
 	message.BeginByUS = l.beginBy(now.Add(p.client.opts.AcceptTimeout * beginShare / 100))
 	outcomes, id, err := l.send(message)
@@ -239,9 +247,18 @@
 	if err != nil {
 		entry = entry.WithError(err)
 	}
+	if !p.route.Sweep() {
+		entry.Info("other host did not serve a request")
+		return
+	}
 	entry.Info("gatherer did not serve a sweep")
 }
 
 func (p *passage) count(r result) {
-	p.client.opts.Scope.Tagged(map[string]string{"result": string(r)}).Counter("sweeps_passed_on").Inc(1)
+	scope := p.client.opts.Scope.Tagged(map[string]string{"result": string(r)})
+	if p.client.opts.HandsOver {
+		scope.Counter("requests_passed_on").Inc(1)
+		return
+	}
+	scope.Counter("sweeps_passed_on").Inc(1)
 }
--- a/internal/hosts/gatherlink/server.go
+++ b/internal/hosts/gatherlink/server.go
@@ -29,14 +29,17 @@
 	// started is the zero of the server's clock.
 	started  time.Time
 	stopping atomic.Bool
+	// lostShare returns the share of targets that this host can't reach.
+	lostShare func() float64
 	// active counts the sweeps that were accepted and have not been answered.
 	active atomic.Int64
 }
 
-// NewServer returns a server without links.
-func NewServer(handler Handler, log logrus.FieldLogger) *Server {
+// NewServer returns a server without links. lostShare returns the share of targets, 0 to 1,
+// that this host can't reach; it must not block, and nil stands for none.
+func NewServer(handler Handler, lostShare func() float64, log logrus.FieldLogger) *Server {
 	return &Server{
-		handler: handler, log: log, started: time.Now(),
+		handler: handler, log: log, started: time.Now(), lostShare: lostShare,
 		upgrader: websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }},
 	}
 }
@@ -50,6 +53,15 @@
 // clock returns the reading of the server's clock, in microseconds.
 func (s *Server) clock() int64 { return time.Since(s.started).Microseconds() }
 
+// heartbeat returns the next heartbeat.
+func (s *Server) heartbeat() *frame {
+	f := &frame{Kind: kindHeartbeat, ClockUS: s.clock()}
+	if s.lostShare != nil {
+		f.LostPerMille = int(perMille * s.lostShare())
+	}
+	return f
+}
+
 // Handle accepts a link.
 func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
 	if err := s.upgrader.Upgrade(ctx, s.serve); err != nil {
@@ -90,7 +102,7 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
-		if l.write(&frame{Kind: kindHeartbeat, ClockUS: l.server.clock()}) != nil {
+		if l.write(l.server.heartbeat()) != nil {
 			_ = l.conn.Close() //nolint:errcheck // the failed write was the news
 			return
 		}
@@ -110,7 +122,7 @@
 			return
 		}
 		switch f.Kind {
-		case kindSweep:
+		case kindRequest:
 			l.begin(f)
 		case kindCancel:
 			l.withdraw(f.ID)
@@ -120,13 +132,13 @@
 
 // begin accepts or refuses a sweep.
 func (l *serverLink) begin(f *frame) {
-	if f.Sweep == nil {
+	if f.Request == nil {
 		return
 	}
-	request := f.Sweep.request(time.Now())
+	request := f.Request.request(time.Now())
 	// Counted before the check, so that Stop followed by Idle misses no sweep.
 	l.server.active.Add(1)
-	if l.tooLate(f.Sweep) || l.server.stopping.Load() || !l.server.handler.Accepts(request, f.Sweep.Fingerprint) {
+	if l.tooLate(f.Request) || l.server.stopping.Load() || !l.server.handler.Accepts(request, f.Request.Fingerprint) {
 		l.server.active.Add(-1)
 		l.reply(&frame{Kind: kindRefused, ID: f.ID})
 		return
@@ -139,7 +151,7 @@
 	l.serving.Go(func() {
 		defer l.server.active.Add(-1)
 		// A process that is short of processor time may come to this much later.
-		if l.tooLate(f.Sweep) {
+		if l.tooLate(f.Request) {
 			if l.end(f.ID) {
 				l.reply(&frame{Kind: kindRefused, ID: f.ID})
 			}
@@ -154,8 +166,8 @@
 
 // tooLate reports whether the sweep must not begin any more, because the host that
 // passed it on no longer waits for it.
-func (l *serverLink) tooLate(s *sweep) bool {
-	return s.BeginByUS > 0 && l.server.clock() > s.BeginByUS
+func (l *serverLink) tooLate(r *passedRequest) bool {
+	return r.BeginByUS > 0 && l.server.clock() > r.BeginByUS
 }
 
 // end removes a sweep and reports whether it was not withdrawn.
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -46,6 +46,12 @@
 	// Gatherers passes sweeps on to hosts that gather them; nil if this host serves all
 	// itself.
 	Gatherers Gatherers
+	// Helpers passes requests on while Links says that this host reaches too few targets; nil
+	// if there are no other hosts. CheckSilence is called when replies are late; it must not
+	// block.
+	Helpers      Helpers
+	Links        *targetpool.Links
+	CheckSilence func(now time.Time)
 	// Memory counts the replies that requests keep; nil for no limit.
 	Memory *bytebudget.Budget
 	// Guard identifies requests that crash targets; required.
@@ -97,10 +103,11 @@
 	stats := e.statsByRoute.of(route)
 	spent := stats.patience.spent(r.CallerTimeout, r.Arrived)
 	returning := stats.patience.returning(r.CallerTimeout)
+	links := &handover{executor: e, snapshot: snapshot, route: route, request: r, callerGone: callerGone}
 	if !route.Sweep() {
-		service := e.splits.pick(route)
-		one := e.newRun(snapshot, route, reserve(r, spent), callerGone)
-		return one.admitted(service, returning, func() *exchange.Answer { return one.single(service) })
+		return links.serve(func() *exchange.Answer {
+			return e.serveSingle(snapshot, route, reserve(r, spent), returning, callerGone)
+		})
 	}
 	if e.opts.Gatherers != nil {
 		again := func() bool { return attemptsCoverTargets(snapshot, route) }
@@ -111,12 +118,26 @@
 			return answer
 		}
 	}
-	return stats.ownOverrun.serve(route, r, spent, func(r *exchange.Request) *exchange.Answer {
-		own := e.newRun(snapshot, route, r, callerGone)
-		return own.admitted(route.Shards[0], returning, own.sweep)
+	return links.serve(func() *exchange.Answer {
+		return stats.ownOverrun.serve(route, r, spent, func(r *exchange.Request) *exchange.Answer {
+			return e.serveSweep(snapshot, route, r, returning, callerGone)
+		})
 	})
 }
 
+// serveSingle serves a request from one of the services of its route.
+func (e *Executor) serveSingle(snapshot *targetpool.Snapshot, route *catalog.Route, r *exchange.Request, returning bool, callerGone <-chan struct{}) *exchange.Answer {
+	service := e.splits.pick(route)
+	one := e.newRun(snapshot, route, r, callerGone)
+	return one.admitted(service, returning, func() *exchange.Answer { return one.single(service) })
+}
+
+// serveSweep serves a sweep from all shards of its route.
+func (e *Executor) serveSweep(snapshot *targetpool.Snapshot, route *catalog.Route, r *exchange.Request, returning bool, callerGone <-chan struct{}) *exchange.Answer {
+	own := e.newRun(snapshot, route, r, callerGone)
+	return own.admitted(route.Shards[0], returning, own.sweep)
+}
+
 // attemptsCoverTargets reports whether a sweep may run on all targets of each shard, so
 // that it stays within its attempts wherever it runs again.
 func attemptsCoverTargets(snapshot *targetpool.Snapshot, route *catalog.Route) bool {
@@ -128,18 +149,21 @@
 	return true
 }
 
-// Accepts reports whether this host would serve a sweep of another host as that one
-// does, whose route has the fingerprint.
+// Accepts reports whether this host would serve a request of another host as that one
+// does, whose route has the fingerprint, and reaches the targets.
 func (e *Executor) Accepts(r *exchange.Request, fingerprint uint64) bool {
-	route := e.sweepRoute(e.opts.Snapshots.Snapshot(), r)
+	if links := e.opts.Links; links != nil && links.State().Cut {
+		return false
+	}
+	route := routeOf(e.opts.Snapshots.Snapshot(), r)
 	return route != nil && route.Fingerprint == fingerprint
 }
 
-// Gather returns the answer to a sweep of another host. callerGone is closed when that
+// Gather returns the answer to a request of another host. callerGone is closed when that
 // host withdraws it.
 func (e *Executor) Gather(r *exchange.Request, callerGone <-chan struct{}) *exchange.Answer {
 	snapshot := e.opts.Snapshots.Snapshot()
-	route := e.sweepRoute(snapshot, r)
+	route := routeOf(snapshot, r)
 	if route == nil {
 		return refuse(exchange.NoRoute, retryNoConfig)
 	}
@@ -148,21 +172,19 @@
 	}
 	stats := e.statsByRoute.of(route)
 	stats.patience.spent(r.CallerTimeout, r.Arrived)
-	gathered := e.newRun(snapshot, route, r, callerGone)
-	return gathered.admitted(route.Shards[0], stats.patience.returning(r.CallerTimeout), gathered.sweep)
+	returning := stats.patience.returning(r.CallerTimeout)
+	if !route.Sweep() {
+		return e.serveSingle(snapshot, route, r, returning, callerGone)
+	}
+	return e.serveSweep(snapshot, route, r, returning, callerGone)
 }
 
-// sweepRoute returns the route of a sweep, nil if there is none.
-func (e *Executor) sweepRoute(snapshot *targetpool.Snapshot, r *exchange.Request) *catalog.Route {
-	config := snapshot.View.Config
-	if config == nil {
-		return nil
-	}
-	route := config.Match(r.Host, r.URI)
-	if route == nil || !route.Sweep() {
+// routeOf returns the route of a request, nil if there is none.
+func routeOf(snapshot *targetpool.Snapshot, r *exchange.Request) *catalog.Route {
+	if snapshot.View.Config == nil {
 		return nil
 	}
-	return route
+	return snapshot.View.Config.Match(r.Host, r.URI)
 }
 
 func (e *Executor) newRun(snapshot *targetpool.Snapshot, route *catalog.Route, r *exchange.Request, callerGone <-chan struct{}) *run {
--- a/internal/querypath/relay/single.go
+++ b/internal/querypath/relay/single.go
@@ -77,8 +77,11 @@
 	now := time.Now()
 	timer := time.NewTimer(s.nextWakeup().Sub(now))
 	defer timer.Stop()
+	lost := s.linksLost()
 	for {
 		select {
+		case <-lost:
+			return withoutLinks(true)
 		case ev := <-s.events:
 			if answer := s.outcome(ev, time.Now()); answer != nil {
 				return answer
@@ -131,6 +134,7 @@
 
 // hedge sends a second attempt if the first is late and the route is idempotent.
 func (s *single) hedge(now time.Time) {
+	s.checkSilence(now)
 	l := &s.leg
 	if !s.route.Idempotent || l.hedged || now.Before(l.hedgeAt) {
 		return
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -130,12 +130,18 @@
 func (s *sweep) wait() *exchange.Answer {
 	timer := time.NewTimer(time.Until(s.nextWakeup(time.Now())))
 	defer timer.Stop()
+	lost := s.linksLost()
 	for {
 		now := time.Now()
 		if answer := s.decide(now); answer != nil {
 			return answer
 		}
 		select {
+		case <-lost:
+			if s.parts < s.minShards {
+				return withoutLinks(true)
+			}
+			lost = nil
 		case ev := <-s.events:
 			s.outcome(ev, time.Now())
 		case <-timer.C:
@@ -210,6 +216,7 @@
 // settled. Before that, the delay is likely to be caused by this host or to affect
 // all targets, and hedges would only add load.
 func (s *sweep) hedge(now time.Time) {
+	s.checkSilence(now)
 	if float64(s.settled) < s.executor.opts.Policy.quorum()*float64(len(s.legs)) {
 		s.nextHedgeCheck = now.Add(max(time.Duration(hedgeRecheck*float64(s.expectedTimes.usual)), time.Millisecond))
 		return
--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -243,13 +243,29 @@
 		}
 		p.recordExchange(now, p.exchangeOf(call, result))
 	}
+	lost := p.links.Lost()
 	p.mu.Unlock()
+	if lost {
+		c.discardSent()
+	}
 	c.close()
 	if call != nil {
 		finish(call, Outcome{Verdict: verdict.Unknown, Err: err, Ended: now})
 	}
 }
 
+// discardSent makes the connection's end a reset, so that a request that is held up on a lost
+// link does not reach the target after it was given up.
+func (c *conn) discardSent() {
+	tcp, ok := c.raw.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if err := tcp.SetLinger(0); err != nil {
+		c.pool.log.WithError(err).Debug("connection to a lost target can't be reset")
+	}
+}
+
 func (c *conn) close() {
 	c.once.Do(func() {
 		_ = c.raw.Close() //nolint:errcheck // nothing is left to do with a connection that is given up
--- a/internal/targets/targetpool/links.go
+++ b/internal/targets/targetpool/links.go
@@ -84,6 +84,14 @@
 	l.settle(l.count(d.all(), now))
 }
 
+// CheckSilence is CheckLinks for a caller that waits for a late reply, unless a target was
+// heard from a moment ago. It costs nothing then.
+func (d *Directory) CheckSilence(now time.Time) {
+	if reach.Quiet(d.links.quiet(now)) {
+		d.CheckLinks(now)
+	}
+}
+
 // count marks the pools as lost that are silent and counts all. Calls must not overlap.
 func (l *Links) count(pools []*Pool, now time.Time) reach.Counts {
 	var overdue []*Pool
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -118,11 +118,13 @@
 	source    *catalogshare.Source
 	directory *targetpool.Directory
 	gatherers *gatherlink.Client
-	gather    *gatherlink.Server
-	executor  *relay.Executor
-	server    *front.Server
-	ready     *readiness
-	metrics   *metricsServer
+	// helpers passes requests on while this host reaches too few targets.
+	helpers  *gatherlink.Client
+	gather   *gatherlink.Server
+	executor *relay.Executor
+	server   *front.Server
+	ready    *readiness
+	metrics  *metricsServer
 	// memory bounds what is held for callers and targets; nil for no limit.
 	memory  *bytebudget.Budget
 	callers net.Listener
@@ -131,6 +133,8 @@
 	cancel   context.CancelFunc
 	// fleetHosts is the number of hosts in use, 0 while it is unknown.
 	fleetHosts atomic.Int64
+	// helpersUntil is until when links to helpers stay open, in nanoseconds of Unix time.
+	helpersUntil atomic.Int64
 	// lastReport is the time of the last health report. It is used by one goroutine.
 	lastReport time.Time
 	// stewarding is set while a service bounds the requests to its cold targets. It is used by
@@ -162,6 +166,7 @@
 		Log:    opts.Log,
 		Extra:  opts.ownExtra(),
 		Host:   opts.Host, FailureDomain: opts.FailureDomain,
+		OnLinks: func(targetpool.LinkState) { e.updateHelpers() },
 		OnCrash: e.reportCrash, OnLeaving: e.reportLeaving, DrainWithin: opts.DrainWithin, Scope: e.metrics.scope,
 		Cold: e.coldOptions(), Memory: e.memory,
 	})
@@ -181,12 +186,14 @@
 		OnView: e.directory.Update, OnBatch: e.hub.Publish, OnDoubt: e.hub.Doubt, LongestPause: e.longestStorePause,
 	})
 	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope, Regions: opts.Regions})
+	e.helpers = e.newHelpers()
 	e.executor = relay.NewExecutor(relay.Options{
+		Helpers: e.helpers, Links: e.directory.Links(), CheckSilence: e.directory.CheckSilence,
 		Snapshots: e.directory, FailureDomain: opts.FailureDomain, Regions: opts.Regions, Guard: guard, Policy: opts.Policy, Gatherers: e.gatherers,
 		Memory: e.memory,
 		Log:    opts.Log, Scope: e.metrics.scope,
 	})
-	e.gather = gatherlink.NewServer(e.executor, opts.Log)
+	e.gather = gatherlink.NewServer(e.executor, e.lostShare, opts.Log)
 	e.server = front.New(front.Options{
 		Codec: opts.CallerCodec, Handler: e.executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
 		Memory: e.memory,
@@ -244,6 +251,7 @@
 	go e.hub.Run(ctx)
 	go e.source.Observe(ctx)
 	go e.gatherers.Run(ctx)
+	go e.helpers.Run(ctx)
 	go e.servePeers(peers)
 }
 
@@ -267,6 +275,7 @@
 			e.metrics.scope.Gauge("bytes_held").Update(float64(e.memory.Held()))
 		}
 		e.directory.CheckLinks(now)
+		e.updateHelpers()
 		e.reportHealth(hosts, now)
 		e.evacuations.update(e.directory.Evacuations(), now)
 		e.updateStewards(hosts, now)
--- a/test/edge/cut_test.go
+++ b/test/edge/cut_test.go
@@ -18,35 +18,45 @@
 	cutAsked = 20
 )
 
-// askAll sends requests of each kind through the hosts, one after the other, and returns how
-// many were served. It requires that orders run once at most, and not at all if refused.
-func (c *cluster) askAll(hosts []*host, id string) (served, asked int) {
-	orders := map[string]int{}
+// asked is what became of requests through some hosts.
+type asked struct {
+	served, all int
+	// orders has the status of each order, 0 without an answer.
+	orders map[string]int
+}
+
+// askAll sends requests of each kind through the hosts, one after the other.
+func askAll(t *testing.T, hosts []*host, id string) *asked {
+	a := &asked{orders: map[string]int{}}
 	for k, h := range hosts {
 		caller := h.caller()
 		for n := range cutAsked {
 			for _, kind := range []string{"sweep", "read", "order"} {
-				request := fmt.Sprintf("%s-%s-%d-%d", id, kind, k, n)
-				method := http.MethodGet
-				if kind == "order" {
-					method = http.MethodPost
-				}
-				r, err := caller.ask(method, "/"+kind+"/x", request, nil)
-				asked++
-				if err != nil {
-					continue
-				}
-				if kind == "order" {
-					orders[request] = r.status
-				}
-				if r.status == http.StatusOK && (kind != "sweep" || requireValidSweep(c.t, request, r) == 0) {
-					served++
-				}
+				a.ask(t, caller, kind, fmt.Sprintf("%s-%s-%d-%d", id, kind, k, n))
 			}
 		}
 	}
-	c.requireOrders(orders)
-	return served, asked
+	return a
+}
+
+// ask sends a request of a kind.
+func (a *asked) ask(t *testing.T, caller *caller, kind, id string) {
+	method := http.MethodGet
+	if kind == "order" {
+		method = http.MethodPost
+		a.orders[id] = 0
+	}
+	a.all++
+	r, err := caller.ask(method, "/"+kind+"/x", id, nil)
+	if err != nil {
+		return
+	}
+	if kind == "order" {
+		a.orders[id] = r.status
+	}
+	if r.status == http.StatusOK && (kind != "sweep" || requireValidSweep(t, id, r) == 0) {
+		a.served++
+	}
 }
 
 // requireOrders requires that orders ran once at most, those that were served ran, and those
@@ -82,15 +92,20 @@
 				h.dialer.cut(form)
 			}
 			go flood(cut, "/sweep/x", "cut", cutSettles, 20*time.Millisecond)
+			during := make(chan *asked)
+			go func() { during <- askAll(t, cut, "during") }()
 			time.Sleep(cutSettles)
-			served, asked := c.askAll(cut, "cut")
-			require.GreaterOrEqual(t, 3*served, 2*asked, "%d of %d served", served, asked)
+			a := askAll(t, cut, "cut")
+			require.GreaterOrEqual(t, 3*a.served, 2*a.all, "%d of %d served", a.served, a.all)
 			for _, h := range cut {
 				h.dialer.cut(linkUp)
 			}
 			time.Sleep(cutSettles)
-			served, asked = c.askAll(c.hosts, "healed")
-			require.Equal(t, asked, served)
+			healed := askAll(t, c.hosts, "healed")
+			require.Equal(t, healed.all, healed.served)
+			for _, group := range []*asked{<-during, a, healed} {
+				c.requireOrders(group.orders)
+			}
 		})
 	}
 }
