Don't report lost links as crashes of targets

Cause: a connection that is reset and a dial that fails after it count as a crash. A host that has lost its links sees that of all its targets.

Change: a host that knows others holds a report for 0.3 s and, if it has lost a tenth of its targets or hears of none, 0.8 s more; it drops the report if another host has lost far fewer targets. The age goes with a report, so crashes count by their own time. A host that knows no others reports at once, as before.

--- a/internal/hosts/gatherlink/handover.go
+++ b/internal/hosts/gatherlink/handover.go
@@ -51,6 +51,20 @@
 	return able[c.turn%len(able)]
 }
 
+// AnyBetter reports whether one of the linked hosts has lost far fewer targets than the given
+// share.
+func (c *Client) AnyBetter(lostShare float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, l := range c.links {
+		if l.usable(now) && reach.Better(l.lost(), lostShare) {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitLink waits for a first usable link if none is open yet.
 func (c *Client) awaitLink(gone <-chan struct{}) {
 	ticker := time.NewTicker(linkWaitStep)
--- a/internal/targets/targetpool/links.go
+++ b/internal/targets/targetpool/links.go
@@ -65,6 +65,9 @@
 	return now.Sub(l.base) - time.Duration(l.heard.Load())
 }
 
+// Quiet reports whether no target has been heard from for so long that links may be lost.
+func (l *Links) Quiet(now time.Time) bool { return reach.Quiet(l.quiet(now)) }
+
 // CheckLinks checks which targets this host reaches. It is called periodically and when
 // replies are late; calls within checkInterval of the last check do nothing.
 func (d *Directory) CheckLinks(now time.Time) {
@@ -87,7 +90,7 @@
 // CheckSilence is CheckLinks for a caller that waits for a late reply, unless a target was
 // heard from a moment ago. It costs nothing then.
 func (d *Directory) CheckSilence(now time.Time) {
-	if reach.Quiet(d.links.quiet(now)) {
+	if d.links.Quiet(now) {
 		d.CheckLinks(now)
 	}
 }
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -133,6 +133,7 @@
 	cancel   context.CancelFunc
 	// fleetHosts is the number of hosts in use, 0 while it is unknown.
 	fleetHosts atomic.Int64
+	crashes    crashReports
 	// helpersUntil is until when links to helpers stay open, in nanoseconds of Unix time.
 	helpersUntil atomic.Int64
 	// lastReport is the time of the last health report. It is used by one goroutine.
@@ -227,7 +228,7 @@
 // reportCrash sends the fleet a report of a request that a target was processing
 // when it crashed. It is called on the goroutine of a dial.
 func (e *Edge) reportCrash(r *exchange.Request, t *catalog.Target) {
-	e.source.SendCrashReport(crashguard.CrashReport{Request: crashguard.FingerprintOf(r), Target: string(t.ID)})
+	e.holdCrashReport(crashguard.CrashReport{Request: crashguard.FingerprintOf(r), Target: string(t.ID)})
 }
 
 // reportLeaving tells the fleet that a target has reported that it is leaving. It is
