Split large files of the hub, the source, the host and a stand-in

Change: moved without change: the serving of links, dialing and observing of readers, the host's options and stop, the stand-in's answers.

Result: no behaviour changed; unit tests of the packages pass.

--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -1,8 +1,6 @@
 package catalogshare
 
 import (
-	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -31,9 +29,6 @@
 	minFirstWait = 60 * time.Millisecond
 	// firstLinkRetryPause is the pause between two attempts to get the first link.
 	firstLinkRetryPause = 100 * time.Millisecond
-	// observeInterval is the pause before another reader is dialed again, and the
-	// time between two checks for new readers.
-	observeInterval = 400 * time.Millisecond
 )
 
 // Decoder decodes an entry of the store into a change.
@@ -214,135 +209,3 @@
 	batch.DisputedFor = time.Duration(m.DisputedMS) * time.Millisecond
 	return batch, nil
 }
-
-// adoptLink takes the link of a background dial if that dial has finished.
-func (s *Source) adoptLink() { s.awaitDial(0) }
-
-// awaitDial waits for a running background dial, at most for the given time, and
-// takes its link.
-func (s *Source) awaitDial(within time.Duration) {
-	if !s.dialing {
-		return
-	}
-	timer := time.NewTimer(within)
-	defer timer.Stop()
-	var l *link
-	select {
-	case l = <-s.dialResult:
-	default:
-		select {
-		case l = <-s.dialResult:
-		case <-timer.C:
-			return
-		}
-	}
-	s.dialing = false
-	s.setLink(l)
-	if l == nil {
-		s.delayDial()
-		return
-	}
-	// A reader that has restarted knows none of these.
-	if m := s.opts.Hub.knownTargetReports(); m != nil {
-		l.send(m)
-	}
-}
-
-// delayDial sets the time of the next dial after a link was lost or could not be opened.
-func (s *Source) delayDial() {
-	pause := linkRetryPause
-	if !s.linked {
-		pause = unlinkedRetryPause
-	}
-	s.retryAt = time.Now().Add(pause/2 + rand.N(pause))
-}
-
-// dropLink closes the link, if there is one.
-func (s *Source) dropLink() {
-	if s.link != nil {
-		s.link.end()
-		s.setLink(nil)
-	}
-}
-
-// dialInBackground dials a reader without delaying calls to the store. It does
-// nothing on a reader, during another dial and before retryAt.
-func (s *Source) dialInBackground() {
-	if s.dialing || s.IsReader() || time.Now().Before(s.retryAt) {
-		return
-	}
-	s.dialing = true
-	go func() { s.dialResult <- s.dialAny() }()
-}
-
-// dialAny opens a link to one of the readers, in random order. It returns nil if
-// none accepts.
-func (s *Source) dialAny() *link {
-	readers := slices.Clone(s.opts.Readers())
-	rand.Shuffle(len(readers), func(i, j int) { readers[i], readers[j] = readers[j], readers[i] })
-	for _, addr := range readers {
-		if addr == s.opts.Self {
-			continue
-		}
-		l, err := dial(addr, s.opts.Hub.self, false, s.opts.Log)
-		if err == nil {
-			return l
-		}
-		s.opts.Log.WithError(err).WithField("peer", addr).Debug("dialing a catalog link failed")
-	}
-	return nil
-}
-
-// Observe keeps a link to each other reader while this host is a reader, so that
-// all readers exchange host counts and crash reports. It runs until ctx ends.
-func (s *Source) Observe(ctx context.Context) {
-	running := map[string]bool{}
-	ended := make(chan string)
-	for {
-		if s.IsReader() {
-			for _, addr := range s.opts.Readers() {
-				if addr != s.opts.Self && !running[addr] {
-					running[addr] = true
-					go s.observe(ctx, addr, ended)
-				}
-			}
-		}
-		timer := time.NewTimer(observeInterval)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case addr := <-ended:
-			delete(running, addr)
-		case <-timer.C:
-		}
-		timer.Stop()
-	}
-}
-
-// observe handles one link to another reader until it ends, then sends the
-// reader's address on ended after a pause.
-func (s *Source) observe(ctx context.Context, addr string, ended chan<- string) {
-	if l, err := dial(addr, s.opts.Hub.self, true, s.opts.Log); err == nil {
-		for m := range l.messages {
-			s.opts.Hub.recordReaderCounts(addr, m)
-			s.opts.Hub.addCrashReports(m.CrashReports)
-			s.opts.Hub.addLeaving(m)
-			s.opts.Hub.addReaderPauses(m.Pauses)
-			s.opts.Hub.addReaderDemand(m.Demand)
-			s.opts.Hub.addLimitNotices(m.Limits)
-			s.opts.Hub.setReaderLimitDemand(addr, m.LimitDemand)
-		}
-	}
-	timer := time.NewTimer(observeInterval)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return
-	}
-	select {
-	case ended <- addr:
-	case <-ctx.Done():
-	}
-}
--- a/internal/hosts/gatherlink/client.go
+++ b/internal/hosts/gatherlink/client.go
@@ -104,6 +104,11 @@
 		// This host gathers itself.
 		ordered = nil
 	}
+	c.setOrdered(ordered)
+}
+
+// setOrdered sets the hosts to link to in the order of preference.
+func (c *Client) setOrdered(ordered []gathering.Member) {
 	c.mu.Lock()
 	c.ordered = ordered
 	changed := c.prefer(time.Now())
--- a/internal/hosts/gatherlink/handover.go
+++ b/internal/hosts/gatherlink/handover.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/decision/gathering"
 	"github.com/swiftvane/swiftvane/internal/decision/reach"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
@@ -18,6 +19,11 @@
 	linkWaitStep = 5 * time.Millisecond
 )
 
+// SetHelpers sets the hosts to which requests may be handed over, this host not among them.
+func (c *Client) SetHelpers(helpers []gathering.Member) {
+	c.setOrdered(gathering.Order(c.opts.Self.Addr, c.opts.Self.FailureDomain, helpers))
+}
+
 // HandOver passes a request on to a host that reaches more targets than this one, and returns
 // its answer, which is a target's reply unless the route is a sweep. It returns nil if no host
 // took the request. gone is closed when the caller has disconnected.
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -10,10 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
-	"github.com/swiftvane/swiftvane/internal/decision/extrabudget"
 	"github.com/swiftvane/swiftvane/internal/decision/overload"
 	"github.com/swiftvane/swiftvane/internal/decision/stall"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
@@ -25,61 +22,10 @@
 	"github.com/swiftvane/swiftvane/internal/hosts/gatherlink"
 	"github.com/swiftvane/swiftvane/internal/querypath/relay"
 	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
-	"github.com/swiftvane/swiftvane/internal/support/listener"
 	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
-// Options are a host's settings and its adapters for the platform.
-type Options struct {
-	Host          string
-	FailureDomain string
-	// Regions has the regions of this host and of the failure domains, for routes with
-	// home regions.
-	Regions    catalog.Regions
-	CallerAddr string
-	ReadyAddr  string
-	ReadyPath  string
-	// StopWithin is the time from the stop signal until the process is killed.
-	StopWithin time.Duration
-	// DrainWithin is how long a target that reports that it is leaving may still be
-	// used.
-	DrainWithin time.Duration
-	// EvacuateWithin is the time within which an evacuation must be in effect; zero if
-	// it is unknown.
-	EvacuateWithin time.Duration
-	// Extra bounds the extra sub-requests of a service, summed over all hosts.
-	Extra extrabudget.Limit
-	// Cold bounds the requests to cold targets, summed over all hosts.
-	Cold ColdBound
-	// PeerAddr is the listen address for links of other hosts; empty for none.
-	// Readers returns the addresses of the hosts that read the store for the
-	// others.
-	PeerAddr string
-	Readers  func() []string
-	// Capacity is the host's processor capacity in thousandths of a core.
-	Capacity int
-	// MemoryBytes is the memory from which on the process is killed; 0 for no limit.
-	MemoryBytes int64
-	// LimitSmallFleets limits admission under overload also in fleets without gatherers.
-	LimitSmallFleets bool
-	// Policy is relay.Adaptive except in measurements.
-	Policy relay.Policy
-	// FirstStart is set while the whole fleet starts for the first time and no
-	// caller waits yet.
-	FirstStart bool
-	// Store reads the platform's store; Decode decodes its entries.
-	Store       catalogsync.Source
-	Decode      catalogshare.Decoder
-	CallerCodec exchange.CallerCodec
-	TargetCodec exchange.TargetCodec
-	// Dialer opens connections to targets; nil for TCP.
-	Dialer targetpool.Dialer
-	// MetricsAddr is the listen address for metrics; empty for none.
-	MetricsAddr string
-	Log         logrus.FieldLogger
-}
-
 const (
 	// extraRatioShare is the share of the allowed ratio that a host uses. The rest
 	// is a margin, since its windows and those of the bound don't begin together.
@@ -103,13 +49,6 @@
 	stopReserve = 600 * time.Millisecond
 )
 
-// ownExtra returns the bound on extra sub-requests of which the host takes its share.
-func (o *Options) ownExtra() extrabudget.Limit {
-	limit := o.Extra
-	limit.Ratio *= extraRatioShare
-	return limit
-}
-
 // Edge is one host.
 type Edge struct {
 	opts      Options
@@ -302,33 +241,5 @@
 	return aloneSettleTime
 }
 
-// Stop stops the host in steps: it becomes not ready, then connections close after
-// their next answer, then idle ones close. It reports whether all connections and the
-// sweeps of other hosts ended in time, so that no request was cut off.
-func (e *Edge) Stop() bool {
-	began := time.Now()
-	at := func(share float64) time.Time {
-		return began.Add(time.Duration(share * float64(e.opts.StopWithin)))
-	}
-	e.ready.stop()
-	e.gather.Stop()
-	time.Sleep(time.Until(at(drainAfter)))
-	e.server.Drain()
-	time.Sleep(time.Until(at(closeIdleAfter)))
-	if err := listener.Close(e.callers); err != nil {
-		e.opts.Log.WithError(err).Warn("callers' listener did not close")
-	}
-	<-e.accepted
-	end := began.Add(e.opts.StopWithin - stopReserve)
-	clean := false
-	for !clean && time.Now().Before(end) {
-		e.server.CloseIdle()
-		clean = e.server.Wait(time.Now().Add(closeIdleInterval)) && e.gather.Idle()
-	}
-	e.cancel()
-	e.metrics.close()
-	return clean
-}
-
 // View returns the host's current view of the store.
 func (e *Edge) View() *catalog.View { return e.follower.View() }
--- a/internal/wiring/edge/helpers.go
+++ b/internal/wiring/edge/helpers.go
@@ -32,10 +32,10 @@
 		e.helpersUntil.Store(now.Add(helpersKept).UnixNano())
 	}
 	if now.UnixNano() >= e.helpersUntil.Load() {
-		e.helpers.SetGatherers(nil)
+		e.helpers.SetHelpers(nil)
 		return
 	}
-	e.helpers.SetGatherers(e.otherHosts())
+	e.helpers.SetHelpers(e.otherHosts())
 }
 
 // otherHosts returns hosts that may serve requests for this one: those that the fleet has
