Keep unused connections to stand-in targets open for a minute

Cause: the stand-in closed a connection without a request after 1 s. A host takes the end of an unused connection younger than 1 s for a refusal, and counts the age from a little later, so whether a target counted as lost was a race.

Change: the stand-in waits a minute.

--- a/internal/standin/searcher/searcher.go
+++ b/internal/standin/searcher/searcher.go
@@ -17,6 +17,10 @@
 	"github.com/swiftvane/swiftvane/platform"
 )
 
+// headerTimeout is how long a connection may carry no request. It exceeds the age up to which
+// hosts take the end of an unused connection for a refusal.
+const headerTimeout = time.Minute
+
 // Fault is a fault that is injected into a request.
 type Fault uint8
 
@@ -107,7 +111,7 @@
 		opts: opts, listener: l, slots: make(chan struct{}, max(opts.Slots, 1)),
 		runs: map[string]int{}, arrivals: map[string]int{},
 	}
-	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Second, ConnState: s.countConn}
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, ConnState: s.countConn}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
