Keep requests in flight if no other host can serve them

Cause: a host that counted as cut off gave up its idempotent requests in flight also where no other host could take them. Their own attempts may still succeed: where the process was short of processor time, or all targets are slow at once, silence is taken for lost links.

--- a/internal/hosts/gatherlink/handover.go
+++ b/internal/hosts/gatherlink/handover.go
@@ -57,6 +57,13 @@
 	return able[c.turn%len(able)]
 }
 
+// Ready reports whether a host takes requests of one with the given share of lost targets. It
+// waits for a first link if none is open yet.
+func (c *Client) Ready(lostShare float64, gone <-chan struct{}) bool {
+	c.awaitLink(gone)
+	return c.AnyBetter(lostShare)
+}
+
 // AnyBetter reports whether one of the linked hosts has lost far fewer targets than the given
 // share.
 func (c *Client) AnyBetter(lostShare float64) bool {
--- a/internal/querypath/relay/handover.go
+++ b/internal/querypath/relay/handover.go
@@ -12,6 +12,9 @@
 
 // Helpers passes requests on to hosts that reach more targets than this one.
 type Helpers interface {
+	// Ready reports whether a host takes requests of one with the given share of lost targets.
+	// It may wait for a moment.
+	Ready(lostShare float64, callerGone <-chan struct{}) bool
 	// HandOver returns the answer of another host, or nil if none took the request.
 	HandOver(r *exchange.Request, route *catalog.Route, h exchange.Handover, callerGone <-chan struct{}) *exchange.Answer
 }
@@ -119,6 +122,12 @@
 	return state.Changed
 }
 
+// canHandOver reports whether another host can serve the request now. Without one, the attempts
+// under way are all that the caller has.
+func (r *run) canHandOver() bool {
+	return r.executor.opts.Helpers.Ready(r.executor.opts.Links.State().Share(), r.callerGone)
+}
+
 // checkSilence looks for lost links: a reply is late.
 func (r *run) checkSilence(now time.Time) {
 	if check := r.executor.opts.CheckSilence; check != nil {
@@ -126,10 +135,7 @@
 	}
 }
 
-// withoutLinks returns the answer of a request whose links were lost while it was served.
-func withoutLinks(sent bool) *exchange.Answer {
-	if sent {
-		return &exchange.Answer{Status: http.StatusBadGateway, Reason: exchange.LinksLost}
-	}
-	return refuse(exchange.LinksLost, retryNoRoom)
+// withoutLinks returns the answer of a request whose links were lost after it was sent.
+func withoutLinks() *exchange.Answer {
+	return &exchange.Answer{Status: http.StatusBadGateway, Reason: exchange.LinksLost}
 }
--- a/internal/querypath/relay/handover_test.go
+++ b/internal/querypath/relay/handover_test.go
@@ -20,7 +20,11 @@
 
 // hangingDialer connects to targets until it hangs: then connections receive nothing and new
 // ones time out.
-type hangingDialer struct{ hangs atomic.Bool }
+type hangingDialer struct {
+	hangs atomic.Bool
+	// delay is how much later what is received arrives, in nanoseconds.
+	delay atomic.Int64
+}
 
 func (d *hangingDialer) Dial(_ string, timeout time.Duration) (net.Conn, error) {
 	if d.hangs.Load() {
@@ -42,12 +46,20 @@
 	return c.Conn.Write(p)
 }
 
+func (c *hangingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	time.Sleep(time.Duration(c.dialer.delay.Load()))
+	return n, err
+}
+
 // fakeHelpers answers requests that are handed over, unless it takes none.
 type fakeHelpers struct {
 	takes bool
 	got   []exchange.Handover
 }
 
+func (h *fakeHelpers) Ready(float64, <-chan struct{}) bool { return h.takes }
+
 func (h *fakeHelpers) HandOver(_ *exchange.Request, _ *catalog.Route, o exchange.Handover, _ <-chan struct{}) *exchange.Answer {
 	h.got = append(h.got, o)
 	if !h.takes {
@@ -141,6 +153,17 @@
 	})
 }
 
+// TestRequestInFlightIsKeptIfNoOtherHostTakesIt guards against failures of requests whose replies
+// are only late, on a host that takes that for lost links.
+func TestRequestInFlightIsKeptIfNoOtherHostTakesIt(t *testing.T) {
+	handoverTest(t, func(serve func(string) *exchange.Answer, dialer *hangingDialer, helpers *fakeHelpers, d *targetpool.Directory) {
+		helpers.takes = false
+		dialer.delay.Store(int64(400 * time.Millisecond))
+		require.Equal(t, 200, serve("GET").Status)
+		require.Empty(t, helpers.got)
+	})
+}
+
 // TestRequestIsTriedHereIfNoOtherHostTakesIt guards against failures after false signs of lost
 // links.
 func TestRequestIsTriedHereIfNoOtherHostTakesIt(t *testing.T) {
--- a/internal/querypath/relay/single.go
+++ b/internal/querypath/relay/single.go
@@ -81,7 +81,10 @@
 	for {
 		select {
 		case <-lost:
-			return withoutLinks(true)
+			lost = nil
+			if s.canHandOver() {
+				return withoutLinks()
+			}
 		case ev := <-s.events:
 			if answer := s.outcome(ev, time.Now()); answer != nil {
 				return answer
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -138,10 +138,10 @@
 		}
 		select {
 		case <-lost:
-			if s.parts < s.minShards {
-				return withoutLinks(true)
-			}
 			lost = nil
+			if s.parts < s.minShards && s.canHandOver() {
+				return withoutLinks()
+			}
 		case ev := <-s.events:
 			s.outcome(ev, time.Now())
 		case <-timer.C:
