Hand requests in flight over within the service's own bound on extra load

What callers saw: requests in flight when their host lost its links ended with 502 and had to be sent again.

Cause: the bound on extra load of the client that hands over was never set, so it allowed none. Its own bound would also add to those of the services, which use the whole in fleets without gatherers.

Change: a request that may have run takes from the bound of each service that it needs before it is handed over.

--- a/internal/hosts/gatherlink/client.go
+++ b/internal/hosts/gatherlink/client.go
@@ -67,8 +67,8 @@
 	RetireAfter time.Duration
 	// Links is the number of hosts to link to; zero means linksPerHost.
 	Links int
-	// HandsOver is set if the client is used for HandOver and not for Sweep; other counters
-	// count its requests.
+	// HandsOver is set if the client is used for HandOver and not for Sweep: other counters
+	// count its requests, and their extra load is counted by their Handover.
 	HandsOver bool
 	// Scope gets the counters; nil for none.
 	Scope metrics.Scope
--- a/internal/hosts/gatherlink/passage.go
+++ b/internal/hosts/gatherlink/passage.go
@@ -95,9 +95,12 @@
 }
 
 // mayRunAgain reports whether a request that may have run can be passed on again, and counts
-// it as extra load if so.
+// it as extra load if so. again counts a request that is handed over.
 func (p *passage) mayRunAgain(now time.Time) bool {
-	return p.route.Idempotent && p.again() && p.client.budget.take(p.route, now)
+	if !p.route.Idempotent || !p.again() {
+		return false
+	}
+	return p.client.opts.HandsOver || p.client.budget.take(p.route, now)
 }
 
 // attempt is a sweep on its way to one gatherer.
--- a/internal/querypath/relay/handover.go
+++ b/internal/querypath/relay/handover.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/swiftvane/swiftvane/internal/decision/reach"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
@@ -60,22 +62,10 @@
 	return reach.Doubtful(state.Share()) && !h.covered(now)
 }
 
-// covered reports whether each service that the request needs has a target that can be used.
+// covered reports whether each service that the request may need has a target that can be
+// used.
 func (h *handover) covered(now time.Time) bool {
-	if !h.route.Sweep() {
-		for _, part := range h.route.Split {
-			if !h.usable(part.Service, now) {
-				return false
-			}
-		}
-		return true
-	}
-	for _, shard := range h.route.Shards {
-		if !h.usable(shard, now) {
-			return false
-		}
-	}
-	return true
+	return lo.EveryBy(h.services(), func(service catalog.ServiceName) bool { return h.usable(service, now) })
 }
 
 func (h *handover) usable(service catalog.ServiceName, now time.Time) bool {
@@ -102,13 +92,32 @@
 // pass returns another host's answer, or nil. mayHaveRun is set if this host has sent the
 // request to a target.
 func (h *handover) pass(mayHaveRun bool) *exchange.Answer {
-	again := func() bool { return attemptsCoverTargets(h.snapshot, h.route) }
+	again := func() bool { return attemptsCoverTargets(h.snapshot, h.route) && h.takeExtra(time.Now()) }
 	share := h.executor.opts.Links.State().Share()
 	return h.executor.opts.Helpers.HandOver(h.request, h.route, exchange.Handover{
 		LostShare: share, MayHaveRun: mayHaveRun, Again: again,
 	}, h.callerGone)
 }
 
+// takeExtra reports whether the bound on extra load allows the request once more at each
+// service that it needs, and counts it.
+func (h *handover) takeExtra(now time.Time) bool {
+	for _, service := range h.services() {
+		if g := h.snapshot.Group(service); g == nil || !g.TakeRetry(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// services returns the services that the request may need.
+func (h *handover) services() []catalog.ServiceName {
+	if h.route.Sweep() {
+		return h.route.Shards
+	}
+	return lo.Map(h.route.Split, func(part catalog.WeightedService, _ int) catalog.ServiceName { return part.Service })
+}
+
 // linksLost returns a channel that is closed if the host is cut off from the targets while it
 // serves the request; nil if the request must not be sent again, or can't be passed on.
 func (r *run) linksLost() <-chan struct{} {
--- a/internal/querypath/relay/handover_test.go
+++ b/internal/querypath/relay/handover_test.go
@@ -86,7 +86,7 @@
 		config := catalog.NewConfig(1, []*catalog.Route{&sweep, &order}, services, catalog.Limits{})
 		dialer, helpers := &hangingDialer{}, &fakeHelpers{takes: true}
 		d := targetpool.NewDirectory(targetpool.Options{
-			Codec: echo.Codec{}, Dialer: dialer, Log: discardLogger(), Host: "host", Extra: extrabudget.Limit{Window: 10 * time.Second},
+			Codec: echo.Codec{}, Dialer: dialer, Log: discardLogger(), Host: "host", Extra: extrabudget.Limit{Ratio: 0.2, Slack: 5, Window: 10 * time.Second},
 		})
 		d.SetFleet(targetpool.Fleet{Hosts: 1})
 		d.Update(catalog.NewView(config, catalog.Position{Revision: 1}, targets))
@@ -118,6 +118,11 @@
 		require.Less(t, time.Since(began), 300*time.Millisecond)
 		require.Len(t, helpers.got, 1)
 		require.True(t, helpers.got[0].MayHaveRun)
+		again := 0
+		for ; again < 100 && helpers.got[0].Again(); again++ {
+		}
+		require.Positive(t, again, "the bound on extra load allows some")
+		require.Less(t, again, 10)
 		require.True(t, d.Links().State().Cut)
 		for _, method := range []string{"GET", "POST"} {
 			began = time.Now()
--- a/test/edge/cut_test.go
+++ b/test/edge/cut_test.go
@@ -128,3 +128,15 @@
 		require.Equal(t, http.StatusOK, r.status)
 	}
 }
+
+// TestRequestInFlightAtTheCutIsServedByAnotherHost guards against callers that wait for replies
+// which can't come, or have to ask again.
+func TestRequestInFlightAtTheCutIsServedByAnotherHost(t *testing.T) {
+	c := start(t, options{work: time.Millisecond, hosts: 3, linked: true, cuttable: true})
+	flood(c.hosts, "/sweep/x", "warm", 2*time.Second, 10*time.Millisecond)
+	c.hosts[1].dialer.cut(linkHangs)
+	r, err := c.hosts[1].caller().ask(http.MethodGet, "/sweep/x", "in-flight", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, r.status)
+	require.Zero(t, requireValidSweep(t, "in-flight", r))
+}
