Clocks under the test's control where doubt and avoidance ran in real time

Cause: TestSilentGathererIsLeft and TestOlderCopyOfStoreDoesNotChangeEvacuationsAtOnce failed at times beside load. A machine that stalls for that long fails them though the code is right.

--- a/internal/hosts/catalogsync/follower.go
+++ b/internal/hosts/catalogsync/follower.go
@@ -55,10 +55,16 @@
 	// LongestPause returns the longest pause between failed calls of a host that has
 	// entries, before jitter. It may be nil and applies only above maxBackoff.
 	LongestPause func() time.Duration
+	// DoubtClock tells until when evacuations are kept that an older copy of the store
+	// disputes; nil means time.Now.
+	DoubtClock func() time.Time
 }
 
 // New returns a follower with an empty view; it does nothing until Run is called.
 func New(source Source, log logrus.FieldLogger, hooks Hooks) *Follower {
+	if hooks.DoubtClock == nil {
+		hooks.DoubtClock = time.Now
+	}
 	f := &Follower{source: source, log: log, updates: make(chan Batch), hooks: hooks}
 	f.view.Store(catalog.NewView(nil, catalog.Position{}, nil))
 	return f
@@ -91,7 +97,7 @@
 			pause(ctx, p.failed(err))
 			continue
 		}
-		f.deliver(ctx, evacuated.settle(batch, time.Now()))
+		f.deliver(ctx, evacuated.settle(batch, f.hooks.DoubtClock()))
 		if batch.Direct && !batch.Full {
 			pause(ctx, minWatchInterval-time.Since(began))
 		}
--- a/internal/hosts/gatherlink/client.go
+++ b/internal/hosts/gatherlink/client.go
@@ -74,6 +74,9 @@
 	Scope metrics.Scope
 	// Regions has the regions of the failure domains, for routes with home regions.
 	Regions catalog.Regions
+	// Now returns the time by which gatherers are avoided and preferred again; nil means
+	// time.Now.
+	Now func() time.Time
 }
 
 // NewClient returns a client without links.
@@ -90,6 +93,9 @@
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
 	return &Client{
 		opts: opts, links: map[string]*link{}, dialing: map[string]bool{}, budget: newBudget(), cutUntil: map[string]time.Time{},
 		lines: logging.NewBudget(linesPerSecond), wake: make(chan struct{}, 1),
@@ -111,7 +117,7 @@
 func (c *Client) setOrdered(ordered []gathering.Member) {
 	c.mu.Lock()
 	c.ordered = ordered
-	changed := c.prefer(time.Now())
+	changed := c.prefer(c.opts.Now())
 	c.mu.Unlock()
 	if changed {
 		select {
@@ -188,7 +194,7 @@
 func (c *Client) maintain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.avoidCut(time.Now())
+	c.avoidCut(c.opts.Now())
 	for addr, l := range c.links {
 		if l.isEnded() {
 			c.opts.Log.WithField("gatherer", addr).Info("gather link lost")
--- a/internal/hosts/gatherlink/handover.go
+++ b/internal/hosts/gatherlink/handover.go
@@ -30,7 +30,7 @@
 func (c *Client) HandOver(r *exchange.Request, route *catalog.Route, h exchange.Handover, gone <-chan struct{}) *exchange.Answer {
 	p := newPassage(c, r, route, h.Again, gone)
 	p.mayHaveRun = h.MayHaveRun
-	p.pick = func(now time.Time) *link { return c.pickAble(route, h.LostShare, p.tried, now) }
+	p.pick = func() *link { return c.pickAble(route, h.LostShare, p.tried, c.opts.Now()) }
 	c.awaitLink(gone)
 	return p.run()
 }
@@ -69,7 +69,7 @@
 func (c *Client) AnyBetter(lostShare float64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := c.opts.Now()
 	for _, l := range c.links {
 		if l.usable(now) && reach.Better(l.lost(), lostShare) {
 			return true
@@ -95,7 +95,7 @@
 func (c *Client) linkExpected() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := c.opts.Now()
 	if now.Sub(c.neededSince) > linksOpenWithin {
 		return false
 	}
--- a/internal/hosts/gatherlink/passage.go
+++ b/internal/hosts/gatherlink/passage.go
@@ -39,7 +39,7 @@
 	gone    <-chan struct{}
 	tried   []*link
 	// pick returns the next host to ask, nil if there is none.
-	pick func(now time.Time) *link
+	pick func() *link
 	// mayHaveRun is set once a gatherer may have begun the sweep.
 	mayHaveRun bool
 	// again reports whether a sweep that may have run may be passed on again.
@@ -55,7 +55,7 @@
 // its targets.
 func (c *Client) Sweep(r *exchange.Request, route *catalog.Route, again func() bool, gone <-chan struct{}) *exchange.Answer {
 	p := newPassage(c, r, route, again, gone)
-	p.pick = func(now time.Time) *link { return c.pick(route, p.tried, now) }
+	p.pick = func() *link { return c.pick(route, p.tried, c.opts.Now()) }
 	return p.run()
 }
 
@@ -75,7 +75,7 @@
 // told at once, and may send it again itself.
 func (p *passage) run() *exchange.Answer {
 	now := time.Now()
-	for l := p.pick(now); l != nil; l = p.pick(now) {
+	for l := p.pick(); l != nil; l = p.pick() {
 		if len(p.tried) == 0 {
 			p.client.budget.count(p.route, now)
 		}
@@ -180,7 +180,7 @@
 		// A gatherer that refuses a sweep has not run it, even if it had accepted it.
 		a.mayHaveRun = a.ranBefore
 		a.link.forget(a.id)
-		a.link.avoid(time.Now(), avoidRefusing)
+		a.link.avoid(a.client.opts.Now(), avoidRefusing)
 		a.unserved(a.link, refused, nil)
 		return nil, true
 	}
@@ -199,7 +199,7 @@
 func (a *attempt) timedOut() *exchange.Answer {
 	now := time.Now()
 	a.link.withdraw(a.id)
-	a.link.avoid(now, avoidSilent)
+	a.link.avoid(a.client.opts.Now(), avoidSilent)
 	if !now.Before(a.final) {
 		a.unserved(a.link, expired, nil)
 		return &exchange.Answer{Status: 504, Reason: exchange.TimedOut}
@@ -231,7 +231,7 @@
 		a.Trace.Late = late
 	}
 	if late {
-		l.late(time.Now(), avoidLate)
+		l.late(p.client.opts.Now(), avoidLate)
 	}
 	return a
 }
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -124,6 +124,7 @@
 	})
 	e.follower = catalogsync.New(e.source, opts.Log, catalogsync.Hooks{
 		OnView: e.directory.Update, OnBatch: e.hub.Publish, OnDoubt: e.hub.Doubt, LongestPause: e.longestStorePause,
+		DoubtClock: opts.DoubtClock,
 	})
 	e.gatherers = gatherlink.NewClient(gatherlink.Options{Self: e.self(), Log: opts.Log, Scope: e.metrics.scope, Regions: opts.Regions})
 	e.helpers = e.newHelpers()
--- a/internal/wiring/edge/options.go
+++ b/internal/wiring/edge/options.go
@@ -47,6 +47,8 @@
 	MemoryBytes int64
 	// LimitSmallFleets limits admission under overload also in fleets without gatherers.
 	LimitSmallFleets bool
+	// DoubtClock replaces time.Now in catalogsync.Hooks; nil except in tests.
+	DoubtClock func() time.Time
 	// Policy is relay.Adaptive except in measurements.
 	Policy relay.Policy
 	// FirstStart is set while the whole fleet starts for the first time and no
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -91,6 +91,8 @@
 	objective time.Duration
 	// linked makes the hosts follow the first one, which reads the store.
 	linked bool
+	// doubtClock replaces the clock of disputed evacuations, nil for the real one.
+	doubtClock func() time.Time
 	// cuttable makes the hosts' links to targets such that can be cut.
 	cuttable bool
 }
@@ -155,6 +157,7 @@
 		Regions:     catalog.Regions{Own: c.regions["z-1"], ByDomain: c.regions},
 		Cold:        edge.ColdBound{Over: 1.5, Slack: 5},
 		PeerAddr:    peer, LimitSmallFleets: c.opts.linked,
+		DoubtClock:  c.opts.doubtClock,
 		Readers:     func() []string { return c.readers },
 		MetricsAddr: h.metrics,
 		Store:       platform.NewStore(c.Store.Addr()),
--- a/test/edge/evacuation_test.go
+++ b/test/edge/evacuation_test.go
@@ -170,7 +170,8 @@
 // one that follows another host and one that starts then; what the operator writes
 // afterwards counts at once.
 func TestOlderCopyOfStoreDoesNotChangeEvacuationsAtOnce(t *testing.T) {
-	c := start(t, options{hosts: 2, domain: twoDomains, linked: true})
+	clock := &manualClock{now: time.Now()}
+	c := start(t, options{hosts: 2, domain: twoDomains, linked: true, doubtClock: clock.read})
 	c.Evacuate("z-2")
 	c.requireEvacuated("z-2")
 	copied := c.Store.Revision()
@@ -186,6 +187,7 @@
 	c.addHost(2)
 	c.requireEvacuated("z-1")
 	c.requireServedWithout("z-1", "doubt", 0)
+	clock.advance(time.Minute)
 	c.requireEvacuated("z-2")
 	c.Evacuate("z-3")
 	c.TakeBack("z-2")
