--- a/internal/targets/targetpool/assign.go
+++ b/internal/targets/targetpool/assign.go
@@ -16,10 +16,10 @@
 	}
 }
 
-// takeFree returns an idle connection for a call of the given priority, nil if there is
-// none or as many are in use as may be. The caller holds the lock.
-func (p *Pool) takeFree(now time.Time, priority int) *conn {
-	if p.inUse() >= p.usableConns(now) || priority > p.leastUrgent(now) {
+// takeFree returns an idle connection, nil if there is none or as many are in use as may
+// be. The caller holds the lock.
+func (p *Pool) takeFree(now time.Time) *conn {
+	if p.inUse() >= p.usableConns(now) {
 		return nil
 	}
 	return p.takeIdle(now)
@@ -31,7 +31,7 @@
 	if !p.memory.fits(call) {
 		return nil
 	}
-	return p.takeFree(now, call.Priority)
+	return p.takeFree(now)
 }
 
 // takeIdle returns the most recently used idle connection and closes those that
@@ -106,12 +106,11 @@
 		go endAll(held, ErrLimited, now)
 	}
 	for len(p.waiting) > 0 {
-		least := p.leastUrgent(now)
-		c := p.takeFree(now, p.waiting[0].Priority)
+		c := p.takeFree(now)
 		if c == nil {
 			break
 		}
-		call := p.nextWaiting(now, least)
+		call := p.nextWaiting(now)
 		if call == nil {
 			p.idle = append(p.idle, c)
 			break
--- a/internal/targets/targetpool/directory.go
+++ b/internal/targets/targetpool/directory.go
@@ -208,7 +208,6 @@
 		if !ok {
 			pool = d.open(t, g.demand)
 		}
-		pool.setReserving(d.fleet.Gatherers > 0)
 		pool.setBound(bound, t, !ok, now)
 		if !ok && !pool.resumedAt.IsZero() {
 			pool.resumed(pool.resumedAt, bound.warmup)
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -31,8 +31,7 @@
 
 	mu sync.Mutex
 	// Invariant: while calls wait, idle is empty, or as many connections carry calls as
-	// may (usableConns), or as may for the calls that wait (urgency), or as many bytes
-	// (memory.fits).
+	// may (usableConns), or as many bytes (memory.fits).
 	idle    []*conn
 	waiting []*Call
 	conns   map[*conn]bool
@@ -62,11 +61,7 @@
 	evacuation
 	stats replica.Stats
 	// stalls finds and predicts the target's pauses.
-	stalls  stallState
-	urgency urgency
-	// unreserved is set in fleets without gatherers, in which no connection is reserved for
-	// urgent calls.
-	unreserved bool
+	stalls stallState
 	// sample counts the exchanges since the last takeSample.
 	sample targethealth.Sample
 	// distrustedUntil is when the last report of other hosts that the target is
@@ -205,7 +200,6 @@
 		call.Done(Outcome{Verdict: verdict.NotRun, Err: err, Ended: now})
 		return
 	}
-	p.urgency.note(call.Priority, now)
 	if c := p.takeFreeFor(call, now); c != nil {
 		p.assign(c, call, now)
 		p.mu.Unlock()
--- a/internal/targets/targetpool/queue.go
+++ b/internal/targets/targetpool/queue.go
@@ -37,15 +37,15 @@
 }
 
 // nextWaiting removes and returns the first waiting call whose OnTime has not
-// passed, or else the first whose deadline has not passed. It considers calls up to the
-// priority least and returns nil if there is none. The caller holds the lock.
-func (p *Pool) nextWaiting(now time.Time, least int) *Call {
+// passed, or else the first whose deadline has not passed. It returns nil if there is
+// none. The caller holds the lock.
+func (p *Pool) nextWaiting(now time.Time) *Call {
 	p.expire(now)
-	if len(p.waiting) == 0 || p.waiting[0].Priority > least {
+	if len(p.waiting) == 0 {
 		return nil
 	}
 	for _, call := range p.waiting {
-		if call.Priority <= least && now.Before(call.OnTime) {
+		if now.Before(call.OnTime) {
 			p.removeWaiting(call)
 			return call
 		}
