Play upgrades from the last landed build, both ways, under faults

Cause: nothing proved that hosts of two builds can run side by side, as they do while machines are replaced one after the other.

--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -41,6 +41,8 @@
 	memoryMB int
 	// measured is set if the hosts' memory is measured.
 	measured bool
+	// landed is set if the hosts start with the last landed build.
+	landed bool
 	// platform holds the store and the configuration; targets hold the searchers.
 	platform    *deployment.Deployment
 	targets     []*target
@@ -57,7 +59,23 @@
 
 // runSeed runs hosts under the faults of one seed and checks the guarantees.
 func runSeed(t *testing.T, seed uint64, hosts int, faultPeriod time.Duration) {
-	e := &environment{t: t, memoryMB: 1024, random: rand.New(rand.NewPCG(seed, seed)), startTime: time.Now()}
+	e := newEnvironment(t, seed)
+	e.run(hosts, func() {
+		var evacuating sync.WaitGroup
+		evacuating.Go(func() { e.injectEvacuations(seed, faultPeriod) })
+		e.injectFaults(faultPeriod)
+		evacuating.Wait()
+	})
+}
+
+// newEnvironment returns an environment whose faults follow from the seed.
+func newEnvironment(t *testing.T, seed uint64) *environment {
+	return &environment{t: t, memoryMB: 1024, random: rand.New(rand.NewPCG(seed, seed)), startTime: time.Now()}
+}
+
+// run runs hosts while injectFaults injects faults, and checks the guarantees.
+func (e *environment) run(hosts int, injectFaults func()) {
+	t := e.t
 	var err error
 	e.platform, err = deployment.Start(deployment.Options{
 		Shards: shards, Attempts: 3, Work: work, Records: records, TopK: topK,
@@ -75,10 +93,7 @@
 	e.addHosts(hosts)
 	harness.Eventually(t, "all hosts are ready", e.allReady)
 	stop := e.startCallers()
-	var evacuating sync.WaitGroup
-	evacuating.Go(func() { e.injectEvacuations(seed, faultPeriod) })
-	e.injectFaults(faultPeriod)
-	evacuating.Wait()
+	injectFaults()
 	e.awaitRecovery("faults")
 	e.checkEvacuation()
 	stop()
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -159,8 +159,15 @@
 // injectFaults starts random faults, which may overlap, for the given period, and
 // waits until all are cleared.
 func (e *environment) injectFaults(period time.Duration) {
+	done := make(chan struct{})
+	time.AfterFunc(period, func() { close(done) })
+	e.injectFaultsUntil(done)
+}
+
+// injectFaultsUntil is injectFaults until done is closed.
+func (e *environment) injectFaultsUntil(done <-chan struct{}) {
 	var active sync.WaitGroup
-	for end := time.Now().Add(period); time.Now().Before(end); {
+	for !isClosed(done) {
 		f := faults[e.pick(len(faults))]
 		duration := e.between(minFaultDuration, maxFaultDuration)
 		active.Go(func() {
@@ -172,3 +179,12 @@
 	}
 	active.Wait()
 }
+
+func isClosed(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -50,6 +50,8 @@
 	// still receive SIGCONT.
 	lifecycle sync.Mutex
 	started   bool
+	// landed is set if the daemon starts with the last landed build.
+	landed bool
 
 	mu        sync.Mutex
 	process   *harness.Process
@@ -60,7 +62,7 @@
 	control := loopback.Addrs(n)
 	for i := range n {
 		addrs := loopback.Addrs(2)
-		h := &host{env: e, name: fmt.Sprintf("host-%d", i), caller: addrs[0], ready: addrs[1]}
+		h := &host{env: e, landed: e.landed, name: fmt.Sprintf("host-%d", i), caller: addrs[0], ready: addrs[1]}
 		h.store = e.proxy(e.platform.Store.Addr())
 		h.peer = e.proxy(control[i])
 		h.file = filepath.Join(e.t.TempDir(), "node.json")
@@ -111,7 +113,10 @@
 	}
 	h.setFile(h.validSettings)
 	startDaemon := harness.StartDaemon
-	if h.env.measured {
+	switch {
+	case h.landed:
+		startDaemon = harness.StartLandedDaemon
+	case h.env.measured:
 		startDaemon = harness.StartMeasuredDaemon
 	}
 	process := startDaemon(h.env.t, h.name, platform.SettingsVariable+"="+h.file)
