One place for waits, JSON answers of stand-ins and test clocks; TargetStart

Cause: three packages waited for a time or a context with the same lines, two stand-ins wrote JSON with the same function, two test packages had the same clock, and LeavingTarget had come to key limits too.

Change: support/wait, httpserve.WriteJSON, standin/clock; the type is TargetStart.

--- a/internal/face/callerclient/client.go
+++ b/internal/face/callerclient/client.go
@@ -19,6 +19,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/support/httpjson"
+	"github.com/swiftvane/swiftvane/internal/support/wait"
 )
 
 const (
@@ -164,12 +165,5 @@
 	if until, ok := ctx.Deadline(); ok && time.Until(until) < d {
 		return false
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, d)
 }
--- a/internal/face/entry/once.go
+++ b/internal/face/entry/once.go
@@ -12,6 +12,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/requestid"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/hosts/claim"
+	"github.com/swiftvane/swiftvane/internal/support/wait"
 )
 
 // maxRecordedBytes bounds the size of an answer that witnesses keep for resends.
@@ -78,14 +79,7 @@
 	if at.After(limit) {
 		return false
 	}
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, time.Until(at))
 }
 
 // outcomeOf returns a function that encodes a failure as the recorded outcome of id.
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -51,8 +51,8 @@
 	onUnhealthy func(targets []string)
 	// leaving has the targets reported as leaving, with the time of the first report.
 	// onLeaving is called with each new one.
-	leaving   map[LeavingTarget]time.Time
-	onLeaving func(t LeavingTarget, since time.Time)
+	leaving   map[TargetStart]time.Time
+	onLeaving func(t TargetStart, since time.Time)
 	// disputed has what a restored store says differently, until disputedUntil.
 	disputed      []entry
 	disputedUntil time.Time
@@ -118,7 +118,7 @@
 func NewHub(self gathering.Member, guard *crashguard.Guard, log logrus.FieldLogger) *Hub {
 	return &Hub{
 		log: log, self: self, guard: guard, entries: map[string]entry{}, followers: map[*follower]bool{}, readerCounts: map[string]hostCount{},
-		leaving: map[LeavingTarget]time.Time{}, withheld: map[string]time.Time{}, limits: newLimitRelay(),
+		leaving: map[TargetStart]time.Time{}, withheld: map[string]time.Time{}, limits: newLimitRelay(),
 		upgrader: websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }},
 	}
 }
--- a/internal/hosts/catalogshare/leaving.go
+++ b/internal/hosts/catalogshare/leaving.go
@@ -16,11 +16,11 @@
 
 // OnLeavingTarget sets the function that is called with each target that another host
 // reports as leaving and the time of the first report. It must be set before the hub runs; the function must not block.
-func (h *Hub) OnLeavingTarget(f func(t LeavingTarget, since time.Time)) { h.onLeaving = f }
+func (h *Hub) OnLeavingTarget(f func(t TargetStart, since time.Time)) { h.onLeaving = f }
 
 // AddLeaving records that a target is leaving and, if this is new, sends it to the
 // followers.
-func (h *Hub) AddLeaving(t LeavingTarget) {
+func (h *Hub) AddLeaving(t TargetStart) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.recordLeaving(t, time.Now())
@@ -46,7 +46,7 @@
 
 // recordLeaving records a report first made at since, sends it to the followers if it is
 // new and reports whether it is. The caller holds the lock.
-func (h *Hub) recordLeaving(t LeavingTarget, since time.Time) bool {
+func (h *Hub) recordLeaving(t TargetStart, since time.Time) bool {
 	if _, known := h.leaving[t]; known {
 		return false
 	}
--- a/internal/hosts/catalogshare/leaving_test.go
+++ b/internal/hosts/catalogshare/leaving_test.go
@@ -17,16 +17,16 @@
 	first := newBatch(7, "a")
 	first.Full = true
 	hub.Publish(first)
-	received := make(chan LeavingTarget, 10)
+	received := make(chan TargetStart, 10)
 	newFollower := func() *Source {
 		s, _ := newSource(addr)
-		s.opts.Hub.OnLeavingTarget(func(t LeavingTarget, _ time.Time) { received <- t })
+		s.opts.Hub.OnLeavingTarget(func(t TargetStart, _ time.Time) { received <- t })
 		_, err := s.Read(catalog.Position{})
 		require.NoError(t, err)
 		return s
 	}
 	sender, receiver := newFollower(), newFollower()
-	leaving := LeavingTarget{Target: "t-1", Born: 5}
+	leaving := TargetStart{Target: "t-1", Born: 5}
 	sender.SendLeaving(leaving)
 	require.Eventually(t, func() bool {
 		_, err := receiver.Watch(at(7), time.Second)
@@ -42,12 +42,12 @@
 // reported that it is leaving. It guards against hosts that use the target again, or for
 // the whole drain time anew, since the reader's state went with its process.
 func TestRestartedReaderLearnsLeavingTargets(t *testing.T) {
-	leaving := LeavingTarget{Target: "t-1", Born: 5}
+	leaving := TargetStart{Target: "t-1", Born: 5}
 	reported := time.Now().Add(-2 * time.Second)
 	first := newBatch(7, "a")
 	first.Full = true
 	type report struct {
-		target LeavingTarget
+		target TargetStart
 		since  time.Time
 	}
 	requireReport := func(t *testing.T, received <-chan report) {
@@ -63,7 +63,7 @@
 	t.Run("from a follower", func(t *testing.T) {
 		restarted, addr, _ := serve(t)
 		received := make(chan report, 10)
-		restarted.OnLeavingTarget(func(t LeavingTarget, since time.Time) { received <- report{t, since} })
+		restarted.OnLeavingTarget(func(t TargetStart, since time.Time) { received <- report{t, since} })
 		restarted.Publish(first)
 		follower, _ := newSource(addr)
 		follower.opts.Hub.mu.Lock()
@@ -81,7 +81,7 @@
 		other.Publish(first)
 		restarted, _ := newSource(addr, "self")
 		received := make(chan report, 10)
-		restarted.opts.Hub.OnLeavingTarget(func(t LeavingTarget, since time.Time) { received <- report{t, since} })
+		restarted.opts.Hub.OnLeavingTarget(func(t TargetStart, since time.Time) { received <- report{t, since} })
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go restarted.Observe(ctx)
--- a/internal/hosts/catalogshare/limits.go
+++ b/internal/hosts/catalogshare/limits.go
@@ -24,7 +24,7 @@
 type limitRelay struct {
 	hooks LimitHooks
 	// stated has the statements that this hub has passed on, by start of a target.
-	stated map[LeavingTarget]targetlimit.Statement
+	stated map[TargetStart]targetlimit.Statement
 	// own is the report of this host as a reader, readers has those of other readers by
 	// address.
 	own     targetlimit.Report
@@ -32,7 +32,7 @@
 }
 
 func newLimitRelay() limitRelay {
-	return limitRelay{stated: map[LeavingTarget]targetlimit.Statement{}, readers: map[string]targetlimit.Report{}}
+	return limitRelay{stated: map[TargetStart]targetlimit.Statement{}, readers: map[string]targetlimit.Report{}}
 }
 
 // SetLimitHooks sets the hooks. It must be called before the hub runs.
@@ -57,7 +57,7 @@
 	defer h.mu.Unlock()
 	var news []targetlimit.Notice
 	for i := range notices {
-		start := LeavingTarget{Target: notices[i].Target, Born: notices[i].Born}
+		start := TargetStart{Target: notices[i].Target, Born: notices[i].Born}
 		s, ok := notices[i].Statement(now)
 		if ok && s.News(h.limits.stated[start]) && h.limits.remember(start, s, now) {
 			news = append(news, notices[i])
@@ -71,7 +71,7 @@
 }
 
 // remember records a statement and reports whether there was room for it.
-func (l *limitRelay) remember(start LeavingTarget, s targetlimit.Statement, now time.Time) bool {
+func (l *limitRelay) remember(start TargetStart, s targetlimit.Statement, now time.Time) bool {
 	if _, known := l.stated[start]; !known && len(l.stated) >= maxLimitNotices {
 		for other, old := range l.stated {
 			if old.Expired(now) {
--- a/internal/hosts/catalogshare/limits_test.go
+++ b/internal/hosts/catalogshare/limits_test.go
@@ -83,10 +83,10 @@
 	relay := newLimitRelay()
 	now := time.Now()
 	for i := range maxLimitNotices + 10 {
-		relay.remember(LeavingTarget{Target: "t", Born: int64(i)}, targetlimit.Statement{Limited: true, At: now}, now)
+		relay.remember(TargetStart{Target: "t", Born: int64(i)}, targetlimit.Statement{Limited: true, At: now}, now)
 	}
 	require.Len(t, relay.stated, maxLimitNotices)
 	later := now.Add(2 * time.Minute)
-	require.True(t, relay.remember(LeavingTarget{Target: "new"}, targetlimit.Statement{Limited: true, At: later}, later))
+	require.True(t, relay.remember(TargetStart{Target: "new"}, targetlimit.Statement{Limited: true, At: later}, later))
 	require.Len(t, relay.stated, 1)
 }
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -45,9 +45,8 @@
 	Deleted  bool   `cbor:"4,keyasint,omitempty"`
 }
 
-// LeavingTarget identifies a start of a target that has reported in an answer that it
-// is leaving.
-type LeavingTarget struct {
+// TargetStart identifies a start of a target.
+type TargetStart struct {
 	Target string `cbor:"1,keyasint"`
 	// Born distinguishes starts under one id, see catalog.Target.
 	Born int64 `cbor:"2,keyasint,omitempty"`
@@ -88,8 +87,8 @@
 	Helpers []gathering.Member `cbor:"29,keyasint,omitempty"`
 	// Leaving are targets that have reported that they are leaving. LeavingAgesMS has,
 	// in the same order, the times since the first reports, in milliseconds.
-	Leaving       []LeavingTarget `cbor:"15,keyasint,omitempty"`
-	LeavingAgesMS []int64         `cbor:"25,keyasint,omitempty"`
+	Leaving       []TargetStart `cbor:"15,keyasint,omitempty"`
+	LeavingAgesMS []int64       `cbor:"25,keyasint,omitempty"`
 	// Samples are a follower's counts of good and bad exchanges by target.
 	// Unhealthy lists the targets that a reader found unhealthy from its followers'
 	// samples.
@@ -126,7 +125,7 @@
 }
 
 // addLeaving adds a target that first reported at since that it is leaving.
-func (m *message) addLeaving(t LeavingTarget, since time.Time) {
+func (m *message) addLeaving(t TargetStart, since time.Time) {
 	m.Leaving = append(m.Leaving, t)
 	m.LeavingAgesMS = append(m.LeavingAgesMS, time.Since(since).Milliseconds())
 }
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -125,10 +125,10 @@
 }
 
 // SendLeaving tells the fleet that a target has reported that it is leaving.
-func (s *Source) SendLeaving(t LeavingTarget) {
+func (s *Source) SendLeaving(t TargetStart) {
 	s.opts.Hub.AddLeaving(t)
 	if l := s.currentLink(); l != nil {
-		l.send(&message{Leaving: []LeavingTarget{t}})
+		l.send(&message{Leaving: []TargetStart{t}})
 	}
 }
 
--- a/internal/hosts/catalogsync/follower.go
+++ b/internal/hosts/catalogsync/follower.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
+	"github.com/swiftvane/swiftvane/internal/support/wait"
 )
 
 const (
@@ -94,12 +95,12 @@
 			p.forget(err)
 			continue
 		case err != nil:
-			pause(ctx, p.failed(err))
+			wait.For(ctx, p.failed(err))
 			continue
 		}
 		f.deliver(ctx, evacuated.settle(batch, f.hooks.DoubtClock()))
 		if batch.Direct && !batch.Full {
-			pause(ctx, minWatchInterval-time.Since(began))
+			wait.For(ctx, minWatchInterval-time.Since(began))
 		}
 	}
 }
@@ -160,16 +161,3 @@
 	d = min(d, longest)
 	return d/2 + rand.N(d/2)
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/hosts/gatherlink/gatherlink_test.go
+++ b/internal/hosts/gatherlink/gatherlink_test.go
@@ -16,6 +16,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/standin/clock"
 )
 
 const (
@@ -119,10 +120,10 @@
 }
 
 // newClientAt is newClient with a clock, nil for the real one.
-func newClientAt(t *testing.T, clock func() time.Time, gatherers ...gathering.Member) *Client {
+func newClientAt(t *testing.T, now func() time.Time, gatherers ...gathering.Member) *Client {
 	t.Helper()
 	log, _ := test.NewNullLogger()
-	c := NewClient(Options{Self: gathering.Member{Addr: "self"}, Log: log, AcceptTimeout: acceptTimeout, Now: clock})
+	c := NewClient(Options{Self: gathering.Member{Addr: "self"}, Log: log, AcceptTimeout: acceptTimeout, Now: now})
 	c.SetExtra(extrabudget.Limit{Ratio: 0.2, Slack: 2, Window: 10 * time.Second})
 	c.SetGatherers(gatherers)
 	c.mu.Lock()
@@ -286,35 +287,17 @@
 	go func() { _ = fasthttp.Serve(l, server.Handle) }()
 	other := &fakeGatherer{accepts: true, gather: answering(200)}
 	m2, _, _ := other.serve(t)
-	clock := &manualClock{now: time.Now()}
-	c := newClientAt(t, clock.read, gathering.Member{Addr: l.Addr().String()}, m2)
+	now := clock.NewManual()
+	c := newClientAt(t, now.Now, gathering.Member{Addr: l.Addr().String()}, m2)
 	never := func() bool { return false }
 	require.Equal(t, 502, c.Sweep(request("r-0"), route(), never, nil).Status, "it may have run, and the attempts are used up")
 	c.SetExtra(extrabudget.Limit{Slack: 2, Window: 10 * time.Second})
-	clock.advance(avoidSilent)
+	now.Advance(avoidSilent)
 	require.Equal(t, 200, c.Sweep(request("r-1"), route(), always, nil).Status)
 	require.Equal(t, 200, c.Sweep(request("r-2"), route(), never, nil).Status, "the silent one is avoided")
 	require.Equal(t, 2, other.served())
 }
 
-// manualClock advances only when told to, so that a slow machine ends no avoidance early.
-type manualClock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (c *manualClock) read() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *manualClock) advance(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(d)
-}
-
 // silentHandler blocks the reading of a link, as a frozen process does.
 type silentHandler struct {
 	*fakeGatherer
--- a/internal/standin/platform/admin.go
+++ b/internal/standin/platform/admin.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/standin/httpserve"
 )
 
 // Paths of the admin listener.
@@ -43,7 +44,7 @@
 	case PathFaults:
 		p.handleFaults(ctx)
 	case PathCalls:
-		writeJSON(ctx, p.Calls())
+		httpserve.WriteJSON(ctx, p.Calls())
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -51,26 +52,26 @@
 
 func (p *Platform) handlePublish(ctx *fasthttp.RequestCtx) {
 	if !ctx.IsPost() {
-		writeJSON(ctx, p.Document())
+		httpserve.WriteJSON(ctx, p.Document())
 		return
 	}
 	var req PublishRequest
 	if !readJSON(ctx, &req) {
 		return
 	}
-	writeJSON(ctx, RevisionResponse{Revision: p.Publish(req.Set, req.Remove...)})
+	httpserve.WriteJSON(ctx, RevisionResponse{Revision: p.Publish(req.Set, req.Remove...)})
 }
 
 func (p *Platform) handleHosts(ctx *fasthttp.RequestCtx) {
 	if !ctx.IsPost() {
-		writeJSON(ctx, p.visibleHosts())
+		httpserve.WriteJSON(ctx, p.visibleHosts())
 		return
 	}
 	var req HostsRequest
 	if !readJSON(ctx, &req) {
 		return
 	}
-	writeJSON(ctx, RevisionResponse{Revision: p.SetHosts(req.Hosts, req.LeavingTargets)})
+	httpserve.WriteJSON(ctx, RevisionResponse{Revision: p.SetHosts(req.Hosts, req.LeavingTargets)})
 }
 
 // handleFaults returns the faults in force. A POST replaces them first.
@@ -82,7 +83,7 @@
 		}
 		p.SetFaults(faults)
 	}
-	writeJSON(ctx, p.Faults())
+	httpserve.WriteJSON(ctx, p.Faults())
 }
 
 func readJSON(ctx *fasthttp.RequestCtx, v any) bool {
@@ -92,13 +93,3 @@
 	}
 	return true
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
--- a/internal/standin/platform/read.go
+++ b/internal/standin/platform/read.go
@@ -10,6 +10,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/config"
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	wire "github.com/swiftvane/swiftvane/internal/hosts/platform"
+	"github.com/swiftvane/swiftvane/internal/standin/httpserve"
 )
 
 // maxWait bounds the duration of a watch.
@@ -55,7 +56,7 @@
 	if faults.SlowMS > 0 {
 		p.sleep(time.Duration(faults.SlowMS) * time.Millisecond)
 	}
-	writeJSON(ctx, v)
+	httpserve.WriteJSON(ctx, v)
 }
 
 // watch waits until ready returns true, wait has passed or the platform is closed.
--- a/internal/standin/target/admin.go
+++ b/internal/standin/target/admin.go
@@ -26,7 +26,7 @@
 	ctx.SetConnectionClose()
 	switch string(ctx.Path()) {
 	case PathRuns:
-		writeJSON(ctx, t.Runs(string(ctx.QueryArgs().Peek("request_id"))))
+		httpserve.WriteJSON(ctx, t.Runs(string(ctx.QueryArgs().Peek("request_id"))))
 	case PathFaults:
 		t.handleFaults(ctx)
 	case PathSilence:
@@ -53,15 +53,5 @@
 			return
 		}
 	}
-	writeJSON(ctx, faults)
-}
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
+	httpserve.WriteJSON(ctx, faults)
 }
--- a/internal/standin/target/run.go
+++ b/internal/standin/target/run.go
@@ -9,6 +9,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/standin/content"
+	"github.com/swiftvane/swiftvane/internal/support/wait"
 	wire "github.com/swiftvane/swiftvane/internal/targets/target"
 )
 
@@ -32,7 +33,7 @@
 		t.Crash()
 		return t.failed(item, verdict.TargetFailed)
 	}
-	if !pause(ctx, t.random.latency(&state.Faults, state.since)) {
+	if !wait.For(ctx, t.random.latency(&state.Faults, state.since)) {
 		t.runs.cancel()
 		return t.failed(item, verdict.Cancelled)
 	}
@@ -92,21 +93,6 @@
 	<-t.slots
 }
 
-// pause waits for d and reports whether it passed before ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (t *Target) refuse(item *wire.SearchItem, reason verdict.Reason) wire.AnswerItem {
 	t.runs.refuse()
 	answer := wire.AnswerItem{ExchangeID: item.ExchangeID, Status: wire.StatusRefused, Reason: reason, Load: t.load()}
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -169,11 +169,11 @@
 // reportLeaving tells the fleet that a target has reported that it is leaving. It is
 // called on the goroutine that reads the target's answers.
 func (e *Edge) reportLeaving(t *catalog.Target) {
-	go e.source.SendLeaving(catalogshare.LeavingTarget{Target: string(t.ID), Born: t.Born})
+	go e.source.SendLeaving(catalogshare.TargetStart{Target: string(t.ID), Born: t.Born})
 }
 
 // handleLeavingTarget records that another host found a target leaving, first at since.
-func (e *Edge) handleLeavingTarget(t catalogshare.LeavingTarget, since time.Time) {
+func (e *Edge) handleLeavingTarget(t catalogshare.TargetStart, since time.Time) {
 	e.directory.MarkLeaving(catalog.TargetID(t.Target), t.Born, since)
 }
 
--- a/test/edge/evacuation_test.go
+++ b/test/edge/evacuation_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/face/adminapi"
+	"github.com/swiftvane/swiftvane/internal/standin/clock"
 	"github.com/swiftvane/swiftvane/internal/standin/store"
 	"github.com/swiftvane/swiftvane/internal/wiring/edge"
 )
@@ -170,8 +171,8 @@
 // one that follows another host and one that starts then; what the operator writes
 // afterwards counts at once.
 func TestOlderCopyOfStoreDoesNotChangeEvacuationsAtOnce(t *testing.T) {
-	clock := &manualClock{now: time.Now()}
-	c := start(t, options{hosts: 2, domain: twoDomains, linked: true, doubtClock: clock.read})
+	now := clock.NewManual()
+	c := start(t, options{hosts: 2, domain: twoDomains, linked: true, doubtClock: now.Now})
 	c.Evacuate("z-2")
 	c.requireEvacuated("z-2")
 	copied := c.Store.Revision()
@@ -187,7 +188,7 @@
 	c.addHost(2)
 	c.requireEvacuated("z-1")
 	c.requireServedWithout("z-1", "doubt", 0)
-	clock.advance(time.Minute)
+	now.Advance(time.Minute)
 	c.requireEvacuated("z-2")
 	c.Evacuate("z-3")
 	c.TakeBack("z-2")
