Set the first limit by the work of the last second

Cause: without a limit the peak of the work in flight was kept for good, so that a limit after an earlier, larger burst would begin far above the capacity.

Change: the peak decays by a tenth each 100 ms while there is no limit.

TestFirstLimitFollowsRecentWork failed before.

--- a/internal/decision/overload/group_test.go
+++ b/internal/decision/overload/group_test.go
@@ -138,3 +138,15 @@
 	require.Greater(t, most-least, 100*time.Millisecond)
 	require.Positive(t, retryAfter(time.Millisecond, 1))
 }
+
+// TestFirstLimitFollowsRecentWork guards against a first limit by the work of an earlier burst,
+// which would take seconds to find the capacity.
+func TestFirstLimitFollowsRecentWork(t *testing.T) {
+	o := newOfferer()
+	o.took, o.result = time.Second, InTime
+	o.offer(time.Second, 1)
+	require.Greater(t, o.limiter.peak, 50.0)
+	o.took = 20 * time.Millisecond
+	o.offer(5*time.Second, 1)
+	require.Less(t, o.limiter.peak, 10.0)
+}
--- a/internal/decision/overload/limiter.go
+++ b/internal/decision/overload/limiter.go
@@ -30,13 +30,16 @@
 	leastLimit = 0.1
 	// leastPeak is the least work in flight for which a limit would have an effect.
 	leastPeak = 1.0
+	// peakMemory is the part of the peak that is kept after each slice without a limit.
+	peakMemory = 0.9
 )
 
 // limiter bounds the work in flight by additive increase and multiplicative decrease.
 type limiter struct {
 	// limit is the bound, 0 while there is none.
 	limit float64
-	// peak is the most work in flight since the last step.
+	// peak is the most work in flight since the last step, without a limit that of about the
+	// last second.
 	peak float64
 	// cutAt is when the limit was last cut, nextStep when it may change again and refusedAt
 	// when it last refused a request.
@@ -51,12 +54,10 @@
 
 // fits reports whether more work fits beside that in flight.
 func (l *limiter) fits(now time.Time, inFlight, more float64) bool {
-	switch {
-	case !l.limited() || inFlight+more <= l.limit:
+	if !l.limited() || inFlight+more <= l.limit {
 		return true
-	default:
-		return inFlight == 0 && !now.Before(l.freeAt)
 	}
+	return inFlight == 0 && !now.Before(l.freeAt)
 }
 
 // ended records that a request which took the given time has ended.
@@ -75,7 +76,9 @@
 		if l.peak > leastPeak && recent.mostlyLate(leastLate, mostLate) && longer.mostlyLate(leastLate, mostLate) {
 			l.cut(now, l.peak*cutFirst, settle)
 			l.refusedAt = now
+			return
 		}
+		l.peak *= peakMemory
 		return
 	case now.Sub(l.refusedAt) >= releaseAfter:
 		*l = limiter{}
