Skip the upgrade test where the history lacks the commit in production

Cause: a checkout without history can't build the landed commit; the test failed there with git's own error.

--- a/test/soak/upgrade_test.go
+++ b/test/soak/upgrade_test.go
@@ -5,6 +5,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/swiftvane/swiftvane/test/harness"
 )
 
 // upgradePause is the time between the replacements of two hosts.
@@ -26,6 +28,7 @@
 }
 
 func runUpgrade(t *testing.T, seed uint64, hosts int) {
+	harness.BuildLandedDaemon(t)
 	e := newEnvironment(t, seed)
 	e.landed = true
 	e.run(hosts, func() {
