Hand a single request over only if its attempts cover all targets

Cause: whether a request may run again anywhere was asked of the shards of its route, which a single request has none of, so the answer was always yes.

Change: the services of a single request are asked, too; one that may not run again keeps waiting for its own reply instead of ending at once.

Result: TestRequestWhoseAttemptsAreUsedUpIsNotHandedOver got 200 from the second host before, 504 at its deadline now.

--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
@@ -137,17 +138,25 @@
 	return own.admitted(route.Shards[0], own.sweep)
 }
 
-// attemptsCoverTargets reports whether a sweep may run on all targets of each shard, so
-// that it stays within its attempts wherever it runs again.
+// attemptsCoverTargets reports whether a request may run on all targets of each service that
+// it needs, so that it stays within its attempts wherever it runs again.
 func attemptsCoverTargets(snapshot *targetpool.Snapshot, route *catalog.Route) bool {
-	for _, shard := range route.Shards {
-		if g := snapshot.Group(shard); g != nil && len(g.Pools)+len(g.Spare) > route.MaxAttempts {
+	for _, service := range servicesOf(route) {
+		if g := snapshot.Group(service); g != nil && len(g.Pools)+len(g.Spare) > route.MaxAttempts {
 			return false
 		}
 	}
 	return true
 }
 
+// servicesOf returns the services that a request of the route may need.
+func servicesOf(route *catalog.Route) []catalog.ServiceName {
+	if route.Sweep() {
+		return route.Shards
+	}
+	return lo.Map(route.Split, func(part catalog.WeightedService, _ int) catalog.ServiceName { return part.Service })
+}
+
 // Accepts reports whether this host would serve a request of another host as that one
 // does, whose route has the fingerprint, and reaches the targets.
 func (e *Executor) Accepts(r *exchange.Request, fingerprint uint64) bool {
--- a/internal/querypath/relay/handover.go
+++ b/internal/querypath/relay/handover.go
@@ -65,7 +65,7 @@
 // covered reports whether each service that the request may need has a target that can be
 // used.
 func (h *handover) covered(now time.Time) bool {
-	return lo.EveryBy(h.services(), func(service catalog.ServiceName) bool { return h.usable(service, now) })
+	return lo.EveryBy(servicesOf(h.route), func(service catalog.ServiceName) bool { return h.usable(service, now) })
 }
 
 func (h *handover) usable(service catalog.ServiceName, now time.Time) bool {
@@ -102,7 +102,7 @@
 // takeExtra reports whether the bound on extra load allows the request once more at each
 // service that it needs, and counts it.
 func (h *handover) takeExtra(now time.Time) bool {
-	for _, service := range h.services() {
+	for _, service := range servicesOf(h.route) {
 		if g := h.snapshot.Group(service); g == nil || !g.TakeRetry(now) {
 			return false
 		}
@@ -110,18 +110,11 @@
 	return true
 }
 
-// services returns the services that the request may need.
-func (h *handover) services() []catalog.ServiceName {
-	if h.route.Sweep() {
-		return h.route.Shards
-	}
-	return lo.Map(h.route.Split, func(part catalog.WeightedService, _ int) catalog.ServiceName { return part.Service })
-}
-
 // linksLost returns a channel that is closed if the host is cut off from the targets while it
-// serves the request; nil if the request must not be sent again, or can't be passed on.
+// serves the request; nil if the request must not be sent again, on any target of its
+// services, or can't be passed on.
 func (r *run) linksLost() <-chan struct{} {
-	if r.executor.opts.Helpers == nil || !r.route.Idempotent {
+	if r.executor.opts.Helpers == nil || !r.route.Idempotent || !attemptsCoverTargets(r.snapshot, r.route) {
 		return nil
 	}
 	state := r.executor.opts.Links.State()
--- a/internal/querypath/relay/handover_test.go
+++ b/internal/querypath/relay/handover_test.go
@@ -83,7 +83,14 @@
 		sweep, order := limits, limits
 		sweep.Name, sweep.Prefix, sweep.Shards, sweep.Idempotent, sweep.LeastCoverage, sweep.TopK = "sweep", "/GET/", names, true, 1, 1
 		order.Name, order.Prefix, order.Split = "order", "/POST/", []catalog.WeightedService{{Service: "a", Weight: 1}}
-		config := catalog.NewConfig(1, []*catalog.Route{&sweep, &order}, services, catalog.Limits{})
+		once := limits
+		once.Name, once.Prefix, once.Idempotent, once.MaxAttempts = "once", "/HEAD/", true, 1
+		once.Split = []catalog.WeightedService{{Service: "g", Weight: 1}}
+		services["g"] = catalog.Service{Name: "g", MaxConns: 8}
+		for _, id := range []string{"g-1", "g-2"} {
+			targets[catalog.TargetID(id)] = &catalog.Target{ID: catalog.TargetID(id), Service: "g", Addr: id}
+		}
+		config := catalog.NewConfig(1, []*catalog.Route{&sweep, &order, &once}, services, catalog.Limits{})
 		dialer, helpers := &hangingDialer{}, &fakeHelpers{takes: true}
 		d := targetpool.NewDirectory(targetpool.Options{
 			Codec: echo.Codec{}, Dialer: dialer, Log: discardLogger(), Host: "host", Extra: extrabudget.Limit{Ratio: 0.2, Slack: 5, Window: 10 * time.Second},
@@ -158,6 +165,22 @@
 	})
 }
 
+// TestRequestWhoseAttemptsAreUsedUpIsNotHandedOver guards against a request that runs on more
+// targets than its route allows, since the other host counts its own attempts.
+func TestRequestWhoseAttemptsAreUsedUpIsNotHandedOver(t *testing.T) {
+	handoverTest(t, func(serve func(string) *exchange.Answer, dialer *hangingDialer, helpers *fakeHelpers, _ *targetpool.Directory) {
+		require.Equal(t, 200, serve("HEAD").Status)
+		dialer.hangs.Store(true)
+		answered := make(chan *exchange.Answer)
+		go func() { answered <- serve("HEAD") }()
+		time.Sleep(10 * time.Millisecond)
+		require.Equal(t, 200, serve("GET").Status)
+		handed := len(helpers.got)
+		require.Equal(t, 504, (<-answered).Status)
+		require.Len(t, helpers.got, handed)
+	})
+}
+
 // TestRequestInFlightIsKeptIfNoOtherHostTakesIt guards against failures of requests whose replies
 // are only late, on a host that takes that for lost links.
 func TestRequestInFlightIsKeptIfNoOtherHostTakesIt(t *testing.T) {
