Log the steps of a stop and the requests that it cuts

The logs of a stop named none of the requests that ended without an answer, and showed none of its steps but the close of the listener, so that three of the four hypotheses of docs/incidents/stop.md could not be told apart.

Each step is logged with the open connections and the requests in progress, each request that the end of the process cuts with its id, age and time limit. Lines for answers that could not be written, requests read on a connection that was closing and input discarded there tell a cut at the end from a crossed close and from a lost answer.

No change of logic.

--- a/internal/face/front/close.go
+++ b/internal/face/front/close.go
@@ -15,9 +15,12 @@
 	close(c.ended)
 	if half, ok := c.raw.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
 		c.setReadDeadline(time.Now().Add(lingerTimeout))
-		for range c.jobs {
+		for j := range c.jobs {
+			c.logUnserved(j)
+		}
+		if n := c.discardInput(); n > 0 {
+			c.logDiscarded(n)
 		}
-		c.discardInput()
 	}
 	if err := c.raw.Close(); err != nil {
 		c.server.opts.Log.WithError(err).Debug("closing a caller's connection failed")
@@ -25,16 +28,19 @@
 	c.server.remove(c)
 }
 
-// discardInput reads and discards up to about lingerBytes of further input.
-func (c *conn) discardInput() {
+// discardInput reads and discards up to about lingerBytes of further input. It returns the
+// number of bytes.
+func (c *conn) discardInput() int {
 	buf := make([]byte, 4<<10)
-	for total := 0; total < lingerBytes; {
+	total := c.reader.Buffered()
+	for total < lingerBytes {
 		n, err := c.raw.Read(buf)
+		total += n
 		if err != nil {
-			return
+			break
 		}
-		total += n
 	}
+	return total
 }
 
 // closeIfIdle interrupts the wait for a request, which ends the connection while
--- a/internal/face/front/conn.go
+++ b/internal/face/front/conn.go
@@ -60,6 +60,8 @@
 	mu sync.Mutex
 	// idle is set while the connection waits for the first byte of a request.
 	idle bool
+	// serving is the request in progress, nil if there is none.
+	serving *exchange.Request
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -252,8 +254,13 @@
 		}
 		c.server.opts.Log.WithError(j.malformed).Info("request was rejected while it was read")
 		out = c.server.opts.Codec.AppendAnswer(out, nil, a)
-		return out, c.write(out) && false
+		if err := c.write(out); err != nil {
+			c.server.opts.Log.WithError(err).Info("a rejection was not written")
+		}
+		return out, false
 	}
+	c.setServing(j.request)
+	defer c.setServing(nil)
 	a := c.server.opts.Handler.Serve(j.request, j.gone)
 	c.server.opts.Observer.Answered(j.request, a, time.Since(j.request.Arrived))
 	if a.Reason == exchange.CallerLeft {
@@ -269,17 +276,26 @@
 		a.CloseConnection = closes
 		out = c.server.opts.Codec.AppendAnswer(nil, j.request, a)
 	}
-	written := c.write(out)
-	return c.endAnswer(out), written && !a.CloseConnection
+	err := c.write(out)
+	if err != nil {
+		c.logUnwritten(j.request, err)
+	}
+	return c.endAnswer(out), err == nil && !a.CloseConnection
 }
 
-// write writes an answer and reports whether it succeeded.
-func (c *conn) write(out []byte) bool {
+// write writes an answer.
+func (c *conn) write(out []byte) error {
 	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return false
+		return err
 	}
 	_, err := c.raw.Write(out)
-	return err == nil
+	return err
+}
+
+func (c *conn) setServing(r *exchange.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving = r
 }
 
 func (c *conn) setIdle(idle bool) {
--- a/internal/face/front/server.go
+++ b/internal/face/front/server.go
@@ -16,6 +16,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
+	"github.com/swiftvane/swiftvane/internal/support/logging"
 )
 
 // Handler serves requests.
@@ -60,10 +61,14 @@
 	conns map[*conn]bool
 	// done counts the goroutines of all connections.
 	done sync.WaitGroup
+	// lines bounds the log lines of each message.
+	lines *logging.Budget
 }
 
 // New returns a server without connections.
-func New(opts Options) *Server { return &Server{opts: opts, conns: map[*conn]bool{}} }
+func New(opts Options) *Server {
+	return &Server{opts: opts, conns: map[*conn]bool{}, lines: logging.NewBudget(linesPerSecond)}
+}
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
--- a/internal/hosts/gatherlink/server.go
+++ b/internal/hosts/gatherlink/server.go
@@ -47,8 +47,11 @@
 // Stop makes the server refuse further sweeps, which then go to other gatherers.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// Active returns the number of accepted sweeps that have not been answered or withdrawn.
+func (s *Server) Active() int64 { return s.active.Load() }
+
 // Idle reports whether all accepted sweeps have been answered or withdrawn.
-func (s *Server) Idle() bool { return s.active.Load() == 0 }
+func (s *Server) Idle() bool { return s.Active() == 0 }
 
 // clock returns the reading of the server's clock, in microseconds.
 func (s *Server) clock() int64 { return time.Since(s.started).Microseconds() }
