Answer every request that a stopping host has taken

Cause: nothing that serves a request knew when the process ends. A stopping host took requests up to two thirds of its grace with a time limit of up to 5 s, sent them to targets, and the process ended with them. Ruled out: crossed closes and lost answers have lines of their own, and none had run.

Change: the end of the service is known to both layers that need it. From the time that connections close after their next answer, the executor refuses requests that could outlast the host, at once and with "not run": those that must not be repeated if their time limit lies after the end, others by what their route's requests take. Shortly before the end the front withdraws the requests in progress and answers them with 504, which promises nothing. The margins before the kill are shares of the grace now: the fixed 0.6 s was a fifth of a grace of 3 s.

Tried and not kept: refusing idempotent requests by their time limit too.

--- a/internal/domain/exchange/answer.go
+++ b/internal/domain/exchange/answer.go
@@ -51,4 +51,5 @@
 	CallerLeft      Reason = "caller_left"
 	CrashesTargets  Reason = "crashes_targets"
 	MemoryFull      Reason = "memory_full"
+	HostStopping    Reason = "host_stopping"
 )
--- a/internal/face/front/conn.go
+++ b/internal/face/front/conn.go
@@ -31,15 +31,6 @@
 	lingerBytes = 1 << 20
 )
 
-// job is one request, passed from the reading goroutine to the serving one. Either
-// request or malformed is set.
-type job struct {
-	request   *exchange.Request
-	malformed *exchange.Malformed
-	// gone is closed when the caller has closed the connection.
-	gone chan struct{}
-}
-
 // conn is one caller's connection.
 type conn struct {
 	server *Server
@@ -47,7 +38,7 @@
 	reader *bufio.Reader
 	// opened is when the connection was accepted.
 	opened time.Time
-	jobs   chan job
+	jobs   chan *job
 	// served has an element once the last job has been answered.
 	served chan struct{}
 	// ended is closed when the serving goroutine accepts no more jobs.
@@ -60,15 +51,15 @@
 	mu sync.Mutex
 	// idle is set while the connection waits for the first byte of a request.
 	idle bool
-	// serving is the request in progress, nil if there is none.
-	serving *exchange.Request
+	// serving is the job in progress, nil if there is none.
+	serving *job
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{
 		server: s, raw: raw, opened: time.Now(),
 		reader: bufio.NewReaderSize(raw, s.limits().MaxHeaderBytes+bufferSlack),
-		jobs:   make(chan job), served: make(chan struct{}, 1), ended: make(chan struct{}),
+		jobs:   make(chan *job), served: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
 	c.account = s.opts.Memory.NewAccount(func() { go c.abort() })
 	return c
@@ -80,7 +71,7 @@
 	defer c.server.done.Done()
 	defer close(c.jobs)
 	for c.awaitRequest() {
-		j := job{gone: make(chan struct{})}
+		j := newJob()
 		limits := c.server.limits()
 		now := time.Now()
 		c.account.Begin(now, 0, false)
@@ -161,7 +152,7 @@
 
 // reject passes on a malformed or too slow request, which gets an error answer.
 // Other read errors mean that there was no complete request to answer.
-func (c *conn) reject(j job, err error) {
+func (c *conn) reject(j *job, err error) {
 	var malformed *exchange.Malformed
 	switch {
 	case errors.As(err, &malformed):
@@ -176,7 +167,7 @@
 
 // enqueue passes a job to the serving goroutine and reports whether that goroutine
 // still accepts jobs.
-func (c *conn) enqueue(j job) bool {
+func (c *conn) enqueue(j *job) bool {
 	select {
 	case c.jobs <- j:
 		return true
@@ -188,10 +179,10 @@
 // watchCaller waits until the request is answered and reports whether the
 // connection is still open. If the caller closes it before that, the job's gone is
 // closed.
-func (c *conn) watchCaller(j job) bool {
+func (c *conn) watchCaller(j *job) bool {
 	if _, err := c.reader.Peek(1); err != nil {
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			close(j.gone)
+			j.withdraw()
 		}
 		return errors.Is(err, os.ErrDeadlineExceeded) && c.awaitAnswered()
 	}
@@ -200,7 +191,7 @@
 
 // watchClose closes the job's gone if the caller closes the connection while the
 // last request on it is served.
-func (c *conn) watchClose(j job) {
+func (c *conn) watchClose(j *job) {
 	select {
 	case <-j.gone:
 		return
@@ -210,7 +201,7 @@
 		return
 	}
 	if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		close(j.gone)
+		j.withdraw()
 	}
 }
 
@@ -247,7 +238,7 @@
 
 // answer serves one job and reports whether the connection accepts further
 // requests. It returns out for reuse as a buffer.
-func (c *conn) answer(j job, out []byte) ([]byte, bool) {
+func (c *conn) answer(j *job, out []byte) ([]byte, bool) {
 	if j.malformed != nil {
 		a := &exchange.Answer{
 			Status: j.malformed.Status, Reason: j.malformed.Reason, RetryAfter: j.malformed.RetryAfter, CloseConnection: true,
@@ -259,9 +250,7 @@
 		}
 		return out, false
 	}
-	c.setServing(j.request)
-	defer c.setServing(nil)
-	a := c.server.opts.Handler.Serve(j.request, j.gone)
+	a := c.serveRequest(j)
 	c.server.opts.Observer.Answered(j.request, a, time.Since(j.request.Arrived))
 	if a.Reason == exchange.CallerLeft {
 		return out, false
@@ -292,12 +281,6 @@
 	return err
 }
 
-func (c *conn) setServing(r *exchange.Request) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.serving = r
-}
-
 func (c *conn) setIdle(idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/face/front/load.go
+++ b/internal/face/front/load.go
@@ -18,7 +18,7 @@
 	for c := range s.conns {
 		c.mu.Lock()
 		if c.serving != nil {
-			load.Requests = append(load.Requests, c.serving)
+			load.Requests = append(load.Requests, c.serving.request)
 		}
 		c.mu.Unlock()
 	}
--- a/internal/face/front/log.go
+++ b/internal/face/front/log.go
@@ -27,7 +27,7 @@
 }
 
 // logUnserved logs a request that was read after the connection had begun to close.
-func (c *conn) logUnserved(j job) {
+func (c *conn) logUnserved(j *job) {
 	if j.request == nil {
 		return
 	}
--- a/internal/face/front/server.go
+++ b/internal/face/front/server.go
@@ -24,7 +24,8 @@
 	// Limits returns the limits in force, or false before there is a configuration.
 	Limits() (catalog.Limits, bool)
 	// Serve returns the answer to a request; gone is closed when the caller has
-	// closed the connection.
+	// closed the connection or the request is withdrawn for another reason. The reason of
+	// the answer is then exchange.CallerLeft.
 	Serve(r *exchange.Request, gone <-chan struct{}) *exchange.Answer
 }
 
@@ -56,6 +57,8 @@
 type Server struct {
 	opts     Options
 	draining atomic.Bool
+	// interrupted is set once requests are not served any more.
+	interrupted atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*conn]bool
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -70,6 +70,8 @@
 	statsByRoute statsByRoute
 	splits       splits
 	gate         *gate
+	// end is the end of a stopping host's service, nil before StopBy.
+	end atomic.Pointer[time.Time]
 }
 
 // NewExecutor returns an Executor.
@@ -101,6 +103,9 @@
 	if e.opts.Guard.Blocks(r, time.Now()) {
 		return refuse(exchange.CrashesTargets, retryCrashing)
 	}
+	if e.outlasts(route, r, time.Now()) {
+		return refuse(exchange.HostStopping, retryStopping)
+	}
 	stats := e.statsByRoute.of(route)
 	spent := stats.patience.spent(r.CallerTimeout, r.Arrived)
 	links := &handover{executor: e, snapshot: snapshot, route: route, request: r, callerGone: callerGone}
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -43,9 +43,11 @@
 	// memoryShare is the part of MemoryBytes that may be held for callers and targets, as
 	// a divisor.
 	memoryShare = 4
-	// stopReserve is the time kept between the last wait for connections and the
-	// kill.
-	stopReserve = 600 * time.Millisecond
+	// interruptAfter is the share of StopWithin after which requests in progress are
+	// answered without a result, and exitAfter that after which the process ends. The rest
+	// is a margin for a host that is short of processor time.
+	interruptAfter = 0.9
+	exitAfter      = 0.95
 )
 
 // Edge is one host.
--- a/internal/wiring/edge/stop.go
+++ b/internal/wiring/edge/stop.go
@@ -6,9 +6,10 @@
 	"github.com/swiftvane/swiftvane/internal/support/listener"
 )
 
-// Stop stops the host in steps: it becomes not ready, then connections close after
-// their next answer, then idle ones close. It reports whether all connections and the
-// sweeps of other hosts ended in time, so that no request was cut off.
+// Stop stops the host in steps: it becomes not ready, then connections close after their next
+// answer and requests that could outlast the host are refused, then idle connections close,
+// and at last requests in progress are answered without a result. It reports whether all
+// requests and the sweeps of other hosts ended by themselves.
 func (e *Edge) Stop() bool {
 	began := time.Now()
 	at := func(share float64) time.Time {
@@ -17,6 +18,7 @@
 	e.ready.stop()
 	e.gather.Stop()
 	time.Sleep(time.Until(at(drainAfter)))
+	e.executor.StopBy(at(interruptAfter))
 	e.server.Drain()
 	e.logStopStep("connections close after their next answer", began)
 	time.Sleep(time.Until(at(closeIdleAfter)))
@@ -25,16 +27,35 @@
 	}
 	<-e.accepted
 	e.logStopStep("idle connections are closed", began)
-	end := began.Add(e.opts.StopWithin - stopReserve)
-	clean := false
-	for !clean && time.Now().Before(end) {
-		e.server.CloseIdle()
-		clean = e.server.Wait(time.Now().Add(closeIdleInterval)) && e.gather.Idle()
-	}
+	clean := e.awaitIdle(at(interruptAfter))
 	if !clean {
-		e.logCutRequests(e.server.Load().Requests, began)
+		e.interrupt(began, at(exitAfter))
 	}
 	e.cancel()
 	e.metrics.close()
 	return clean
 }
+
+// awaitIdle closes idle connections until all have ended, and waits for the sweeps of other
+// hosts. It reports whether both ended before the deadline.
+func (e *Edge) awaitIdle(deadline time.Time) bool {
+	for time.Now().Before(deadline) {
+		e.server.CloseIdle()
+		if e.server.Wait(time.Now().Add(closeIdleInterval)) && e.gather.Idle() {
+			return true
+		}
+	}
+	return false
+}
+
+// interrupt answers the requests in progress and waits until the connections have ended, at
+// most until the deadline. Links to other hosts end with the process; those hosts then learn that their
+// sweeps are lost.
+func (e *Edge) interrupt(began, deadline time.Time) {
+	e.logInterrupted(e.server.Load().Requests, began)
+	e.server.Interrupt()
+	if e.server.Wait(deadline) {
+		return
+	}
+	e.logCutRequests(e.server.Load().Requests, began)
+}
--- a/internal/wiring/edge/stoplog.go
+++ b/internal/wiring/edge/stoplog.go
@@ -9,8 +9,8 @@
 	"github.com/swiftvane/swiftvane/internal/support/logging"
 )
 
-// cutRequestLines bounds the log lines about requests that the end of a stop cuts.
-const cutRequestLines = 50
+// stopLines bounds the log lines about the requests that are in progress at the end of a stop.
+const stopLines = 50
 
 // logStopStep logs a step of the stop with what is open at that time.
 func (e *Edge) logStopStep(message string, began time.Time) {
@@ -21,16 +21,23 @@
 	}).Info(message)
 }
 
+// logInterrupted logs the requests that are answered without a result.
+func (e *Edge) logInterrupted(requests []*exchange.Request, began time.Time) {
+	e.logStopStep("requests in progress are answered without a result", began)
+	e.logRequests("a request is interrupted by the end of the stop", requests, began)
+}
+
 // logCutRequests logs the requests that are still in progress when the process ends.
 func (e *Edge) logCutRequests(requests []*exchange.Request, began time.Time) {
-	for i, r := range requests {
-		if i == cutRequestLines {
-			e.opts.Log.WithField("lines_left_out", len(requests)-i).Warn("requests are cut by the end of the stop")
-			return
-		}
+	e.logRequests("a request is cut by the end of the stop", requests, began)
+}
+
+func (e *Edge) logRequests(message string, requests []*exchange.Request, began time.Time) {
+	for _, r := range requests[:min(len(requests), stopLines)] {
 		e.opts.Log.WithFields(logrus.Fields{
 			logging.FieldRequestID: r.ID, "age_ms": time.Since(r.Arrived).Milliseconds(),
 			"patience_ms": r.CallerTimeout.Milliseconds(), "arrived_after_stop_ms": r.Arrived.Sub(began).Milliseconds(),
-		}).Warn("a request is cut by the end of the stop")
+			"requests": len(requests),
+		}).Warn(message)
 	}
 }
