Serve requests that have arrived when a slow host closes idle connections

Callers of a stopping host got their connection closed without an answer to a request that had arrived before.

Cause: the last look for a request is a read with a deadline 5 ms ahead. A process that is short of processor time comes to that read after its deadline, and Go's net package then returns without asking the kernel.

Change: where the deadline has passed, the kernel is asked whether input is pending, which depends on no clock.

Class: a deadline of the process's own taken for news of the other side.

--- a/internal/face/front/conn.go
+++ b/internal/face/front/conn.go
@@ -133,6 +133,11 @@
 	}
 	c.setReadDeadline(until)
 	_, err := c.reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && pending(c.raw) {
+		// The process came to the read only after its deadline.
+		c.setReadDeadline(time.Now().Add(c.server.limits().HeaderTimeout))
+		_, err = c.reader.Peek(1)
+	}
 	return err == nil
 }
 
