Close idle connections without reading what crosses the close

Callers of a stopping host whose request crossed the close of its idle connection got no answer, and could not tell that the request had not been served: the host read it and dropped it. Requests that must not be repeated failed for good.

Cause: each connection closed like one whose answer was just written: first the writing half, then up to 150 ms of further input were read and discarded, so that a reset couldn't destroy the answer. An idle connection has no such answer.

Change: an idle connection is closed at once; a request that crosses the close is reset, unread. TestRequestThatCrossesCloseOfIdleConnectionIsNotRead failed in each of 3 runs before and passes.

--- a/internal/face/front/close.go
+++ b/internal/face/front/close.go
@@ -9,9 +9,10 @@
 	}
 }
 
-// finish closes the connection: first the writing half, then, once the caller has
-// closed its half or lingerTimeout has passed, the rest.
-func (c *conn) finish() {
+// closeAfterAnswer closes the connection whose last answer was just written: first the writing
+// half, then, once the caller has closed its half or lingerTimeout has passed, the rest. Input
+// is discarded meanwhile, as closing with unread input could lose the answer.
+func (c *conn) closeAfterAnswer() {
 	close(c.ended)
 	if half, ok := c.raw.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
 		c.setReadDeadline(time.Now().Add(lingerTimeout))
@@ -22,6 +23,12 @@
 			c.logDiscarded(n)
 		}
 	}
+	c.close()
+}
+
+// close closes the connection at once. A request that crosses the close is reset and not read,
+// so that its caller can tell that it was not served.
+func (c *conn) close() {
 	if err := c.raw.Close(); err != nil {
 		c.server.opts.Log.WithError(err).Debug("closing a caller's connection failed")
 	}
--- a/internal/face/front/conn.go
+++ b/internal/face/front/conn.go
@@ -224,14 +224,24 @@
 // serve is the serving goroutine: it answers jobs until the connection ends.
 func (c *conn) serve() {
 	defer c.server.done.Done()
-	defer c.finish()
-	defer c.account.End()
+	closed := c.serveJobs()
+	c.account.End()
+	if closed {
+		c.closeAfterAnswer()
+		return
+	}
+	c.close()
+}
+
+// serveJobs answers jobs until the reading goroutine has ended or an answer closes the
+// connection. It reports the latter.
+func (c *conn) serveJobs() bool {
 	var out []byte
 	for j := range c.jobs {
 		var more bool
 		out, more = c.answer(j, out[:0])
 		if !more {
-			return
+			return true
 		}
 		// The reading goroutine waits for the next byte without a deadline. A past
 		// deadline interrupts it before it is signalled, so that this deadline
@@ -239,6 +249,7 @@
 		c.setReadDeadline(time.Unix(1, 0))
 		c.served <- struct{}{}
 	}
+	return false
 }
 
 // answer serves one job and reports whether the connection accepts further
--- a/internal/face/front/idleclose_test.go
+++ b/internal/face/front/idleclose_test.go
@@ -83,3 +83,16 @@
 	require.NoError(t, err)
 	require.Equal(t, "two\n", got)
 }
+
+// TestRequestThatCrossesCloseOfIdleConnectionIsNotRead guards against a request that is read and
+// dropped: its caller couldn't tell whether it may send it again.
+func TestRequestThatCrossesCloseOfIdleConnectionIsNotRead(t *testing.T) {
+	s, raw, caller, reader := serveSlowConn(t)
+	s.Drain()
+	s.CloseIdle()
+	_, err := reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	_, _ = io.WriteString(caller, "late\n")
+	require.True(t, s.Wait(time.Now().Add(10*time.Second)))
+	require.Zero(t, raw.dropped.Load())
+}
