Serve requests that have arrived when the idle timeout has passed

A caller's request could be dropped, and its connection closed without an answer, if it came while the host did not run, as in a freeze, and the connection's idle timeout passed meanwhile.

Cause: the same as of the last look at idle connections in a stop: the deadline of a read passed before the process came to the read. Found by looking for that cause elsewhere; the other deadlines of a caller's connection end in an answer (408 while a request is read).

Change: before a connection is closed for its idle timeout, the kernel is asked for pending input.

--- a/internal/face/front/conn.go
+++ b/internal/face/front/conn.go
@@ -105,7 +105,8 @@
 	for {
 		until := began.Add(c.server.limits().IdleTimeout)
 		if !time.Now().Before(until) {
-			return false
+			c.setIdle(false)
+			return c.readPending()
 		}
 		c.setReadDeadline(until)
 		_, err := c.reader.Peek(1)
@@ -133,14 +134,23 @@
 	}
 	c.setReadDeadline(until)
 	_, err := c.reader.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) && pending(c.raw) {
-		// The process came to the read only after its deadline.
-		c.setReadDeadline(time.Now().Add(c.server.limits().HeaderTimeout))
-		_, err = c.reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return c.readPending()
 	}
 	return err == nil
 }
 
+// readPending reports whether a request has arrived that the process was too slow to read before
+// the read's deadline.
+func (c *conn) readPending() bool {
+	if !pending(c.raw) {
+		return false
+	}
+	c.setReadDeadline(time.Now().Add(c.server.limits().HeaderTimeout))
+	_, err := c.reader.Peek(1)
+	return err == nil
+}
+
 // afterHeader restarts the read deadline for the body and, if the caller waits for
 // it, sends 100 Continue.
 func (c *conn) afterHeader(needsContinue bool) error {
