Tests of replies that stop within the head or the body

Cause: an operator of a similar system reported clients that got a 200 with an empty or short body, framed as whole, after a server had stopped within the head of its answer and closed the connection in order. The tests here cut bodies with a length or chunks and reset connections; heads of replies without a body, the store's answers and the links between hosts were not covered byte by byte.

Measured: no reply whose head is cut, and no cut message, counts as complete; no fault shows in these tests.

--- /dev/null
+++ b/internal/hosts/platform/cut_test.go
@@ -0,0 +1,31 @@
+package platform
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/standin/rawserver"
+)
+
+// TestCutAnswerOfPlatformIsAnError guards against a platform that stops within an answer, of
+// which the rest counts as a document without keys or a list without hosts.
+func TestCutAnswerOfPlatformIsAnError(t *testing.T) {
+	for framing, raw := range rawserver.Framings("200 OK", "", `{"revision":7}`) {
+		cut := rawserver.NewCut(func(*http.Request, []byte) []byte { return raw })
+		server, err := rawserver.Start(cut.Answer)
+		require.NoError(t, err)
+		t.Cleanup(server.Close)
+		client := NewHTTPClient(server.Addr())
+		_, err = client.HostList(t.Context(), 0, 0)
+		require.NoError(t, err)
+		for n := range raw {
+			cut.After(n)
+			_, err := client.Document(t.Context(), 0, 0)
+			require.Error(t, err, "%s, cut after %q", framing, raw[:n])
+			_, err = client.HostList(t.Context(), 0, 0)
+			require.Error(t, err, "%s, cut after %q", framing, raw[:n])
+		}
+	}
+}
--- a/internal/standin/searcher/answer.go
+++ b/internal/standin/searcher/answer.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
+	"hash/crc32"
 	"net"
 	"net/http"
 	"strconv"
@@ -27,6 +29,9 @@
 	case CutAnswer:
 		s.sendRaw(w, id, signature, len(reply), reply[:len(reply)/2])
 		return
+	case CutHead:
+		s.hijack(w, func(c net.Conn, _ *bufio.ReadWriter) { _, _ = c.Write(cutHead(id, signature, len(reply))) })
+		return
 	case NoLength:
 		s.sendRaw(w, id, signature, -1, reply)
 		return
@@ -67,6 +72,14 @@
 	s.hijack(w, func(_ net.Conn, rw *bufio.ReadWriter) { writeRaw(rw, id, signature, length, body) })
 }
 
+// cutHead returns the beginning of the head of an answer, without its end.
+func cutHead(id, signature string, length int) []byte {
+	var head bytes.Buffer
+	to := bufio.NewReadWriter(nil, bufio.NewWriter(&head))
+	writeRaw(to, id, signature, length, nil)
+	return head.Bytes()[:crc32.ChecksumIEEE([]byte(id))%uint32(head.Len())]
+}
+
 func writeRaw(rw *bufio.ReadWriter, id, signature string, length int, body []byte) {
 	_, _ = fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", platform.HeaderRequestID, id, platform.HeaderSignature, signature)
 	if length >= 0 {
--- a/internal/standin/searcher/searcher.go
+++ b/internal/standin/searcher/searcher.go
@@ -37,6 +37,9 @@
 	// CutAnswer runs the request and closes the connection in the middle of the
 	// answer.
 	CutAnswer
+	// CutHead runs the request and closes the connection in order within the head of the
+	// answer, at a place that depends on the request's id.
+	CutHead
 	// TwoAnswers runs the request and sends its answer twice.
 	TwoAnswers
 	// NoLength answers without a Content-Length and ends the body by closing the
--- a/test/edge/sweep_test.go
+++ b/test/edge/sweep_test.go
@@ -54,7 +54,7 @@
 
 func TestSweepMissesAtMostOneShardWhileOneShardFails(t *testing.T) {
 	faults := []searcher.Fault{
-		searcher.Shed, searcher.FailRun, searcher.LoseAnswer, searcher.CutAnswer, searcher.TwoAnswers, searcher.NoLength,
+		searcher.Shed, searcher.FailRun, searcher.LoseAnswer, searcher.CutAnswer, searcher.CutHead, searcher.TwoAnswers, searcher.NoLength,
 	}
 	c := start(t, options{work: time.Millisecond, fault: func(service, id string) searcher.Fault {
 		n, _ := strconv.Atoi(id[strings.LastIndexByte(id, '-')+1:])
--- a/test/edge/unsafe_test.go
+++ b/test/edge/unsafe_test.go
@@ -22,7 +22,7 @@
 	random := rand.New(rand.NewPCG(7, 11))
 	faults := []searcher.Fault{
 		searcher.None, searcher.None, searcher.None, searcher.Shed, searcher.FailRun,
-		searcher.LoseAnswer, searcher.CutAnswer, searcher.TwoAnswers, searcher.NoLength,
+		searcher.LoseAnswer, searcher.CutAnswer, searcher.CutHead, searcher.TwoAnswers, searcher.NoLength,
 	}
 	c := start(t, options{hosts: 2, work: time.Millisecond, fault: func(string, string) searcher.Fault {
 		mu.Lock()
