Don't take an unknown frame of a gatherer for a refusal

No present build sends such frames; during an upgrade a later one may. Found while the links were checked for messages that are cut.

Change: only kindRefused is a refusal; other frames end the attempt like a lost link, after which the request may have run.

--- a/internal/hosts/gatherlink/passage.go
+++ b/internal/hosts/gatherlink/passage.go
@@ -1,6 +1,7 @@
 package gatherlink
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -31,6 +32,8 @@
 	finalMargin = 5 * time.Millisecond
 )
 
+var errUnknownFrame = errors.New("the gatherer sent a frame of an unknown kind, or an answer without content")
+
 // passage is one request that is passed on.
 type passage struct {
 	client  *Client
@@ -175,6 +178,11 @@
 	case o.kind == kindAnswer && o.answer != nil:
 		a.link.forget(a.id)
 		return a.truthful(a.answered(a.link, o.answer)), true
+	case o.kind != kindRefused:
+		// The frame of another build says nothing of whether the sweep ran.
+		a.link.forget(a.id)
+		a.unserved(a.link, lost, errUnknownFrame)
+		return nil, true
 	default:
 		// A gatherer that refuses a sweep has not run it, even if it had accepted it.
 		a.mayHaveRun = a.ranBefore
