--- a/test/soak/stops_test.go
+++ b/test/soak/stops_test.go
@@ -29,7 +29,8 @@
 )
 
 // stops is a run in which hosts are stopped and started again, in turn and overlapping, while
-// callers keep using their connections. Nothing else is disturbed.
+// callers keep using their connections, settings are reloaded and configurations published.
+// Nothing is disturbed that was not planned.
 type stops struct {
 	*environment
 	balancer *balancer
@@ -72,6 +73,7 @@
 	for k := range keptCallers {
 		callers.Go(func() { s.call(k, done) })
 	}
+	callers.Go(func() { s.change(done) })
 	for range rounds {
 		s.stopEachHost()
 	}
@@ -96,6 +98,19 @@
 	harness.Eventually(s.t, "all hosts are ready again", s.allReady)
 }
 
+// change reloads the settings of a host or publishes a configuration now and then until done is
+// closed.
+func (s *stops) change(done <-chan struct{}) {
+	for !isClosed(done) {
+		time.Sleep(s.between(0, 2*meanFaultInterval))
+		if s.pick(2) == 0 {
+			s.publish()
+		} else {
+			s.anyHost().reload()
+		}
+	}
+}
+
 // checkExchanges checks that each request that reached a target was answered, and that those
 // which were refused did not run.
 func (s *stops) checkExchanges() {
