Refuse queries that a stopping host can't finish

What callers saw: a host that was told to stop took queries whose deadlines lie after its own end. With the defaults it ends 33 s after the signal and takes deadlines of up to 60 s.

Cause: nothing that serves a query knew when the process ends; the stop was a sleep and a context that only the stop itself saw.

Change: drain.Schedule states when a stopping host refuses, answers and ends. The entry gets it at the signal, and again after the announcement, which takes up to 2 s more. A query whose deadline doesn't fit is refused with host_stopping, not_run and a Retry-After of 1 s before it is claimed or sent; its connection closes with the answer, so that the next attempt goes elsewhere. Queries that fit are served as before. A resend under the caller's own id keeps the verdict unknown, as with other refusals: an earlier attempt may have run.

--- a/internal/face/entry/handler.go
+++ b/internal/face/entry/handler.go
@@ -37,6 +37,9 @@
 	if refusal == nil {
 		refusal = s.checkReady()
 	}
+	if refusal == nil {
+		refusal = s.checkStop(q.deadline)
+	}
 	if refusal != nil {
 		return s.refuse(c, q, refusal)
 	}
--- a/internal/face/entry/server.go
+++ b/internal/face/entry/server.go
@@ -13,13 +13,14 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/swiftvane/swiftvane/internal/decision/drain"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/support/listener"
 )
 
-// stoppingRetryAfter is the Retry-After of refusals by a host that is stopping or
-// has no configuration. By then the load balancer has detected that the host is
-// not ready.
+// stoppingRetryAfter is the Retry-After of a host that is stopping or has no
+// configuration. The connection closes with the answer, so that the caller's next
+// attempt goes to another host.
 const stoppingRetryAfter = time.Second
 
 const (
@@ -36,6 +37,8 @@
 	// draining makes every answer close its connection, so that the load balancer
 	// sends later requests to other hosts.
 	draining atomic.Bool
+	// schedule is that of the stop, nil before it.
+	schedule atomic.Pointer[drain.Schedule]
 	// closed makes the server refuse all further queries.
 	closed  atomic.Bool
 	counter counters
@@ -83,8 +86,12 @@
 func (s *Server) Inflight() int64 { return s.inflight.Load() }
 
 // Drain makes the host report not ready and close each connection after its next
-// answer. It continues to serve queries.
-func (s *Server) Drain() { s.draining.Store(true) }
+// answer. It continues to serve queries whose deadlines fit the schedule of the stop and
+// refuses others. A further call replaces the schedule.
+func (s *Server) Drain(schedule *drain.Schedule) {
+	s.schedule.Store(schedule)
+	s.draining.Store(true)
+}
 
 // Shutdown refuses new queries and returns once those in flight are answered or
 // ctx ends.
@@ -116,6 +123,15 @@
 	return s.opts.Ready()
 }
 
+// checkStop refuses a query that this host could not finish before it ends. Another host
+// can.
+func (s *Server) checkStop(deadline time.Time) *verdict.Error {
+	if s.schedule.Load().Fits(deadline) {
+		return nil
+	}
+	return verdict.Refuse(verdict.HostStopping, stoppingRetryAfter, "this host is stopping and ends before the deadline")
+}
+
 // handleError answers requests that the HTTP library rejected before a handler ran.
 func (s *Server) handleError(c *fiber.Ctx, err error) error {
 	refusal := verdict.RefuseField(verdict.BadRequest, wholeRequest, "%s", err)
--- a/internal/face/entry/server_test.go
+++ b/internal/face/entry/server_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/swiftvane/swiftvane/internal/decision/drain"
 	"github.com/swiftvane/swiftvane/internal/domain/config"
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/domain/requestid"
@@ -229,3 +230,21 @@
 	require.Equal(t, verdict.HostStopping, decodeFailure(t, raw).Reason)
 	require.Empty(t, f.executed)
 }
+
+// TestQueryThatOutlastsTheStopIsRefused guards against taking a query that the stop would
+// end although another host can finish it.
+func TestQueryThatOutlastsTheStopIsRefused(t *testing.T) {
+	f := &fakes{}
+	s := newTestServer(f)
+	s.Drain(drain.NewSchedule(time.Now(), time.Second, time.Second))
+	status, retryAfter, raw := post(t, s, `{"workload":"orders","body":1,"deadline_ms":9000}`)
+	require.Equal(t, 503, status)
+	require.Equal(t, "1", retryAfter)
+	require.Equal(t, verdict.HostStopping, decodeFailure(t, raw).Reason)
+	require.Equal(t, verdict.NotRun, decodeFailure(t, raw).Verdict)
+	require.Empty(t, f.executed)
+
+	s.Drain(drain.NewSchedule(time.Now(), time.Minute, time.Minute))
+	status, _, _ = post(t, s, `{"workload":"orders","body":1,"deadline_ms":9000}`)
+	require.Equal(t, 200, status, "its deadline fits")
+}
--- a/internal/wiring/daemon/stop.go
+++ b/internal/wiring/daemon/stop.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/swiftvane/swiftvane/internal/decision/drain"
+	"github.com/swiftvane/swiftvane/internal/support/wait"
 )
 
 // closeTimeout bounds the shutdown of the administration API.
@@ -22,12 +25,13 @@
 // still in flight when the drain limit passed or ctx ended.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.draining.Store(true)
-	d.entry.Drain()
+	d.scheduleStop()
 	d.announce(ctx)
+	schedule := d.scheduleStop()
 	d.telemetry.log.Info("leaving: no longer ready")
-	sleep(ctx, time.Duration(d.settings.Limits.LameDuckMS)*time.Millisecond)
+	wait.For(ctx, time.Until(schedule.RefuseAt))
 
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Limits.DrainMS)*time.Millisecond)
+	ctx, cancel := context.WithDeadline(ctx, schedule.EndAt)
 	defer cancel()
 	err := d.entry.Shutdown(ctx)
 	d.local.Stop(ctx)
@@ -39,6 +43,17 @@
 	return err
 }
 
+// scheduleStop makes the host refuse queries that it can't finish if its lame-duck time
+// begins now, and returns the schedule. Since the time that the announcement takes is not
+// known, it is called before and after it.
+func (d *Daemon) scheduleStop() *drain.Schedule {
+	limits := &d.settings.Limits
+	schedule := drain.NewSchedule(time.Now(),
+		time.Duration(limits.LameDuckMS)*time.Millisecond, time.Duration(limits.DrainMS)*time.Millisecond)
+	d.entry.Drain(schedule)
+	return schedule
+}
+
 // close stops the control loops and closes the administration listener and the
 // links. No request may be in flight.
 func (d *Daemon) close() {
@@ -62,12 +77,3 @@
 		d.telemetry.log.WithError(err).Warn("no other host acknowledged that this host is leaving")
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/samber/lo"
@@ -28,6 +29,8 @@
 	// LameDuckMS is each host's lame-duck time in milliseconds; 0 selects
 	// defaultLameDuckMS.
 	LameDuckMS int
+	// DrainMS is each host's drain limit in milliseconds; 0 leaves the default.
+	DrainMS int
 	// Policy modifies the fleet's default policy; nil leaves it unchanged.
 	Policy func(*config.Policy)
 }
@@ -57,18 +60,27 @@
 	}
 	f.makeHosts(tb, &o)
 	f.Platform = startPlatform(tb, f.HTTP, f.document(tb, o.Policy), f.hostList())
-	lameDuck := lo.CoalesceOrEmpty(o.LameDuckMS, defaultLameDuckMS)
+	limits := o.limits()
 	for _, host := range f.Hosts {
-		host.writeSettings(tb, f, lameDuck, firstStartSettings)
+		host.writeSettings(tb, f, limits, firstStartSettings)
 		host.Restart(tb)
 	}
 	f.AwaitReady(tb)
 	for _, host := range f.Hosts {
-		host.writeSettings(tb, f, lameDuck, "")
+		host.writeSettings(tb, f, limits, "")
 	}
 	return f
 }
 
+// limits returns the lines of the [limits] section that the options set.
+func (o *Options) limits() string {
+	lines := fmt.Sprintf("lame_duck_ms = %d\n", lo.CoalesceOrEmpty(o.LameDuckMS, defaultLameDuckMS))
+	if o.DrainMS > 0 {
+		lines += fmt.Sprintf("drain_ms = %d\n", o.DrainMS)
+	}
+	return lines
+}
+
 func startProxy(tb testing.TB, server string) *faultproxy.Proxy {
 	tb.Helper()
 	proxy, err := faultproxy.Start(server)
--- a/test/harness/host.go
+++ b/test/harness/host.go
@@ -47,8 +47,7 @@
 read_token_file = %q
 write_token_file = %q
 [limits]
-lame_duck_ms = %d
-%s
+%s%s
 `
 
 // firstStartSettings disables the wait for earlier claims. It is valid only for hosts
@@ -109,8 +108,8 @@
 }
 
 // writeSettings writes the host's settings file and the secret files it refers to.
-// extra is appended to the [limits] section.
-func (h *Host) writeSettings(tb testing.TB, f *Fleet, lameDuckMS int, extra string) {
+// limits and extra are the lines of the [limits] section.
+func (h *Host) writeSettings(tb testing.TB, f *Fleet, limits, extra string) {
 	tb.Helper()
 	dir := tb.TempDir()
 	secret := func(name, content string) string {
@@ -127,7 +126,7 @@
 	content := fmt.Sprintf(settingsTemplate, h.ID, h.Region, h.FailureDomain,
 		h.caller, h.admin, h.peer, h.PeerAddr, f.Platform.Addr,
 		secret("peer.key", peerKey), strings.Join(seeds, ", "),
-		secret("read", readToken), secret("write", writeToken), lameDuckMS, extra)
+		secret("read", readToken), secret("write", writeToken), limits, extra)
 	h.settings = filepath.Join(dir, "settings.toml")
 	require.NoError(tb, os.WriteFile(h.settings, []byte(content), 0o600))
 }
