Answer the queries in flight shortly before the drain limit passes

What callers saw: queries in flight when drain_ms passed had no answer of their own. What they got depended on which part of the host closed first: reason cancelled where the pools closed, peer_link_lost, verdict unknown, where the query waited at another, healthy host, or nothing where the process ended sooner. The log named none of them.

Cause: the stop stopped waiting and closed the pools and links under the running queries; no part of it told them to end, so their answers raced with the end of the process.

Change: the contexts of all queries have one parent. One second before the drain limit (a quarter of it, if that is shorter) the stop cancels it with a cause of its own. Executor and claims then end as they do at a deadline: attempts are cancelled at targets and other hosts, and the verdict comes from what each attempt answered. The entry states host_stopping with that verdict; the id of a query that must not repeat is released if it has not run and recorded as unknown otherwise, while the links are still open. A query that has enough results is answered with them. The wait for connections ends half of that second later, so that a connection without a query doesn't take the time of other hosts' sub-requests. Each such query has a log line, up to 50 a second, and each step of the stop has one with the number of queries in flight. Exit code 8 still means that a request was in flight at the drain limit, also if it got its answer. A second signal ends the wait at once, as before.

--- a/internal/face/entry/handler.go
+++ b/internal/face/entry/handler.go
@@ -22,6 +22,7 @@
 	caller     model.CallerID
 	body       *callerapi.Query
 	policy     config.Policy
+	arrived    time.Time
 	deadline   time.Time
 	idempotent bool
 }
@@ -52,14 +53,15 @@
 		return s.refuse(c, q, refusal)
 	}
 
-	ctx, cancel := context.WithDeadline(context.Background(), q.deadline)
+	ctx, cancel := context.WithDeadline(s.work, q.deadline)
 	defer cancel()
+	defer s.noteUnfinished(ctx, q)
 	if !q.idempotent {
 		return s.executeAtMostOnce(ctx, c, q)
 	}
 	answer, failure := s.opts.Executor.Execute(ctx, q.request())
 	if failure != nil {
-		return s.writeError(c, q.id.Value, failure)
+		return s.writeError(c, q.id.Value, stopError(ctx, failure))
 	}
 	return s.writeAnswer(c, q.id.Value, answer)
 }
@@ -76,7 +78,7 @@
 // prepare decodes a query and checks it against the configuration in force. The
 // returned call is never nil, and its id is set if the request could be decoded.
 func (s *Server) prepare(c *fiber.Ctx, arrived time.Time) (*call, *verdict.Error) {
-	q := &call{caller: callerOf(c)}
+	q := &call{caller: callerOf(c), arrived: arrived}
 	body, refusal := Decode(c.Body())
 	if body != nil {
 		q.id = requestid.ID{Value: body.RequestID, Minted: body.RequestID == ""}
--- a/internal/face/entry/once.go
+++ b/internal/face/entry/once.go
@@ -39,10 +39,11 @@
 		return s.writeDuplicate(c, q.id.Value, duplicate)
 	}
 	if err != nil {
-		return s.writeError(c, q.id.Value, toVerdictError(err))
+		return s.writeError(c, q.id.Value, stopError(ctx, toVerdictError(err)))
 	}
 	answer, failure := s.opts.Executor.Execute(ctx, q.request())
 	if failure != nil {
+		failure = stopError(ctx, failure)
 		return s.writeError(c, q.id.Value, claim.Settle(s.opts.Claims, q.id, failure, outcomeOf(q.id)))
 	}
 	body, err := json.Marshal(answerBody(q.id.Value, answer))
--- a/internal/face/entry/server.go
+++ b/internal/face/entry/server.go
@@ -16,6 +16,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/drain"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/support/listener"
+	"github.com/swiftvane/swiftvane/internal/support/logging"
 )
 
 // stoppingRetryAfter is the Retry-After of a host that is stopping or has no
@@ -40,13 +41,20 @@
 	// schedule is that of the stop, nil before it.
 	schedule atomic.Pointer[drain.Schedule]
 	// closed makes the server refuse all further queries.
-	closed  atomic.Bool
-	counter counters
+	closed atomic.Bool
+	// work is the parent of the contexts of all queries; endWork cancels it.
+	work    context.Context
+	endWork context.CancelCauseFunc
+	// unfinished counts the queries that endWork ended, stopLines bounds their log lines.
+	unfinished atomic.Int64
+	stopLines  *logging.Budget
+	counter    counters
 }
 
 // NewServer returns a server; Listen starts it.
 func NewServer(opts Options) *Server {
-	s := &Server{opts: opts, counter: newCounters(opts.Scope)}
+	s := &Server{opts: opts, counter: newCounters(opts.Scope), stopLines: logging.NewBudget(stopLinesPerSecond)}
+	s.work, s.endWork = context.WithCancelCause(context.Background())
 	s.app = fiber.New(fiber.Config{
 		AppName:               "swiftvane",
 		DisableStartupMessage: true,
--- a/internal/face/entry/server_test.go
+++ b/internal/face/entry/server_test.go
@@ -43,11 +43,17 @@
 	recorded   map[string]claim.Outcome
 	released   []string
 	ready      *verdict.Error
+	// running, if set, is told of each execution, which then lasts until its context ends.
+	running chan struct{}
 }
 
-func (f *fakes) Execute(_ context.Context, req *query.Request) (*query.Answer, *verdict.Error) {
+func (f *fakes) Execute(ctx context.Context, req *query.Request) (*query.Answer, *verdict.Error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.running != nil {
+		f.running <- struct{}{}
+		<-ctx.Done()
+	}
 	f.executed = append(f.executed, req)
 	if f.failure != nil {
 		return nil, f.failure
@@ -248,3 +254,23 @@
 	status, _, _ = post(t, s, `{"workload":"orders","body":1,"deadline_ms":9000}`)
 	require.Equal(t, 200, status, "its deadline fits")
 }
+
+// TestUnfinishedQueriesAreAnsweredByStop guards against queries that end without an answer
+// at the drain limit, and against a false verdict about them.
+func TestUnfinishedQueriesAreAnsweredByStop(t *testing.T) {
+	for _, v := range []verdict.Verdict{verdict.NotRun, verdict.Unknown} {
+		f := &fakes{running: make(chan struct{}), failure: &verdict.Error{Verdict: v, Reason: verdict.Cancelled}}
+		s := newTestServer(f)
+		go func() {
+			<-f.running
+			s.AnswerUnfinished()
+		}()
+		_, retryAfter, raw := post(t, s, `{"workload":"orders","body":1,"deadline_ms":9000}`)
+		require.Equal(t, v, decodeFailure(t, raw).Verdict)
+		require.Equal(t, verdict.HostStopping, decodeFailure(t, raw).Reason)
+		require.Equal(t, "1", retryAfter)
+		require.EqualValues(t, 1, s.Unfinished())
+		require.Equal(t, v == verdict.NotRun, len(f.released) == 1, "the id of a query that has not run is free again")
+		require.Equal(t, v == verdict.Unknown, len(f.recorded) == 1)
+	}
+}
--- a/internal/support/settings/settings.go
+++ b/internal/support/settings/settings.go
@@ -65,7 +65,7 @@
 	MaxFanOut          int `toml:"max_fan_out" validate:"min=1,max=100000" allowed:"1 to 100000" doc:"Shards that one query may ask; a wider one is refused."`
 	DeadlineMaxMS      int `toml:"deadline_max_ms" validate:"min=1,max=600000" allowed:"1 to 600000 ms" doc:"Longest deadline that a caller may name; policy may allow less."`
 	LameDuckMS         int `toml:"lame_duck_ms" validate:"min=0,max=600000" allowed:"0 to 600000 ms" doc:"Time between reporting not ready and refusing new queries, for the balancer to notice."`
-	DrainMS            int `toml:"drain_ms" validate:"min=1,max=3600000" allowed:"1 to 3600000 ms" doc:"Longest wait for requests in flight after that."`
+	DrainMS            int `toml:"drain_ms" validate:"min=1,max=3600000" allowed:"1 to 3600000 ms" doc:"Longest wait for requests in flight after that; one second before its end, or a quarter of it if that is shorter, they are answered with host_stopping."`
 	ClaimHistoryWaitMS int `toml:"claim_history_wait_ms" validate:"min=0,max=86400000" allowed:"0 to 86400000 ms; 0 only for the first start of a fleet" doc:"How long a host that finds no other with a complete history of host lists refuses requests that must not repeat: until no forgotten claim can be open any more."`
 	ClaimEntries       int `toml:"claim_entries" validate:"min=1024,max=100000000" allowed:"1024 to 100000000" doc:"Request ids that this host remembers as a witness; new ones are refused at the bound."`
 }
--- a/internal/wiring/daemon/stop.go
+++ b/internal/wiring/daemon/stop.go
@@ -21,28 +21,51 @@
 // that other hosts take over its targets, and keeps serving for the lame-duck
 // time, during which load balancers detect that it is not ready. Then it refuses
 // new queries, waits for those in flight, its own first and then sub-requests
-// from other hosts, and closes its links. It returns an error if requests were
-// still in flight when the drain limit passed or ctx ended.
+// from other hosts, and closes its links. Shortly before the drain limit passes, it
+// answers the queries that are still in flight. It returns an error if there were
+// any, or if ctx ended before.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.draining.Store(true)
 	d.scheduleStop()
 	d.announce(ctx)
 	schedule := d.scheduleStop()
-	d.telemetry.log.Info("leaving: no longer ready")
+	d.logStep("leaving: no longer ready")
 	wait.For(ctx, time.Until(schedule.RefuseAt))
+	d.logStep("refusing new queries")
 
 	ctx, cancel := context.WithDeadline(ctx, schedule.EndAt)
 	defer cancel()
-	err := d.entry.Shutdown(ctx)
+	err := d.stopEntry(ctx, schedule)
 	d.local.Stop(ctx)
-	if inflight := d.entry.Inflight(); inflight > 0 {
-		err = eris.Errorf("%d queries were aborted: the drain limit passed or a second signal arrived", inflight)
+	if unfinished := d.entry.Unfinished() + d.entry.Inflight(); unfinished > 0 {
+		err = eris.Errorf("%d queries were not finished when the drain limit passed or a second signal arrived", unfinished)
 	}
 	d.close()
-	d.telemetry.log.Info("stopped")
+	d.logStep("stopped")
 	return err
 }
 
+// stopEntry waits for the queries in flight, and answers those that are left when the
+// schedule says so or ctx ends. It returns once their connections are closed, at the
+// latest at the schedule's ReleaseAt.
+func (d *Daemon) stopEntry(ctx context.Context, schedule *drain.Schedule) error {
+	ctx, cancel := context.WithDeadline(ctx, schedule.ReleaseAt)
+	defer cancel()
+	answering, done := context.WithDeadline(ctx, schedule.AnswerAt)
+	defer done()
+	idle := context.AfterFunc(answering, func() {
+		d.logStep("answering queries before their end")
+		d.entry.AnswerUnfinished()
+	})
+	defer idle()
+	return d.entry.Shutdown(ctx)
+}
+
+// logStep logs one step of the stop.
+func (d *Daemon) logStep(step string) {
+	d.telemetry.log.WithField("queries_in_flight", d.entry.Inflight()).Info(step)
+}
+
 // scheduleStop makes the host refuse queries that it can't finish if its lame-duck time
 // begins now, and returns the schedule. Since the time that the announcement takes is not
 // known, it is called before and after it.
--- a/test/integration/stopearly_test.go
+++ b/test/integration/stopearly_test.go
@@ -3,15 +3,20 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/face/callerapi"
+	"github.com/swiftvane/swiftvane/internal/face/callerclient"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/internal/standin/target"
+	"github.com/swiftvane/swiftvane/internal/support/exitcode"
 	"github.com/swiftvane/swiftvane/test/harness"
 )
 
@@ -19,6 +24,9 @@
 	// stopDrainMS and longDeadlineMS make a stopping host end before the deadlines.
 	stopDrainMS    = 2000
 	longDeadlineMS = 9000
+	// slowRun is longer than the deadlines.
+	slowRun     = 30 * time.Second
+	slowQueries = 12
 )
 
 // startStopFleet starts two hosts and waits until the first one serves queries that must
@@ -36,7 +44,7 @@
 // started returns how many runs the targets have started.
 func started(t *testing.T, f *harness.Fleet) int {
 	t.Helper()
-	return lo.SumBy(f.Targets, func(target *harness.Target) int { return target.Runs(t, "*").Started })
+	return lo.SumBy(f.Targets, func(of *harness.Target) int { return of.Runs(t, "*").Started })
 }
 
 // TestStoppingHostRefusesQueriesThatItCannotFinish guards against queries that a stopping
@@ -61,3 +69,40 @@
 	require.Positive(t, refusal.RetryAfterMS)
 	require.Equal(t, before, started(t, f), "no target gets the query")
 }
+
+// askSlowly makes the targets take longer than any deadline, sends queries to the first
+// host and waits until targets run some of them.
+func askSlowly(t *testing.T, f *harness.Fleet) <-chan error {
+	t.Helper()
+	for _, slow := range f.Targets {
+		slow.SetFaults(t, target.Faults{LatencyMedianUS: int(slowRun.Microseconds())})
+	}
+	before := started(t, f)
+	client := &callerclient.Client{URLs: []string{f.Hosts[0].URL()}, Caller: "slow", HTTP: f.HTTP}
+	failures := make(chan error, slowQueries)
+	for n := range slowQueries {
+		go func() {
+			_, err := client.Ask(t.Context(), callerapi.Query{
+				Workload: f.Shape.Workload, Body: harness.Body(n), DeadlineMS: lo.ToPtr[int64](longDeadlineMS),
+			})
+			failures <- err
+		}()
+	}
+	harness.Eventually(t, "targets run queries", func() bool { return started(t, f) >= before+slowQueries/2 })
+	return failures
+}
+
+// TestStopAnswersQueriesInFlightAtDrainLimit guards against queries that end without an
+// answer, or with an accidental one, when the drain limit passes.
+func TestStopAnswersQueriesInFlightAtDrainLimit(t *testing.T) {
+	f := startStopFleet(t)
+	failures := askSlowly(t, f)
+	f.Hosts[0].Terminate(t)
+	for range slowQueries {
+		failure, ok := errors.AsType[*verdict.Error](<-failures)
+		require.True(t, ok)
+		require.Equal(t, verdict.HostStopping, failure.Reason, failure.Message)
+		require.Equal(t, verdict.Unknown, failure.Verdict)
+	}
+	require.Equal(t, int(exitcode.Forced), f.Hosts[0].ExitCode(t))
+}
