Answer other hosts' sub-requests before a stopping host ends

What callers saw: a query at a healthy host failed with reason cancelled, verdict unknown, when another host, which ran its sub-request, reached its drain limit. It failed also if it could be repeated and had time left: cancelled is not retried. The stopping host ended with exit code 0 although the docs say that it then cut no request.

Cause: Local.Stop closed the pools under the running exchanges, which then count as cancelled by the asker, and refused the queue as not_owner, which counts against the target. The asking host learned of it at once, by the reply or by the loss of the link; it did not wait for its deadline. Nothing counted these sub-requests, and the host took new ones up to the end.

Change: at the schedule's ReleaseAt, half a second before the drain limit, Local answers what is left with host_stopping: not_run from the queue, which goes to the standby, unknown from a running exchange, which is retried on another replica if it may be repeated. The handler of other hosts' sub-requests gets the schedule too and refuses those whose deadlines don't fit; their senders route them to the standby. A second signal answers them without the wait.

--- a/internal/targets/dispatch/causes.go
+++ b/internal/targets/dispatch/causes.go
@@ -17,6 +17,8 @@
 	errStalled = errors.New("dispatch: the target does not answer")
 	// errAllCancelled means that every sub-request of the exchange was cancelled.
 	errAllCancelled = errors.New("dispatch: the exchange was cancelled")
+	// errStopping means that this host ended before the exchange.
+	errStopping = errors.New("dispatch: this host is stopping")
 	// errNoControlConn means that the quota leaves no connection for probes.
 	errNoControlConn = errors.New("dispatch: the connection quota leaves none for probes")
 	// errRefused means that a connection attempt failed, for any reason, before its
@@ -38,6 +40,8 @@
 		return verdict.TargetSilent
 	case errors.Is(cause, context.DeadlineExceeded):
 		return verdict.DeadlinePassed
+	case errors.Is(cause, errStopping):
+		return verdict.HostStopping
 	default:
 		return verdict.Cancelled
 	}
--- a/internal/targets/dispatch/connection_test.go
+++ b/internal/targets/dispatch/connection_test.go
@@ -285,3 +285,30 @@
 		require.ErrorIs(t, err, errQuota)
 	})
 }
+
+// TestUnfinishedSubrequestsAreAnsweredByStop guards against reasons that keep the asking
+// host from trying another replica, and against targets that go on with the work.
+func TestUnfinishedSubrequestsAreAnsweredByStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := newFakeTargets()
+		targets.serve = blockUntilDone
+		l := newTestLocal(newViews(ownView("h0", 1, 2, 25)), targets)
+		l.Start()
+		got := make(chan *subquery.Answer, 3)
+		for range 3 {
+			l.Submit(subrequest("t0", "s", time.Minute), func(a *subquery.Answer) { got <- a })
+		}
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		l.Stop(ctx)
+		verdicts := map[verdict.Verdict]int{}
+		for range 3 {
+			a := <-got
+			require.Equal(t, verdict.HostStopping, a.Reason)
+			verdicts[a.Verdict]++
+		}
+		require.Equal(t, map[verdict.Verdict]int{verdict.NotRun: 1, verdict.Unknown: 2}, verdicts)
+		require.Len(t, targets.cancelled, 2)
+	})
+}
--- a/internal/targets/dispatch/guard.go
+++ b/internal/targets/dispatch/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -59,6 +60,16 @@
 	g.mu.Unlock()
 }
 
+// running returns the items of the running exchange.
+func (g *exchangeGuard) running() []*item {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.active {
+		return nil
+	}
+	return slices.Clone(g.items)
+}
+
 // stop stops the timer when the worker exits.
 func (g *exchangeGuard) stop() { g.end() }
 
--- a/internal/targets/dispatch/local.go
+++ b/internal/targets/dispatch/local.go
@@ -64,6 +64,8 @@
 	reconciled *view.View
 	stopping   atomic.Bool
 	stopOnce   sync.Once
+	// unfinished counts the sub-requests that Stop answered before their end.
+	unfinished atomic.Int64
 	nextID     atomic.Uint64
 	stop       chan struct{}
 	goroutines sync.WaitGroup
@@ -83,12 +85,14 @@
 }
 
 // Stop refuses new sub-requests, waits until the accepted ones are finished or ctx
-// is done, and closes all connections. Further calls do nothing.
+// is done, and closes all connections. Those that are not finished are answered with
+// HostStopping and a verdict that says whether they may have run. Further calls do nothing.
 func (l *Local) Stop(ctx context.Context) { l.stopOnce.Do(func() { l.shutdown(ctx) }) }
 
 func (l *Local) shutdown(ctx context.Context) {
 	l.stopping.Store(true)
 	l.drain(ctx)
+	l.answerUnfinished(ctx)
 	close(l.stop)
 	l.poolsMu.Lock()
 	for _, p := range *l.pools.Load() {
@@ -119,14 +123,7 @@
 const drainPoll = 5 * time.Millisecond
 
 func (l *Local) empty() bool {
-	l.poolsMu.Lock()
-	defer l.poolsMu.Unlock()
-	for _, p := range *l.pools.Load() {
-		if !p.empty() {
-			return false
-		}
-	}
-	return !slices.ContainsFunc(l.retiring, func(p *pool) bool { return !p.empty() })
+	return !slices.ContainsFunc(l.allPools(), func(p *pool) bool { return !p.empty() })
 }
 
 // Submit implements subquery.Dispatcher.
--- a/internal/targets/dispatch/pool.go
+++ b/internal/targets/dispatch/pool.go
@@ -23,7 +23,7 @@
 	workers      []*worker
 	ctl          *controlConn
 	ctx          context.Context
-	stop         context.CancelFunc
+	stop         context.CancelCauseFunc
 	wake         chan struct{}
 
 	mu    sync.Mutex
@@ -65,7 +65,7 @@
 }
 
 func newPool(l *Local, t *model.Target, quota int, owner bool) *pool {
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, stop := context.WithCancelCause(context.Background())
 	p := &pool{l: l, target: t, owner: owner, quota: quota, ctx: ctx, stop: stop, lastBusy: time.Now()}
 	p.slots = max(1, min(t.Slots, quota-1))
 	p.wake = make(chan struct{}, p.slots)
@@ -126,8 +126,13 @@
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
+	if p.l.stopping.Load() {
+		p.refuseQueue(verdict.HostStopping, 0)
+		p.stop(errStopping)
+		return
+	}
 	p.refuseQueue(verdict.NotOwner, 0)
-	p.stop()
+	p.stop(nil)
 }
 
 func (p *pool) log() logrus.FieldLogger {
--- a/internal/targets/dispatch/queue.go
+++ b/internal/targets/dispatch/queue.go
@@ -47,8 +47,8 @@
 	p.finishAll(expired, notRunAnswer(verdict.DeadlinePassed, 0))
 }
 
-// refuseQueue refuses all queued items.
-func (p *pool) refuseQueue(r verdict.Reason, retryAfter time.Duration) {
+// refuseQueue refuses all queued items and returns how many there were.
+func (p *pool) refuseQueue(r verdict.Reason, retryAfter time.Duration) int {
 	p.mu.Lock()
 	var refused []*item
 	for _, it := range p.queue {
@@ -61,6 +61,7 @@
 	p.waiting = 0
 	p.mu.Unlock()
 	p.finishAll(refused, notRunAnswer(r, retryAfter))
+	return len(refused)
 }
 
 // finishAll finishes each item with a copy of the answer and counts it as refused.
--- a/internal/targets/dispatch/receiver.go
+++ b/internal/targets/dispatch/receiver.go
@@ -3,29 +3,48 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/swiftvane/swiftvane/internal/decision/drain"
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
 
+// Receiver runs sub-requests from other hosts on this host's targets.
+type Receiver struct {
+	local subquery.Dispatcher
+	// schedule is that of the stop, nil before it.
+	schedule atomic.Pointer[drain.Schedule]
+}
+
 // RegisterHandler registers the handler that runs sub-requests from other hosts on
-// local.
-func RegisterHandler(registrar peer.Registrar, local subquery.Dispatcher) {
-	registrar.Handle(peer.KindSubquery, func(in *peer.Inbound) { receive(in, local) })
+// local, and returns it.
+func RegisterHandler(registrar peer.Registrar, local subquery.Dispatcher) *Receiver {
+	r := &Receiver{local: local}
+	registrar.Handle(peer.KindSubquery, r.receive)
+	return r
 }
 
-func receive(in *peer.Inbound, local subquery.Dispatcher) {
+// Drain refuses sub-requests whose deadlines don't fit the schedule of the stop; their
+// senders route them to the standby. A further call replaces the schedule.
+func (r *Receiver) Drain(schedule *drain.Schedule) { r.schedule.Store(schedule) }
+
+func (r *Receiver) receive(in *peer.Inbound) {
 	req := &subquery.Request{}
 	if err := cbor.Unmarshal(in.Payload, req); err != nil || req.Target == "" {
 		in.Reply(verdict.Refuse(verdict.BadRequest, 0, "the sub-request can't be decoded"))
 		return
 	}
+	if !r.schedule.Load().Fits(in.Deadline) {
+		in.Reply(notRunAnswer(verdict.HostStopping, 0))
+		return
+	}
 	req.Deadline = in.Deadline
 	w := &received{in: in}
-	cancel := local.Submit(req, w.answer)
+	cancel := r.local.Submit(req, w.answer)
 	w.cancelOnSenderDone(cancel)
 }
 
--- a/internal/targets/dispatch/remote_test.go
+++ b/internal/targets/dispatch/remote_test.go
@@ -8,10 +8,12 @@
 
 	"github.com/swiftvane/swiftvane/internal/support/cputime"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/swiftvane/swiftvane/internal/decision/drain"
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
@@ -124,3 +126,23 @@
 		})
 	}
 }
+
+// TestStoppingOwnerRefusesSubrequestsThatItCannotFinish guards against taking a sub-request
+// that the stop ends although the standby can finish it.
+func TestStoppingOwnerRefusesSubrequestsThatItCannotFinish(t *testing.T) {
+	local := newTestLocal(newViews(ownView("h1", 1, 2, 25)), newFakeTargets())
+	local.Start()
+	defer stopLocal(local)
+	r := &Receiver{local: local}
+	now := time.Now()
+	r.Drain(drain.NewSchedule(now, time.Minute, time.Minute))
+	for deadline, reason := range map[time.Duration]verdict.Reason{time.Hour: verdict.HostStopping, time.Minute: ""} {
+		payload, err := cbor.Marshal(subrequest("t0", "s", 0))
+		require.NoError(t, err)
+		replies := make(chan any, 1)
+		r.receive(&peer.Inbound{Ctx: t.Context(), Deadline: now.Add(deadline), Payload: payload, Reply: func(v any) { replies <- v }})
+		a := (<-replies).(*subquery.Answer)
+		require.Equal(t, reason, a.Reason)
+		require.Equal(t, reason == "", a.Verdict == verdict.Ran)
+	}
+}
--- a/internal/wiring/daemon/daemon.go
+++ b/internal/wiring/daemon/daemon.go
@@ -35,6 +35,7 @@
 	claims      *claim.Service
 	quarantine  *quarantine.Service
 	local       *dispatch.Local
+	receiver    *dispatch.Receiver
 	entry       *entry.Server
 	admin       *admin.Server
 	readiness   *readiness
@@ -75,6 +76,7 @@
 	d.claims = do.MustInvoke[*claim.Service](injector)
 	d.quarantine = do.MustInvoke[*quarantine.Service](injector)
 	d.local = do.MustInvoke[*dispatch.Local](injector)
+	d.receiver = do.MustInvoke[*dispatch.Receiver](injector)
 	d.admin = admin.New(d.adminOptions())
 	return d, nil
 }
--- a/internal/wiring/daemon/providers.go
+++ b/internal/wiring/daemon/providers.go
@@ -48,6 +48,8 @@
 	do.Provide(injector, provideFleet)
 	do.Provide(injector, provideQuarantine)
 	do.Provide(injector, provideLocal)
+	do.Provide(injector, provideGuard)
+	do.Provide(injector, provideReceiver)
 	do.Provide(injector, provideExecutor)
 	do.Provide(injector, provideClaims)
 	do.Provide(injector, provideEntry)
@@ -128,15 +130,21 @@
 	}), nil
 }
 
-// provideExecutor places the quarantine guard in front of this host's targets,
-// for its own queries as well as for sub-requests from other hosts.
+// provideGuard places the quarantine guard in front of this host's targets, for its
+// own queries as well as for sub-requests from other hosts.
+func provideGuard(i do.Injector) (*quarantine.Guard, error) {
+	return quarantine.NewGuard(do.MustInvoke[*quarantine.Service](i), do.MustInvoke[*dispatch.Local](i)), nil
+}
+
+func provideReceiver(i do.Injector) (*dispatch.Receiver, error) {
+	return dispatch.RegisterHandler(do.MustInvoke[*peer.Mesh](i), do.MustInvoke[*quarantine.Guard](i)), nil
+}
+
 func provideExecutor(i do.Injector) (*query.Executor, error) {
 	in, mesh, views := do.MustInvoke[*instruments](i), do.MustInvoke[*peer.Mesh](i), do.MustInvoke[*fleet.Fleet](i)
-	guard := quarantine.NewGuard(do.MustInvoke[*quarantine.Service](i), do.MustInvoke[*dispatch.Local](i))
-	dispatch.RegisterHandler(mesh, guard)
 	router := dispatch.NewRouter(dispatch.RouterOptions{
 		Views:  views,
-		Local:  guard,
+		Local:  do.MustInvoke[*quarantine.Guard](i),
 		Remote: dispatch.NewRemote(mesh),
 		Scope:  in.scope.SubScope("router"),
 	})
--- a/internal/wiring/daemon/stop.go
+++ b/internal/wiring/daemon/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/drain"
 	"github.com/swiftvane/swiftvane/internal/support/wait"
@@ -22,8 +23,8 @@
 // time, during which load balancers detect that it is not ready. Then it refuses
 // new queries, waits for those in flight, its own first and then sub-requests
 // from other hosts, and closes its links. Shortly before the drain limit passes, it
-// answers the queries that are still in flight. It returns an error if there were
-// any, or if ctx ended before.
+// answers the queries and sub-requests that are still in flight. It returns an error if
+// there were any, or if ctx ended before.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.draining.Store(true)
 	d.scheduleStop()
@@ -33,24 +34,33 @@
 	wait.For(ctx, time.Until(schedule.RefuseAt))
 	d.logStep("refusing new queries")
 
-	ctx, cancel := context.WithDeadline(ctx, schedule.EndAt)
+	ctx, cancel := context.WithDeadline(ctx, schedule.ReleaseAt)
 	defer cancel()
 	err := d.stopEntry(ctx, schedule)
+	d.logStep("finishing sub-requests of other hosts")
 	d.local.Stop(ctx)
-	if unfinished := d.entry.Unfinished() + d.entry.Inflight(); unfinished > 0 {
-		err = eris.Errorf("%d queries were not finished when the drain limit passed or a second signal arrived", unfinished)
+	if unfinished := d.unfinished(); unfinished != nil {
+		err = unfinished
 	}
 	d.close()
 	d.logStep("stopped")
 	return err
 }
 
+// unfinished returns an error if queries or sub-requests of other hosts were not finished.
+func (d *Daemon) unfinished() error {
+	queries := d.entry.Unfinished() + d.entry.Inflight()
+	subrequests := d.local.Unfinished()
+	if queries == 0 && subrequests == 0 {
+		return nil
+	}
+	return eris.Errorf("%d queries and %d sub-requests of other hosts were not finished when the drain limit passed or a second signal arrived",
+		queries, subrequests)
+}
+
 // stopEntry waits for the queries in flight, and answers those that are left when the
-// schedule says so or ctx ends. It returns once their connections are closed, at the
-// latest at the schedule's ReleaseAt.
+// schedule says so or ctx ends. It returns once their connections are closed or ctx has ended.
 func (d *Daemon) stopEntry(ctx context.Context, schedule *drain.Schedule) error {
-	ctx, cancel := context.WithDeadline(ctx, schedule.ReleaseAt)
-	defer cancel()
 	answering, done := context.WithDeadline(ctx, schedule.AnswerAt)
 	defer done()
 	idle := context.AfterFunc(answering, func() {
@@ -61,9 +71,13 @@
 	return d.entry.Shutdown(ctx)
 }
 
-// logStep logs one step of the stop.
+// logStep logs one step of the stop. The sub-requests are those of this host's queries and
+// of other hosts.
 func (d *Daemon) logStep(step string) {
-	d.telemetry.log.WithField("queries_in_flight", d.entry.Inflight()).Info(step)
+	d.telemetry.log.WithFields(logrus.Fields{
+		"queries_in_flight":     d.entry.Inflight(),
+		"subrequests_in_flight": d.local.Inflight(),
+	}).Info(step)
 }
 
 // scheduleStop makes the host refuse queries that it can't finish if its lame-duck time
@@ -74,6 +88,7 @@
 	schedule := drain.NewSchedule(time.Now(),
 		time.Duration(limits.LameDuckMS)*time.Millisecond, time.Duration(limits.DrainMS)*time.Millisecond)
 	d.entry.Drain(schedule)
+	d.receiver.Drain(schedule)
 	return schedule
 }
 
