Send queued replies and messages before the links between hosts close

What callers saw: a host that ended right after it had answered another host's sub-request, or recorded the outcome of a request that must not repeat, could lose both. The asker took the loss of the link for the answer, peer_link_lost with verdict unknown, also where the answer was not_run; a resend of the id found no outcome.

Cause: the end of the mesh's context closed the connections at once, with whatever their writers had not sent yet.

Change: the end of the context tells the writer to send what is queued, for at most 200 ms, and then to close. Calls are left out: their replies could not arrive, and their verdict stays not_run. An accepted connection is closed at once only during its handshake.

--- a/internal/hosts/peer/dial.go
+++ b/internal/hosts/peer/dial.go
@@ -70,7 +70,7 @@
 // runLink runs the reader in the calling goroutine, and the writer and watch in
 // two more. It returns when all three have returned.
 func runLink(ctx context.Context, l *link, visit func(*envelope), watch func()) {
-	stop := context.AfterFunc(ctx, l.close)
+	stop := context.AfterFunc(ctx, l.finish)
 	defer stop()
 	var wg sync.WaitGroup
 	wg.Go(func() {
--- a/internal/hosts/peer/link.go
+++ b/internal/hosts/peer/link.go
@@ -30,10 +30,16 @@
 	pingedAt  atomic.Int64
 	closeOnce sync.Once
 	closed    chan struct{}
+	// finishing is closed by finish. finished is set by the writer once it has seen that.
+	finishing chan struct{}
+	finished  bool
 }
 
+// lastWriteTime bounds the writing of what is queued when the mesh closes.
+const lastWriteTime = 200 * time.Millisecond
+
 func newLink(conn *websocket.Conn, opts *Options, c *counters, out *outbox) *link {
-	l := &link{conn: conn, opts: opts, counters: c, outbox: out, closed: make(chan struct{})}
+	l := &link{conn: conn, opts: opts, counters: c, outbox: out, closed: make(chan struct{}), finishing: make(chan struct{})}
 	l.lastReceived.Store(time.Now().UnixNano())
 	conn.SetReadLimit(int64(opts.MaxFrameBytes))
 	return l
@@ -47,6 +53,13 @@
 	})
 }
 
+// finish makes the writer send the queued replies and messages and close the link. It is
+// called once and does not block.
+func (l *link) finish() {
+	close(l.finishing)
+	time.AfterFunc(lastWriteTime, l.close)
+}
+
 // read decodes frames and calls visit for each envelope until the link fails.
 func (l *link) read(visit func(*envelope)) error {
 	var scratch bytes.Buffer
@@ -82,13 +95,16 @@
 const maxKeptBufferBytes = 256 << 10
 
 // write sends the messages of the outbox, batched into frames, until the link is
-// closed or a write fails.
+// closed or a write fails. After finish it sends what is queued and returns.
 func (l *link) write() error {
 	var frame bytes.Buffer
 	for {
 		select {
 		case <-l.closed:
 			return nil
+		case <-l.finishing:
+			l.finished = true
+			return l.flush(&frame)
 		case <-l.outbox.wake:
 		}
 		// Let goroutines that are ready to run add their messages to this batch.
@@ -102,7 +118,8 @@
 	}
 }
 
-// flush writes all queued messages, in frames of about DefaultFlushBytes.
+// flush writes all queued messages, in frames of about DefaultFlushBytes. After finish it
+// leaves calls out: their replies could not arrive any more, so they must not run.
 func (l *link) flush(frame *bytes.Buffer) error {
 	batch := l.outbox.take()
 	frame.Reset()
@@ -110,7 +127,7 @@
 	messages := 0
 	for i := range batch {
 		m := &batch[i]
-		if l.prepare != nil && !l.prepare(m, now) {
+		if l.finished && m.call != nil || l.prepare != nil && !l.prepare(m, now) {
 			continue
 		}
 		m.envelope.LeftMicros = leftMicros(m.deadline, now)
--- a/internal/hosts/peer/mesh.go
+++ b/internal/hosts/peer/mesh.go
@@ -98,7 +98,8 @@
 	return m.listener.Addr().String()
 }
 
-// Close closes the listener and all links and waits for their goroutines. Pending
+// Close closes the listener and all links and waits for their goroutines. Replies and
+// one-way messages that are queued are sent before, for at most lastWriteTime. Pending
 // calls end with an error.
 func (m *Mesh) Close() error {
 	m.mu.Lock()
@@ -184,8 +185,8 @@
 
 func (m *Mesh) serveAccepted(ctx context.Context, conn *websocket.Conn) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
 	from, cause, err := acceptHandshake(conn, m.opts.Self, m.opts.Keys, time.Now().Add(m.opts.DialTimeout))
+	stop()
 	if err != nil {
 		m.counters.handshakeRefused(cause)
 		m.opts.Log.WithError(err).WithField("remote", conn.RemoteAddr().String()).Warn("peer handshake refused")
