--- a/test/integration/stopearly_test.go
+++ b/test/integration/stopearly_test.go
@@ -30,10 +30,10 @@
 )
 
 // startStopFleet starts two hosts and waits until the first one serves queries that must
-// not be repeated.
-func startStopFleet(t *testing.T) *harness.Fleet {
+// not be repeated. A drainMS of 0 selects the default drain limit.
+func startStopFleet(t *testing.T, drainMS int) *harness.Fleet {
 	t.Helper()
-	f := harness.Start(t, harness.Options{Shape: fixture.AuditArchive(), Hosts: 2, DrainMS: stopDrainMS})
+	f := harness.Start(t, harness.Options{Shape: fixture.AuditArchive(), Hosts: 2, DrainMS: drainMS})
 	harness.Eventually(t, "the host can claim request ids", func() bool {
 		_, err := f.Hosts[0].Ask(t, f.Shape.Workload, harness.Body(0))
 		return err == nil
@@ -50,7 +50,7 @@
 // TestStoppingHostRefusesQueriesThatItCannotFinish guards against queries that a stopping
 // host takes in its lame-duck time although their deadlines lie after its end.
 func TestStoppingHostRefusesQueriesThatItCannotFinish(t *testing.T) {
-	f := startStopFleet(t)
+	f := startStopFleet(t, stopDrainMS)
 	host := f.Hosts[0]
 	before := started(t, f)
 	host.Terminate(t)
@@ -95,7 +95,7 @@
 // TestStopAnswersQueriesInFlightAtDrainLimit guards against queries that end without an
 // answer, or with an accidental one, when the drain limit passes.
 func TestStopAnswersQueriesInFlightAtDrainLimit(t *testing.T) {
-	f := startStopFleet(t)
+	f := startStopFleet(t, stopDrainMS)
 	failures := askSlowly(t, f)
 	f.Hosts[0].Terminate(t)
 	for range slowQueries {
@@ -110,7 +110,7 @@
 // TestStopAnswersOtherHostsSubrequests guards against reasons that keep the asking host
 // from trying another replica, and against exit code 0 of a host that cut sub-requests.
 func TestStopAnswersOtherHostsSubrequests(t *testing.T) {
-	f := startStopFleet(t)
+	f := startStopFleet(t, stopDrainMS)
 	failures := askSlowly(t, f)
 	f.Hosts[1].Terminate(t)
 	reasons := map[verdict.Reason]int{}
@@ -123,3 +123,15 @@
 	require.Zero(t, reasons[verdict.Cancelled]+reasons[verdict.PeerLinkLost], reasons)
 	require.Equal(t, int(exitcode.Forced), f.Hosts[1].ExitCode(t))
 }
+
+// TestSecondSignalEndsStopAtOnce guards against a stop that a second signal doesn't end. The
+// default drain limit is longer than the queries, so that a stop of its own ends with 0.
+func TestSecondSignalEndsStopAtOnce(t *testing.T) {
+	f := startStopFleet(t, 0)
+	askSlowly(t, f)
+	host := f.Hosts[0]
+	host.Terminate(t)
+	harness.Eventually(t, "the host isn't ready", func() bool { return !host.Ready() })
+	host.Terminate(t)
+	require.Equal(t, int(exitcode.Forced), host.ExitCode(t))
+}
