--- a/internal/querypath/relay/stopping.go
+++ b/internal/querypath/relay/stopping.go
@@ -34,6 +34,9 @@
 	if !route.Idempotent {
 		return true
 	}
-	slow, _ := e.statsByRoute.of(route).times.Quantile(outlastQuantile, now)
-	return end.Sub(now) < outlastFactor*max(slow, route.Objective)
+	slow, known := e.statsByRoute.of(route).times.Quantile(outlastQuantile, now)
+	if !known {
+		slow = route.Objective
+	}
+	return end.Sub(now) < outlastFactor*slow
 }
--- a/internal/querypath/relay/stopping_test.go
+++ b/internal/querypath/relay/stopping_test.go
@@ -39,6 +39,8 @@
 	}
 	require.False(t, outlasts(read, 0, 3*time.Second), "it fits by the times of its route")
 	require.True(t, outlasts(read, 0, 1900*time.Millisecond))
+	read.Objective = time.Minute
+	require.False(t, outlasts(read, 0, 3*time.Second), "its objective says less than the times of its route")
 	require.True(t, outlasts(order, 0, 3*time.Second), "its caller could not send it again")
 	require.False(t, outlasts(order, 2*time.Second, 3*time.Second), "its time limit fits")
 }
