Deliver replies that have arrived when a request is withdrawn or times out

Cause: a run waits for outcomes, its timer and the caller's end in one select, which chooses at random among those that are ready. The process was late, not the reply.

Change: a run that ends looks for outcomes that have arrived, and sends no more attempts for them.

--- a/internal/hosts/gatherlink/passage.go
+++ b/internal/hosts/gatherlink/passage.go
@@ -157,14 +157,35 @@
 				timer.Reset(readGrace)
 				continue
 			}
+			if answer := a.readyAnswer(); answer != nil {
+				return answer
+			}
 			return a.timedOut()
 		case <-a.gone:
+			if answer := a.readyAnswer(); answer != nil {
+				return answer
+			}
 			a.link.withdraw(a.id)
 			return &exchange.Answer{Status: 499, Reason: exchange.CallerLeft, CloseConnection: true}
 		}
 	}
 }
 
+// readyAnswer returns the gatherer's answer if it has already arrived, otherwise nil.
+func (a *attempt) readyAnswer() *exchange.Answer {
+	for {
+		select {
+		case o := <-a.outcomes:
+			if o.kind == kindAnswer {
+				answer, _ := a.outcome(o)
+				return answer
+			}
+		default:
+			return nil
+		}
+	}
+}
+
 // outcome processes a frame of the gatherer and reports whether the attempt has ended,
 // with an answer or, if another gatherer has to be asked, with nil.
 func (a *attempt) outcome(o outcome) (*exchange.Answer, bool) {
--- a/internal/querypath/relay/retry.go
+++ b/internal/querypath/relay/retry.go
@@ -13,6 +13,9 @@
 // takes nothing from the budget if no attempt has reached a target yet and none is
 // pending.
 func (r *run) retry(l *leg, ev event, now time.Time) bool {
+	if r.ended {
+		return false
+	}
 	to := r.retryTarget(l, ev, now)
 	if to.pool == nil {
 		return false
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -41,6 +41,8 @@
 	times         schedule
 	// events receives the outcomes of all attempts.
 	events chan event
+	// ended is set once no more attempts are sent.
+	ended bool
 	// heldBytes is the size of the replies that the run keeps.
 	heldBytes int
 	// limited is set if the gate limits the run's group, and result is how the run ended.
--- a/internal/querypath/relay/single.go
+++ b/internal/querypath/relay/single.go
@@ -92,12 +92,28 @@
 		case <-timer.C:
 			now := time.Now()
 			if !now.Before(s.times.final) {
-				return &exchange.Answer{Status: 504, Reason: exchange.TimedOut}
+				return s.readyOr(&exchange.Answer{Status: 504, Reason: exchange.TimedOut})
 			}
 			s.hedge(now)
 			timer.Reset(max(s.nextWakeup().Sub(now), time.Millisecond))
 		case <-s.callerGone:
-			return &exchange.Answer{Status: 499, Reason: exchange.CallerLeft, CloseConnection: true}
+			return s.readyOr(&exchange.Answer{Status: 499, Reason: exchange.CallerLeft, CloseConnection: true})
+		}
+	}
+}
+
+// readyOr ends the run. It returns the answer that outcomes which have already arrived provide,
+// otherwise the given one.
+func (s *single) readyOr(otherwise *exchange.Answer) *exchange.Answer {
+	s.ended = true
+	for {
+		select {
+		case ev := <-s.events:
+			if answer := s.outcome(ev, time.Now()); answer != nil && answer.Relayed != nil {
+				return answer
+			}
+		default:
+			return otherwise
 		}
 	}
 }
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/decision/replica"
@@ -153,6 +154,11 @@
 			s.hedge(now)
 			timer.Reset(max(s.nextWakeup(now).Sub(now), time.Millisecond))
 		case <-s.callerGone:
+			s.ended = true
+			s.drain()
+			if answer := s.decide(time.Now()); answer != nil && answer.Status == http.StatusOK {
+				return answer
+			}
 			return &exchange.Answer{Status: 499, Reason: exchange.CallerLeft, CloseConnection: true}
 		}
 	}
