Give a late host time for its last answers

Cause: the wait for the answers ended at a fixed time, also if the host came to it later than that, and its margin before the kill was 0.6 s of 6.

Change: requests are interrupted at 0.87 of the grace instead of 0.9; replies that have arrived are processed first, for 50 ms; and the host takes 200 ms for the answers however late it is.

--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -45,9 +45,14 @@
 	memoryShare = 4
 	// interruptAfter is the share of StopWithin after which requests in progress are
 	// answered without a result, and exitAfter that after which the process ends. The rest
-	// is a margin for a host that is short of processor time.
-	interruptAfter = 0.9
+	// is a margin for a host that is short of processor time, or was told late to stop.
+	interruptAfter = 0.87
 	exitAfter      = 0.95
+	// arrivedWait is how long replies that have arrived are still processed before requests
+	// are answered without a result: a process that is late has not read them yet.
+	arrivedWait = 50 * time.Millisecond
+	// answerWait is the least time for writing those answers, however late the process is.
+	answerWait = 200 * time.Millisecond
 )
 
 // Edge is one host.
--- a/internal/wiring/edge/stop.go
+++ b/internal/wiring/edge/stop.go
@@ -48,14 +48,17 @@
 	return false
 }
 
-// interrupt answers the requests in progress and waits until the connections have ended, at
-// most until the deadline. Links to other hosts end with the process; those hosts then learn that their
-// sweeps are lost.
+// interrupt answers the requests in progress and waits until the connections have ended, until
+// the deadline or, if that is too close, for answerWait. Links to other hosts end with the
+// process; those hosts then learn that their sweeps are lost.
 func (e *Edge) interrupt(began, deadline time.Time) {
+	e.server.Wait(time.Now().Add(arrivedWait))
 	e.logInterrupted(e.server.Load().Requests, began)
 	e.server.Interrupt()
-	if e.server.Wait(deadline) {
-		return
+	if least := time.Now().Add(answerWait); deadline.Before(least) {
+		deadline = least
+	}
+	if !e.server.Wait(deadline) {
+		e.logCutRequests(e.server.Load().Requests, began)
 	}
-	e.logCutRequests(e.server.Load().Requests, began)
 }
