--- a/internal/wiring/edge/stop.go
+++ b/internal/wiring/edge/stop.go
@@ -41,9 +41,12 @@
 func (e *Edge) awaitIdle(deadline time.Time) bool {
 	for time.Now().Before(deadline) {
 		e.server.CloseIdle()
-		if e.server.Wait(time.Now().Add(closeIdleInterval)) && e.gather.Idle() {
+		next := time.Now().Add(closeIdleInterval)
+		ended := e.server.Wait(next)
+		if ended && e.gather.Idle() {
 			return true
 		}
+		time.Sleep(time.Until(next))
 	}
 	return false
 }
