Serve a pipelined request that has been read before a draining connection closes

A caller that sends its next request before the answer to the last one got only the first answered by a stopping host, and the end of the connection for the second, however long before that it had been read.

Cause: while draining, each answer closes its connection, without a look at what the reading goroutine already has. Change: the connection stays open for a request whose beginning has arrived; the answer to it closes.

--- a/internal/face/front/conn.go
+++ b/internal/face/front/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
@@ -45,6 +46,8 @@
 	ended chan struct{}
 	// requests counts the requests read. It is used by the reading goroutine.
 	requests int
+	// pipelined is set while the beginning of the next request has arrived.
+	pipelined atomic.Bool
 	// account counts the bytes of the request and the answer; nil without a memory limit.
 	account *bytebudget.Account
 
@@ -86,6 +89,7 @@
 		}
 		j.request = request
 		c.requests++
+		c.pipelined.Store(c.reader.Buffered() > 0)
 		c.setReadDeadline(time.Time{})
 		if !c.enqueue(j) {
 			return
@@ -201,6 +205,7 @@
 		}
 		return errors.Is(err, os.ErrDeadlineExceeded) && c.awaitAnswered()
 	}
+	c.pipelined.Store(true)
 	return c.awaitAnswered()
 }
 
@@ -281,7 +286,7 @@
 	if a.Reason == exchange.CallerLeft {
 		return out, false
 	}
-	if c.server.draining.Load() || j.request.LastOnConnection {
+	if c.server.draining.Load() && !c.pipelined.Load() || j.request.LastOnConnection {
 		a.CloseConnection = true
 	}
 	out = c.server.opts.Codec.AppendAnswer(out, j.request, a)
--- a/internal/face/front/drain_test.go
+++ b/internal/face/front/drain_test.go
@@ -132,3 +132,35 @@
 	require.NoError(t, err)
 	require.Equal(t, "two\n", got)
 }
+
+// gatedHandler answers each request once the gate is closed.
+type gatedHandler struct{ gate chan struct{} }
+
+func (gatedHandler) Limits() (catalog.Limits, bool) { return defaultLimits, true }
+
+func (h gatedHandler) Serve(*exchange.Request, <-chan struct{}) *exchange.Answer {
+	<-h.gate
+	return &exchange.Answer{Status: 200}
+}
+
+// TestPipelinedRequestIsServedWhileDraining guards against a connection that closes after an
+// answer although the next request has been read from it.
+func TestPipelinedRequestIsServedWhileDraining(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	h := gatedHandler{gate: make(chan struct{})}
+	s := New(Options{Codec: lineCodec{}, Handler: h, Observer: noObserver{}, Log: log})
+	go func() { _ = s.Serve(l) }()
+	raw := dial(t, l)
+	_, err = io.WriteString(raw, "one\ntwo\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(s.Load().Requests) == 1 }, 10*time.Second, time.Millisecond)
+	s.Drain()
+	close(h.gate)
+	got, err := io.ReadAll(raw)
+	require.NoError(t, err)
+	require.Equal(t, "one\ntwo\n", string(got))
+}
