--- a/internal/domain/exchange/answer.go
+++ b/internal/domain/exchange/answer.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// RetryElsewhere is the Retry-After of refusals by a host that is stopping. Another host can
+// take the request at once.
+const RetryElsewhere = 10 * time.Millisecond
+
 // Answer is the answer to a caller's request.
 type Answer struct {
 	Status int
--- a/internal/face/front/interrupt.go
+++ b/internal/face/front/interrupt.go
@@ -2,15 +2,10 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
-// retryInterrupted is the Retry-After of requests that arrive after Interrupt: another host
-// can take them at once.
-const retryInterrupted = 10 * time.Millisecond
-
 // Interrupt withdraws the requests in progress and answers them with a failure that doesn't
 // say whether they ran. Requests that arrive later are refused.
 func (s *Server) Interrupt() {
@@ -37,7 +32,7 @@
 	// Interrupt sets the flag before it looks for jobs, so it misses none.
 	if c.server.interrupted.Load() {
 		return &exchange.Answer{
-			Status: http.StatusServiceUnavailable, Reason: exchange.HostStopping, RetryAfter: retryInterrupted, CloseConnection: true,
+			Status: http.StatusServiceUnavailable, Reason: exchange.HostStopping, RetryAfter: exchange.RetryElsewhere, CloseConnection: true,
 		}
 	}
 	a := c.server.opts.Handler.Serve(j.request, j.gone)
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -104,7 +104,7 @@
 		return refuse(exchange.CrashesTargets, retryCrashing)
 	}
 	if e.outlasts(route, r, time.Now()) {
-		return refuse(exchange.HostStopping, retryStopping)
+		return refuse(exchange.HostStopping, exchange.RetryElsewhere)
 	}
 	stats := e.statsByRoute.of(route)
 	spent := stats.patience.spent(r.CallerTimeout, r.Arrived)
--- a/internal/querypath/relay/stopping.go
+++ b/internal/querypath/relay/stopping.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// retryStopping is the Retry-After of a stopping host. Another host can take the request
-	// at once.
-	retryStopping = 10 * time.Millisecond
 	// outlastQuantile is the quantile of a route's response times by which it is judged whether
 	// an idempotent request can end in time, and outlastFactor the multiple of it that has to be
 	// left.
