--- a/internal/face/front/idleclose_test.go
+++ b/internal/face/front/idleclose_test.go
@@ -48,9 +48,8 @@
 	return n, err
 }
 
-// serveSlowConn returns a server with one connection, which has had one exchange and is idle,
-// and the caller's end.
-func serveSlowConn(t *testing.T) (*Server, *slowConn, net.Conn, *bufio.Reader) {
+// connect returns both ends of a connection, the caller's first.
+func connect(t *testing.T) (net.Conn, *net.TCPConn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -58,12 +57,20 @@
 	caller := dial(t, l)
 	accepted, err := l.Accept()
 	require.NoError(t, err)
+	return caller, accepted.(*net.TCPConn)
+}
+
+// serveSlowConn returns a server with one connection, which has had one exchange and is idle,
+// and the caller's end.
+func serveSlowConn(t *testing.T) (*Server, *slowConn, net.Conn, *bufio.Reader) {
+	t.Helper()
+	caller, accepted := connect(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := New(Options{Codec: lineCodec{}, Handler: emptyHandler{}, Observer: noObserver{}, Log: log})
-	raw := &slowConn{TCPConn: accepted.(*net.TCPConn), near: lastReadWait, onNear: func() {}}
+	raw := &slowConn{TCPConn: accepted, near: lastReadWait, onNear: func() {}}
 	s.add(raw)
-	_, err = io.WriteString(caller, "one\n")
+	_, err := io.WriteString(caller, "one\n")
 	require.NoError(t, err)
 	reader := bufio.NewReader(caller)
 	_, err = reader.ReadString('\n')
@@ -99,15 +106,10 @@
 // TestRequestThatHasArrivedIsServedAfterIdleTimeout guards against dropping a request that came
 // while the host did not run, and with it the idle timeout.
 func TestRequestThatHasArrivedIsServedAfterIdleTimeout(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	caller := dial(t, l)
-	accepted, err := l.Accept()
-	require.NoError(t, err)
+	caller, accepted := connect(t)
 	send := sync.OnceFunc(func() { _, _ = io.WriteString(caller, "one\n") })
 	s := New(Options{Codec: lineCodec{}, Handler: shortIdleHandler{}, Observer: noObserver{}, Log: logrus.New()})
-	s.add(&slowConn{TCPConn: accepted.(*net.TCPConn), near: lastReadWait, onNear: send})
+	s.add(&slowConn{TCPConn: accepted, near: lastReadWait, onNear: send})
 	got, err := bufio.NewReader(caller).ReadString('\n')
 	require.NoError(t, err)
 	require.Equal(t, "one\n", got)
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -75,25 +76,31 @@
 	return &environment{t: t, memoryMB: 1024, grace: grace, random: rand.New(rand.NewPCG(seed, seed)), startTime: time.Now()}
 }
 
-// run runs hosts while injectFaults injects faults, and checks the guarantees.
-func (e *environment) run(hosts int, injectFaults func()) {
-	t := e.t
+// startPlatform starts the store, and targets for the shards and for single requests. It sets
+// the options that are the same in all runs, and the objective if there is none.
+func (e *environment) startPlatform(o deployment.Options, singles int) {
+	o.Shards, o.Records, o.TopK = shards, records, topK
+	o.Objective, o.LeastCoverage = cmp.Or(o.Objective, objective), minCoverage
+	o.Limits = catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 2 * time.Second, IdleTimeout: 5 * time.Second}
 	var err error
-	e.platform, err = deployment.Start(deployment.Options{
-		Shards: shards, Attempts: 3, Work: work, Records: records, TopK: topK,
-		Timeout: timeout, Objective: objective, LeastCoverage: minCoverage,
-		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 2 * time.Second, IdleTimeout: 5 * time.Second},
-		Fault:  func(string, string) searcher.Fault { return e.pickTargetFault() },
-		Domain: domainOf,
-	})
-	require.NoError(t, err)
-	t.Cleanup(e.platform.Close)
+	e.platform, err = deployment.Start(o)
+	require.NoError(e.t, err)
+	e.t.Cleanup(e.platform.Close)
 	for i := range shards {
 		e.addTargets(deployment.Shard(i), replicas)
 	}
 	e.addTargets(deployment.Single, singles)
+}
+
+// run runs hosts while injectFaults injects faults, and checks the guarantees.
+func (e *environment) run(hosts int, injectFaults func()) {
+	e.startPlatform(deployment.Options{
+		Attempts: 3, Work: work, Timeout: timeout,
+		Fault:  func(string, string) searcher.Fault { return e.pickTargetFault() },
+		Domain: domainOf,
+	}, singles)
 	e.addHosts(hosts)
-	harness.Eventually(t, "all hosts are ready", e.allReady)
+	harness.Eventually(e.t, "all hosts are ready", e.allReady)
 	stop := e.startCallers()
 	injectFaults()
 	e.awaitRecovery("faults")
--- a/test/soak/memory_test.go
+++ b/test/soak/memory_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/standin/deployment"
 	"github.com/swiftvane/swiftvane/internal/standin/searcher"
 	"github.com/swiftvane/swiftvane/test/harness"
@@ -25,24 +24,15 @@
 func TestHostIsNotKilledForEndlessReplies(t *testing.T) {
 	const requests, targets = 120, 8
 	e := &environment{t: t, memoryMB: smallestHostMB, measured: true, grace: grace, random: rand.New(rand.NewPCG(1, 1)), startTime: time.Now()}
-	var err error
-	e.platform, err = deployment.Start(deployment.Options{
-		Shards: shards, Attempts: 3, Work: work, Records: records, TopK: topK,
-		Timeout: 20 * time.Second, Objective: 10 * time.Second, LeastCoverage: minCoverage,
-		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 2 * time.Second, IdleTimeout: 5 * time.Second},
+	e.startPlatform(deployment.Options{
+		Attempts: 3, Work: work, Timeout: 20 * time.Second, Objective: 10 * time.Second,
 		Fault: func(service, _ string) searcher.Fault {
 			if service == deployment.Single || service == deployment.Shard(0) {
 				return searcher.EndlessBody
 			}
 			return searcher.None
 		},
-	})
-	require.NoError(t, err)
-	t.Cleanup(e.platform.Close)
-	for i := range shards {
-		e.addTargets(deployment.Shard(i), replicas)
-	}
-	e.addTargets(deployment.Single, targets)
+	}, targets)
 	e.addHosts(1)
 	harness.Eventually(t, "the host is ready", e.allReady)
 	var all sync.WaitGroup
--- a/test/soak/stops_test.go
+++ b/test/soak/stops_test.go
@@ -5,9 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
-	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/standin/deployment"
 	"github.com/swiftvane/swiftvane/test/harness"
 )
@@ -61,18 +58,7 @@
 func runStops(t *testing.T, seed uint64, hosts, rounds int) {
 	s := &stops{environment: newEnvironment(t, seed)}
 	s.grace = keptGrace
-	var err error
-	s.platform, err = deployment.Start(deployment.Options{
-		Shards: shards, Attempts: 2, WorkOf: workOf, Records: records, TopK: topK,
-		Timeout: keptTimeout, Objective: objective, LeastCoverage: minCoverage,
-		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 2 * time.Second, IdleTimeout: 5 * time.Second},
-	})
-	require.NoError(t, err)
-	t.Cleanup(s.platform.Close)
-	for i := range shards {
-		s.addTargets(deployment.Shard(i), replicas)
-	}
-	s.addTargets(deployment.Single, keptSingles)
+	s.startPlatform(deployment.Options{Attempts: 2, WorkOf: workOf, Timeout: keptTimeout}, keptSingles)
 	s.addHosts(hosts)
 	harness.Eventually(t, "all hosts are ready", s.allReady)
 	s.balancer = newBalancer(s.hosts)
