Make the failing test of a paused link deterministic

Cause: it slept until the read deadline had passed, but Go's timer for it had not always fired before the read. The deadline is set after the pause now, in the past, so that it holds at once; it is the same deadline.

--- a/internal/hosts/gatherlink/late_test.go
+++ b/internal/hosts/gatherlink/late_test.go
@@ -18,9 +18,8 @@
 type pausedConn struct{ net.Conn }
 
 func (c pausedConn) SetReadDeadline(at time.Time) error {
-	err := c.Conn.SetReadDeadline(at)
 	time.Sleep(time.Until(at))
-	return err
+	return c.Conn.SetReadDeadline(at)
 }
 
 // TestAnswerThatArrivedWhileHostDidNotRunIsRead guards against a link that ends for its silence
