Send the answer of a paused link's test after the handshake was read

Cause: the answer could arrive together with the reply to the handshake, whose reader then buffered it, so that the link never read from its connection. The answer is sent once the handshake has been read, and the pause begins once it is sent.

--- a/internal/hosts/gatherlink/late_test.go
+++ b/internal/hosts/gatherlink/late_test.go
@@ -14,10 +14,14 @@
 )
 
 // pausedConn is a connection of a host that does not run from when it sets a read deadline until
-// that has passed.
-type pausedConn struct{ net.Conn }
+// that has passed. Meanwhile the answer is sent.
+type pausedConn struct {
+	net.Conn
+	sent <-chan struct{}
+}
 
 func (c pausedConn) SetReadDeadline(at time.Time) error {
+	<-c.sent
 	time.Sleep(time.Until(at))
 	return c.Conn.SetReadDeadline(at)
 }
@@ -29,17 +33,21 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	var upgrader websocket.FastHTTPUpgrader
+	dialed, sent := make(chan struct{}), make(chan struct{})
 	answer := func(conn *websocket.Conn) {
+		<-dialed // the reader of the handshake must not read the answer
 		_ = (&frameWriter{conn: conn}).write(&frame{Kind: kindAnswer, ID: 1, Answer: answerOf(&exchange.Answer{Status: 200})})
+		close(sent)
 		_, _ = readFrame(conn)
 	}
 	go func() { _ = fasthttp.Serve(l, func(ctx *fasthttp.RequestCtx) { _ = upgrader.Upgrade(ctx, answer) }) }()
 	dialer := websocket.Dialer{NetDial: func(network, addr string) (net.Conn, error) {
 		raw, err := net.Dial(network, addr)
-		return pausedConn{raw}, err
+		return pausedConn{Conn: raw, sent: sent}, err
 	}}
 	conn, _, err := dialer.Dial("ws://"+l.Addr().String()+Path, nil) //nolint:bodyclose // an upgrade's response has no body
 	require.NoError(t, err)
+	close(dialed)
 	log, _ := test.NewNullLogger()
 	outcomes := make(chan outcome, 1)
 	paused := &link{frameWriter: frameWriter{conn: conn}, log: log, pending: map[uint64]chan outcome{1: outcomes}}
