--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -172,6 +172,13 @@
 	n.lab.record("started  %s", n.name)
 }
 
+// kill ends the daemon with SIGKILL.
+func (n *node) kill() {
+	_ = n.command.Process.Kill()
+	<-n.exited
+	n.lab.record("killed   %s", n.name)
+}
+
 // isReady reports whether the daemon answers the readiness check with 200.
 func (n *node) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -30,10 +30,21 @@
 	items    map[string]item
 	history  []item
 	changed  chan struct{}
+	delay    time.Duration
+}
+
+// usualAnswer is the time that the store usually takes for an answer.
+const usualAnswer = 4 * time.Millisecond
+
+// setDelay sets the time that the store takes for an answer.
+func (s *store) setDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
 }
 
 func newStore(addr string) *store {
-	s := &store{addr: addr, revision: 100, items: map[string]item{}, changed: make(chan struct{})}
+	s := &store{addr: addr, revision: 100, items: map[string]item{}, changed: make(chan struct{}), delay: usualAnswer}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.serveRange)
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
@@ -98,7 +109,7 @@
 	if more {
 		list = list[:400]
 	}
-	reply(w, map[string]any{"items": list, "has_more": more, "current_rev": current})
+	s.reply(w, map[string]any{"items": list, "has_more": more, "current_rev": current})
 }
 
 func (s *store) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -118,13 +129,13 @@
 		current, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			reply(w, map[string]any{"events": events, "current_rev": current})
+			s.reply(w, map[string]any{"events": events, "current_rev": current})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			reply(w, map[string]any{"events": events, "current_rev": current})
+			s.reply(w, map[string]any{"events": events, "current_rev": current})
 			return
 		case <-r.Context().Done():
 			return
@@ -132,9 +143,11 @@
 	}
 }
 
-// reply takes the store's usual time for an answer.
-func reply(w http.ResponseWriter, v any) {
-	time.Sleep(4 * time.Millisecond)
+func (s *store) reply(w http.ResponseWriter, v any) {
+	s.mu.Lock()
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(delay)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
