--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -75,15 +75,20 @@
 }
 
 // addr returns an address with a free port.
-func (l *lab) addr() string { return freePort(l.ip()) }
+func (l *lab) addr() string { return freePort(l.ip(), 8080) }
 
-func freePort(ip string) string {
-	probe, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		cannotRun("no free port: %v", err)
+// freePort returns an address with the first free port from the given one on. The ports lie below
+// those of outgoing connections and of listeners without a fixed port.
+func freePort(ip string, port int) string {
+	for end := port + 50; port < end; port++ {
+		addr := fmt.Sprintf("%s:%d", ip, port)
+		if probe, err := net.Listen("tcp", addr); err == nil {
+			probe.Close()
+			return addr
+		}
 	}
-	defer probe.Close()
-	return probe.Addr().String()
+	cannotRun("no free port on %s", ip)
+	return ""
 }
 
 // record writes a line with the time since the start.
@@ -106,7 +111,7 @@
 // newNode prepares a daemon without starting it.
 func (l *lab) newNode(name, zone string) *node {
 	n := &node{lab: l, name: name, zone: zone, ip: l.ip()}
-	n.front, n.ready, n.control = freePort(n.ip), freePort(n.ip), freePort(n.ip)
+	n.front, n.ready, n.control = freePort(n.ip, 8104), freePort(n.ip, 8204), freePort(n.ip, 8304)
 	n.settings = filepath.Join(l.dir, name+".json")
 	n.logPath = filepath.Join(l.dir, name+".log")
 	l.nodes = append(l.nodes, n)
@@ -195,7 +200,8 @@
 	for _, n := range l.nodes {
 		for end := time.Now().Add(15 * time.Second); !n.isReady(); time.Sleep(50 * time.Millisecond) {
 			if time.Now().After(end) {
-				cannotRun("%s is not ready", n.name)
+				log, _ := os.ReadFile(n.logPath)
+				cannotRun("%s is not ready; its log ends with %q", n.name, log[max(len(log)-2000, 0):])
 			}
 		}
 	}
