targetpool: a connection that the target accepted is not refused

Callers saw: once the host had closed the connections of endless or broken replies, the next caller got 503 no_target, though all targets of the service were sound. TestEndlessRepliesStayWithinMemoryLimit failed for that.

Cause: a connection that ends within 8 ms without a complete reply counts as one that the target refused, as at its connection limit. It counted, too, where bytes of a reply had arrived and the host closed the connection itself, for a reply over its limit, an invalid one, or one that was cancelled. The pool then had no connection and a failure: unreachable. The log of the test shows it: "target lost: no connection", "the connection ended before any reply", right behind "memory limit reached", in each of 11 runs; the caller gets 503 only if it hits all targets of the service.

Change: a connection on which the target sent anything, or that the host gave up, is not refused. Bytes that arrive count as heard from the target. What was not changed: the exchange is a failure in the target's health.

--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -45,7 +45,11 @@
 	idleTimeout time.Duration
 	replies     int
 	used        bool
-	opened      time.Time
+	// heard is set once a byte has arrived, valid or not, givenUp once the host ends the
+	// connection since the reply is no longer wanted.
+	heard   bool
+	givenUp bool
+	opened  time.Time
 	// readUntil is until when the reply is read.
 	readUntil time.Time
 
@@ -69,8 +73,12 @@
 }
 
 // refused reports whether the connection, if it ends at now, counts as refused by
-// the target. The pool's lock is held.
+// the target: one that the host gave up, or on which the target sent anything, does not.
+// The pool's lock is held.
 func (c *conn) refused(now time.Time) bool {
+	if c.heard || c.givenUp {
+		return false
+	}
 	age := now.Sub(c.opened)
 	if c.used {
 		return c.replies == 0 && age < usedRefusalAge
@@ -123,7 +131,7 @@
 		c.fail(err)
 		return false
 	}
-	call := c.current()
+	call := c.noteArrival(time.Now())
 	if call == nil {
 		c.fail(errStrayBytes)
 		return false
@@ -145,9 +153,13 @@
 	return c.complete(call, reply)
 }
 
-func (c *conn) current() *Call {
+// noteArrival records that bytes of the target have arrived, and returns the call in flight, if
+// there is one.
+func (c *conn) noteArrival(now time.Time) *Call {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	c.heard = true
+	c.pool.noteHeard(now)
 	return c.call
 }
 
@@ -240,10 +252,11 @@
 	p.mu.Lock()
 	call := c.call
 	p.unassign(c)
+	c.givenUp = errors.Is(err, os.ErrDeadlineExceeded)
 	if call != nil {
 		result := replica.Failed
 		switch {
-		case !errors.Is(err, os.ErrDeadlineExceeded):
+		case !c.givenUp:
 			p.noteLost(call, now, false)
 		case call.withdrawn:
 			result = replica.Withdrawn
--- a/test/edge/memory_test.go
+++ b/test/edge/memory_test.go
@@ -14,8 +14,9 @@
 )
 
 // TestEndlessRepliesStayWithinMemoryLimit lets targets send bodies without end to many
-// requests at once. It guards against a host that reads them until it is killed, and
-// against refusals of requests that have run.
+// requests at once. It guards against a host that reads them until it is killed, against
+// refusals of requests that have run, and against targets that count as lost since the host
+// closed their connections.
 func TestEndlessRepliesStayWithinMemoryLimit(t *testing.T) {
 	const (
 		memory  = 64 << 20
@@ -54,4 +55,5 @@
 	require.NoError(t, err)
 	require.Equal(t, 200, r.status)
 	require.Contains(t, c.hosts[0].log.String(), "memory limit reached")
+	require.NotContains(t, c.hosts[0].log.String(), "target lost", "the targets have accepted the connections")
 }
