targets: refuse replies whose status line the protocol does not allow

Callers saw: a target answered with the status 000, and the caller got its body as a success.

Cause: the head of a reply was checked by one parser and read by another, the HTTP library. The check took any three digits, and the library returns 200 from StatusCode() for a status of 0. Control bytes in the reason phrase passed both.

Change: package httpreply is the one rule for what is a reply. It parses the head once; the check of the pool and the reader use the same parse, the library is no longer asked. A status is 100 to 599. The reader of bodies moves there unchanged. A reply that is refused has the verdict "may have run" as before, and its connection ends.

At the edge callers got 200 with the signature for 000 under both versions and for control bytes in the reason, and 504 where the connection was used again (TestBrokenReplyReachesNoCaller); they get 502, and the order has run once. A head whose lines all end with LF, which RFC 9112 allows to accept, was waited for up to the deadline; it is read now (TestUnusualReplyReachesTheCaller).

--- a/platform/replybody.go
+++ b/internal/domain/httpreply/body.go
@@ -1,34 +1,20 @@
-package platform
+package httpreply
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
-	"strconv"
 	"sync"
 
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
-const (
-	// chunkedLength and unframedLength are the lengths that fasthttp states for a body in
-	// chunks and for one that ends with the connection.
-	chunkedLength  = -1
-	unframedLength = -2
-	// bodyStepBytes is the largest buffer that is allocated for a body before any of it has
-	// arrived, and the size of the blocks in which the rest is read.
-	bodyStepBytes = 64 << 10
-	// maxTrailerLines bounds the lines after the last chunk.
-	maxTrailerLines = 64
-	// chunkSizeDigits is the largest number of hexadecimal digits of a chunk's size.
-	chunkSizeDigits = 7
-)
+// bodyStepBytes is the largest buffer that is allocated for a body before any of it has
+// arrived, and the size of the blocks in which the rest is read.
+const bodyStepBytes = 64 << 10
 
-var (
-	errNoMemory    = errors.New("the host has no memory for the reply's body")
-	errBrokenChunk = errors.New("the reply has a malformed chunk")
-)
+// ErrNoMemory reports a body for which the host has no memory.
+var ErrNoMemory = errors.New("the host has no memory for the reply's body")
 
 // bodyReader reads a reply's body. Bytes beyond the first bodyStepBytes are kept in pooled
 // blocks until the body is complete: bodies without end, which many targets may send at
@@ -51,8 +37,9 @@
 
 var blocks = sync.Pool{New: func() any { return new(block) }}
 
-// readReplyBody reads a body with the length that fasthttp states.
-func readReplyBody(from *bufio.Reader, length int, limit exchange.BodyLimit) ([]byte, error) {
+// ReadBody reads the body of a reply, whose head states the length. The limit must have a
+// largest number of bytes. A body that exceeds it is an *exchange.OversizedReply.
+func ReadBody(from *bufio.Reader, length int, limit exchange.BodyLimit) ([]byte, error) {
 	b := &bodyReader{from: from, limit: limit, most: limit.MaxBytes}
 	defer b.release()
 	var err error
@@ -60,7 +47,7 @@
 	case length >= 0:
 		b.most = min(length, limit.MaxBytes)
 		err = b.read(length)
-	case length == chunkedLength:
+	case length == Chunked:
 		err = b.readChunks()
 	default:
 		err = b.readToEnd()
@@ -85,7 +72,7 @@
 		return b.begin, nil
 	}
 	if !b.take(b.size) {
-		return nil, errNoMemory
+		return nil, ErrNoMemory
 	}
 	body := append(make([]byte, 0, b.size), b.begin...)
 	for _, full := range b.blocks {
@@ -123,7 +110,7 @@
 	}
 	if len(b.blocks) == 0 || b.used == bodyStepBytes {
 		if !b.take(bodyStepBytes) {
-			return nil, errNoMemory
+			return nil, ErrNoMemory
 		}
 		b.blocks = append(b.blocks, blocks.Get().(*block))
 		b.used = 0
@@ -141,7 +128,7 @@
 	if needed > cap(b.begin) {
 		size := max(needed, min(2*cap(b.begin), b.most, bodyStepBytes))
 		if !b.take(size - cap(b.begin)) {
-			return nil, errNoMemory
+			return nil, ErrNoMemory
 		}
 		begin := make([]byte, b.size, size)
 		copy(begin, b.begin)
@@ -154,62 +141,20 @@
 // readChunks reads chunks up to the last one and discards the trailer.
 func (b *bodyReader) readChunks() error {
 	for {
-		size, err := b.chunkSize()
+		size, err := readChunkSize(b.from)
 		if err != nil {
 			return err
 		}
 		if size == 0 {
-			return b.skipTrailer()
+			return skipTrailer(b.from)
 		}
 		if err := b.read(size); err != nil {
 			return err
 		}
-		if line, err := b.line(); err != nil || len(line) > 0 {
-			return errors.Join(errBrokenChunk, err)
-		}
-	}
-}
-
-// chunkSize reads the line before a chunk, whose extensions it ignores.
-func (b *bodyReader) chunkSize() (int, error) {
-	line, err := b.line()
-	if err != nil {
-		return 0, err
-	}
-	digits, _, _ := bytes.Cut(line, []byte(";"))
-	digits = bytes.TrimRight(digits, " \t")
-	if len(digits) > chunkSizeDigits {
-		return 0, &exchange.OversizedReply{Bytes: b.size}
-	}
-	size, err := strconv.ParseUint(string(digits), 16, 31)
-	if err != nil {
-		return 0, errBrokenChunk
-	}
-	return int(size), nil
-}
-
-// skipTrailer reads the lines after the last chunk.
-func (b *bodyReader) skipTrailer() error {
-	for range maxTrailerLines {
-		line, err := b.line()
-		if err != nil || len(line) == 0 {
+		if err := endChunk(b.from); err != nil {
 			return err
 		}
 	}
-	return errBrokenChunk
-}
-
-// line reads a line that ends with CRLF and returns it without that, valid until the
-// next read. A line that exceeds the reader's buffer is an error.
-func (b *bodyReader) line() ([]byte, error) {
-	line, err := b.from.ReadSlice('\n')
-	if err != nil {
-		return nil, unexpected(err)
-	}
-	if !bytes.HasSuffix(line, crlf) {
-		return nil, errBrokenChunk
-	}
-	return line[:len(line)-len(crlf)], nil
 }
 
 // readToEnd reads up to the end of the connection. The protocol takes a body as complete
@@ -226,11 +171,3 @@
 		}
 	}
 }
-
-// unexpected returns the error of a reply that ends early.
-func unexpected(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
--- /dev/null
+++ b/internal/domain/httpreply/doc.go
@@ -0,0 +1,12 @@
+// Package httpreply is the one rule for what counts as a reply in HTTP/1 (RFC 9110, RFC 9112).
+// Readers of replies apply it by Head and ReadBody.
+//
+// Bytes that the protocol does not allow in a reply are an *InvalidError: nothing of them may
+// be passed on, their request may have run, and their connection must be closed. Nothing is
+// corrected, since the next reader could correct it in another way. The two forms that RFC 9112
+// asks recipients to accept stay valid, and are replaced by what they stand for: lines of a head
+// that end with LF alone, and values that are folded over several lines.
+//
+// What a reply states may be larger than memory. Heads are bounded by the reader's buffer,
+// interim replies by their number, and bodies by an exchange.BodyLimit.
+package httpreply
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -60,6 +60,8 @@
 	// Fault returns the fault that the searchers of a service inject into a request;
 	// nil means none.
 	Fault func(service, requestID string) searcher.Fault
+	// Raw returns the bytes that a searcher sends in place of an answer, see searcher.Options.
+	Raw func(id, requestID, signature string) (raw []byte, closes bool)
 	// Domain returns the failure domain of a searcher by its id; nil means FailureDomain
 	// for all.
 	Domain func(id string) string
@@ -153,7 +155,7 @@
 		}
 	}
 	return searcher.Start(addr, searcher.Options{
-		ID: id, Crashes: onRun, Service: service, Slots: slots, Queue: queue, Work: d.Options.Work, WorkOf: d.Options.WorkOf, Records: d.Options.Records,
+		ID: id, Crashes: onRun, Raw: d.Options.Raw, Service: service, Slots: slots, Queue: queue, Work: d.Options.Work, WorkOf: d.Options.WorkOf, Records: d.Options.Records,
 		Fault: func(requestID string) searcher.Fault {
 			if d.Options.Fault == nil {
 				return searcher.None
--- /dev/null
+++ b/internal/standin/rawserver/broken.go
@@ -0,0 +1,62 @@
+package rawserver
+
+import (
+	"fmt"
+	"maps"
+)
+
+// reply is the parts of a sound reply with status 200, of which one is replaced at a time.
+type reply struct {
+	headers, body string
+}
+
+// whole returns a reply with the status line, and further header lines before those that state
+// the body's length.
+func (r reply) whole(statusLine, further string) []byte {
+	return r.framed(statusLine, further+fmt.Sprintf("Content-Length: %d\r\n", len(r.body)))
+}
+
+// framed returns a reply with the status line, and further header lines before the body.
+func (r reply) framed(statusLine, further string) []byte {
+	return fmt.Appendf(nil, "%s\r\n%s%s\r\n%s", statusLine, r.headers, further, r.body)
+}
+
+// chunked returns a reply whose body is sent as given, in chunks.
+func (r reply) chunked(chunks string) []byte {
+	return fmt.Appendf(nil, "%s\r\n%sTransfer-Encoding: chunked\r\n\r\n%s", okLine, r.headers, chunks)
+}
+
+// okLine is the status line of a sound reply.
+const okLine = "HTTP/1.1 200 OK"
+
+// Broken returns replies that the protocol does not allow, by what is wrong with them. Each has
+// the header lines and the body, and would be a success if its error were overlooked.
+func Broken(headers, body string) map[string][]byte {
+	r := reply{headers: headers, body: body}
+	all := map[string][]byte{}
+	for _, broken := range []map[string][]byte{r.brokenStatuses()} {
+		maps.Copy(all, broken)
+	}
+	return all
+}
+
+func (r reply) brokenStatuses() map[string][]byte {
+	all := map[string][]byte{}
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.0 000 OK", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+		"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 0x2 OK",
+		"HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200OK", "HTTP/1.1200 OK", "HTTP/1.x 200 OK", "HTTP/1. 200 OK", "HTTP/11 200 OK",
+		"HTTP/2.0 200 OK", "http/1.1 200 OK", " HTTP/1.1 200 OK", "\r\nHTTP/1.1 200 OK",
+		"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 OK\x7f",
+	} {
+		all[fmt.Sprintf("status line %q", line)] = r.whole(line, "")
+	}
+	interim := "HTTP/1.1 000 Continue\r\n\r\n"
+	all["interim of status 000"] = append([]byte(interim), r.whole(okLine, "")...)
+	return all
+}
+
+// oneChunk returns the body as a chunk, with text behind its size.
+func (r reply) oneChunk(extension string) string {
+	return fmt.Sprintf("%x%s\r\n%s\r\n", len(r.body), extension, r.body)
+}
--- a/internal/standin/searcher/searcher.go
+++ b/internal/standin/searcher/searcher.go
@@ -75,6 +75,10 @@
 	// Crashes is called with each request that begins to run, and reports whether it has
 	// crashed the searcher, which then answers nothing; nil for none.
 	Crashes func(s *Searcher, requestID string) bool
+	// Raw returns the bytes that the searcher with the given id sends in place of the answer to a
+	// request that has run, and whether it closes the connection after them; nil, or no bytes, for
+	// the answer itself.
+	Raw func(id, requestID, signature string) (raw []byte, closes bool)
 }
 
 // Searcher is a running stand-in.
@@ -92,6 +96,8 @@
 	deadlines   map[string][]time.Time
 	disconnects int
 	conns       int
+	// held counts the connections that are open after raw bytes.
+	held int
 	// sent counts the bytes of endless answers.
 	sent    int64
 	leaving bool
@@ -222,6 +228,10 @@
 	if !s.work(r, s.workOf(id)) {
 		return
 	}
+	if raw, closes := s.rawAnswer(id); len(raw) > 0 {
+		s.hijack(w, func(c net.Conn, _ *bufio.ReadWriter) { s.sendBytes(c, raw, closes) })
+		return
+	}
 	s.answer(w, id, body, fault)
 }
 
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -80,6 +80,8 @@
 	hosts int
 	work  time.Duration
 	fault func(service, id string) searcher.Fault
+	// raw returns the bytes that a searcher sends in place of an answer, none for the answer.
+	raw func(searcherID, requestID, signature string) (raw []byte, closes bool)
 	// stopWithin is the hosts' grace, 3 s if it is zero.
 	stopWithin time.Duration
 	// memory is the hosts' memory limit in bytes, none if it is zero.
@@ -117,7 +119,7 @@
 		o.objective = 5 * time.Second
 	}
 	d, err := deployment.Start(deployment.Options{
-		Shards: shards, Replicas: replicas, Singles: cmp.Or(o.singles, 3), Attempts: 2, Work: o.work, Records: records, TopK: topK, Fault: o.fault, Domain: o.domain, Crash: o.crash, MaxConns: o.maxConns,
+		Shards: shards, Replicas: replicas, Singles: cmp.Or(o.singles, 3), Attempts: 2, Work: o.work, Records: records, TopK: topK, Fault: o.fault, Raw: o.raw, Domain: o.domain, Crash: o.crash, MaxConns: o.maxConns,
 		Timeout: 10 * time.Second, Objective: o.objective, LeastCoverage: 0.75,
 		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 500 * time.Millisecond, IdleTimeout: 5 * time.Second},
 	})
--- a/test/edge/cut_test.go
+++ b/test/edge/cut_test.go
@@ -59,16 +59,22 @@
 	}
 }
 
-// requireOrders requires that orders ran once at most, those that were served ran, and those
-// that were refused did not.
-func (c *cluster) requireOrders(statuses map[string]int) {
-	c.t.Helper()
+// runs returns how often each request ran on the searchers for single requests.
+func (c *cluster) runs() map[string]int {
 	runs := map[string]int{}
 	for _, s := range c.Searchers[deployment.Single] {
 		for id, n := range s.Runs() {
 			runs[id] += n
 		}
 	}
+	return runs
+}
+
+// requireOrders requires that orders ran once at most, those that were served ran, and those
+// that were refused did not.
+func (c *cluster) requireOrders(statuses map[string]int) {
+	c.t.Helper()
+	runs := c.runs()
 	for id, status := range statuses {
 		require.LessOrEqual(c.t, runs[id], 1, "%s ran more than once", id)
 		switch status {
