targets: refuse replies with a field that the protocol does not allow

Callers saw: a target named a field with a blank or a control byte in it, and the caller got the answer with that line passed on, or with a body that was not the target's.

Cause: names were as lenient as the HTTP library: it tolerates blanks within a name and before the colon, joins a line that begins with a blank to the value before it, and takes LF alone for the end of a line, so that an LF at the beginning of a name ended the head.

Change: a name is a token, directly before the colon. Once a line of a head has ended with CRLF, all must: an LF is a control byte then. A folded line must not have a colon, since it can't be told from a field whose name begins with a blank; RFC 9112 lets a gateway answer 502 to any folded line. The rule holds for interim replies as well.

--- a/internal/domain/httpreply/doc.go
+++ b/internal/domain/httpreply/doc.go
@@ -4,8 +4,8 @@
 // Bytes that the protocol does not allow in a reply are an *InvalidError: nothing of them may
 // be passed on, their request may have run, and their connection must be closed. Nothing is
 // corrected, since the next reader could correct it in another way. The two forms that RFC 9112
-// asks recipients to accept stay valid, and are replaced by what they stand for: lines of a head
-// that end with LF alone, and values that are folded over several lines.
+// allows recipients to accept stay valid, and are replaced by what they stand for: a head whose
+// lines end with LF alone, and values that are folded over several lines.
 //
 // What a reply states may be larger than memory. Heads are bounded by the reader's buffer,
 // interim replies by their number, and bodies by an exchange.BodyLimit.
--- a/internal/domain/httpreply/field.go
+++ b/internal/domain/httpreply/field.go
@@ -12,7 +12,7 @@
 func (f *Field) Is(name string) bool { return equalFold(f.Name, name) }
 
 // tokenMarks are the characters of a token beside letters and digits.
-const tokenMarks = "!#$%&'*+-.^_`|~ "
+const tokenMarks = "!#$%&'*+-.^_`|~"
 
 // tokenBytes has the bytes of a token set.
 var tokenBytes = tokenTable()
@@ -52,6 +52,10 @@
 	return true
 }
 
+// isFolded reports whether a line that begins with a blank goes on with the value of a field. With
+// a colon it could as well be a field whose name begins with a blank, which is invalid.
+func isFolded(line []byte) bool { return isText(line) && !bytes.Contains(line, []byte(":")) }
+
 // isBlank reports whether b is a space or a tab.
 func isBlank(b byte) bool { return b == ' ' || b == '\t' }
 
@@ -66,7 +70,6 @@
 // parseField returns the field of a line that begins one.
 func parseField(line []byte) (Field, error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
-	name = bytes.TrimRight(name, " ")
 	if !found || !isToken(name) {
 		return Field{}, invalid("field name in", line)
 	}
--- a/internal/domain/httpreply/head.go
+++ b/internal/domain/httpreply/head.go
@@ -141,20 +141,21 @@
 	if string(begin[:known]) != protocol[:known] {
 		return 0, errNoStatusLine
 	}
-	line, rest, ended := cutLine(begin)
-	if !ended {
-		return 0, nil
+	lines := lineReader{rest: begin}
+	line, ended, err := lines.next()
+	if err != nil || !ended {
+		return 0, err
 	}
 	if err := h.parseStatusLine(line); err != nil {
 		return 0, err
 	}
 	for {
-		line, rest, ended = cutLine(rest)
-		if !ended {
-			return 0, nil
+		line, ended, err := lines.next()
+		if err != nil || !ended {
+			return 0, err
 		}
 		if len(line) == 0 {
-			return len(begin) - len(rest), h.readFraming()
+			return len(begin) - len(lines.rest), h.readFraming()
 		}
 		if err := h.addLine(line); err != nil {
 			return 0, err
@@ -162,13 +163,6 @@
 	}
 }
 
-// cutLine returns the first line without its end and what follows it, and reports whether the
-// line has ended. A line of a head may end with LF alone.
-func cutLine(b []byte) (line, rest []byte, ended bool) {
-	line, rest, ended = bytes.Cut(b, []byte("\n"))
-	return bytes.TrimSuffix(line, []byte("\r")), rest, ended
-}
-
 // parseStatusLine sets the version and the status. The space that precedes a missing reason
 // phrase may be missing, too.
 func (h *Head) parseStatusLine(line []byte) error {
@@ -195,12 +189,9 @@
 	if !isBlank(line[0]) {
 		f, err := parseField(line)
 		h.Fields = append(h.Fields, f)
-		if h.minor == '0' && f.Is(transferEncoding) {
-			return invalid("chunks under HTTP/1.0", line)
-		}
 		return err
 	}
-	if len(h.Fields) == 0 || !isText(line) {
+	if len(h.Fields) == 0 || !isFolded(line) {
 		return invalid("folded line", line)
 	}
 	last := &h.Fields[len(h.Fields)-1]
