targets: refuse replies that state the length of their body in two ways

Callers saw: a reply with a Content-Length and with chunks, a 204 with either, or one behind an interim reply with either was passed on as a success. The next reader may take the other one, and the rest for another reply.

Cause: one of the two was taken silently: the chunks, and no body where the status has none.

Change: a reply states one length, and 1xx and 204 none but 0, as RFC 9112, 6.1 and 6.2, demand of senders.

Repeated lengths, signs, lists and unknown codings were refused already; their tests stay.

--- a/internal/domain/httpreply/framing.go
+++ b/internal/domain/httpreply/framing.go
@@ -27,6 +27,9 @@
 	}
 	switch {
 	case h.Status < firstFinal || h.Status == noContent:
+		if f.coded || f.length > 0 {
+			return invalid("length of a reply that has no body", nil)
+		}
 	case h.Status == notModified:
 	case f.coded:
 		h.Length = Chunked
@@ -48,12 +51,12 @@
 		switch {
 		case field.Is(contentLength):
 			length, ok := parseLength(field.Value)
-			if f.stated || !ok {
+			if f.stated || f.coded || !ok {
 				return f, invalid(contentLength, field.Value)
 			}
 			f.stated, f.length = true, length
 		case field.Is(transferEncoding):
-			if f.coded || h.minor == '0' || !equalFold(field.Value, "chunked") {
+			if f.stated || f.coded || h.minor == '0' || !equalFold(field.Value, "chunked") {
 				return f, invalid(transferEncoding, field.Value)
 			}
 			f.coded = true
--- a/internal/standin/rawserver/broken.go
+++ b/internal/standin/rawserver/broken.go
@@ -34,7 +34,7 @@
 func Broken(headers, body string) map[string][]byte {
 	r := reply{headers: headers, body: body}
 	all := map[string][]byte{}
-	for _, broken := range []map[string][]byte{r.brokenStatuses(), r.brokenFields()} {
+	for _, broken := range []map[string][]byte{r.brokenStatuses(), r.brokenFields(), r.brokenLengths()} {
 		maps.Copy(all, broken)
 	}
 	return all
@@ -82,3 +82,47 @@
 	}
 	return all
 }
+
+func (r reply) brokenLengths() map[string][]byte {
+	n := len(r.body)
+	all := map[string][]byte{
+		"chunks under HTTP/1.0": r.framed("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n"),
+		"101 with a body":       r.framed("HTTP/1.1 101 Switching Protocols", "Content-Length: 5\r\n"),
+		"204 with a body":       r.framed("HTTP/1.1 204 No Content", "Content-Length: 5\r\n"),
+		"204 in chunks":         r.framed("HTTP/1.1 204 No Content", "Transfer-Encoding: chunked\r\n"),
+	}
+	for _, lines := range []string{
+		fmt.Sprintf("Content-Length: %d\r\nContent-Length: %d\r\n", n, n),
+		fmt.Sprintf("Content-Length: %d\r\nContent-Length: %d\r\n", n, n-1),
+		fmt.Sprintf("Content-Length: %d, %d\r\n", n, n),
+		fmt.Sprintf("Content-Length: +%d\r\n", n),
+		fmt.Sprintf("Content-Length: -%d\r\n", n),
+		fmt.Sprintf("Content-Length: 0x%x\r\n", n),
+		fmt.Sprintf("Content-Length: %d.0\r\n", n),
+		fmt.Sprintf("Content-Length: %d\r\n 0\r\n", n),
+		"Content-Length: \r\n",
+		"Content-Length: five\r\n",
+		"Transfer-Encoding: gzip\r\n",
+		"Transfer-Encoding: xchunked\r\n",
+		"Transfer-Encoding: identity\r\n",
+		"Transfer Encoding: chunked\r\n",
+	} {
+		all[fmt.Sprintf("length %q", lines)] = r.framed(okLine, lines)
+	}
+	for _, lines := range []string{
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+		"Transfer-Encoding: chunked, chunked\r\n",
+		"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+		"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+		"Transfer-Encoding : chunked\r\n",
+	} {
+		in := reply{headers: r.headers, body: r.oneChunk("") + "0\r\n\r\n"}
+		all[fmt.Sprintf("length %q", lines)] = in.framed(okLine, lines)
+	}
+	for _, interim := range []string{
+		"HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\n", "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n\r\n",
+	} {
+		all[fmt.Sprintf("interim %q", interim)] = append([]byte(interim), r.whole(okLine, "")...)
+	}
+	return all
+}
--- a/test/edge/brokenreply_test.go
+++ b/test/edge/brokenreply_test.go
@@ -24,7 +24,8 @@
 }
 
 func repliesOf(make func(headers, body string) map[string][]byte) *replies {
-	return &replies{names: slices.Sorted(maps.Keys(make("", "0123456789abcdef"))), make: make}
+	body := searcher.Records(deployment.Single, "", nil, records)
+	return &replies{names: slices.Sorted(maps.Keys(make("", string(body)))), make: make}
 }
 
 // id returns the id of a request that gets the reply with the given name.
