targets: refuse bodies in chunks that the protocol does not allow

Callers saw: a body in chunks counted as whole with a control byte in an extension, blanks behind a chunk's size, or anything for a trailer, such as lines that are no fields. A reader that finds the end of the body elsewhere takes the rest for the next reply.

Cause: lines were skipped without a look at them. On the other hand a size with many zeros before it, which is valid, was refused as too large.

Change: a size is digits up to the end of the line or an extension, an extension has no control bytes, and a trailer is fields by the rule of heads. Zeros before a size are not counted.

--- a/internal/domain/httpreply/chunk.go
+++ b/internal/domain/httpreply/chunk.go
@@ -40,11 +40,14 @@
 	if err != nil {
 		return 0, err
 	}
-	digits, _, _ := bytes.Cut(line, []byte(";"))
-	digits = bytes.TrimRight(digits, " \t")
-	if !isHex(digits) {
+	digits, extension, extended := bytes.Cut(line, []byte(";"))
+	if extended {
+		digits = bytes.TrimRight(digits, " \t")
+	}
+	if !isHex(digits) || !isText(extension) {
 		return 0, invalid("size of a chunk", line)
 	}
+	digits = bytes.TrimLeft(digits, "0")
 	if len(digits) > maxChunkDigits {
 		return tooLargeChunk, nil
 	}
@@ -74,17 +77,32 @@
 	return err
 }
 
-// skipTrailer reads the lines after the last chunk, and the empty one that ends them.
+// skipTrailer reads the fields after the last chunk, and the empty line that ends them.
 func skipTrailer(from *bufio.Reader) error {
-	for range maxTrailerLines {
+	for n := range maxTrailerLines {
 		line, err := readLine(from)
 		if err != nil || len(line) == 0 {
 			return err
 		}
+		if err := checkTrailerLine(line, n == 0); err != nil {
+			return err
+		}
 	}
 	return errBrokenChunk
 }
 
+// checkTrailerLine checks a field, or a further line of the value of the last one.
+func checkTrailerLine(line []byte, first bool) error {
+	if !isBlank(line[0]) {
+		_, err := parseField(line)
+		return err
+	}
+	if first || !isFolded(line) {
+		return invalid("folded line", line)
+	}
+	return nil
+}
+
 // unexpected returns the error of a reply that ends early.
 func unexpected(err error) error {
 	if errors.Is(err, io.EOF) {
--- a/internal/standin/rawserver/broken.go
+++ b/internal/standin/rawserver/broken.go
@@ -34,7 +34,7 @@
 func Broken(headers, body string) map[string][]byte {
 	r := reply{headers: headers, body: body}
 	all := map[string][]byte{}
-	for _, broken := range []map[string][]byte{r.brokenStatuses(), r.brokenFields(), r.brokenLengths()} {
+	for _, broken := range []map[string][]byte{r.brokenStatuses(), r.brokenFields(), r.brokenLengths(), r.brokenChunks()} {
 		maps.Copy(all, broken)
 	}
 	return all
@@ -126,3 +126,23 @@
 	}
 	return all
 }
+
+func (r reply) brokenChunks() map[string][]byte {
+	n := len(r.body)
+	all := map[string][]byte{
+		"chunk without its end":      r.chunked(fmt.Sprintf("%x\r\n%s0\r\n\r\n", n, r.body)),
+		"chunk longer than its size": r.chunked(fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", n-1, r.body)),
+		"chunk that ends with LF":    r.chunked(fmt.Sprintf("%x\r\n%s\n0\r\n\r\n", n, r.body)),
+		"no last chunk":              r.chunked(r.oneChunk("") + "\r\n"),
+	}
+	for _, size := range []string{"", "x", "-5", "+5", "0x5", "5 5", fmt.Sprintf("%x ", n), fmt.Sprintf(" %x", n), fmt.Sprintf("%x\t", n), ";a", "5\x00", "5,"} {
+		all[fmt.Sprintf("size of a chunk %q", size)] = r.chunked(size + "\r\n" + r.body + "\r\n0\r\n\r\n")
+	}
+	for _, extension := range []string{";a\x00b", ";a=\x01", ";\rb", "\n;a"} {
+		all[fmt.Sprintf("extension %q", extension)] = r.chunked(r.oneChunk(extension) + "0\r\n\r\n")
+	}
+	for _, line := range []string{"noise", "A b: c", "A : c", "A\x01: b", ": b", "A: b\x00", " A: b"} {
+		all[fmt.Sprintf("trailer %q", line)] = r.chunked(r.oneChunk("") + "0\r\n" + line + "\r\n\r\n")
+	}
+	return all
+}
--- a/internal/standin/rawserver/unusual.go
+++ b/internal/standin/rawserver/unusual.go
@@ -33,6 +33,7 @@
 		"two interim replies":       append([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"), r.whole(okLine, "")...),
 		"other interim reply":       append([]byte("HTTP/1.1 199\r\nA: b\r\n\r\n"), r.whole(okLine, "")...),
 		"one chunk a byte":          r.chunked(r.oneByteChunks()),
+		"zeros of a chunk's size":   r.chunked(fmt.Sprintf("%030X\r\n%s\r\n000\r\n\r\n", n, body)),
 		"extensions":                r.chunked(r.oneChunk(" ;a=b;c=\"d e\"") + "0;x\r\n\r\n"),
 		"trailer":                   r.chunked(r.oneChunk("") + "0\r\nA: b\r\n c\r\nB:\r\n\r\n"),
 		"chunks in capitals":        r.framed(okLine, "TRANSFER-ENCODING: Chunked\r\n"),
