target: read the replies of own-mode targets by the rule for replies

Callers saw: in the own mode, too, a reply of status 000, one with a blank in the name of a field, and others that the protocol forbids counted as an answer.

Cause: the connection read replies by the HTTP library alone, which corrects them.

Change: it reads them by package httpreply. An exchange whose reply is broken has the verdict unknown with the reason reply_mismatch, which is not taken for a crash of the target; it was target_unreachable where the library found the fault. Its connection is not used again. Load reports, the probes of this mode, are read by the same function.

--- a/internal/standin/target/check.go
+++ b/internal/standin/target/check.go
@@ -17,7 +17,7 @@
 		}
 	}
 	switch f.Reply {
-	case "", ReplySwapped, ReplyRepeated, ReplyShort, ReplyTruncated, ReplyCut, ReplyCrossed, ReplyDelayed:
+	case "", ReplySwapped, ReplyRepeated, ReplyShort, ReplyTruncated, ReplyCut, ReplyRaw, ReplyCrossed, ReplyDelayed:
 	default:
 		return eris.Errorf("reply: %q is not a known fault", f.Reply)
 	}
--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -37,6 +37,9 @@
 	// Reply is the kind of damage that is done to ReplyShare of the replies.
 	Reply      ReplyFault `json:"reply,omitempty"`
 	ReplyShare float64    `json:"reply_share,omitempty"`
+	// StatusLine and FieldLines begin the replies under ReplyRaw, each field line with its CRLF.
+	StatusLine string `json:"status_line,omitempty"`
+	FieldLines string `json:"field_lines,omitempty"`
 	// ReplyDelayMS is the delay of replies under ReplyDelayed, in milliseconds.
 	ReplyDelayMS int `json:"reply_delay_ms,omitempty"`
 	// Health overrides the health endpoint and the load endpoint. Load reports in
@@ -66,6 +69,9 @@
 	ReplyCut ReplyFault = "cut"
 	// ReplyCrossed sends the reply of an earlier request.
 	ReplyCrossed ReplyFault = "crossed"
+	// ReplyRaw sends the reply with the given status line and field lines, and closes the
+	// connection.
+	ReplyRaw ReplyFault = "raw"
 	// ReplyDelayed sends the reply late.
 	ReplyDelayed ReplyFault = "delayed"
 )
--- a/internal/standin/target/reply.go
+++ b/internal/standin/target/reply.go
@@ -46,6 +46,8 @@
 	switch state.Reply {
 	case ReplyTruncated:
 		ctx.Response.SetBodyRaw(body[:len(body)/2])
+	case ReplyRaw:
+		rawResponse(ctx, &state.Faults, body)
 	case ReplyCut:
 		cutResponse(ctx, body[:len(body)/2], len(body))
 	case ReplyCrossed:
@@ -64,6 +66,13 @@
 	return earlier
 }
 
+// rawResponse sends a response that begins as the faults say and closes the connection.
+func rawResponse(ctx *fasthttp.RequestCtx, faults *Faults, body []byte) {
+	conn := ctx.Conn()
+	_, _ = fmt.Fprintf(conn, "%s\r\n%sContent-Length: %d\r\n\r\n%s", faults.StatusLine, faults.FieldLines, len(body), body)
+	_ = conn.Close()
+}
+
 // cutResponse announces a body of size bytes, sends only part and closes the
 // connection.
 func cutResponse(ctx *fasthttp.RequestCtx, part []byte, size int) {
--- a/internal/targets/target/conn.go
+++ b/internal/targets/target/conn.go
@@ -9,6 +9,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/httpreply"
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 )
 
@@ -29,7 +31,9 @@
 	reader *bufio.Reader
 	writer *bufio.Writer
 	req    fasthttp.Request
-	resp   fasthttp.Response
+	// head and body are those of the last reply.
+	head   httpreply.Head
+	body   []byte
 	items  []SearchItem
 	reply  []AnswerItem
 	broken bool
@@ -78,7 +82,7 @@
 	if err := c.control(ctx, fasthttp.MethodGet, PathLoad, nil); err != nil {
 		return load, err
 	}
-	if err := Decode(c.resp.Body(), &load); err != nil {
+	if err := Decode(c.body, &load); err != nil {
 		c.broken = true
 		return load, eris.Wrap(err, "target: decode load report")
 	}
@@ -91,14 +95,14 @@
 	if err := c.roundTrip(ctx, time.Now().Add(controlTimeout), method, path, body); err != nil {
 		return eris.Wrapf(err, "target: %s %s at %s", method, path, c.addr)
 	}
-	if status := c.resp.StatusCode(); status != fasthttp.StatusOK {
+	if c.head.Status != fasthttp.StatusOK {
 		c.broken = true
-		return eris.Errorf("target: %s %s at %s: status %d", method, path, c.addr, status)
+		return eris.Errorf("target: %s %s at %s: status %d", method, path, c.addr, c.head.Status)
 	}
 	return nil
 }
 
-// roundTrip sends one HTTP request and reads its response into c.resp. The
+// roundTrip sends one HTTP request and reads its response into c.head and c.body. The
 // connection is broken after any error, unless ctx had ended before the request.
 func (c *httpConn) roundTrip(ctx context.Context, deadline time.Time, method, path string, body []byte) error {
 	c.conn.written = 0
@@ -139,12 +143,22 @@
 	if err := c.writer.Flush(); err != nil {
 		return err
 	}
-	c.resp.Reset()
-	if err := c.resp.ReadLimitBody(c.reader, maxReplyBytes); err != nil {
+	if err := c.readReply(); err != nil {
 		return err
 	}
-	if c.resp.ConnectionClose() || c.reader.Buffered() > 0 {
+	if c.head.Closes || c.reader.Buffered() > 0 {
 		c.broken = true
 	}
 	return nil
 }
+
+// readReply reads a response.
+func (c *httpConn) readReply() error {
+	c.body = nil
+	if err := c.head.Read(c.reader); err != nil {
+		return err
+	}
+	body, err := httpreply.ReadBody(c.reader, c.head.Length, exchange.BodyLimit{MaxBytes: maxReplyBytes})
+	c.body = body
+	return err
+}
--- a/internal/targets/target/reply_test.go
+++ b/internal/targets/target/reply_test.go
@@ -25,7 +25,7 @@
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
 		conn := &httpConn{items: requestItems}
-		conn.resp.SetBody(body)
+		conn.body = body
 		failure := conn.checkReply()
 		if failure != nil {
 			require.Equal(t, verdict.Unknown, failure.Verdict)
@@ -51,14 +51,14 @@
 		{ExchangeID: 9, Status: StatusOK, Body: []byte("second")},
 	})
 	require.NoError(t, err)
-	conn.resp.SetBody(body)
+	conn.body = body
 	require.Nil(t, conn.checkReply())
 	conn.resetItems()
 
 	nulls, err := Encode([]any{nil, nil})
 	require.NoError(t, err)
 	conn.items = []SearchItem{{ExchangeID: 7}, {ExchangeID: 9}}
-	conn.resp.SetBody(nulls)
+	conn.body = nulls
 	failure := conn.checkReply()
 	require.NotNil(t, failure, "a null item is not an answer")
 	require.Equal(t, verdict.ReplyMismatch, failure.Reason)
--- a/internal/targets/target/search.go
+++ b/internal/targets/target/search.go
@@ -12,6 +12,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/httpreply"
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
@@ -109,8 +111,8 @@
 	if err := c.roundTrip(ctx, deadline, fasthttp.MethodPost, PathSearch, buf.Bytes()); err != nil {
 		return c.connectionFailure(ctx, err)
 	}
-	if status := c.resp.StatusCode(); status != fasthttp.StatusOK {
-		return unknown(verdict.TargetFailed, eris.Errorf("status %d", status))
+	if c.head.Status != fasthttp.StatusOK {
+		return unknown(verdict.TargetFailed, eris.Errorf("status %d", c.head.Status))
 	}
 	return c.checkReply()
 }
@@ -119,7 +121,7 @@
 // to every item if they do not match, otherwise nil.
 func (c *httpConn) checkReply() *subquery.Answer {
 	c.reply = c.reply[:0]
-	if err := Decode(c.resp.Body(), &c.reply); err != nil {
+	if err := Decode(c.body, &c.reply); err != nil {
 		if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
 			return unknown(verdict.ReplyTruncated, err)
 		}
@@ -169,14 +171,13 @@
 		}
 		return verdict.Cancelled
 	}
-	// The HTTP library's own timeout error does not implement net.Error.
 	if timeout, ok := errors.AsType[timeoutError](err); ok && timeout.Timeout() {
 		return verdict.DeadlinePassed
 	}
 	if errors.Is(err, io.ErrUnexpectedEOF) {
 		return verdict.ReplyTruncated
 	}
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+	if _, oversized := exchange.AsOversizedReply(err); oversized || httpreply.IsInvalid(err) {
 		return verdict.ReplyMismatch
 	}
 	return verdict.TargetUnreachable
