platform: read the store's answers by the rule for replies

A host took its configuration and its targets from answers of the store that the protocol forbids: of status 000, with a blank or a control byte in the name of a field, with two lengths, and others.

Cause: the client of the store is one of an HTTP library, which corrects what it reads.

Change: httpreply.Conn stands between the connection and a library. It parses each reply by the rule and gives the library heads and chunks that it writes anew from what it parsed, so that there is one reading of them; a read fails at the first invalid byte, and what was read of a head is not passed on.

--- a/internal/domain/httpreply/doc.go
+++ b/internal/domain/httpreply/doc.go
@@ -1,5 +1,6 @@
 // Package httpreply is the one rule for what counts as a reply in HTTP/1 (RFC 9110, RFC 9112).
-// Readers of replies apply it by Head and ReadBody.
+// All readers of replies apply it: those that parse bytes themselves by Head and ReadBody, and
+// those that use an HTTP library by Conn, which gives the library only what is valid.
 //
 // Bytes that the protocol does not allow in a reply are an *InvalidError: nothing of them may
 // be passed on, their request may have run, and their connection must be closed. Nothing is
--- a/internal/domain/httpreply/reply_test.go
+++ b/internal/domain/httpreply/reply_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"math"
+	"net"
 	"testing"
 	"testing/iotest"
 
@@ -95,3 +96,15 @@
 		require.True(t, oversized, "%v", err)
 	}
 }
+
+// pipe returns a Conn whose other end sends raw and closes.
+func pipe(t *testing.T, raw []byte) *httpreply.Conn {
+	t.Helper()
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = near.Close() })
+	go func() {
+		_, _ = far.Write(raw)
+		_ = far.Close()
+	}()
+	return httpreply.NewConn(near)
+}
