gatherlink: refuse answers of hosts that hold no valid reply

During an upgrade a host of the earlier build may have taken a broken reply from a target and pass it on to one of this build, whose caller then gets it: a line with a blank in the name of a field, or a line break in a signature.

Cause: what other hosts send was passed on unchecked.

Change: the status, the signatures and the header lines of such an answer are checked by package httpreply. One that is broken counts as lost: the request may have run, and only one that may repeat is passed on again.

--- a/internal/domain/httpreply/head.go
+++ b/internal/domain/httpreply/head.go
@@ -22,6 +22,7 @@
 	firstFinal         = 200
 	noContent          = 204
 	notModified        = 304
+	lastStatus         = 599
 )
 
 // maxInterim bounds the interim replies before a reply.
--- a/internal/hosts/gatherlink/frame.go
+++ b/internal/hosts/gatherlink/frame.go
@@ -1,6 +1,7 @@
 package gatherlink
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/decision/reach"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/httpreply"
 )
 
 // Path is the path at which a Server accepts links.
@@ -147,6 +149,26 @@
 	return to
 }
 
+// check returns an error if the answer has a part that no reply may have. Hosts of earlier builds
+// pass on what they took from a target unchecked.
+func (a *answer) check() error {
+	if !httpreply.IsFinal(a.Status) {
+		return fmt.Errorf("the answer has the status %d", a.Status)
+	}
+	for _, signature := range a.Signatures {
+		if !httpreply.ValidText(signature) {
+			return fmt.Errorf("the answer has the signature %q", signature)
+		}
+	}
+	if a.Relayed == nil {
+		return nil
+	}
+	if !httpreply.ValidText(a.Relayed.Signature) {
+		return fmt.Errorf("the answer has the signature %q", a.Relayed.Signature)
+	}
+	return httpreply.CheckForwarded(a.Relayed.Forward)
+}
+
 // frameWriter writes frames to a link from several goroutines.
 type frameWriter struct {
 	mu   sync.Mutex
--- a/internal/hosts/gatherlink/passage.go
+++ b/internal/hosts/gatherlink/passage.go
@@ -198,7 +198,7 @@
 		return nil, false
 	case o.kind == kindAnswer && o.answer != nil:
 		a.link.forget(a.id)
-		return a.truthful(a.answered(a.link, o.answer)), true
+		return a.received(o.answer), true
 	case o.kind != kindRefused:
 		// The frame of another build says nothing of whether the sweep ran.
 		a.link.forget(a.id)
@@ -214,6 +214,16 @@
 	}
 }
 
+// received returns the gatherer's answer, nil if a caller must not get what it holds. The
+// request may have run then.
+func (a *attempt) received(from *answer) *exchange.Answer {
+	if err := from.check(); err != nil {
+		a.unserved(a.link, lost, err)
+		return nil
+	}
+	return a.truthful(a.answered(a.link, from))
+}
+
 // truthful returns the answer, or a failure in place of a refusal if the sweep may have
 // run on a gatherer that was asked before: a refusal states that it has not run.
 func (a *attempt) truthful(answer *exchange.Answer) *exchange.Answer {
