clients: read answers by the rule for replies

The own mode's client of the platform and the clients of the tools took answers that the protocol forbids for answers: a document of status 000, and a refusal behind a head with a blank in the name of a field, after which the caller's client sends the query again although it may have run.

Cause: they read by an HTTP library alone, which corrects what it reads.

Change: all of them read through httpreply.Conn: the client of the platform, httpjson (the callers' and the administration's client and the command line), the load tool and the demo. Package httpdial opens their connections. With https it makes the TLS handshake itself, below the check.

--- a/internal/hosts/platform/cut_test.go
+++ b/internal/hosts/platform/cut_test.go
@@ -29,3 +29,23 @@
 		}
 	}
 }
+
+// TestBrokenAnswerOfPlatformIsAnError guards against documents that are taken from what the
+// protocol forbids in an answer.
+func TestBrokenAnswerOfPlatformIsAnError(t *testing.T) {
+	for name, raw := range rawserver.Broken("", `{"revision":7}`) {
+		server, err := rawserver.Start(rawserver.NewCut(func(*http.Request, []byte) []byte { return raw }).Answer)
+		require.NoError(t, err)
+		t.Cleanup(server.Close)
+		_, err = NewHTTPClient(server.Addr()).Document(t.Context(), 0, 0)
+		require.Error(t, err, name)
+	}
+	for name, raw := range rawserver.Unusual("", `{"revision":7}`) {
+		server, err := rawserver.Start(rawserver.NewCut(func(*http.Request, []byte) []byte { return raw }).Answer)
+		require.NoError(t, err)
+		t.Cleanup(server.Close)
+		list, err := NewHTTPClient(server.Addr()).HostList(t.Context(), 0, 0)
+		require.NoError(t, err, name)
+		require.EqualValues(t, 7, list.Revision, name)
+	}
+}
--- a/internal/hosts/platform/http.go
+++ b/internal/hosts/platform/http.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/swiftvane/swiftvane/internal/domain/config"
+	"github.com/swiftvane/swiftvane/internal/domain/httpreply"
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 )
 
@@ -113,7 +114,7 @@
 	if err := writer.Flush(); err != nil {
 		return err
 	}
-	err = resp.ReadLimitBody(bufio.NewReader(conn), MaxResponseBytes)
+	err = resp.ReadLimitBody(bufio.NewReader(httpreply.NewConn(conn)), MaxResponseBytes)
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
--- a/internal/support/httpjson/client.go
+++ b/internal/support/httpjson/client.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/swiftvane/swiftvane/internal/support/httpdial"
 )
 
 const (
@@ -51,7 +53,7 @@
 // New returns a client.
 func New() *Client {
 	return &Client{http: &fasthttp.Client{
-		Dial:                      dial,
+		ConfigureClient:           setDial,
 		MaxConnsPerHost:           maxConnsPerHost,
 		MaxIdleConnDuration:       idleTimeout,
 		MaxResponseBodySize:       maxResponseBytes,
@@ -61,12 +63,17 @@
 	}}
 }
 
-func dial(addr string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
-	if err != nil {
-		return nil, &NotSentError{Err: err}
+// setDial sets how the client of one address opens connections.
+func setDial(host *fasthttp.HostClient) error {
+	dial := httpdial.Func(dialTimeout, host.IsTLS)
+	host.Dial = func(addr string) (net.Conn, error) {
+		conn, err := dial(addr)
+		if err != nil {
+			return nil, &NotSentError{Err: err}
+		}
+		return conn, nil
 	}
-	return conn, nil
+	return nil
 }
 
 // Do sends r and returns the response. An error that wraps a *NotSentError means
--- a/internal/tool/demo/platformcaller.go
+++ b/internal/tool/demo/platformcaller.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/swiftvane/swiftvane/internal/standin/deployment"
+	"github.com/swiftvane/swiftvane/internal/support/httpdial"
 	"github.com/swiftvane/swiftvane/platform"
 )
 
@@ -25,7 +27,9 @@
 }
 
 func newPlatformCaller(addr string) *platformCaller {
-	return &platformCaller{addr: addr, client: &http.Client{}}
+	dial := httpdial.Func(demoTimeout, false)
+	transport := &http.Transport{DialContext: func(_ context.Context, _, addr string) (net.Conn, error) { return dial(addr) }}
+	return &platformCaller{addr: addr, client: &http.Client{Transport: transport}}
 }
 
 func (c *platformCaller) ask(ctx context.Context, route, id string) (platformAnswer, error) {
--- a/internal/tool/load/http.go
+++ b/internal/tool/load/http.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
 	"net/url"
 	"time"
 
@@ -12,6 +11,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/face/callerapi"
+	"github.com/swiftvane/swiftvane/internal/support/httpdial"
 )
 
 const (
@@ -62,14 +62,15 @@
 		if err != nil {
 			return nil, err
 		}
+		isTLS := parsed.Scheme == "https"
 		c.hosts = append(c.hosts, &fasthttp.HostClient{
 			Addr:                      parsed.Host,
-			IsTLS:                     parsed.Scheme == "https",
+			IsTLS:                     isTLS,
 			MaxConns:                  maxConnections,
 			MaxIdleConnDuration:       idleTimeout,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			Dial:                      func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, dialTimeout) },
+			Dial:                      httpdial.Func(dialTimeout, isTLS),
 		})
 	}
 	return c, nil
--- a/internal/tool/load/load_test.go
+++ b/internal/tool/load/load_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -18,6 +19,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 	"github.com/swiftvane/swiftvane/internal/standin/httpserve"
+	"github.com/swiftvane/swiftvane/internal/standin/rawserver"
 )
 
 func TestMain(m *testing.M) {
@@ -206,6 +208,21 @@
 	}
 }
 
+// TestBrokenAnswerYieldsNoResponse guards against reports that count as answered what the protocol
+// forbids in an answer.
+func TestBrokenAnswerYieldsNoResponse(t *testing.T) {
+	for name, raw := range rawserver.Broken("", `{"coverage":{"shards":3,"answered":3}}`) {
+		server, err := rawserver.Start(func(*http.Request, []byte) ([]byte, bool) { return raw, true })
+		require.NoError(t, err)
+		client, err := NewHTTPClient([]string{"http://" + server.Addr()}, 1)
+		require.NoError(t, err)
+		outcome := client.Ask(t.Context(), &Query{Body: json.RawMessage(`1`), Deadline: time.Minute})
+		require.Equal(t, Outcome{Reason: NoResponse}, outcome, name)
+		client.Close()
+		server.Close()
+	}
+}
+
 func TestUnreachableHostYieldsNoResponse(t *testing.T) {
 	client, err := NewHTTPClient([]string{"http://127.0.0.1:1"}, 1)
 	require.NoError(t, err)
