hosts: bound what is read of another host's handshake and messages

A host reads answers of other hosts on WebSocket links. One that sends bytes without end, in the head that accepts the link or in a message, used up the memory of the host that reads them.

Cause: the library reads a head of any length, and messages had a limit on the mesh of the own mode alone; the deadline of 0.6 to 1.3 s was the only bound.

Change: links are dialed through httpdial, so that the head of a handshake is read by the rule for replies, at most 4 kB of it. Messages of links between gatherers and between readers of the catalog end at 64 MB, which is above the largest body and was the limit after decompression.

--- a/internal/domain/httpreply/conn.go
+++ b/internal/domain/httpreply/conn.go
@@ -35,6 +35,9 @@
 	return c
 }
 
+// NetConn returns the connection that is checked, for options of its socket.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. It is called by one goroutine at a time.
 func (c *Conn) Read(p []byte) (int, error) {
 	for len(c.rewritten) == 0 && c.left == 0 {
--- a/internal/hosts/catalogshare/link.go
+++ b/internal/hosts/catalogshare/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/url"
 	"strconv"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
+	"github.com/swiftvane/swiftvane/internal/support/httpdial"
 )
 
 var (
@@ -48,7 +50,7 @@
 		query.Set(observeQuery, "")
 	}
 	target := "ws://" + addr + Path + "?" + query.Encode()
-	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout}
+	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: httpdial.Context(new(net.Dialer))}
 	conn, resp, err := dialer.DialContext(ctx, target, nil)
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close() //nolint:errcheck // an upgrade's response has no body to lose
@@ -56,6 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn.SetReadLimit(maxMessageBytes)
 	l := &link{addr: addr, conn: conn, messages: make(chan *message, outboxCapacity), log: log, number: linkNumbers.Add(1)}
 	go l.read()
 	return l, nil
--- a/internal/hosts/catalogshare/servelink.go
+++ b/internal/hosts/catalogshare/servelink.go
@@ -67,6 +67,7 @@
 // follower that reports periodically is silent for reportTimeout. It then closes the link, which makes the next write on it fail.
 func (h *Hub) readFollower(conn *websocket.Conn, f *follower) {
 	defer closeLink(conn, h.log)
+	conn.SetReadLimit(maxMessageBytes)
 	for {
 		_, raw, err := conn.ReadMessage()
 		if err != nil {
--- a/internal/hosts/gatherlink/frame.go
+++ b/internal/hosts/gatherlink/frame.go
@@ -21,6 +21,8 @@
 	heartbeatInterval = 500 * time.Millisecond
 	// linkTimeout is how long a link may be silent before the client closes it.
 	linkTimeout = 1300 * time.Millisecond
+	// maxFrameBytes bounds one frame. It holds the largest bodies of requests and replies.
+	maxFrameBytes = 64 << 20
 	// writeTimeout bounds the writing of one frame.
 	writeTimeout = time.Second
 )
--- a/internal/hosts/gatherlink/link.go
+++ b/internal/hosts/gatherlink/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/reach"
+	"github.com/swiftvane/swiftvane/internal/support/httpdial"
 )
 
 // dialTimeout bounds the set-up of a link, handshake included.
@@ -55,7 +57,7 @@
 func dialLink(addr string, log logrus.FieldLogger) (*link, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout}
+	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: httpdial.Context(new(net.Dialer))}
 	conn, resp, err := dialer.DialContext(ctx, "ws://"+addr+Path, nil)
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close() //nolint:errcheck // an upgrade's response has no body to lose
@@ -63,6 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn.SetReadLimit(maxFrameBytes)
 	l := &link{frameWriter: frameWriter{conn: conn}, addr: addr, log: log, pending: map[uint64]chan outcome{}}
 	go l.read()
 	return l, nil
--- a/internal/hosts/gatherlink/server.go
+++ b/internal/hosts/gatherlink/server.go
@@ -77,6 +77,7 @@
 
 // serve handles one link until it ends.
 func (s *Server) serve(conn *websocket.Conn) {
+	conn.SetReadLimit(maxFrameBytes)
 	l := &serverLink{server: s, frameWriter: frameWriter{conn: conn}, sweeps: map[uint64]chan struct{}{}}
 	ended := make(chan struct{})
 	var beating sync.WaitGroup
--- a/internal/hosts/peer/dial.go
+++ b/internal/hosts/peer/dial.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/support/httpdial"
 )
 
 const (
@@ -31,9 +32,8 @@
 func (m *Mesh) dial(ctx context.Context, to model.HostID, addr string, s *session) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.opts.DialTimeout)
 	defer cancel()
-	tcp := net.Dialer{KeepAlive: keepAlivePeriod}
 	dialer := websocket.Dialer{
-		NetDialContext:  tcp.DialContext,
+		NetDialContext:  httpdial.Context(&net.Dialer{KeepAlive: keepAlivePeriod}),
 		ReadBufferSize:  readBufferBytes,
 		WriteBufferSize: writeBufferBytes,
 		WriteBufferPool: &writeBuffers,
--- a/internal/hosts/peer/usertimeout_linux.go
+++ b/internal/hosts/peer/usertimeout_linux.go
@@ -12,6 +12,9 @@
 // the kernel closes the connection. If it fails, the kernel's default remains.
 func setUserTimeout(conn *websocket.Conn, limit time.Duration) {
 	inner := conn.NetConn()
+	if checked, ok := inner.(interface{ NetConn() net.Conn }); ok {
+		inner = checked.NetConn()
+	}
 	if hijacked, ok := inner.(interface{ UnsafeConn() net.Conn }); ok {
 		inner = hijacked.UnsafeConn()
 	}
--- a/internal/standin/rawserver/server.go
+++ b/internal/standin/rawserver/server.go
@@ -18,16 +18,23 @@
 type Server struct {
 	listener net.Listener
 	answer   Answer
+	// again is sent after each reply until the client closes the connection, if it isn't empty.
+	again    []byte
 	requests atomic.Int64
+	sent     atomic.Int64
 }
 
 // Start starts a server on a free loopback port.
-func Start(answer Answer) (*Server, error) {
+func Start(answer Answer) (*Server, error) { return StartEndless(answer, nil) }
+
+// StartEndless starts a server on a free loopback port that goes on with the bytes of again, over
+// and over, after each answer.
+func StartEndless(answer Answer, again []byte) (*Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: l, answer: answer}
+	s := &Server{listener: l, answer: answer, again: again}
 	go s.accept()
 	return s, nil
 }
@@ -38,6 +45,9 @@
 // Requests returns the number of requests that arrived so far.
 func (s *Server) Requests() int { return int(s.requests.Load()) }
 
+// Sent returns the number of bytes that were sent so far.
+func (s *Server) Sent() int64 { return s.sent.Load() }
+
 // Close stops the server; its connections end with their clients.
 func (s *Server) Close() { _ = s.listener.Close() }
 
@@ -66,8 +76,18 @@
 		}
 		s.requests.Add(1)
 		reply, closes := s.answer(r, body)
-		if _, err := conn.Write(reply); err != nil || closes {
+		err = s.write(conn, reply)
+		for err == nil && len(s.again) > 0 {
+			err = s.write(conn, s.again)
+		}
+		if err != nil || closes {
 			return
 		}
 	}
 }
+
+func (s *Server) write(conn net.Conn, raw []byte) error {
+	n, err := conn.Write(raw)
+	s.sent.Add(int64(n))
+	return err
+}
--- a/internal/standin/rawserver/websocket.go
+++ b/internal/standin/rawserver/websocket.go
@@ -1,6 +1,7 @@
 package rawserver
 
 import (
+	"bytes"
 	"crypto/sha1"
 	"encoding/base64"
 	"encoding/binary"
@@ -28,6 +29,24 @@
 	return NewCut(func(r *http.Request, _ []byte) []byte { return append(upgrade(r), frames...) })
 }
 
+// StartEndlessHead starts a server that accepts WebSocket handshakes in a head without end.
+func StartEndlessHead() (*Server, error) {
+	answer := func(r *http.Request, _ []byte) ([]byte, bool) {
+		return bytes.TrimSuffix(upgrade(r), []byte("\r\n")), true
+	}
+	return StartEndless(answer, bytes.Repeat([]byte("A: b\r\n"), 1000))
+}
+
+// StartEndlessMessage starts a server that accepts WebSocket handshakes and sends one message
+// without end, in frames.
+func StartEndlessMessage() (*Server, error) {
+	part := make([]byte, 1<<14)
+	answer := func(r *http.Request, _ []byte) ([]byte, bool) {
+		return appendFrame(upgrade(r), binaryFrame, part), true
+	}
+	return StartEndless(answer, appendFrame(nil, continuation, part))
+}
+
 // upgrade returns the reply that accepts a WebSocket handshake.
 func upgrade(r *http.Request) []byte {
 	sum := sha1.Sum([]byte(r.Header.Get("Sec-WebSocket-Key") + acceptSuffix))
--- a/internal/support/httpdial/dial.go
+++ b/internal/support/httpdial/dial.go
@@ -3,6 +3,7 @@
 package httpdial
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"time"
@@ -37,11 +38,19 @@
 }
 
 func dialPlain(dialer *net.Dialer, addr string) (net.Conn, error) {
-	raw, err := dialer.Dial("tcp", addr)
-	if err != nil {
-		return nil, err
+	return Context(dialer)(context.Background(), "tcp", addr)
+}
+
+// Context returns a function that opens plain connections by dialer, as clients of net/http and
+// of WebSockets ask for.
+func Context(dialer *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		raw, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return httpreply.NewConn(raw), nil
 	}
-	return httpreply.NewConn(raw), nil
 }
 
 // secureConn is a connection with TLS. Its method Handshake tells fasthttp not to add TLS itself.
--- a/internal/tool/demo/platformcaller.go
+++ b/internal/tool/demo/platformcaller.go
@@ -27,8 +27,7 @@
 }
 
 func newPlatformCaller(addr string) *platformCaller {
-	dial := httpdial.Func(demoTimeout, false)
-	transport := &http.Transport{DialContext: func(_ context.Context, _, addr string) (net.Conn, error) { return dial(addr) }}
+	transport := &http.Transport{DialContext: httpdial.Context(new(net.Dialer))}
 	return &platformCaller{addr: addr, client: &http.Client{Transport: transport}}
 }
 
