soak: every part of a reply without end, on many connections at once

The test covered chunks alone; it covers all parts now, and noise. TestEndlessReplyIsRefused has had each part at the reader.

--- a/internal/standin/searcher/answer.go
+++ b/internal/standin/searcher/answer.go
@@ -20,7 +20,7 @@
 	case NoAnswer:
 		s.hijack(w, func(net.Conn, *bufio.ReadWriter) { time.Sleep(time.Hour) })
 		return
-	case Noise, EndlessBody:
+	case Noise, EndlessBody, EndlessHead, EndlessInterims, EndlessUnframed, EndlessTrailer:
 		s.hijack(w, func(c net.Conn, _ *bufio.ReadWriter) { s.sendEndlessly(c, id, signature, fault) })
 		return
 	case LoseAnswer:
--- a/internal/standin/searcher/searcher.go
+++ b/internal/standin/searcher/searcher.go
@@ -55,6 +55,12 @@
 	Noise
 	// EndlessBody runs the request and sends a body in chunks without end.
 	EndlessBody
+	// EndlessHead, EndlessInterims, EndlessUnframed and EndlessTrailer run the request and send
+	// a head, interim replies, a body without a length and a trailer without end.
+	EndlessHead
+	EndlessInterims
+	EndlessUnframed
+	EndlessTrailer
 )
 
 // Options configures one searcher.
