target: bound the replies of own-mode targets that are read at once

In the own mode targets that answer without end used up a host's memory.

Cause: a reply was bounded by 64 MB, but not the replies of all targets together; the library doubles its buffer as it reads.

Change: the daemon has a budget of 256 MB, the setting limits.reply_bytes, as hosts on the users' platform have one: replies take from it as they arrive, a single one a quarter at most, and at the bound the slowest is ended. Its verdict is unknown, its reason reply_mismatch, and it is not taken for a crash of the target.

--- a/internal/standin/rawserver/server.go
+++ b/internal/standin/rawserver/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -14,22 +15,35 @@
 // Answer returns the bytes that answer a request, and whether the connection closes after them.
 type Answer func(r *http.Request, body []byte) (reply []byte, closes bool)
 
+// Again returns the bytes that follow the answer to a request, over and over, until the client closes
+// the connection; none if the answer has an end.
+type Again func(r *http.Request) []byte
+
 // Server is a running stand-in.
 type Server struct {
 	listener net.Listener
 	answer   Answer
-	// again is sent after each reply until the client closes the connection, if it isn't empty.
-	again    []byte
+	again    Again
 	requests atomic.Int64
 	sent     atomic.Int64
 }
 
+// repeatBytes is the least length of what Repeat returns.
+const repeatBytes = 16 << 10
+
+// Repeat returns an Again with a repeated part, for all requests.
+func Repeat(part string) Again {
+	block := bytes.Repeat([]byte(part), 1+repeatBytes/len(part))
+	return func(*http.Request) []byte { return block }
+}
+
 // Start starts a server on a free loopback port.
-func Start(answer Answer) (*Server, error) { return StartEndless(answer, nil) }
+func Start(answer Answer) (*Server, error) {
+	return StartEndless(answer, func(*http.Request) []byte { return nil })
+}
 
-// StartEndless starts a server on a free loopback port that goes on with the bytes of again, over
-// and over, after each answer.
-func StartEndless(answer Answer, again []byte) (*Server, error) {
+// StartEndless starts a server on a free loopback port whose answers may have no end.
+func StartEndless(answer Answer, again Again) (*Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -77,8 +91,8 @@
 		s.requests.Add(1)
 		reply, closes := s.answer(r, body)
 		err = s.write(conn, reply)
-		for err == nil && len(s.again) > 0 {
-			err = s.write(conn, s.again)
+		for again := s.again(r); err == nil && len(again) > 0; {
+			err = s.write(conn, again)
 		}
 		if err != nil || closes {
 			return
--- a/internal/standin/rawserver/websocket.go
+++ b/internal/standin/rawserver/websocket.go
@@ -34,7 +34,7 @@
 	answer := func(r *http.Request, _ []byte) ([]byte, bool) {
 		return bytes.TrimSuffix(upgrade(r), []byte("\r\n")), true
 	}
-	return StartEndless(answer, bytes.Repeat([]byte("A: b\r\n"), 1000))
+	return StartEndless(answer, Repeat("A: b\r\n"))
 }
 
 // StartEndlessMessage starts a server that accepts WebSocket handshakes and sends one message
@@ -44,7 +44,7 @@
 	answer := func(r *http.Request, _ []byte) ([]byte, bool) {
 		return appendFrame(upgrade(r), binaryFrame, part), true
 	}
-	return StartEndless(answer, appendFrame(nil, continuation, part))
+	return StartEndless(answer, Repeat(string(appendFrame(nil, continuation, part))))
 }
 
 // upgrade returns the reply that accepts a WebSocket handshake.
--- a/internal/support/settings/settings.go
+++ b/internal/support/settings/settings.go
@@ -64,6 +64,7 @@
 	MaxBodyBytes       int `toml:"max_body_bytes" validate:"min=1024,max=67108864" allowed:"1024 to 67108864 bytes" doc:"Size of a caller's request; policy may allow less."`
 	MaxFanOut          int `toml:"max_fan_out" validate:"min=1,max=100000" allowed:"1 to 100000" doc:"Shards that one query may ask; a wider one is refused."`
 	DeadlineMaxMS      int `toml:"deadline_max_ms" validate:"min=1,max=600000" allowed:"1 to 600000 ms" doc:"Longest deadline that a caller may name; policy may allow less."`
+	ReplyBytes         int `toml:"reply_bytes" validate:"min=1048576,max=68719476736" allowed:"1048576 to 68719476736 bytes" doc:"Replies of targets that are read at once, one of them a quarter at most; at the bound the slowest are ended."`
 	LameDuckMS         int `toml:"lame_duck_ms" validate:"min=0,max=600000" allowed:"0 to 600000 ms" doc:"Time between reporting not ready and refusing new queries, for the balancer to notice."`
 	DrainMS            int `toml:"drain_ms" validate:"min=1,max=3600000" allowed:"1 to 3600000 ms" doc:"Longest wait for requests in flight after that; one second before its end, or a quarter of it if that is shorter, they are answered with host_stopping."`
 	ClaimHistoryWaitMS int `toml:"claim_history_wait_ms" validate:"min=0,max=86400000" allowed:"0 to 86400000 ms; 0 only for the first start of a fleet" doc:"How long a host that finds no other with a complete history of host lists refuses requests that must not repeat: until no forgotten claim can be open any more."`
@@ -81,6 +82,7 @@
 	defaultMaxBodyBytes       = 1 << 20
 	defaultMaxFanOut          = 4096
 	defaultDeadlineMaxMS      = 60_000
+	defaultReplyBytes         = 256 << 20
 	defaultLameDuckMS         = 3_000
 	defaultDrainMS            = 30_000
 	defaultClaimEntries       = 1 << 18
@@ -97,6 +99,7 @@
 			MaxBodyBytes:       defaultMaxBodyBytes,
 			MaxFanOut:          defaultMaxFanOut,
 			DeadlineMaxMS:      defaultDeadlineMaxMS,
+			ReplyBytes:         defaultReplyBytes,
 			LameDuckMS:         defaultLameDuckMS,
 			DrainMS:            defaultDrainMS,
 			ClaimEntries:       defaultClaimEntries,
--- a/internal/targets/target/conn.go
+++ b/internal/targets/target/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/domain/httpreply"
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
 )
 
 const (
@@ -32,25 +34,31 @@
 	writer *bufio.Writer
 	req    fasthttp.Request
 	// head and body are those of the last reply.
-	head   httpreply.Head
-	body   []byte
-	items  []SearchItem
-	reply  []AnswerItem
-	broken bool
+	head httpreply.Head
+	body []byte
+	// account counts the bytes of the reply that is read; nil without a bound. maxReply is the
+	// largest body.
+	account  *bytebudget.Account
+	maxReply int
+	items    []SearchItem
+	reply    []AnswerItem
+	broken   bool
 }
 
 var _ Conn = (*httpConn)(nil)
 
-func newHTTPConn(raw net.Conn, addr string, salt uint64) *httpConn {
+func newHTTPConn(raw net.Conn, addr string, d *HTTPDialer) *httpConn {
 	counting := newCountingConn(raw)
 	c := &httpConn{
-		conn:   counting,
-		addr:   addr,
-		salt:   salt,
-		reader: bufio.NewReaderSize(counting, bufferBytes),
-		writer: bufio.NewWriterSize(counting, bufferBytes),
+		conn:     counting,
+		addr:     addr,
+		salt:     d.salt,
+		maxReply: d.maxReply(),
+		reader:   bufio.NewReaderSize(counting, bufferBytes),
+		writer:   bufio.NewWriterSize(counting, bufferBytes),
 	}
 	c.req.KeepBodyBuffer = true
+	c.account = d.Memory.NewAccount(func() { _ = raw.Close() })
 	return c
 }
 
@@ -158,7 +166,13 @@
 	if err := c.head.Read(c.reader); err != nil {
 		return err
 	}
-	body, err := httpreply.ReadBody(c.reader, c.head.Length, exchange.BodyLimit{MaxBytes: maxReplyBytes})
+	c.account.Begin(time.Now(), 0, true)
+	defer c.account.End()
+	body, err := httpreply.ReadBody(c.reader, c.head.Length, exchange.BodyLimit{MaxBytes: c.maxReply, Take: c.account.Take})
+	if errors.Is(err, net.ErrClosed) {
+		// The reply was the slowest one when the bound was reached.
+		return httpreply.ErrNoMemory
+	}
 	c.body = body
 	return err
 }
--- a/internal/targets/target/dialer.go
+++ b/internal/targets/target/dialer.go
@@ -10,6 +10,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
 )
 
 // UserTimeout bounds the time that sent bytes may stay unacknowledged before the
@@ -22,6 +23,20 @@
 	// that neither a misrouted answer nor a cancellation matches by accident.
 	salt uint64
 	net  net.Dialer
+	// Memory bounds the replies that are read at once on all connections, of which one may take
+	// a quarter; nil for no bound. It is set before the first Dial.
+	Memory *bytebudget.Budget
+}
+
+// replyShare is the part of the memory that one reply may take, as a divisor.
+const replyShare = 4
+
+// maxReply returns the largest body of a reply, in bytes.
+func (d *HTTPDialer) maxReply() int {
+	if d.Memory == nil {
+		return maxReplyBytes
+	}
+	return int(min(d.Memory.Limit()/replyShare, maxReplyBytes))
 }
 
 var _ Dialer = (*HTTPDialer)(nil)
@@ -47,7 +62,7 @@
 	if err != nil {
 		return nil, dialError(t, err)
 	}
-	conn := newHTTPConn(raw, t.Addr, d.salt)
+	conn := newHTTPConn(raw, t.Addr, d)
 	if _, err := conn.Probe(ctx); err != nil {
 		_ = conn.Close()
 		return nil, dialError(t, err)
--- a/internal/targets/target/search.go
+++ b/internal/targets/target/search.go
@@ -177,7 +177,7 @@
 	if errors.Is(err, io.ErrUnexpectedEOF) {
 		return verdict.ReplyTruncated
 	}
-	if _, oversized := exchange.AsOversizedReply(err); oversized || httpreply.IsInvalid(err) {
+	if _, oversized := exchange.AsOversizedReply(err); oversized || errors.Is(err, httpreply.ErrNoMemory) || httpreply.IsInvalid(err) {
 		return verdict.ReplyMismatch
 	}
 	return verdict.TargetUnreachable
--- a/internal/wiring/daemon/providers.go
+++ b/internal/wiring/daemon/providers.go
@@ -17,6 +17,7 @@
 	"github.com/swiftvane/swiftvane/internal/hosts/platform"
 	"github.com/swiftvane/swiftvane/internal/querypath/admission"
 	"github.com/swiftvane/swiftvane/internal/querypath/query"
+	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
 	"github.com/swiftvane/swiftvane/internal/support/metrics"
 	"github.com/swiftvane/swiftvane/internal/support/settings"
 	"github.com/swiftvane/swiftvane/internal/targets/dispatch"
@@ -120,10 +121,14 @@
 }
 
 func provideLocal(i do.Injector) (*dispatch.Local, error) {
-	in, views := do.MustInvoke[*instruments](i), do.MustInvoke[*fleet.Fleet](i)
+	s, in, views := do.MustInvoke[*settings.Settings](i), do.MustInvoke[*instruments](i), do.MustInvoke[*fleet.Fleet](i)
+	dialer := target.NewHTTPDialer()
+	dialer.Memory = bytebudget.New(bytebudget.Options{
+		Limit: int64(s.Limits.ReplyBytes), Scope: in.scope.SubScope("dispatch"), Log: in.log,
+	})
 	return dispatch.NewLocal(dispatch.Options{
 		Views:     views,
-		Dialer:    target.NewHTTPDialer(),
+		Dialer:    dialer,
 		Scope:     in.scope.SubScope("dispatch"),
 		Log:       in.log,
 		OnLeaving: views.MarkTargetLeaving,
--- a/test/harness/daemon.go
+++ b/test/harness/daemon.go
@@ -20,7 +20,7 @@
 // the test ends. Its standard output and standard error go to the process log.
 func StartDaemon(tb testing.TB, name string, env ...string) *Process {
 	tb.Helper()
-	return startDaemon(tb, "swiftvaned", name, env...)
+	return startDaemon(tb, daemon, name, env...)
 }
 
 func startDaemon(tb testing.TB, program, name string, env ...string) *Process {
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -31,6 +31,10 @@
 	LameDuckMS int
 	// DrainMS is each host's drain limit in milliseconds; 0 leaves the default.
 	DrainMS int
+	// ReplyBytes is each host's bound of replies that are read, in bytes; 0 leaves the default.
+	ReplyBytes int
+	// Measured runs hosts whose memory is measured: they never have the race detector.
+	Measured bool
 	// Policy modifies the fleet's default policy; nil leaves it unchanged.
 	Policy func(*config.Policy)
 }
@@ -78,6 +82,9 @@
 	if o.DrainMS > 0 {
 		lines += fmt.Sprintf("drain_ms = %d\n", o.DrainMS)
 	}
+	if o.ReplyBytes > 0 {
+		lines += fmt.Sprintf("reply_bytes = %d\n", o.ReplyBytes)
+	}
 	return lines
 }
 
@@ -96,7 +103,10 @@
 	peers := addrs[:o.Hosts]
 	for i, published := range fixture.Hosts(peers...).Hosts {
 		host := &Host{
-			Host: published, caller: addrs[o.Hosts+i], admin: addrs[2*o.Hosts+i], peer: peers[i], http: f.HTTP,
+			Host: published, caller: addrs[o.Hosts+i], admin: addrs[2*o.Hosts+i], peer: peers[i], http: f.HTTP, program: daemon,
+		}
+		if o.Measured {
+			host.program = measuredDaemon
 		}
 		if o.PeerProxies {
 			host.Proxy = startProxy(tb, host.peer)
--- a/test/harness/host.go
+++ b/test/harness/host.go
@@ -63,6 +63,7 @@
 
 	caller, admin, peer string
 	settings            string
+	program             string
 	http                *httpjson.Client
 }
 
@@ -91,7 +92,7 @@
 // Restart starts the host's process. The previous process, if any, must have exited.
 func (h *Host) Restart(tb testing.TB) {
 	tb.Helper()
-	h.Process, _ = start(tb, string(h.ID), "swiftvaned", "--settings", h.settings)
+	h.Process, _ = start(tb, string(h.ID), h.program, "--settings", h.settings)
 	h.reap()
 }
 
--- a/test/harness/programs.go
+++ b/test/harness/programs.go
@@ -39,6 +39,9 @@
 	return filepath.Join(programs.dir, name)
 }
 
+// daemon is the daemon, with the race detector if the tests have it.
+const daemon = "swiftvaned"
+
 // measuredDaemon is the daemon built without the race detector, whose own memory is
 // several times that of the program.
 const measuredDaemon = "swiftvaned-measured"
@@ -54,12 +57,12 @@
 	if raceEnabled {
 		daemonFlags = append(daemonFlags, "-race")
 	}
-	programs.err = goBuild(daemonFlags, "swiftvaned")
+	programs.err = goBuild(daemonFlags, daemon)
 	if programs.err == nil {
 		programs.err = goBuild(nil, "standin", "swiftvanectl")
 	}
 	if programs.err == nil {
-		programs.err = goBuildAs(measuredDaemon, nil, "swiftvaned")
+		programs.err = goBuildAs(measuredDaemon, nil, daemon)
 	}
 }
 
