--- a/internal/hosts/platform/cut_test.go
+++ b/internal/hosts/platform/cut_test.go
@@ -49,3 +49,18 @@
 		require.EqualValues(t, 7, list.Revision, name)
 	}
 }
+
+// TestEndlessAnswerOfPlatformIsAnError guards against a platform whose answers use up a host's
+// memory.
+func TestEndlessAnswerOfPlatformIsAnError(t *testing.T) {
+	// kernelBytes is what may be sent on a connection that is not read.
+	const kernelBytes = 16 << 20
+	for name, endless := range rawserver.EndlessReplies() {
+		server, err := rawserver.StartEndless(func(*http.Request, []byte) ([]byte, bool) { return []byte(endless.Begin), true }, rawserver.Repeat(endless.Again))
+		require.NoError(t, err)
+		t.Cleanup(server.Close)
+		_, err = NewHTTPClient(server.Addr()).HostList(t.Context(), 0, 0)
+		require.Error(t, err, name)
+		require.Less(t, server.Sent(), int64(MaxResponseBytes+kernelBytes), name)
+	}
+}
--- a/internal/targets/target/endless_test.go
+++ b/internal/targets/target/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -25,23 +24,14 @@
 		// kernelBytes is what may be sent on a connection that is not read.
 		kernelBytes = 8 << 20
 	)
-	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	chunk := "4000\r\n" + strings.Repeat("a", 0x4000) + "\r\n"
-	for name, reply := range map[string]struct{ begin, again string }{
-		"head":     {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
-		"interims": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-		"body":     {"HTTP/1.1 200 OK\r\n\r\n", "a"},
-		"length":   {"HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n", "a"},
-		"chunks":   {chunked, chunk},
-		"trailer":  {chunked + "0\r\n", "A: b\r\n"},
-	} {
+	for name, reply := range rawserver.EndlessReplies() {
 		t.Run(name, func(t *testing.T) {
-			again := rawserver.Repeat(reply.again)
+			again := rawserver.Repeat(reply.Again)
 			server, err := rawserver.StartEndless(func(r *http.Request, _ []byte) ([]byte, bool) {
 				if r.URL.Path == PathLoad {
 					return framed("length", subquery.Load{}), false
 				}
-				return []byte(reply.begin), true
+				return []byte(reply.Begin), true
 			}, func(r *http.Request) []byte {
 				if r.URL.Path == PathLoad {
 					return nil
