--- a/internal/domain/httpreply/field.go
+++ b/internal/domain/httpreply/field.go
@@ -54,13 +54,21 @@
 
 // isFolded reports whether a line that begins with a blank goes on with the value of a field. With
 // a colon it could as well be a field whose name begins with a blank, which is invalid.
-func isFolded(line []byte) bool { return isText(line) && !bytes.Contains(line, []byte(":")) }
+func isFolded(line []byte) bool { return isText(line) && bytes.IndexByte(line, ':') < 0 }
 
 // isBlank reports whether b is a space or a tab.
 func isBlank(b byte) bool { return b == ' ' || b == '\t' }
 
 // trim returns b without blanks at its ends.
-func trim(b []byte) []byte { return bytes.Trim(b, " \t") }
+func trim(b []byte) []byte {
+	for len(b) > 0 && isBlank(b[0]) {
+		b = b[1:]
+	}
+	for len(b) > 0 && isBlank(b[len(b)-1]) {
+		b = b[:len(b)-1]
+	}
+	return b
+}
 
 // equalFold reports whether b equals want, an ASCII text, ignoring case.
 func equalFold(b []byte, want string) bool {
@@ -69,10 +77,11 @@
 
 // parseField returns the field of a line that begins one.
 func parseField(line []byte) (Field, error) {
-	name, value, found := bytes.Cut(line, []byte(":"))
-	if !found || !isToken(name) {
+	colon := bytes.IndexByte(line, ':')
+	if colon < 0 || !isToken(line[:colon]) {
 		return Field{}, invalid("field name in", line)
 	}
+	name, value := line[:colon], line[colon+1:]
 	if !isText(value) {
 		return Field{}, invalid("field value in", line)
 	}
--- a/internal/domain/httpreply/linereader.go
+++ b/internal/domain/httpreply/linereader.go
@@ -11,14 +11,18 @@
 
 // next returns the next line without its end, and reports whether it has ended.
 func (r *lineReader) next() (line []byte, ended bool, err error) {
-	line, rest, ended := bytes.Cut(r.rest, []byte("\n"))
-	if !ended {
+	end := bytes.IndexByte(r.rest, '\n')
+	if end < 0 {
 		return nil, false, nil
 	}
-	line, crlf := bytes.CutSuffix(line, []byte("\r"))
+	line, r.rest = r.rest[:end], r.rest[end+1:]
+	crlf := end > 0 && line[end-1] == '\r'
 	if r.crlf && !crlf {
 		return nil, false, invalid("line that ends with LF", line)
 	}
-	r.rest, r.crlf = rest, crlf
+	if crlf {
+		line = line[:end-1]
+	}
+	r.crlf = crlf
 	return line, true, nil
 }
