targetpool: count and log replies that the protocol does not allow

Cause: an operator saw 502 target_failed and a target that gets less work, but not that its replies are broken, nor what is wrong with them.

Change: the counter target_replies_invalid, and a log line that names target, request and part, once a second and target at most.

Result: TestBrokenReplyReachesNoCaller requires the line.

--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -269,6 +269,7 @@
 	}
 	linkLost, closed, replaced := p.links.Lost(), p.closed, p.replaced
 	p.mu.Unlock()
+	p.noteInvalid(call, err, now)
 	if linkLost {
 		c.discardSent()
 	}
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -84,6 +84,7 @@
 	scope     metrics.Scope
 	// loads and loadsInvalid count the loads that the target reported.
 	loads, loadsInvalid tally.Counter
+	invalid             invalidReplies
 	cold                coldState
 	rateLimit           rateLimit
 	links               poolReach
@@ -114,7 +115,7 @@
 	heads, _ := opts.Codec.(exchange.HeadChecker)
 	scope := scopeOf(opts)
 	return &Pool{
-		loads: scope.Counter("target_loads"), loadsInvalid: scope.Counter("target_loads_invalid"),
+		loads: scope.Counter("target_loads"), loadsInvalid: scope.Counter("target_loads_invalid"), invalid: newInvalidReplies(opts),
 		target: target, codec: opts.Codec, heads: heads, memory: newMemory(opts), dialer: opts.Dialer, limit: 1, onCrash: opts.OnCrash,
 		onLeaving: opts.OnLeaving, drain: opts.DrainWithin, scope: scope,
 		log:   opts.Log.WithFields(logrus.Fields{"target": target.ID, "service": target.Service, "addr": target.Addr}),
--- a/test/edge/brokenreply_test.go
+++ b/test/edge/brokenreply_test.go
@@ -82,6 +82,7 @@
 		require.Equal(t, 1, runs[id], id)
 	}
 	require.Eventually(t, func() bool { return c.held() == 0 }, waitLimit, 5*time.Millisecond, "the connections end")
+	require.Contains(t, c.hosts[0].log.String(), "invalid reply was dropped")
 	r, err := caller.ask(http.MethodGet, "/read/x", "after", nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, r.status)
