--- a/internal/domain/httpreply/chunk.go
+++ b/internal/domain/httpreply/chunk.go
@@ -13,7 +13,7 @@
 	maxTrailerLines = 64
 	// maxChunkDigits is the largest number of significant digits of a chunk's size.
 	maxChunkDigits = 7
-	// tooLargeChunk stands for the size of chunks with more digits.
+	// tooLargeChunk stands for the size of chunks with more digits. It exceeds all limits of bodies.
 	tooLargeChunk = 1 << 30
 )
 
--- a/internal/domain/httpreply/conn.go
+++ b/internal/domain/httpreply/conn.go
@@ -71,7 +71,7 @@
 	if err := c.head.Read(c.from); err != nil {
 		return err
 	}
-	c.rewritten = c.head.append(c.rewritten[:0])
+	c.rewritten = c.head.appendTo(c.rewritten[:0])
 	switch {
 	case c.head.Status == switchingProtocols, c.head.Length == ToEnd:
 		c.left = math.MaxInt
@@ -83,8 +83,8 @@
 	return nil
 }
 
-// append appends the head to dst. Of the body's length, it states what was parsed.
-func (h *Head) append(dst []byte) []byte {
+// appendTo appends the head to dst. Of the body's length, it states what was parsed.
+func (h *Head) appendTo(dst []byte) []byte {
 	dst = append(append(append(dst, protocol...), h.minor, ' '), strconv.Itoa(h.Status)...)
 	dst = append(append(append(dst, ' '), http.StatusText(h.Status)...), crlf...)
 	for i := range h.Fields {
--- a/internal/domain/httpreply/framing.go
+++ b/internal/domain/httpreply/framing.go
@@ -21,7 +21,7 @@
 // readFraming sets the length of the body and whether the connection closes. What two readers
 // could take for different lengths is invalid.
 func (h *Head) readFraming() error {
-	f, err := h.framing()
+	f, err := h.statedFraming()
 	if err != nil {
 		return err
 	}
@@ -43,8 +43,8 @@
 	return nil
 }
 
-// framing returns what the fields state. Only HTTP/1.1 has chunks.
-func (h *Head) framing() (framing, error) {
+// statedFraming returns what the fields state. Only HTTP/1.1 has chunks.
+func (h *Head) statedFraming() (framing, error) {
 	var f framing
 	for i := range h.Fields {
 		field := &h.Fields[i]
--- a/internal/domain/httpreply/head.go
+++ b/internal/domain/httpreply/head.go
@@ -67,15 +67,15 @@
 // HasOption reports whether a Connection field lists the name.
 func (h *Head) HasOption(name []byte) bool {
 	for i := range h.Fields {
-		if h.Fields[i].Is("Connection") && hasToken(h.Fields[i].Value, name) {
+		if h.Fields[i].Is("Connection") && HasToken(h.Fields[i].Value, name) {
 			return true
 		}
 	}
 	return false
 }
 
-// hasToken reports whether a comma-separated list has a token, ignoring case.
-func hasToken(list, token []byte) bool {
+// HasToken reports whether a comma-separated list has a token, ignoring case.
+func HasToken(list, token []byte) bool {
 	for len(list) > 0 {
 		var item []byte
 		item, list, _ = bytes.Cut(list, []byte(","))
