httpreply: bytes behind a reply are not the reply to the next request

A host took a second answer of the store, sent right behind the first, for that to its next call.

Cause: the library drops what its own buffer holds behind a reply, as it takes a new one for each request.

Change: bytes that arrived with a reply make the connection fail before the next head. Clients send one request at a time.

--- a/internal/domain/httpreply/conn.go
+++ b/internal/domain/httpreply/conn.go
@@ -11,10 +11,12 @@
 // connBufferBytes is the size of a Conn's read buffer, which bounds the heads of replies.
 const connBufferBytes = 4 << 10
 
+var errBytesBehind = &InvalidError{Detail: "bytes behind a reply"}
+
 // Conn is a client's connection that is read by an HTTP library. The library gets the heads and
 // chunks of replies rewritten from what was parsed, so that it can read nothing else in them, and
 // no interim replies; a read fails at the first byte that is not valid. Requests must not be
-// HEAD. What follows an upgrade to another protocol is not checked.
+// HEAD, nor be sent before the reply to the one before has been read. What follows an upgrade to another protocol is not checked.
 type Conn struct {
 	net.Conn
 	from *bufio.Reader
@@ -66,8 +68,12 @@
 	return err
 }
 
-// readHead reads the head of a reply.
+// readHead reads the head of a reply. What arrived together with the reply before came ahead of its
+// request, and so belongs to none.
 func (c *Conn) readHead() error {
+	if c.from.Buffered() > 0 {
+		return errBytesBehind
+	}
 	if err := c.head.Read(c.from); err != nil {
 		return err
 	}
