httpreply: end a connection with the reply that bytes follow

Cause: the library learns that a connection can't be used only once it has sent the next request on it.

Change: where the bytes behind a reply have arrived with its head, the head that the library gets says that the connection closes. Those that arrive later still fail the next read.

--- a/internal/domain/httpreply/conn.go
+++ b/internal/domain/httpreply/conn.go
@@ -77,6 +77,9 @@
 	if err := c.head.Read(c.from); err != nil {
 		return err
 	}
+	if c.overfull() {
+		c.head.Fields = append(c.head.Fields, Field{Name: []byte("Connection"), Value: []byte("close")})
+	}
 	c.rewritten = c.head.appendTo(c.rewritten[:0])
 	switch {
 	case c.head.Status == switchingProtocols, c.head.Length == ToEnd:
@@ -89,6 +92,12 @@
 	return nil
 }
 
+// overfull reports whether bytes behind the reply have already arrived, so that the library must not
+// use the connection again.
+func (c *Conn) overfull() bool {
+	return c.head.Status != switchingProtocols && c.head.Length >= 0 && c.from.Buffered() > c.head.Length
+}
+
 // appendTo appends the head to dst. Of the body's length, it states what was parsed.
 func (h *Head) appendTo(dst []byte) []byte {
 	dst = append(append(append(dst, protocol...), h.minor, ' '), strconv.Itoa(h.Status)...)
