httpreply: refuse a reply with another protocol that was not asked for

A store that answers 101 and then, on the same connection, with the status 000 gave a host its state: the check of what follows an upgrade is off, and the library uses the connection again.

Cause: every Conn let 101 through, for the links between hosts, which are WebSockets. That no request of the others asks for an upgrade was known to the codec of the platform alone.

Change: only connections of WebSocket clients (NewUpgradeConn) go on after a 101; elsewhere it is invalid, by one function for the codec, the own mode and Conn.

--- a/internal/domain/httpreply/conn.go
+++ b/internal/domain/httpreply/conn.go
@@ -28,6 +28,8 @@
 	next func() error
 	// failed is the error of a reply that is not valid.
 	failed error
+	// upgrades is set if a reply may go on with another protocol.
+	upgrades bool
 }
 
 // NewConn returns a connection that checks the replies from raw.
@@ -37,6 +39,13 @@
 	return c
 }
 
+// NewUpgradeConn is NewConn for requests that ask for an upgrade to another protocol.
+func NewUpgradeConn(raw net.Conn) *Conn {
+	c := NewConn(raw)
+	c.upgrades = true
+	return c
+}
+
 // NetConn returns the connection that is checked, for options of its socket.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
@@ -74,7 +83,7 @@
 	if c.from.Buffered() > 0 {
 		return errBytesBehind
 	}
-	if err := c.head.Read(c.from); err != nil {
+	if err := c.readFinal(); err != nil {
 		return err
 	}
 	if c.overfull() {
@@ -92,6 +101,14 @@
 	return nil
 }
 
+// readFinal reads the next head that the library may get.
+func (c *Conn) readFinal() error {
+	if c.upgrades {
+		return c.head.Read(c.from)
+	}
+	return c.head.ReadFinal(c.from)
+}
+
 // overfull reports whether bytes behind the reply have already arrived, so that the library must not
 // use the connection again.
 func (c *Conn) overfull() bool {
--- a/internal/domain/httpreply/conn_test.go
+++ b/internal/domain/httpreply/conn_test.go
@@ -68,8 +68,9 @@
 // with another protocol.
 func TestConnReadsOneReplyAfterTheOther(t *testing.T) {
 	framings := rawserver.Framings("200 OK", headers, body)
-	reader := bufio.NewReader(pipe(t, framings["length"], framings["chunks"], framings["interim"],
-		[]byte("HTTP/1.1 204 No Content\r\n\r\n"), []byte("HTTP/1.1 101 Go\r\n\r\n\x81\x00noise\r\n")))
+	parts := [][]byte{framings["length"], framings["chunks"], framings["interim"],
+		[]byte("HTTP/1.1 204 No Content\r\n\r\n"), []byte("HTTP/1.1 101 Go\r\n\r\n\x81\x00noise\r\n")}
+	reader := bufio.NewReader(httpreply.NewUpgradeConn(pipe(t, parts...).NetConn()))
 	for range 3 {
 		status, content, err := byFastHTTP(reader)
 		require.NoError(t, err)
@@ -101,6 +102,15 @@
 	}
 }
 
+// TestOtherProtocolIsRefusedUnlessAskedFor guards against a reply that switches the check of those
+// behind it off.
+func TestOtherProtocolIsRefusedUnlessAskedFor(t *testing.T) {
+	for name, read := range libraries {
+		_, _, err := read(bufio.NewReader(pipe(t, []byte("HTTP/1.1 101 Go\r\n\r\n"))))
+		require.Error(t, err, name)
+	}
+}
+
 // validHead is the grammar of a head by RFC 9112, with lines that end with LF alone, and values
 // that are folded without a colon.
 var validHead = regexp.MustCompile("^HTTP/1\\.[0-9] [1-5][0-9]{2}( [^\\x00-\\x08\\x0a-\\x1f\\x7f]*)?\\r?\\n" +
@@ -124,8 +134,8 @@
 			require.False(t, bareLF.Match(raw[:size]), "%q", raw)
 		}
 		head, content, err := read(bytes.NewReader(raw))
-		if err == nil && head.Status == 101 {
-			return
+		if err == nil {
+			err = head.CheckProtocol()
 		}
 		for name, byLibrary := range libraries {
 			status, through, libraryErr := byLibrary(bufio.NewReader(pipe(t, raw)))
--- a/internal/domain/httpreply/head.go
+++ b/internal/domain/httpreply/head.go
@@ -43,6 +43,7 @@
 var (
 	errHeadTooLarge   = &InvalidError{Detail: "the head is longer than the reader's buffer"}
 	errTooManyInterim = &InvalidError{Detail: "too many interim replies"}
+	errOtherProtocol  = &InvalidError{Detail: "another protocol that was not asked for"}
 	errNoStatusLine   = &InvalidError{Detail: "no status line of HTTP/1"}
 )
 
@@ -86,7 +87,25 @@
 	return false
 }
 
-// Read reads the head of the final reply. It discards those of interim replies.
+// ReadFinal is Read for a request that asks for no upgrade: a reply that goes on with another
+// protocol is invalid.
+func (h *Head) ReadFinal(from *bufio.Reader) error {
+	if err := h.Read(from); err != nil {
+		return err
+	}
+	return h.CheckProtocol()
+}
+
+// CheckProtocol returns an error if another protocol follows the head.
+func (h *Head) CheckProtocol() error {
+	if h.Status == switchingProtocols {
+		return errOtherProtocol
+	}
+	return nil
+}
+
+// Read reads the head of the final reply, or of one that goes on with another protocol. It discards
+// those of interim replies.
 func (h *Head) Read(from *bufio.Reader) error {
 	for range maxInterim + 1 {
 		if err := h.readOne(from); err != nil {
--- a/internal/hosts/catalogshare/link.go
+++ b/internal/hosts/catalogshare/link.go
@@ -50,7 +50,7 @@
 		query.Set(observeQuery, "")
 	}
 	target := "ws://" + addr + Path + "?" + query.Encode()
-	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: httpdial.Context(new(net.Dialer))}
+	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: httpdial.WebSocket(new(net.Dialer))}
 	conn, resp, err := dialer.DialContext(ctx, target, nil)
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close() //nolint:errcheck // an upgrade's response has no body to lose
--- a/internal/hosts/gatherlink/link.go
+++ b/internal/hosts/gatherlink/link.go
@@ -57,7 +57,7 @@
 func dialLink(addr string, log logrus.FieldLogger) (*link, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: httpdial.Context(new(net.Dialer))}
+	dialer := websocket.Dialer{HandshakeTimeout: dialTimeout, NetDialContext: httpdial.WebSocket(new(net.Dialer))}
 	conn, resp, err := dialer.DialContext(ctx, "ws://"+addr+Path, nil)
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close() //nolint:errcheck // an upgrade's response has no body to lose
--- a/internal/hosts/peer/dial.go
+++ b/internal/hosts/peer/dial.go
@@ -33,7 +33,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.opts.DialTimeout)
 	defer cancel()
 	dialer := websocket.Dialer{
-		NetDialContext:  httpdial.Context(&net.Dialer{KeepAlive: keepAlivePeriod}),
+		NetDialContext:  httpdial.WebSocket(&net.Dialer{KeepAlive: keepAlivePeriod}),
 		ReadBufferSize:  readBufferBytes,
 		WriteBufferSize: writeBufferBytes,
 		WriteBufferPool: &writeBuffers,
--- a/internal/support/httpdial/dial.go
+++ b/internal/support/httpdial/dial.go
@@ -38,18 +38,22 @@
 }
 
 func dialPlain(dialer *net.Dialer, addr string) (net.Conn, error) {
-	return Context(dialer)(context.Background(), "tcp", addr)
+	raw, err := dialer.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return httpreply.NewConn(raw), nil
 }
 
-// Context returns a function that opens plain connections by dialer, as clients of net/http and
-// of WebSockets ask for.
-func Context(dialer *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
+// WebSocket returns a function that opens plain connections by dialer for clients of WebSockets. The
+// reply to the handshake is checked.
+func WebSocket(dialer *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		raw, err := dialer.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return httpreply.NewConn(raw), nil
+		return httpreply.NewUpgradeConn(raw), nil
 	}
 }
 
--- a/internal/targets/target/conn.go
+++ b/internal/targets/target/conn.go
@@ -163,7 +163,7 @@
 // readReply reads a response.
 func (c *httpConn) readReply() error {
 	c.body = nil
-	if err := c.head.Read(c.reader); err != nil {
+	if err := c.head.ReadFinal(c.reader); err != nil {
 		return err
 	}
 	c.account.Begin(time.Now(), 0, true)
--- a/internal/tool/demo/platformcaller.go
+++ b/internal/tool/demo/platformcaller.go
@@ -27,7 +27,8 @@
 }
 
 func newPlatformCaller(addr string) *platformCaller {
-	transport := &http.Transport{DialContext: httpdial.Context(new(net.Dialer))}
+	dial := httpdial.Func(demoTimeout, false)
+	transport := &http.Transport{DialContext: func(_ context.Context, _, addr string) (net.Conn, error) { return dial(addr) }}
 	return &platformCaller{addr: addr, client: &http.Client{Transport: transport}}
 }
 
