--- a/internal/targets/targetpool/brokenreply_test.go
+++ b/internal/targets/targetpool/brokenreply_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
+	"github.com/swiftvane/swiftvane/internal/domain/httpreply"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/standin/echo"
+	"github.com/swiftvane/swiftvane/platform"
 )
 
 // partDialer connects to a target that answers the first request of each connection with a part
@@ -77,3 +79,28 @@
 		})
 	}
 }
+
+// TestInvalidReplyCountsAgainstTheTarget guards against a target whose replies are invalid and that
+// counts as healthy, or as lost.
+func TestInvalidReplyCountsAgainstTheTarget(t *testing.T) {
+	for _, reply := range []string{"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 0\r\n\r\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			p := NewPool(&catalog.Target{ID: "t-1", Addr: "t-1"}, &Options{Codec: platform.TargetCodec{}, Dialer: &rawDialer{reply: reply}, Log: discardLogger()})
+			deadline := time.Now().Add(time.Minute)
+			done := make(chan Outcome, 1)
+			p.Submit(&Call{
+				Request: &exchange.Request{ID: "r", Method: "GET", URI: "/"}, Deadline: deadline, OnTime: deadline, Expected: echoTime,
+				Done: func(o Outcome) { done <- o },
+			})
+			o := <-done
+			require.True(t, httpreply.IsInvalid(o.Err), "%v", o.Err)
+			require.Equal(t, verdict.Unknown, o.Verdict)
+			sample := p.takeSample()
+			require.Equal(t, 1, sample.Bad)
+			require.Zero(t, sample.Good)
+			require.False(t, p.Load(time.Now()).Unreachable)
+			p.Close()
+			time.Sleep(time.Minute)
+		})
+	}
+}
