targetpool: send no request on a connection whose reader has ended

What callers saw: a request on a kept connection that the target was closing got no answer until its deadline, then 504, though nothing had been sent.

Cause: the reading goroutine of an idle connection that ends releases the pool's lock between the look for a call in flight and the connection's removal from the idle ones. A call that was assigned in between was written to a closed connection, whose error the reading goroutine should have passed on; that one had ended.

Change: the connection is taken from the idle ones under the lock under which its call is looked for.

The package passes with the race detector.

--- a/internal/targets/targetpool/conn.go
+++ b/internal/targets/targetpool/conn.go
@@ -252,6 +252,8 @@
 	p.mu.Lock()
 	call := c.call
 	p.unassign(c)
+	// This goroutine ends, so no further call may be sent on the connection.
+	p.removeIdle(c)
 	c.givenUp = errors.Is(err, os.ErrDeadlineExceeded)
 	if call != nil {
 		result := replica.Failed
--- a/internal/targets/targetpool/pool.go
+++ b/internal/targets/targetpool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -283,12 +284,7 @@
 	p.mu.Lock()
 	_, known := p.conns[c]
 	delete(p.conns, c)
-	for i, idle := range p.idle {
-		if idle == c {
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			break
-		}
-	}
+	p.removeIdle(c)
 	if known && c.refused(now) && !p.repliedRecently(now) && !p.closed {
 		p.connRefusedAt = now
 		p.recordFailure(now, errNoReply)
@@ -305,6 +301,13 @@
 	endAll(unserved, ErrUnreachable, now)
 }
 
+// removeIdle makes a connection take no more calls, if it is idle. The caller holds the lock.
+func (p *Pool) removeIdle(c *conn) {
+	if i := slices.Index(p.idle, c); i >= 0 {
+		p.idle = slices.Delete(p.idle, i, i+1)
+	}
+}
+
 // finish calls Done with the outcome unless the call was cancelled.
 func finish(call *Call, o Outcome) {
 	o.Sent = call.sent
