gatherlink: let one message cost no other request of its link

Cause: a signature may hold any byte that a field's value may, and a request line of a caller too. They were sent as CBOR texts, which the other host's decoder refuses unless they are UTF-8; a frame that could not be decoded ended the link, and with it all requests that waited on it. A frame over the size that the reader takes did the same.

Change: frames are decoded with texts of any bytes. One of which only kind and id can be read ends just its request: a gatherer refuses it, a client asks another host or answers 502. What can't be encoded, or is too large, isn't sent. Towards a host of an earlier build, whose decoder stays strict: a request with such bytes is passed on only to hosts that say in their heartbeats that they read them (others: this host serves it itself), and an answer with such a signature goes as header lines, which are bytes in both builds and reach the caller unchanged.

--- a/internal/domain/exchange/callercodec.go
+++ b/internal/domain/exchange/callercodec.go
@@ -12,6 +12,9 @@
 	// calls onHeader between header and body. The error is a *Malformed if the
 	// request itself is invalid.
 	ReadRequest(from *bufio.Reader, limits catalog.Limits, onHeader func(needsContinue bool) error) (*Request, error)
+	// AppendFields appends the header lines, each ended by CRLF, by which the caller gets what
+	// the answer passes on of targets' replies.
+	AppendFields(dst []byte, a *Answer) []byte
 	// AppendAnswer appends the encoded answer to dst. r is nil if the request was
 	// malformed.
 	AppendAnswer(dst []byte, r *Request, a *Answer) []byte
--- a/internal/face/front/drain_test.go
+++ b/internal/face/front/drain_test.go
@@ -22,6 +22,8 @@
 	return &exchange.Request{ID: line, Arrived: time.Now()}, err
 }
 
+func (lineCodec) AppendFields(dst []byte, _ *exchange.Answer) []byte { return dst }
+
 func (lineCodec) AppendAnswer(dst []byte, r *exchange.Request, _ *exchange.Answer) []byte {
 	return append(dst, r.ID...)
 }
--- a/internal/face/front/memory_test.go
+++ b/internal/face/front/memory_test.go
@@ -29,6 +29,8 @@
 // sizedCodec reads a request from one line and answers with the status and the body.
 type sizedCodec struct{ lineCodec }
 
+func (sizedCodec) AppendFields(dst []byte, _ *exchange.Answer) []byte { return dst }
+
 func (sizedCodec) AppendAnswer(dst []byte, _ *exchange.Request, a *exchange.Answer) []byte {
 	return append(append(dst, byte(a.Status/100)), a.Body...)
 }
--- a/internal/hosts/gatherlink/frame.go
+++ b/internal/hosts/gatherlink/frame.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/fasthttp/websocket"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/swiftvane/swiftvane/internal/decision/reach"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
@@ -63,6 +62,8 @@
 	// Losses are the targets of a kindAsk. Opinions has, in the same order, the answers.
 	Losses   []Loss          `cbor:"7,keyasint,omitempty"`
 	Opinions []reach.Opinion `cbor:"8,keyasint,omitempty"`
+	// ReadsAnyText is set in a heartbeat of a server that reads texts which are no UTF-8.
+	ReadsAnyText bool `cbor:"9,keyasint,omitempty"`
 }
 
 // passedRequest is a caller's request on its way to another host.
@@ -177,11 +178,17 @@
 	conn *websocket.Conn
 }
 
+// write encodes and writes a frame.
 func (w *frameWriter) write(f *frame) error {
-	raw, err := cbor.Marshal(f)
+	raw, err := encodeFrame(f)
 	if err != nil {
 		return err
 	}
+	return w.writeRaw(raw)
+}
+
+// writeRaw writes an encoded frame.
+func (w *frameWriter) writeRaw(raw []byte) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -195,6 +202,5 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &frame{}
-	return f, cbor.Unmarshal(raw, f)
+	return decodeFrame(raw)
 }
--- a/internal/hosts/gatherlink/gatherlink_test.go
+++ b/internal/hosts/gatherlink/gatherlink_test.go
@@ -72,7 +72,7 @@
 func (g *fakeGatherer) serve(t *testing.T) (gathering.Member, *Server, func()) {
 	t.Helper()
 	log, _ := test.NewNullLogger()
-	s := NewServer(g, func() float64 { return g.lostShare }, log)
+	s := NewServer(g, func() float64 { return g.lostShare }, appendFields, log)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	links := &linkListener{Listener: l}
@@ -283,7 +283,7 @@
 	t.Cleanup(func() { close(frozen) })
 	silent := &fakeGatherer{accepts: true, gather: answering(200)}
 	log, _ := test.NewNullLogger()
-	server := NewServer(&silentHandler{fakeGatherer: silent, frozen: frozen}, nil, log)
+	server := NewServer(&silentHandler{fakeGatherer: silent, frozen: frozen}, nil, appendFields, log)
 	go func() { _ = fasthttp.Serve(l, server.Handle) }()
 	other := &fakeGatherer{accepts: true, gather: answering(200)}
 	m2, _, _ := other.serve(t)
--- a/internal/hosts/gatherlink/link.go
+++ b/internal/hosts/gatherlink/link.go
@@ -51,6 +51,8 @@
 	clock     remoteClock
 	// lostShare is the share of its targets that the gatherer can't reach.
 	lostShare float64
+	// readsAnyText is set if the gatherer reads texts that are no UTF-8.
+	readsAnyText bool
 }
 
 // dialLink opens a link and starts the goroutine that reads it.
@@ -79,6 +81,10 @@
 			return
 		}
 		f, err := readFrame(l.conn)
+		if broken, ok := errors.AsType[*frameError](err); ok {
+			l.pass(broken.ID, outcome{err: broken})
+			continue
+		}
 		if err != nil {
 			return
 		}
@@ -96,6 +102,14 @@
 	defer l.mu.Unlock()
 	l.clock.heard(time.Now(), f.ClockUS)
 	l.lostShare = float64(f.LostPerMille) / perMille
+	l.readsAnyText = f.ReadsAnyText
+}
+
+// reads reports whether the gatherer can decode the request.
+func (l *link) reads(r *passedRequest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.readsAnyText || r.isUTF8()
 }
 
 // lost returns the share of its targets that the other host last reported as lost.
@@ -180,7 +194,12 @@
 	l.pending[id] = waiting
 	l.mu.Unlock()
 	f.ID = id
-	if err := l.write(f); err != nil {
+	raw, err := encodeFrame(f)
+	if err != nil {
+		l.forget(id)
+		return nil, 0, err
+	}
+	if err := l.writeRaw(raw); err != nil {
 		// Some of it may have been sent; the link's end tells the sweep.
 		l.end()
 	}
--- a/internal/hosts/gatherlink/passage.go
+++ b/internal/hosts/gatherlink/passage.go
@@ -32,6 +32,8 @@
 	finalMargin = 5 * time.Millisecond
 )
 
+var errNoUTF8 = errors.New("the gatherer's build can't read a request with texts that are no UTF-8")
+
 var errUnknownFrame = errors.New("the gatherer sent a frame of an unknown kind, or an answer without content")
 
 // passage is one request that is passed on.
@@ -124,6 +126,10 @@
 // gatherer did not take the sweep or lost it.
 func (p *passage) ask(l *link, now time.Time) *exchange.Answer {
 	message := passedRequestOf(p.request, p.route.Fingerprint, now)
+	if !l.reads(message) {
+		p.unserved(l, notSent, errNoUTF8)
+		return nil
+	}
 	message.BeginByUS = l.beginBy(now.Add(p.client.opts.AcceptTimeout * beginShare / 100))
 	outcomes, id, err := l.send(message)
 	if err != nil {
@@ -191,6 +197,7 @@
 func (a *attempt) outcome(o outcome) (*exchange.Answer, bool) {
 	switch {
 	case o.err != nil:
+		a.link.forget(a.id)
 		a.unserved(a.link, lost, o.err)
 		return nil, true
 	case o.kind == kindAccepted:
--- a/internal/hosts/gatherlink/server.go
+++ b/internal/hosts/gatherlink/server.go
@@ -1,6 +1,8 @@
 package gatherlink
 
 import (
+	"errors"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +34,8 @@
 	stopping atomic.Bool
 	// lostShare returns the share of targets that this host can't reach.
 	lostShare func() float64
+	// appendFields appends the header lines of an answer.
+	appendFields AppendFields
 	// opinion returns what this host can say of a target; nil if it can say nothing.
 	opinion func(Loss) reach.Opinion
 	// active counts the sweeps that were accepted and have not been answered.
@@ -40,9 +44,9 @@
 
 // NewServer returns a server without links. lostShare returns the share of targets, 0 to 1,
 // that this host can't reach; it must not block, and nil stands for none.
-func NewServer(handler Handler, lostShare func() float64, log logrus.FieldLogger) *Server {
+func NewServer(handler Handler, lostShare func() float64, appendFields AppendFields, log logrus.FieldLogger) *Server {
 	return &Server{
-		handler: handler, log: log, started: time.Now(), lostShare: lostShare,
+		handler: handler, log: log, started: time.Now(), lostShare: lostShare, appendFields: appendFields,
 		upgrader: websocket.FastHTTPUpgrader{CheckOrigin: func(*fasthttp.RequestCtx) bool { return true }},
 	}
 }
@@ -61,7 +65,7 @@
 
 // heartbeat returns the next heartbeat.
 func (s *Server) heartbeat() *frame {
-	f := &frame{Kind: kindHeartbeat, ClockUS: s.clock()}
+	f := &frame{Kind: kindHeartbeat, ClockUS: s.clock(), ReadsAnyText: true}
 	if s.lostShare != nil {
 		f.LostPerMille = int(perMille * s.lostShare())
 	}
@@ -125,6 +129,10 @@
 func (l *serverLink) read() {
 	for {
 		f, err := readFrame(l.conn)
+		if broken, ok := errors.AsType[*frameError](err); ok {
+			l.refuseBroken(broken)
+			continue
+		}
 		if err != nil {
 			return
 		}
@@ -139,6 +147,14 @@
 	}
 }
 
+// refuseBroken refuses a request that can't be decoded.
+func (l *serverLink) refuseBroken(broken *frameError) {
+	l.server.log.WithError(broken).Warn("frame of a gather link is unreadable")
+	if broken.Kind == kindRequest {
+		l.reply(&frame{Kind: kindRefused, ID: broken.ID})
+	}
+}
+
 // begin accepts or refuses a sweep.
 func (l *serverLink) begin(f *frame) {
 	if f.Request == nil {
@@ -168,11 +184,24 @@
 		}
 		a := l.server.handler.Gather(request, gone)
 		if l.end(f.ID) {
-			l.reply(&frame{Kind: kindAnswer, ID: f.ID, Answer: answerOf(a)})
+			l.answer(f.ID, a)
 		}
 	})
 }
 
+// answer writes the answer to a request, or a failure if the other host would not read it.
+func (l *serverLink) answer(id uint64, a *exchange.Answer) {
+	raw, err := encodeFrame(&frame{Kind: kindAnswer, ID: id, Answer: answerOf(encodable(a, l.server.appendFields))})
+	if err != nil {
+		l.server.log.WithError(err).Error("answer can't be sent to another host")
+		l.reply(&frame{Kind: kindAnswer, ID: id, Answer: &answer{Status: http.StatusBadGateway, Reason: exchange.GathererLost}})
+		return
+	}
+	if err := l.writeRaw(raw); err != nil {
+		l.server.log.WithError(err).Debug("writing to a gather link failed")
+	}
+}
+
 // tooLate reports whether the sweep must not begin any more, because the host that
 // passed it on no longer waits for it.
 func (l *serverLink) tooLate(r *passedRequest) bool {
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -139,7 +139,7 @@
 		Memory: e.memory,
 		Log:    opts.Log, Scope: e.metrics.scope,
 	})
-	e.gather = gatherlink.NewServer(e.executor, e.lostShare, opts.Log)
+	e.gather = gatherlink.NewServer(e.executor, e.lostShare, e.appendFields, opts.Log)
 	e.gather.OnAsk(e.opinionOf)
 	e.server = front.New(front.Options{
 		Codec: opts.CallerCodec, Handler: e.executor, Observer: newObserver(opts.Log, e.metrics.scope), Log: opts.Log,
--- a/internal/wiring/edge/interrupt_test.go
+++ b/internal/wiring/edge/interrupt_test.go
@@ -24,6 +24,8 @@
 	return &exchange.Request{ID: line, Arrived: time.Now()}, err
 }
 
+func (lineCodec) AppendFields(dst []byte, _ *exchange.Answer) []byte { return dst }
+
 func (lineCodec) AppendAnswer(dst []byte, _ *exchange.Request, _ *exchange.Answer) []byte {
 	return append(dst, "answer\n"...)
 }
@@ -50,7 +52,7 @@
 	e := &Edge{
 		opts:   Options{Log: log},
 		server: front.New(front.Options{Codec: lineCodec{}, Handler: withdrawnOnly{}, Observer: noObserver{}, Log: log}),
-		gather: gatherlink.NewServer(nil, nil, log),
+		gather: gatherlink.NewServer(nil, nil, nil, log),
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/wiring/edge/peers.go
+++ b/internal/wiring/edge/peers.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogshare"
 	"github.com/swiftvane/swiftvane/internal/hosts/gatherlink"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
@@ -38,6 +39,11 @@
 	}
 }
 
+// appendFields appends the header lines of an answer for another host's caller.
+func (e *Edge) appendFields(dst []byte, a *exchange.Answer) []byte {
+	return e.opts.CallerCodec.AppendFields(dst, a)
+}
+
 const (
 	// storePausePerHost and maxStorePause bound the pause between failed calls to the
 	// store of a host that isn't a reader, so that the calls of a large fleet don't grow
