listener: accept on after errors such as that of too many open files

What callers saw: once a host had had no free file descriptor for a moment, each later connection to it was opened by the kernel and never served; every caller of that host hung until its own timeout, and the process was still there.

Cause: front.Server.Serve ended at the first error of Accept, and fasthttp does so too: the listeners for callers and for other hosts in both modes and, in the own mode, that of the peers.

Change: listener.Listen returns a listener whose Accept fails only once it is closed. All listeners of a host are opened by it.

--- a/internal/face/entry/server.go
+++ b/internal/face/entry/server.go
@@ -74,7 +74,7 @@
 // Listen opens the caller listener and serves it in the background. It fails if
 // the address cannot be opened.
 func (s *Server) Listen() error {
-	opened, err := listener.Listen(s.opts.ListenAddr)
+	opened, err := listener.Listen(s.opts.ListenAddr, s.opts.Log)
 	if err != nil {
 		return eris.Wrap(err, "caller listener")
 	}
--- a/internal/hosts/peer/mesh.go
+++ b/internal/hosts/peer/mesh.go
@@ -14,6 +14,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/listener"
 )
 
 // Mesh links this host with its peers. It implements Transport and Registrar.
@@ -72,16 +73,16 @@
 
 // Start listens for peers. The mesh stops when ctx ends or on Close.
 func (m *Mesh) Start(ctx context.Context) error {
-	listener, err := net.Listen("tcp", m.opts.ListenAddr)
+	opened, err := listener.Listen(m.opts.ListenAddr, m.opts.Log)
 	if err != nil {
 		return eris.Wrapf(err, "peer: listen on %s", m.opts.ListenAddr)
 	}
 	m.mu.Lock()
-	m.listener = listener
+	m.listener = opened
 	m.mu.Unlock()
 	context.AfterFunc(ctx, m.cancel)
 	m.spawn(func(context.Context) {
-		if err := m.server.Serve(listener); err != nil && m.ctx.Err() == nil {
+		if err := m.server.Serve(opened); err != nil && m.ctx.Err() == nil {
 			m.opts.Log.WithError(err).Error("peer: the listener failed")
 		}
 	})
@@ -104,14 +105,14 @@
 func (m *Mesh) Close() error {
 	m.mu.Lock()
 	m.closed = true
-	listener := m.listener
+	opened := m.listener
 	m.mu.Unlock()
 	m.cancel()
 	var err error
-	if listener != nil {
+	if opened != nil {
 		// Shutdown closes only listeners that were passed to Serve, which may not
 		// have happened yet.
-		_ = listener.Close()
+		_ = opened.Close()
 		if err = m.server.Shutdown(); errors.Is(err, net.ErrClosed) {
 			err = nil
 		}
--- a/internal/support/listener/stop.go
+++ b/internal/support/listener/stop.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 )
 
@@ -37,12 +38,16 @@
 
 var errNoDescriptor = errors.New("the listener has no file descriptor")
 
-// Listen listens on a TCP address. Multipath TCP is off, since its listeners take no
-// socket filter.
-func Listen(addr string) (net.Listener, error) {
+// Listen listens on a TCP address. The listener's Accept fails only once it is closed; it logs
+// other errors and tries again. Multipath TCP is off, since its listeners take no socket filter.
+func Listen(addr string, log logrus.FieldLogger) (net.Listener, error) {
 	var config net.ListenConfig
 	config.SetMultipathTCP(false)
-	return config.Listen(context.Background(), "tcp", addr)
+	l, err := config.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return newRetrying(l.(*net.TCPListener), log), nil
 }
 
 // Close drains and closes the listener. The error is that of closing.
--- a/internal/support/listener/stop_test.go
+++ b/internal/support/listener/stop_test.go
@@ -5,13 +5,14 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 )
 
 // TestConnectionsOfBacklogAreAcceptedBeforeClose guards against a close that resets
 // connections whose handshake is complete but which were not accepted yet.
 func TestConnectionsOfBacklogAreAcceptedBeforeClose(t *testing.T) {
-	l, err := Listen("127.0.0.1:0")
+	l, err := Listen("127.0.0.1:0", logrus.New())
 	require.NoError(t, err)
 	early, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
--- a/internal/wiring/daemon/daemon.go
+++ b/internal/wiring/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/swiftvane/swiftvane/internal/hosts/fleet"
 	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 	"github.com/swiftvane/swiftvane/internal/querypath/query"
+	"github.com/swiftvane/swiftvane/internal/support/listener"
 	"github.com/swiftvane/swiftvane/internal/support/settings"
 	"github.com/swiftvane/swiftvane/internal/targets/dispatch"
 	"github.com/swiftvane/swiftvane/internal/targets/quarantine"
@@ -106,12 +107,12 @@
 }
 
 func (d *Daemon) start(ctx context.Context) error {
-	listener, err := net.Listen("tcp", d.settings.Listen.Admin)
+	opened, err := listener.Listen(d.settings.Listen.Admin, d.telemetry.log)
 	if err != nil {
 		return eris.Wrap(err, "administration listener")
 	}
-	d.adminListen = listener
-	d.background.Go(func() { d.logEnd("administration listener", d.admin.Serve(listener)) })
+	d.adminListen = opened
+	d.background.Go(func() { d.logEnd("administration listener", d.admin.Serve(opened)) })
 	if err := d.mesh.Start(ctx); err != nil {
 		return err
 	}
--- a/internal/wiring/edge/listeners.go
+++ b/internal/wiring/edge/listeners.go
@@ -17,20 +17,19 @@
 	for _, open := range []struct {
 		into    *net.Listener
 		addr    string
-		listen  func(addr string) (net.Listener, error)
 		purpose string
 		// optional listeners are left out without an address.
 		optional bool
 	}{
-		{&l.callers, e.opts.CallerAddr, listener.Listen, "listen for callers", false},
-		{&l.ready, e.opts.ReadyAddr, listenTCP, "listen for the balancer", false},
-		{&l.metrics, e.opts.MetricsAddr, listenTCP, "listen for scrapers", true},
-		{&l.peers, e.opts.PeerAddr, listenTCP, "listen for other hosts", true},
+		{&l.callers, e.opts.CallerAddr, "listen for callers", false},
+		{&l.ready, e.opts.ReadyAddr, "listen for the balancer", false},
+		{&l.metrics, e.opts.MetricsAddr, "listen for scrapers", true},
+		{&l.peers, e.opts.PeerAddr, "listen for other hosts", true},
 	} {
 		if open.optional && open.addr == "" {
 			continue
 		}
-		opened, err := open.listen(open.addr)
+		opened, err := listener.Listen(open.addr, e.opts.Log)
 		if err != nil {
 			l.close()
 			return nil, eris.Wrap(err, open.purpose)
@@ -40,8 +39,6 @@
 	return l, nil
 }
 
-func listenTCP(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
-
 // close closes the listeners that are open.
 func (l *listeners) close() {
 	for _, open := range []net.Listener{l.callers, l.ready, l.metrics, l.peers} {
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -107,6 +107,9 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// PID returns the id of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Exited reports whether the process has exited.
 func (p *Process) Exited() bool {
 	select {
