load: bound the answers that the load tool reads

What users of the tool saw: an answer that states a length beyond all memory ended the process (makeslice: len out of range), and its report was lost.

Cause: the HTTP library allocates a body by the length that a response states, and the client set no bound. The clients of the store (16 MB), the platform (64 MB) and the command line (256 MB) have one.

Change: a bound of 64 MB, that of the platform's client.

Evidence: TestStatedLengthOfAnswerIsNotAllocated panicked before; now each of its five lengths is no response.

--- a/internal/tool/load/http.go
+++ b/internal/tool/load/http.go
@@ -22,6 +22,9 @@
 	dialTimeout = 5 * time.Second
 	// idleTimeout is how long an unused connection stays open.
 	idleTimeout = 10 * time.Second
+	// maxResponseBytes bounds the body of a response. The library allocates what a response
+	// states.
+	maxResponseBytes = 64 << 20
 )
 
 // Reasons that the client reports itself, without an answer or error from a host.
@@ -68,6 +71,7 @@
 			IsTLS:                     isTLS,
 			MaxConns:                  maxConnections,
 			MaxIdleConnDuration:       idleTimeout,
+			MaxResponseBodySize:       maxResponseBytes,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			Dial:                      httpdial.Func(dialTimeout, isTLS),
