httpreply: bound one read of a body

Cause: a body without a length is read into the buffer that the library has grown, half a body long at times. Where the kernel holds more than usual, since the process was late, one read takes it all, beyond the largest body.

Change: a read returns at most 32 KiB of a body, half of what the test allows.

Evidence: TestOneReadOfBodyIsBounded got 1 MiB in one read before.

--- a/internal/domain/httpreply/conn.go
+++ b/internal/domain/httpreply/conn.go
@@ -11,6 +11,10 @@
 // connBufferBytes is the size of a Conn's read buffer, which bounds the heads of replies.
 const connBufferBytes = 4 << 10
 
+// maxReadBytes bounds one read of a body, so that a library which bounds bodies ends one that is too
+// large soon.
+const maxReadBytes = 32 << 10
+
 var errBytesBehind = &InvalidError{Detail: "bytes behind a reply"}
 
 // Conn is a client's connection that is read by an HTTP library. The library gets the heads and
@@ -64,7 +68,7 @@
 		c.rewritten = c.rewritten[n:]
 		return n, nil
 	}
-	n, err := c.from.Read(p[:min(len(p), c.left)])
+	n, err := c.from.Read(p[:min(len(p), c.left, maxReadBytes)])
 	c.left -= n
 	return n, err
 }
--- a/internal/domain/httpreply/conn_test.go
+++ b/internal/domain/httpreply/conn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"regexp"
 	"slices"
@@ -150,3 +151,28 @@
 		}
 	})
 }
+
+// fullConn is a connection whose reads return as many bytes as they can.
+type fullConn struct {
+	net.Conn
+	begin string
+}
+
+func (c *fullConn) Read(p []byte) (int, error) {
+	n := copy(p, c.begin)
+	c.begin = c.begin[n:]
+	return max(n, len(p)), nil
+}
+
+// TestOneReadOfBodyIsBounded guards against a library that reads far more of a body without end than
+// it takes.
+func TestOneReadOfBodyIsBounded(t *testing.T) {
+	const mostBytes = 64 << 10
+	conn := httpreply.NewConn(&fullConn{begin: "HTTP/1.1 200 OK\r\n\r\n"})
+	p := make([]byte, 1<<20)
+	for range 4 {
+		n, err := conn.Read(p)
+		require.NoError(t, err)
+		require.LessOrEqual(t, n, mostBytes)
+	}
+}
