panics: a fault in a decoder ends one message, not the process

There was no recover anywhere in the code, so the next one would have.

Weighed: a recover around a whole connection would also hide faults in what requests share, possibly under a lock or half changed. Decoders hold no lock and share nothing.

Change: panics.Catch turns the panic of a decoder into an error with its stack, for the targets' replies (both modes), callers' requests, frames and messages between hosts, and the store's entries. The error takes the way of an invalid message: its connection ends, a request that was sent may have run, a caller whose request it was gets 500.

--- a/internal/face/front/conn.go
+++ b/internal/face/front/conn.go
@@ -4,13 +4,16 @@
 	"bufio"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
+	"github.com/swiftvane/swiftvane/internal/support/panics"
 )
 
 const (
@@ -79,7 +82,7 @@
 		now := time.Now()
 		c.account.Begin(now, 0, false)
 		c.setReadDeadline(now.Add(limits.HeaderTimeout))
-		request, err := c.server.opts.Codec.ReadRequest(c.reader, limits, c.afterHeader)
+		request, err := c.readRequest(limits)
 		if err == nil && !c.takeRequest(request) {
 			err = memoryFull()
 		}
@@ -101,6 +104,12 @@
 	}
 }
 
+// readRequest reads a request whose first byte has arrived.
+func (c *conn) readRequest(limits catalog.Limits) (request *exchange.Request, err error) {
+	defer panics.Catch(&err)
+	return c.server.opts.Codec.ReadRequest(c.reader, limits, c.afterHeader)
+}
+
 // awaitRequest waits for the first byte of a request and reports whether it came
 // within the idle timeout, which may change during the wait.
 func (c *conn) awaitRequest() bool {
@@ -176,6 +185,8 @@
 	switch {
 	case errors.As(err, &malformed):
 		j.malformed = malformed
+	case panics.Is(err):
+		j.malformed = &exchange.Malformed{Status: http.StatusInternalServerError, Reason: exchange.BadRequest, Detail: err.Error()}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		j.malformed = &exchange.Malformed{Status: 408, Reason: exchange.TooSlow, Detail: "the request was not read in time"}
 	default:
--- a/internal/hosts/catalogshare/encoding.go
+++ b/internal/hosts/catalogshare/encoding.go
@@ -8,6 +8,8 @@
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/support/panics"
 )
 
 const (
@@ -52,14 +54,14 @@
 }
 
 // decode decodes a message.
-func decode(raw []byte) (*message, error) {
+func decode(raw []byte) (m *message, err error) {
+	defer panics.Catch(&err)
 	if len(raw) > 0 && raw[0] == compressedMark {
-		var err error
 		if raw, err = decompress(raw[1:]); err != nil {
 			return nil, err
 		}
 	}
-	m := &message{}
+	m = &message{}
 	return m, cbor.Unmarshal(raw, m)
 }
 
--- a/internal/hosts/gatherlink/codec.go
+++ b/internal/hosts/gatherlink/codec.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/swiftvane/swiftvane/internal/support/panics"
 )
 
 // frameMode decodes frames. Texts that are no UTF-8 are read, since those of callers and targets
@@ -46,16 +48,21 @@
 	return raw, nil
 }
 
+func unmarshal(raw []byte, into any) (err error) {
+	defer panics.Catch(&err)
+	return frameMode.Unmarshal(raw, into)
+}
+
 // decodeFrame decodes a frame. The error is a *frameError if it concerns only the request that the
 // frame is about.
 func decodeFrame(raw []byte) (*frame, error) {
 	f := &frame{}
-	err := frameMode.Unmarshal(raw, f)
+	err := unmarshal(raw, f)
 	if err == nil {
 		return f, nil
 	}
 	var head frameHead
-	if frameMode.Unmarshal(raw, &head) != nil {
+	if unmarshal(raw, &head) != nil {
 		return nil, err
 	}
 	return nil, &frameError{frameHead: head, cause: err}
--- a/internal/hosts/peer/envelope.go
+++ b/internal/hosts/peer/envelope.go
@@ -7,6 +7,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
+
+	"github.com/swiftvane/swiftvane/internal/support/panics"
 )
 
 // messageType is the role of an envelope, such as a call or its reply.
@@ -96,7 +98,8 @@
 }
 
 // Decode decodes the payload of a message or reply into v.
-func Decode(payload cbor.RawMessage, v any) error {
+func Decode(payload cbor.RawMessage, v any) (err error) {
+	defer panics.Catch(&err)
 	if err := decMode.Unmarshal(payload, v); err != nil {
 		return eris.Wrap(err, "peer: decode payload")
 	}
@@ -116,7 +119,7 @@
 	var e envelope
 	for len(frame) > 0 {
 		e = envelope{}
-		rest, err := decMode.UnmarshalFirst(frame, &e)
+		rest, err := decodeFirst(frame, &e)
 		if err != nil {
 			return eris.Wrap(errBadFrame, err.Error())
 		}
@@ -129,6 +132,12 @@
 	return nil
 }
 
+// decodeFirst decodes the first envelope of a frame and returns the rest of the frame.
+func decodeFirst(frame []byte, e *envelope) (rest []byte, err error) {
+	defer panics.Catch(&err)
+	return decMode.UnmarshalFirst(frame, e)
+}
+
 // leftMicros returns the time left until deadline in microseconds. It is at least
 // 1, because zero means that there is no deadline.
 func leftMicros(deadline, now time.Time) int64 {
--- a/internal/targets/target/conn.go
+++ b/internal/targets/target/conn.go
@@ -14,6 +14,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/httpreply"
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
+	"github.com/swiftvane/swiftvane/internal/support/panics"
 )
 
 const (
@@ -161,7 +162,8 @@
 }
 
 // readReply reads a response.
-func (c *httpConn) readReply() error {
+func (c *httpConn) readReply() (err error) {
+	defer panics.Catch(&err)
 	c.body = nil
 	if err := c.head.ReadFinal(c.reader); err != nil {
 		return err
--- a/internal/targets/target/wire.go
+++ b/internal/targets/target/wire.go
@@ -6,6 +6,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/support/panics"
 )
 
 // Paths of the target protocol.
@@ -75,7 +76,10 @@
 }
 
 // Decode decodes the body of a request or answer under the protocol's size limits.
-func Decode(body []byte, into any) error { return codec.Unmarshal(body, into) }
+func Decode(body []byte, into any) (err error) {
+	defer panics.Catch(&err)
+	return codec.Unmarshal(body, into)
+}
 
 // Encode encodes the body of a request or answer.
 func Encode(v any) ([]byte, error) { return cbor.Marshal(v) }
--- a/internal/targets/targetpool/head.go
+++ b/internal/targets/targetpool/head.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/swiftvane/swiftvane/internal/support/panics"
 )
 
 // headTimeout bounds the time from the first byte of a reply to the end of its head. It
@@ -20,7 +22,7 @@
 		if err != nil {
 			return err
 		}
-		complete, err := c.pool.heads.CheckHead(begin)
+		complete, err := c.checkHead(begin)
 		if err != nil {
 			return err
 		}
@@ -41,6 +43,11 @@
 	return nil
 }
 
+func (c *conn) checkHead(begin []byte) (complete bool, err error) {
+	defer panics.Catch(&err)
+	return c.pool.heads.CheckHead(begin)
+}
+
 // limitRead makes reads fail at the given time, or, if that is earlier or at is zero,
 // when the reply is no longer wanted.
 func (c *conn) limitRead(at time.Time) {
--- a/internal/targets/targetpool/memory.go
+++ b/internal/targets/targetpool/memory.go
@@ -5,6 +5,7 @@
 
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
+	"github.com/swiftvane/swiftvane/internal/support/panics"
 )
 
 // maxHeldRequestBytes bounds the requests that this host has at one target at once, which
@@ -47,13 +48,14 @@
 }
 
 // readReply reads the reply to the call. Its body counts as held until endReply.
-func (c *conn) readReply(call *Call) (*exchange.Reply, error) {
+func (c *conn) readReply(call *Call) (reply *exchange.Reply, err error) {
+	defer panics.Catch(&err)
 	if c.account == nil {
 		return c.pool.codec.ReadReply(c.reader, call.Request.Bodyless())
 	}
 	c.account.Begin(time.Now(), call.Priority, true)
 	limit := exchange.BodyLimit{MaxBytes: call.MaxReplyBytes, Take: c.takeBytes}
-	reply, err := c.pool.memory.bounded.ReadReplyWithin(c.reader, call.Request.Bodyless(), limit)
+	reply, err = c.pool.memory.bounded.ReadReplyWithin(c.reader, call.Request.Bodyless(), limit)
 	if tooLarge, ok := exchange.AsOversizedReply(err); ok {
 		c.pool.memory.budget.Refused(bytebudget.ReasonReplyTooLarge, int64(tooLarge.Bytes))
 	}
