entry: refuse a caller's name that is no UTF-8

What callers saw, in the own mode: beside a caller whose X-Caller-Id held bytes that are no UTF-8, the queries of others failed with target_failed or coverage_too_low.

Cause: the name goes into a CBOR text of the search that a target gets. One exchange carries the queries of many callers, and a target that can't decode it refuses all. The same text in a record of the quarantine made the whole list unreadable for other hosts.

Change: such a query gets 400 with the field X-Caller-Id, before anything is sent. All other texts of a query come from JSON, whose decoder replaces such bytes.

--- a/internal/face/entry/handler.go
+++ b/internal/face/entry/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"time"
+	"unicode/utf8"
 
 	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 
@@ -87,6 +88,10 @@
 		return q, refusal
 	}
 	q.body = body
+	if !utf8.ValidString(string(q.caller)) {
+		// Targets and other hosts could read neither this query nor those that are sent with it.
+		return q, verdict.RefuseField(verdict.BadRequest, callerapi.HeaderCaller, "the caller's name is not valid UTF-8")
+	}
 
 	fleet := s.opts.Views.Current().Fleet
 	if fleet == nil {
