target: read answers beside one whose message is no UTF-8

What callers would see, in the own mode: a target that quotes bytes of one caller's body in a message makes its answers to all callers of that exchange unknown, reply_mismatch.

Cause: the answers of an exchange are one CBOR list, which the decoder refuses as a whole for one text that is no UTF-8. A body may hold such bytes.

Change: answers are decoded with texts of any bytes, and a message becomes UTF-8 before callers and other hosts get it. Requests are decoded as strictly as before.

Evidence: TestMessageWithoutUTF8CostsNoOtherAnswer; with the strict decoder the whole reply is refused.

--- a/internal/targets/target/reply_test.go
+++ b/internal/targets/target/reply_test.go
@@ -63,3 +63,20 @@
 	require.NotNil(t, failure, "a null item is not an answer")
 	require.Equal(t, verdict.ReplyMismatch, failure.Reason)
 }
+
+// TestMessageWithoutUTF8CostsNoOtherAnswer guards against a target that quotes a caller's bytes in a
+// message, so that the answers to all callers in the same exchange are lost.
+func TestMessageWithoutUTF8CostsNoOtherAnswer(t *testing.T) {
+	body, err := Encode([]AnswerItem{
+		{ExchangeID: 7, Status: StatusRefused, Reason: verdict.BadRequest, Message: "bad body \"\xe9\xff\""},
+		{ExchangeID: 9, Status: StatusOK, Body: []byte("records")},
+	})
+	require.NoError(t, err)
+	conn := &httpConn{items: []SearchItem{{ExchangeID: 7}, {ExchangeID: 9}}, body: body}
+	require.Nil(t, conn.checkReply())
+	refused, sound := toAnswer(&conn.reply[0], 0), toAnswer(&conn.reply[1], 0)
+	require.Equal(t, verdict.BadRequest, refused.Reason)
+	require.Equal(t, "bad body \"\ufffd\"", refused.Message)
+	require.True(t, sound.OK())
+	require.Equal(t, "records", string(sound.Body))
+}
--- a/internal/targets/target/search.go
+++ b/internal/targets/target/search.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -121,7 +123,7 @@
 // to every item if they do not match, otherwise nil.
 func (c *httpConn) checkReply() *subquery.Answer {
 	c.reply = c.reply[:0]
-	if err := Decode(c.body, &c.reply); err != nil {
+	if err := decodeAnswers(c.body, &c.reply); err != nil {
 		if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
 			return unknown(verdict.ReplyTruncated, err)
 		}
@@ -188,12 +190,13 @@
 	return &subquery.Answer{Verdict: verdict.Unknown, Reason: reason, Message: err.Error()}
 }
 
-// toAnswer converts an item that checkReply has accepted.
+// toAnswer converts an item that checkReply has accepted. Its message becomes UTF-8, which callers and
+// other hosts need.
 func toAnswer(item *AnswerItem, took time.Duration) *subquery.Answer {
 	return &subquery.Answer{
 		Verdict:    item.Status.verdict(),
 		Reason:     item.reason(),
-		Message:    item.Message,
+		Message:    strings.ToValidUTF8(item.Message, string(utf8.RuneError)),
 		RetryAfter: time.Duration(item.RetryAfterMS) * time.Millisecond,
 		Snapshot:   item.Snapshot,
 		Body:       item.Body,
--- a/internal/targets/target/wire.go
+++ b/internal/targets/target/wire.go
@@ -58,11 +58,16 @@
 	Load     subquery.Load
 }
 
-// codec decodes the protocol's bodies under its size limits.
-var codec = mustCodec()
+// codec decodes the protocol's bodies under its size limits. answerCodec also takes texts that are no
+// UTF-8: the message of one answer must not make the others unreadable.
+var (
+	codec       = mustCodec(cbor.UTF8RejectInvalid)
+	answerCodec = mustCodec(cbor.UTF8DecodeInvalid)
+)
 
-func mustCodec() cbor.DecMode {
+func mustCodec(texts cbor.UTF8Mode) cbor.DecMode {
 	mode, err := cbor.DecOptions{
+		UTF8:             texts,
 		MaxArrayElements: MaxBatch,
 		MaxMapPairs:      64,
 		MaxNestedLevels:  8,
@@ -81,5 +86,11 @@
 	return codec.Unmarshal(body, into)
 }
 
+// decodeAnswers decodes the body of an answer.
+func decodeAnswers(body []byte, into *[]AnswerItem) (err error) {
+	defer panics.Catch(&err)
+	return answerCodec.Unmarshal(body, into)
+}
+
 // Encode encodes the body of a request or answer.
 func Encode(v any) ([]byte, error) { return cbor.Marshal(v) }
