catalogshare: refuse a link whose address or failure domain is no UTF-8

What was seen: a handshake with such bytes made each message of a reader unreadable for all of its followers, as long as the link stayed open; each of them called the store.

Cause: both texts come from the query of the handshake, which nothing authenticates, and go on to all followers in the counts by failure domain and the lists of hosts.

Change: such a handshake gets 400. Texts of the entries and reports come from JSON, whose decoder replaces such bytes; a follower's message that can't be decoded ends its own link.

Evidence: TestHandshakeWithoutUTF8CostsNoOtherLink; before, a sound follower lost its link.

--- a/internal/hosts/catalogshare/servelink.go
+++ b/internal/hosts/catalogshare/servelink.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/fasthttp/websocket"
 	"github.com/sirupsen/logrus"
@@ -11,9 +12,15 @@
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
 )
 
-// Handle accepts a link.
+// Handle accepts a link. It refuses one whose texts are no UTF-8: they are sent to all followers, which
+// could decode no message with them.
 func (h *Hub) Handle(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
+	if !utf8.Valid(args.Peek(domainQuery)) || !utf8.Valid(args.Peek(addrQuery)) {
+		h.log.WithField("from", ctx.RemoteAddr().String()).Warn("catalog link refused: its address or failure domain is not valid UTF-8")
+		ctx.Error("the address and the failure domain must be valid UTF-8", fasthttp.StatusBadRequest)
+		return
+	}
 	f := &follower{out: make(chan []byte, outboxCapacity), observe: args.Has(observeQuery), domain: string(args.Peek(domainQuery))}
 	f.member = gathering.Member{Addr: string(args.Peek(addrQuery)), FailureDomain: f.domain, Capacity: args.GetUintOrZero(capacityQuery)}
 	if err := h.upgrader.Upgrade(ctx, func(conn *websocket.Conn) { h.serveLink(conn, f) }); err != nil {
