soak: broken heads in a fleet of both builds

The other end of a link may be the build before, whose decoder of frames is strict. The soak of broken heads also runs a fleet of 17 of which 8 hosts are of the landed build, the readers of the store among them; each sound request at a host of this build has to succeed, as gatherers may be of either build.

--- a/test/soak/brokenhead_test.go
+++ b/test/soak/brokenhead_test.go
@@ -31,6 +31,8 @@
 	// that a target then takes, too few for all hosts.
 	gatheringHosts = 17
 	gatheringConns = 12
+	// landedHosts is the number of hosts that run the last landed build beside this one.
+	landedHosts = 8
 	// brokenPause is the pause after each request with a broken reply.
 	brokenPause = 30 * time.Millisecond
 	// brokenLasts is how long a run in CI lasts.
@@ -40,21 +42,26 @@
 // TestBrokenHeadsCostNoOtherRequest guards against replies with broken heads, and requests with
 // unusual bytes, that end a host's process or what other requests share with them.
 func TestBrokenHeadsCostNoOtherRequest(t *testing.T) {
-	t.Run("small fleet", func(t *testing.T) { runBrokenHeads(t, 1, 3, brokenLasts) })
-	t.Run("fleet with gatherers", func(t *testing.T) { runBrokenHeads(t, 1, gatheringHosts, brokenLasts) })
+	t.Run("small fleet", func(t *testing.T) { runBrokenHeads(t, 1, 3, 0, brokenLasts) })
+	t.Run("fleet with gatherers", func(t *testing.T) { runBrokenHeads(t, 1, gatheringHosts, 0, brokenLasts) })
+	t.Run("fleet with the last landed build", func(t *testing.T) { runBrokenHeads(t, 1, gatheringHosts, landedHosts, brokenLasts) })
 }
 
 // TestBrokenHeadsCostNoOtherRequestForFreshSeeds is the same for as many seeds as -soak.runs asks for.
 func TestBrokenHeadsCostNoOtherRequestForFreshSeeds(t *testing.T) {
 	for i := range *freshRuns {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runBrokenHeads(t, seed, *hostCount, *faultPeriod) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runBrokenHeads(t, seed, *hostCount, int(seed%2)**hostCount/2, *faultPeriod) })
 	}
 }
 
 // runBrokenHeads lets callers send requests whose replies have broken heads beside sound ones,
-// and requires that each sound one succeeds.
-func runBrokenHeads(t *testing.T, seed uint64, hosts int, lasts time.Duration) {
+// and requires that each sound one succeeds. landed is the number of hosts that run the last landed
+// build, whose own callers are not covered.
+func runBrokenHeads(t *testing.T, seed uint64, hosts, landed int, lasts time.Duration) {
+	if landed > 0 {
+		harness.BuildLandedDaemon(t)
+	}
 	e := newEnvironment(t, seed)
 	e.measured = true
 	e.startPlatform(deployment.Options{
@@ -64,6 +71,11 @@
 		},
 	}, singles)
 	e.addHosts(hosts)
+	for _, h := range e.hosts[:landed] {
+		h.kill()
+		h.setLanded(true)
+		h.start()
+	}
 	harness.Eventually(t, "all hosts are ready", e.allReady)
 	e.awaitRecovery("start")
 	done := make(chan struct{})
@@ -86,7 +98,7 @@
 	var failed []string
 	for _, a := range e.log.attempts {
 		closed := a.route == "order" && a.status == http.StatusBadGateway
-		if a.err != nil || a.status != http.StatusOK && !closed {
+		if !a.host.landed && (a.err != nil || a.status != http.StatusOK && !closed) {
 			failed = append(failed, fmt.Sprintf("%s: status %d, error %v", a.id, a.status, a.err))
 		}
 	}
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -30,6 +30,7 @@
 // attempt is one request of a caller and its outcome.
 type attempt struct {
 	id     string
+	host   *host
 	route  string
 	status int
 	header http.Header
@@ -91,7 +92,7 @@
 
 // askPath sends one request with a path and reads the complete answer.
 func (e *environment) askPath(client *http.Client, h *host, path, id string) attempt {
-	a := attempt{id: id}
+	a := attempt{id: id, host: h}
 	req, err := http.NewRequest(http.MethodPost, "http://"+h.caller+path, bytes.NewReader(nil))
 	if err != nil {
 		a.err = err
