integration: broken heads of targets in the own mode

Two targets of one shard are replaced by servers whose heads, of load reports too, have seeded random errors, beside queries of four callers at two daemons.

--- /dev/null
+++ b/test/integration/brokenhead_test.go
@@ -0,0 +1,113 @@
+package integration
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/swiftvane/swiftvane/internal/domain/model"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
+	"github.com/swiftvane/swiftvane/internal/domain/verdict"
+	"github.com/swiftvane/swiftvane/internal/standin/fixture"
+	"github.com/swiftvane/swiftvane/internal/standin/rawserver"
+	"github.com/swiftvane/swiftvane/internal/targets/target"
+	"github.com/swiftvane/swiftvane/test/harness"
+)
+
+// startBrokenTarget starts a target whose replies, one in four of its load reports among them, have
+// heads with random errors. What can be read of them is that each query failed.
+func startBrokenTarget(t *testing.T, seed uint64) *rawserver.Server {
+	t.Helper()
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, seed))
+	server, err := rawserver.Start(func(r *http.Request, body []byte) ([]byte, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		isLoad := r.URL.Path == target.PathLoad
+		reply := brokenTargetReply(isLoad, body)
+		raw := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nX-Other: \xe9\xff\r\nContent-Length: %d\r\n\r\n%s", target.ContentType, len(reply), reply)
+		if isLoad && random.IntN(4) > 0 {
+			return raw, false
+		}
+		return rawserver.Mutate(raw, random), true
+	})
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// brokenTargetReply returns the body of a load report, or of the answers to a search, all of them failures.
+func brokenTargetReply(isLoad bool, search []byte) []byte {
+	var items []target.SearchItem
+	var reply any = subquery.Load{}
+	if !isLoad && target.Decode(search, &items) == nil {
+		answers := make([]target.AnswerItem, len(items))
+		for i := range items {
+			answers[i] = target.AnswerItem{ExchangeID: items[i].ExchangeID, Status: target.StatusFailed, Reason: verdict.TargetFailed, Message: "\xe9\xff"}
+		}
+		reply = answers
+	}
+	encoded, err := target.Encode(reply)
+	if err != nil {
+		panic(err) // the types can be encoded
+	}
+	return encoded
+}
+
+// TestBrokenHeadsOfTargetsCostNoOtherShard replaces the targets of a shard by ones that send broken heads.
+// It guards against replies that end a host's process or the answers of other shards.
+func TestBrokenHeadsOfTargetsCostNoOtherShard(t *testing.T) {
+	const askers, lasts, replicas = 4, 2 * time.Second, 2
+	f := harness.Start(t, harness.Options{Shape: fixture.DiffReview(), Hosts: 2})
+	awaitCompleteAnswer(t, f, f.Hosts[0])
+	var broken []*rawserver.Server
+	targets := map[string]any{}
+	for replica := range replicas {
+		id := f.Shape.Target(0, replica)
+		broken = append(broken, startBrokenTarget(t, uint64(replica)))
+		targets["targets/"+string(id)] = model.Target{
+			ID: id, Addr: broken[replica].Addr(), Region: fixture.Region,
+			FailureDomain: fixture.Domain(slices.Index(f.Shape.TargetIDs(), id)), Slots: f.Shape.Slots, MaxConnections: f.Shape.MaxConnections,
+		}
+	}
+	revision := f.Platform.Publish(t, targets)
+	for _, host := range f.Hosts {
+		_, err := host.Admin().WaitConfig(revision, time.Minute)
+		require.NoError(t, err)
+	}
+	end := time.Now().Add(lasts)
+	var all sync.WaitGroup
+	for k := range askers {
+		all.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				body := harness.Body(k*100_000 + n)
+				answer, err := f.Hosts[k%len(f.Hosts)].Ask(t, f.Shape.Workload, body)
+				if err == nil {
+					err = f.Verify(body, answer)
+				}
+				if err != nil {
+					t.Errorf("query %d: %v", n, err)
+					return
+				}
+				for _, missing := range answer.Coverage.Missing {
+					if missing.Shard != f.Shape.Shard(0) {
+						t.Errorf("query %d: shard %s is missing: %s", n, missing.Shard, missing.Reason)
+						return
+					}
+				}
+			}
+		})
+	}
+	all.Wait()
+	t.Logf("requests at the broken targets: %d and %d", broken[0].Requests(), broken[1].Requests())
+	require.Positive(t, broken[0].Requests())
+	for _, host := range f.Hosts {
+		require.False(t, host.Exited(), host.ID)
+	}
+}
