catalogshare: catch the panics of the store's client, not in the adapter

Change: the source of the store's entries catches them, for replies of the store and for entries that other hosts send. An entry becomes one that can't be read.

The soak of broken heads also requires that answers with unusual signatures reach callers on each route.

--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -12,6 +12,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/targethealth"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/hosts/catalogsync"
+	"github.com/swiftvane/swiftvane/internal/support/panics"
 )
 
 const (
@@ -99,7 +100,7 @@
 		}
 		s.dropLink()
 	}
-	return s.opts.Store.Read(known)
+	return s.readStore(known)
 }
 
 // Watch implements catalogsync.Source. It returns the link's next message, or
@@ -116,7 +117,7 @@
 		s.delayDial()
 	}
 	s.dialInBackground()
-	return s.opts.Store.Watch(after, wait)
+	return s.watchStore(after, wait)
 }
 
 // SendLeaving tells the fleet that a target has reported that it is leaving.
@@ -219,6 +220,25 @@
 	s.opts.Hub.notifyLimitTotals(m.LimitDemand)
 }
 
+// readStore calls the store's Read. The client decodes the reply.
+func (s *Source) readStore(known catalog.Position) (batch catalogsync.Batch, err error) {
+	defer panics.Catch(&err)
+	return s.opts.Store.Read(known)
+}
+
+// watchStore calls the store's Watch. The client decodes the reply.
+func (s *Source) watchStore(after catalog.Position, wait time.Duration) (batch catalogsync.Batch, err error) {
+	defer panics.Catch(&err)
+	return s.opts.Store.Watch(after, wait)
+}
+
+// decode decodes an entry. An unreadable entry becomes a change with Err set.
+func (s *Source) decode(e *entry) (c catalogsync.Change) {
+	c = catalogsync.Change{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
+	defer panics.Catch(&c.Err)
+	return s.opts.Decode(e.Key, e.Value, e.Revision, e.Deleted)
+}
+
 // batchOf returns the entries of a message.
 func (s *Source) batchOf(m *message) catalogsync.Batch {
 	batch := catalogsync.Batch{
@@ -226,10 +246,10 @@
 		AsOf: time.Now().Add(-time.Duration(m.AgeMS) * time.Millisecond),
 	}
 	for _, e := range m.Entries {
-		batch.Changes = append(batch.Changes, s.opts.Decode(e.Key, e.Value, e.Revision, e.Deleted))
+		batch.Changes = append(batch.Changes, s.decode(&e))
 	}
 	for _, e := range m.Disputed {
-		batch.Disputed = append(batch.Disputed, s.opts.Decode(e.Key, e.Value, e.Revision, e.Deleted))
+		batch.Disputed = append(batch.Disputed, s.decode(&e))
 	}
 	batch.DisputedFor = time.Duration(m.DisputedMS) * time.Millisecond
 	return batch
--- a/internal/hosts/gatherlink/server.go
+++ b/internal/hosts/gatherlink/server.go
@@ -43,7 +43,8 @@
 }
 
 // NewServer returns a server without links. lostShare returns the share of targets, 0 to 1,
-// that this host can't reach; it must not block, and nil stands for none.
+// that this host can't reach; it must not block, and nil stands for none. appendFields encodes
+// signatures that are no UTF-8.
 func NewServer(handler Handler, lostShare func() float64, appendFields AppendFields, log logrus.FieldLogger) *Server {
 	return &Server{
 		handler: handler, log: log, started: time.Now(), lostShare: lostShare, appendFields: appendFields,
--- a/internal/standin/rawserver/mutated.go
+++ b/internal/standin/rawserver/mutated.go
@@ -18,7 +18,7 @@
 	return append(head, body...)
 }
 
-// mutateOnce replaces, inserts, deletes or repeats bytes at a random place.
+// mutateOnce replaces, inserts, deletes or repeats bytes at a random place, or cuts the head there.
 func mutateOnce(head []byte, random *rand.Rand) []byte {
 	if len(head) == 0 {
 		return head
--- a/test/soak/brokenhead_test.go
+++ b/test/soak/brokenhead_test.go
@@ -80,8 +80,9 @@
 	e.awaitRecovery("start")
 	done := make(chan struct{})
 	var breaking sync.WaitGroup
-	for _, route := range []string{"sweep", "read", "order"} {
-		breaking.Go(func() { e.sendBroken(route, done) })
+	passedOn := make([]int, 3)
+	for i, route := range []string{"sweep", "read", "order"} {
+		breaking.Go(func() { passedOn[i] = e.sendBroken(route, done) })
 	}
 	stop := e.startCallers()
 	time.Sleep(lasts)
@@ -89,6 +90,7 @@
 	close(done)
 	breaking.Wait()
 	require.Empty(t, e.failures())
+	require.NotContains(t, passedOn, 0, "answers with unusual signatures, by route")
 	e.check()
 }
 
@@ -130,40 +132,44 @@
 }
 
 // sendBroken sends requests of a route whose replies have broken heads until done is closed. Each
-// must be answered on its connection.
-func (e *environment) sendBroken(route string, done <-chan struct{}) {
+// must be answered on its connection. It returns how many answers have a signature with otherBytes.
+func (e *environment) sendBroken(route string, done <-chan struct{}) (passedOn int) {
 	for n := 0; !isClosed(done); n++ {
 		path := "/" + route + "/x"
 		if n%2 == 0 {
 			path += otherBytes
 		}
-		err := e.sendRaw(e.anyHost(), path, fmt.Sprintf("%s%s-%d", brokenPrefix, route, n))
+		header, err := e.sendRaw(e.anyHost(), path, fmt.Sprintf("%s%s-%d", brokenPrefix, route, n))
 		if err != nil {
 			e.t.Errorf("%s %d: %v", route, n, err)
-			return
+			return passedOn
+		}
+		if strings.Contains(header.Get(platform.HeaderSignature)+header.Get(platform.HeaderPartSignatures), otherBytes) {
+			passedOn++
 		}
 		time.Sleep(brokenPause)
 	}
+	return passedOn
 }
 
-// sendRaw sends a request whose path is not encoded and reads the answer.
-func (e *environment) sendRaw(h *host, path, id string) error {
+// sendRaw sends a request whose path is not encoded, reads the answer and returns its header.
+func (e *environment) sendRaw(h *host, path, id string) (http.Header, error) {
 	conn, err := net.DialTimeout("tcp", h.caller, clientTimeout)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(clientTimeout))
 	_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n", path, deployment.HostName,
 		platform.HeaderRequestID, id, platform.HeaderDeadline, callerDeadline.Milliseconds())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = answer.Body.Close() }()
 	_, err = io.Copy(io.Discard, answer.Body)
-	return err
+	return answer.Header, err
 }
