gatherlink: start the other caller's request before the ones under test

The request of the other caller could arrive after one under test, and was then taken for it.

Change: the test waits until that request is being served, so that it is in flight during all others, which it was meant to be.

--- a/internal/hosts/gatherlink/text_test.go
+++ b/internal/hosts/gatherlink/text_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/fasthttp/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -68,6 +69,7 @@
 	c := newClient(t, member)
 	other := make(chan *exchange.Answer)
 	go func() { other <- c.Sweep(request("other caller"), route(), always, nil) }()
+	require.Eventually(t, func() bool { return g.served() == 1 }, eventuallyTimeout, time.Millisecond)
 	for _, id := range []string{"sweep", "relayed", "id" + otherBytes} {
 		r := request(id)
 		r.Method, r.Host, r.URI = "G"+otherBytes, "h"+otherBytes, "/x"+otherBytes
