--- a/internal/hosts/catalogshare/handshake_test.go
+++ b/internal/hosts/catalogshare/handshake_test.go
@@ -19,7 +19,7 @@
 		source, store := newSource(addr)
 		_, err := source.Read(catalog.Position{})
 		require.NoError(t, err)
-		conn, resp, err := websocket.DefaultDialer.Dial("ws://"+addr+Path+"?"+query, nil) //nolint:bodyclose // closed below
+		conn, resp, err := websocket.DefaultDialer.Dial("ws://"+addr+Path+"?"+query, nil) //nolint:bodyclose // the dialer has read the body
 		if err == nil {
 			t.Cleanup(func() { _ = conn.Close() })
 			require.Eventually(t, func() bool { return knownHosts(hub) == 3 }, eventuallyTimeout, time.Millisecond)
--- a/internal/support/listener/accept.go
+++ b/internal/support/listener/accept.go
@@ -22,6 +22,7 @@
 // a process without free file descriptors, pass; those who accept would end for good.
 type retrying struct {
 	*net.TCPListener
+	// accept is the Accept of TCPListener, which tests replace.
 	accept func() (net.Conn, error)
 	log    logrus.FieldLogger
 	lines  *logging.Budget
