quarantine: read records beside one whose caller's name is no UTF-8

What callers would see, in the own mode during an upgrade: a host does not know of requests that crash targets, as long as a host of an earlier build keeps such a record.

Cause: this build refuses such names at its callers' side, but the one before takes them into records, and its list of records, sent as one CBOR message, was refused as a whole.

Change: messages of the quarantine are decoded with texts of any bytes; records with such a name are left out, since hosts of earlier builds would refuse a message that passes one on.

Evidence: TestRecordOfEarlierBuildCostsNoOtherRecord failed before, for notes and for the sync of lists; three runs of the package pass with the race detector.

--- a/internal/targets/quarantine/control.go
+++ b/internal/targets/quarantine/control.go
@@ -4,8 +4,6 @@
 	"maps"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
@@ -52,7 +50,7 @@
 func (c *control) mergeAndSpread(incoming []*Record, done func()) {
 	var changed []*Record
 	for _, r := range incoming {
-		if r != nil && c.table.merge(r, c.nowMS()) {
+		if c.table.merge(r, c.nowMS()) {
 			changed = append(changed, c.table.records[r.Fingerprint])
 		}
 	}
@@ -103,7 +101,7 @@
 // handle passes a message to the control goroutine.
 func (s *Service) handle(in *peer.Inbound) {
 	var m message
-	if err := cbor.Unmarshal(in.Payload, &m); err != nil {
+	if err := decode(in.Payload, &m); err != nil {
 		s.opts.Log.WithError(err).WithField("from", in.From).Warn("dropped a malformed quarantine note")
 		return
 	}
@@ -115,7 +113,7 @@
 	var a answer
 	switch m.Operation {
 	case operationNotes:
-		c.mergeAndSpread(m.Records, func() {})
+		c.mergeAndSpread(readable(m.Records), func() {})
 	case operationSync:
 		if m.Digest != c.table.digest() {
 			for _, r := range c.table.records {
--- a/internal/targets/quarantine/spread.go
+++ b/internal/targets/quarantine/spread.go
@@ -73,9 +73,9 @@
 	host := hosts[rand.IntN(len(hosts))]
 	s.opts.Transport.Go(host, peer.KindQuarantineNote, m, time.Now().Add(syncTimeout), func(reply cbor.RawMessage, err error) {
 		var a answer
-		if err != nil || cbor.Unmarshal(reply, &a) != nil || len(a.Records) == 0 {
+		if err != nil || decode(reply, &a) != nil || len(a.Records) == 0 {
 			return
 		}
-		s.submit(func(c *control) { c.mergeAndSpread(a.Records, func() {}) })
+		s.submit(func(c *control) { c.mergeAndSpread(readable(a.Records), func() {}) })
 	})
 }
