review 11: request handed to a host with an older configuration runs twice

Cause: not fixed, this is a review. The case now cuts the stale machine from the store (the store itself is stable) instead of having the store turn it away.

--- a/review/_lab-3/daemon.go
+++ b/review/_lab-3/daemon.go
@@ -50,13 +50,18 @@
 	})
 )
 
-func freeAddr(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		panic(err)
+// freeAddrs returns different free addresses of an IP address.
+func freeAddrs(ip string, n int) []string {
+	var addrs []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			panic(err)
+		}
+		defer l.Close()
+		addrs = append(addrs, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addrs
 }
 
 // newDaemons returns machines, each on a loopback address of its own, that read the store at
@@ -67,7 +72,8 @@
 	net1, net2 := 1+rand.IntN(250), 1+rand.IntN(250)
 	for i := range n {
 		ip := fmt.Sprintf("127.%d.%d.%d", net1, net2, 10+i)
-		d := &daemon{name: fmt.Sprintf("front-%d", i+1), front: freeAddr(ip), ready: freeAddr(ip), control: freeAddr(ip)}
+		addrs := freeAddrs(ip, 3)
+		d := &daemon{name: fmt.Sprintf("front-%d", i+1), front: addrs[0], ready: addrs[1], control: addrs[2]}
 		all = append(all, d)
 		if i < 3 {
 			seeds = append(seeds, d.control)
--- a/review/_lab-3/proxy.go
+++ b/review/_lab-3/proxy.go
@@ -1,34 +1,37 @@
 package main
 
 import (
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 )
 
-// proxy is the path of one machine to one searcher.
+// proxy is the path of one machine to a searcher or to the store.
 type proxy struct {
 	addr, to string
-	listener net.Listener
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-	isCut bool
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
+	isCut    bool
 }
 
 func startProxy(to string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// An address of its own, so that no outgoing connection takes the port while it is cut.
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250)))
 	if err != nil {
 		return nil, err
 	}
 	p := &proxy{addr: l.Addr().String(), to: to, listener: l, conns: map[net.Conn]bool{}}
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		from, err := p.listener.Accept()
+		from, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -64,13 +67,27 @@
 
 // cut resets the connections and refuses new ones.
 func (p *proxy) cut() {
-	_ = p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.isCut = true
+	_ = p.listener.Close()
 	for c := range p.conns {
 		reset(c)
 	}
+	clear(p.conns)
+}
+
+// heal takes connections again.
+func (p *proxy) heal() error {
+	l, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener, p.isCut = l, false
+	go p.accept(l)
+	return nil
 }
 
 func reset(c net.Conn) {
--- a/review/_lab-3/stale.go
+++ b/review/_lab-3/stale.go
@@ -19,10 +19,15 @@
 	staleSpread   = 0.5
 	staleDeadline = 4 * time.Second
 	staleApply    = 5 * time.Second
-	// staleAway is the longest time of the site for which the store turns machines away.
-	staleAway     = 9 * time.Second
-	staleMachines = 3
-	staleRate     = 40.0
+	// staleCut is the longest core_cut of the site, staleCutShards the time of a srv_cut without
+	// another one.
+	staleCut       = 5500 * time.Millisecond
+	staleCutShards = 5 * time.Second
+	staleMachines  = 3
+	staleRate      = 62.5
+	// staleRounds is how often all of it comes, staleRound the time from one to the next.
+	staleRounds = 6
+	staleRound  = 15 * time.Second
 	// staleShards is the number of shards of two searchers each beside the two services: the
 	// four searchers that one machine doesn't reach are a fifth of all.
 	staleShards = 6
@@ -64,119 +69,183 @@
 	}
 }
 
-// staleCase: the configuration changes while the store turns one machine away, and another machine
-// loses its path to the searchers of one service and passes requests on to the first.
+// staleCase: the configuration changes while one machine is cut off from the store, and another
+// one loses its path to the searchers of one service and passes requests on to the first.
 func staleCase(rec *record, dir string, trouble bool, changeOf func() change) int {
-	st, err := startStore()
+	w, err := newStaleWorld(rec, dir)
 	if err != nil {
+		rec.say("%v", err)
 		return cannot
 	}
-	var all []*searcher
-	add := func(service string, n int) bool {
-		for i := range n {
-			s, err := startSearcher(rec, service, fmt.Sprintf("i-%s-%d", service, i+1), staleSlots, 12, staleWork)
-			if err != nil {
-				return false
-			}
-			s.spread = staleSpread
-			all = append(all, s)
-		}
-		return true
+	defer w.close()
+	w.change = changeOf()
+	w.publish(w.before)
+	for _, s := range w.searchers {
+		w.store.put("servers/"+s.id, s.entry("ready"))
+	}
+	if !startAll(rec, w.daemons) {
+		return cannot
+	}
+	stop := make(chan struct{})
+	var sweeps sync.WaitGroup
+	for _, d := range w.daemons {
+		sweeps.Go(func() { sweepAlways(d, stop) })
+	}
+	load := startLoad(rec, w.daemons, staleRate/2, func(c *clientConn, id string) result {
+		return c.do("GET", staleHost, "/snap/x", id, nil, staleDeadline)
+	})
+	time.Sleep(4 * time.Second)
+	watched := &watchedLoad{}
+	for range staleRounds {
+		began := time.Now()
+		w.round(watched, trouble)
+		time.Sleep(time.Until(began.Add(staleRound)))
+	}
+	watched.wait.Wait()
+	load.stop()
+	close(stop)
+	sweeps.Wait()
+	return watched.judge(rec, w.searchers, w.change, load)
+}
+
+// staleWorld is the platform of the stale cases, of which machine 1 reaches the searchers of one
+// service, and machine 2 the store, by proxies.
+type staleWorld struct {
+	change
+	rec       *record
+	store     *store
+	searchers []*searcher
+	names     []string
+	services  []any
+	daemons   []*daemon
+	toNew     []*proxy
+	toStore   *proxy
+	version   int
+}
+
+func newStaleWorld(rec *record, dir string) (*staleWorld, error) {
+	w := &staleWorld{rec: rec}
+	var err error
+	if w.store, err = startStore(); err != nil {
+		return nil, err
 	}
-	services := []any{}
-	names := []string{staleOld, staleNew}
+	w.names = []string{staleOld, staleNew}
 	for i := range staleShards {
-		names = append(names, fmt.Sprintf("diff-review-%d", i+1))
+		w.names = append(w.names, fmt.Sprintf("diff-review-%d", i+1))
 	}
-	for i, name := range names {
+	for i, name := range w.names {
 		n := 2
 		if i < 2 {
 			n = staleEach
 		}
-		if !add(name, n) {
-			return cannot
+		if err := w.addService(name, n); err != nil {
+			return nil, err
 		}
-		services = append(services, map[string]any{"name": name, "max_conns": staleConns, "health_path": "/health"})
 	}
-	defer func() {
-		for _, s := range all {
-			s.stop()
+	addrs := map[string]string{}
+	for _, p := range w.toNew {
+		addrs[p.to] = p.addr
+	}
+	ofFirst, err := w.store.view(addrs)
+	if err != nil {
+		return nil, err
+	}
+	if w.toStore, err = startProxy(w.store.addr); err != nil {
+		return nil, err
+	}
+	w.daemons = newDaemons(dir, staleMachines, grownBounds, func(i int) string {
+		return []string{ofFirst.addr, w.toStore.addr, w.store.addr}[i]
+	})
+	return w, nil
+}
+
+// addService starts the searchers of a service.
+func (w *staleWorld) addService(name string, n int) error {
+	for i := range n {
+		s, err := startSearcher(w.rec, name, fmt.Sprintf("i-%s-%d", name, i+1), staleSlots, 12, staleWork)
+		if err != nil {
+			return err
 		}
-	}()
-	proxies, addrs := []*proxy{}, map[string]string{}
-	for _, s := range all {
-		if s.service != staleNew {
+		s.spread = staleSpread
+		w.searchers = append(w.searchers, s)
+		if name != staleNew {
 			continue
 		}
 		p, err := startProxy(s.addr)
 		if err != nil {
-			return cannot
+			return err
 		}
-		proxies, addrs[s.addr] = append(proxies, p), p.addr
-	}
-	cutOne, err := st.view(addrs)
-	if err != nil {
-		return cannot
-	}
-	turnedAway, err := st.view(nil)
-	if err != nil {
-		return cannot
+		w.toNew = append(w.toNew, p)
 	}
+	w.services = append(w.services, map[string]any{"name": name, "max_conns": staleConns, "health_path": "/health"})
+	return nil
+}
+
+// publish writes the next version of the configuration with the routes and one for sweeps.
+func (w *staleWorld) publish(routes []any) time.Time {
+	w.version++
 	sweep := map[string]any{
 		"name": "drift-check", "host": staleHost, "prefix": "/drift/", "type": "safe", "timeout_ms": 600, "slo_ms": 40,
-		"priority": 2, "attempts": 2, "gather": names[2:], "top_k": 5, "oldest_version": 0.85,
-	}
-	c := changeOf()
-	st.put("op/config", configOf(1, services, append(c.before, sweep)...))
-	for _, s := range all {
-		st.put("servers/"+s.id, s.entry("ready"))
-	}
-	daemons := newDaemons(dir, staleMachines, grownBounds, func(i int) string {
-		return []string{cutOne.addr, turnedAway.addr, st.addr}[i]
-	})
-	defer killAll(daemons)
-	if !startAll(rec, daemons) {
-		return cannot
-	}
-	first := daemons[0]
-	stopSweeps := make(chan struct{})
-	var sweeps sync.WaitGroup
-	for _, d := range daemons {
-		sweeps.Go(func() { sweepAlways(d, stopSweeps) })
+		"priority": 2, "attempts": 2, "gather": w.names[2:], "top_k": 5, "oldest_version": 0.85,
 	}
-	load := startLoad(rec, daemons, staleRate, func(c *clientConn, id string) result {
-		return c.do("GET", staleHost, "/snap/x", id, nil, staleDeadline)
-	})
-	time.Sleep(4 * time.Second)
+	all := append(append([]any{}, routes...), sweep)
+	at := w.store.put("op/config", configOf(w.version, w.services, all...))
+	w.rec.line("store: acknowledged version %d", w.version)
+	return at
+}
+
+// round changes the configuration and, once it is due everywhere, sends requests to machine 1.
+func (w *staleWorld) round(watched *watchedLoad, trouble bool) {
+	began := time.Now()
 	if trouble {
-		rec.line("the store turns %s away for %v", daemons[1].name, staleAway)
-		turnedAway.turnAway()
+		w.rec.line("%s is cut off from the store for %v", w.daemons[1].name, staleCut)
+		w.toStore.cut()
 	}
-	began := time.Now()
-	time.Sleep(500 * time.Millisecond)
-	acked := st.put("op/config", configOf(2, services, append(c.after, sweep)...))
-	rec.line("store: acknowledged version 2")
-	time.Sleep(time.Second)
+	time.Sleep(50 * time.Millisecond)
+	acked := w.publish(w.after)
+	time.Sleep(time.Until(began.Add(2500 * time.Millisecond)))
 	if trouble {
-		rec.line("%s loses its path to the searchers of %s", first.name, staleNew)
-		for _, p := range proxies {
+		w.rec.line("%s loses its path to the searchers of %s for %v", w.daemons[0].name, staleNew, staleCutShards)
+		for _, p := range w.toNew {
 			p.cut()
 		}
 	}
 	time.Sleep(time.Until(acked.Add(staleApply)))
-	rec.line("version 2 is due everywhere")
-	watched := &watchedLoad{}
+	w.rec.line("version %d is due everywhere", w.version)
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / staleRate))
 	defer ticker.Stop()
-	for time.Now().Before(began.Add(staleAway - 200*time.Millisecond)) {
+	healed := !trouble
+	for time.Now().Before(began.Add(7 * time.Second)) {
 		<-ticker.C
-		watched.send(rec, first, c.path)
+		watched.send(w.rec, w.daemons[0], w.path)
+		if !healed && time.Since(began) >= staleCut {
+			healed = true
+			w.rec.line("%s reaches the store again", w.daemons[1].name)
+			w.check(w.toStore.heal())
+		}
+	}
+	time.Sleep(time.Until(began.Add(7500 * time.Millisecond)))
+	if trouble {
+		w.rec.line("%s reaches the searchers of %s again", w.daemons[0].name, staleNew)
+		for _, p := range w.toNew {
+			w.check(p.heal())
+		}
+	}
+	time.Sleep(time.Second)
+	w.publish(w.before)
+}
+
+func (w *staleWorld) check(err error) {
+	if err != nil {
+		w.rec.say("%v", err)
+	}
+}
+
+func (w *staleWorld) close() {
+	killAll(w.daemons)
+	for _, s := range w.searchers {
+		s.stop()
 	}
-	watched.wait.Wait()
-	load.stop()
-	close(stopSweeps)
-	sweeps.Wait()
-	return watched.judge(rec, all, c, load)
 }
 
 // sweepAlways sends a sweep at a time, so that the machine keeps in touch with the shards.
@@ -235,7 +304,7 @@
 			runs[a.id]++
 			if s.service == staleOld {
 				old++
-				rec.line("OLD: %s ran at %s, as only version 1 allows", a.id, s.id)
+				rec.line("OLD: %s ran at %s, as only the old version allows", a.id, s.id)
 			}
 		}
 	}
@@ -246,7 +315,7 @@
 			rec.line("TWICE: %s ran %d times and got %s", id, n, l.ids[id])
 		}
 	}
-	rec.say("%d requests sent after version 2 was due; %d runs at the service of version 1; %d requests ran more than once", len(l.ids), old, twice)
+	rec.say("%d requests sent after the new version was due; %d runs at the service of the old one; %d requests ran more than once", len(l.ids), old, twice)
 	if len(l.ids) < 20 {
 		return cannot
 	}
--- a/review/_lab-3/store.go
+++ b/review/_lab-3/store.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -51,10 +50,6 @@
 	addr string
 	// addrs has the addresses by which the machine reaches searchers through proxies.
 	addrs map[string]string
-	// busy is set while the store turns the machine away.
-	busy atomic.Bool
-	// away is closed when the store begins to turn the machine away; waiting watches end then.
-	away chan struct{}
 }
 
 // view starts a listener for one machine. addrs replaces addresses of searchers.
@@ -63,28 +58,14 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &storeView{store: s, addr: l.Addr().String(), addrs: addrs, away: make(chan struct{})}
+	v := &storeView{store: s, addr: l.Addr().String(), addrs: addrs}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/kv-range", v.serveRange)
 	mux.HandleFunc("/kv-watch", v.serveWatch)
-	go func() {
-		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if v.busy.Load() {
-				w.WriteHeader(http.StatusServiceUnavailable)
-				return
-			}
-			mux.ServeHTTP(w, r)
-		}))
-	}()
+	go func() { _ = http.Serve(l, mux) }()
 	return v, nil
 }
 
-// turnAway makes the store answer 503 to the machine. It is called once.
-func (v *storeView) turnAway() {
-	v.busy.Store(true)
-	close(v.away)
-}
-
 // seen returns an item as the machine sees it.
 func (v *storeView) seen(it item) item {
 	raw, err := base64.StdEncoding.DecodeString(it.Value)
@@ -162,9 +143,6 @@
 		case <-end:
 			writeJSON(w, map[string]any{"events": events, "current_rev": rev})
 			return
-		case <-s.away:
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
 		case <-r.Context().Done():
 			return
 		}
