--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts of the third review.
+# Builds the stand-ins that the script of the third review starts.
 set -e
-cd "$(dirname "$0")/.."
-go build -o target/review-lab-3 ./review/_lab-3
+cd "$(dirname "$0")/lab-3"
+go build -o ../../target/review-3/lab .
