handover: serve another host's request by an agreed route

So all single routes were equal, and the other host matched the request anew and served it by its own route. Besides, it read the newest configuration once to accept a request and once more to serve it. Ruled out: a second send by the first host; both runs come from one host, at the older service.

Change: the fingerprint covers all parts of single routes. Hosts with the same route are asked first; if all differ, a second round states the route itself, and a host whose configuration is not newer serves the request by it, so that callers are served while a version spreads. The accepted route is the one that serves. Hosts of the build before, which compare nothing, get no request that must not be repeated; theirs are served once.

--- a/internal/domain/catalog/route.go
+++ b/internal/domain/catalog/route.go
@@ -31,12 +31,25 @@
 	// AllowedRegions are the route's home regions: its requests reach only targets in
 	// them. Empty means all regions.
 	AllowedRegions []string
-	// Fingerprint identifies how a sweep is served: two hosts whose routes for a
-	// request have the same one send it to the same shards under the same bounds. It is
-	// set by NewConfig.
+	// Fingerprint identifies how requests are served: two hosts whose routes for a
+	// request have the same one send it to the same services under the same bounds, and
+	// agree on whether it may be repeated. It is never 0, and set by NewConfig and NewRoute.
 	Fingerprint uint64
 }
 
+// NewRoute returns a copy of a route of another host's configuration, with its fingerprint.
+func NewRoute(of Route) *Route {
+	of.Fingerprint = fingerprintOf(&of)
+	return &of
+}
+
+// Once returns a copy of the route whose requests must not be repeated.
+func (r *Route) Once() *Route {
+	once := *r
+	once.Idempotent = false
+	return &once
+}
+
 // WeightedService is a service with its weight in a traffic split.
 type WeightedService struct {
 	Service ServiceName
--- a/internal/hosts/gatherlink/frame.go
+++ b/internal/hosts/gatherlink/frame.go
@@ -1,6 +1,7 @@
 package gatherlink
 
 import (
+	"cmp"
 	"fmt"
 	"sync"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/fasthttp/websocket"
 
 	"github.com/swiftvane/swiftvane/internal/decision/reach"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/domain/httpreply"
 )
@@ -64,6 +66,11 @@
 	Opinions []reach.Opinion `cbor:"8,keyasint,omitempty"`
 	// ReadsAnyText is set in a heartbeat of a server that reads texts which are no UTF-8.
 	ReadsAnyText bool `cbor:"9,keyasint,omitempty"`
+	// ChecksRoutes is set in a heartbeat of a server that compares the routes of all requests
+	// with its own, not only those of sweeps.
+	ChecksRoutes bool `cbor:"10,keyasint,omitempty"`
+	// OtherRoute is set in a kindRefused if the server's route for the request differs.
+	OtherRoute bool `cbor:"11,keyasint,omitempty"`
 }
 
 // passedRequest is a caller's request on its way to another host.
@@ -79,7 +86,8 @@
 	// passed, in microseconds.
 	CallerTimeoutUS int64 `cbor:"8,keyasint"`
 	ElapsedUS       int64 `cbor:"9,keyasint"`
-	// Fingerprint identifies the route, see catalog.Route.
+	// Fingerprint identifies the route of a sweep, see catalog.Route. It is 0 for other
+	// requests, which hosts of earlier builds expect.
 	Fingerprint uint64 `cbor:"10,keyasint"`
 	// BeginByUS is the reading of the server's clock after which it must refuse the
 	// request, in microseconds; 0 for none.
@@ -88,6 +96,15 @@
 	// microseconds.
 	ReservedUS int64 `cbor:"12,keyasint,omitempty"`
 	// Key 13 was in use; hosts of earlier builds may send it.
+
+	// SingleFingerprint identifies the route of a request that is no sweep; 0 from hosts of
+	// earlier builds.
+	SingleFingerprint uint64 `cbor:"14,keyasint,omitempty"`
+	// ConfigVersion is the version of the client's configuration.
+	ConfigVersion int64 `cbor:"15,keyasint,omitempty"`
+	// Route is the client's route if the server may serve the request by it although its own
+	// differs; nil otherwise.
+	Route *routeTerms `cbor:"16,keyasint,omitempty"`
 }
 
 // answer is the answer to a request.
@@ -110,12 +127,18 @@
 	Forward   []byte `cbor:"2,keyasint,omitempty"`
 }
 
-func passedRequestOf(r *exchange.Request, fingerprint uint64, now time.Time) *passedRequest {
-	return &passedRequest{
+func passedRequestOf(r *exchange.Request, route *catalog.Route, now time.Time) *passedRequest {
+	passed := &passedRequest{
 		RequestID: r.ID, Method: r.Method, Host: r.Host, URI: r.URI, Forward: r.Forward, Body: r.Body, HasBody: r.HasBody,
-		CallerTimeoutUS: r.CallerTimeout.Microseconds(), ElapsedUS: now.Sub(r.Arrived).Microseconds(), Fingerprint: fingerprint,
+		CallerTimeoutUS: r.CallerTimeout.Microseconds(), ElapsedUS: now.Sub(r.Arrived).Microseconds(),
 		ReservedUS: r.Reserved.Microseconds(),
 	}
+	if route.Sweep() {
+		passed.Fingerprint = route.Fingerprint
+		return passed
+	}
+	passed.SingleFingerprint = route.Fingerprint
+	return passed
 }
 
 // request returns the caller's request as the other host serves it.
@@ -128,6 +151,15 @@
 	}
 }
 
+// route returns what the client says of its route.
+func (s *passedRequest) route() exchange.PassedRoute {
+	passed := exchange.PassedRoute{Fingerprint: cmp.Or(s.SingleFingerprint, s.Fingerprint), Version: s.ConfigVersion}
+	if s.Route != nil {
+		passed.Terms = s.Route.route()
+	}
+	return passed
+}
+
 func answerOf(a *exchange.Answer) *answer {
 	to := &answer{
 		Status: a.Status, Signatures: a.Signatures, Missing: a.Missing, Body: a.Body,
--- a/internal/hosts/gatherlink/gatherlink_test.go
+++ b/internal/hosts/gatherlink/gatherlink_test.go
@@ -47,19 +47,28 @@
 	lostShare float64
 	gather    func(r *exchange.Request, gone <-chan struct{}) *exchange.Answer
 
+	// termsOnly is set if the host has another route, and serves only by the terms of one.
+	termsOnly bool
+
 	mu       sync.Mutex
 	requests []*exchange.Request
+	// routes are what was said of the routes of the requests.
+	routes []exchange.PassedRoute
 }
 
-func (g *fakeGatherer) Accepts(_ *exchange.Request, fingerprint uint64) bool {
-	return g.accepts && fingerprint == route().Fingerprint
-}
-
-func (g *fakeGatherer) Gather(r *exchange.Request, gone <-chan struct{}) *exchange.Answer {
-	g.mu.Lock()
-	g.requests = append(g.requests, r)
-	g.mu.Unlock()
-	return g.gather(r, gone)
+func (g *fakeGatherer) Accept(r *exchange.Request, passed exchange.PassedRoute) exchange.Acceptance {
+	if !g.accepts {
+		return exchange.Acceptance{}
+	}
+	if g.termsOnly && passed.Terms == nil || !g.termsOnly && passed.Fingerprint != route().Fingerprint {
+		return exchange.Acceptance{OtherRoute: true}
+	}
+	return exchange.Acceptance{Serve: func(gone <-chan struct{}) *exchange.Answer {
+		g.mu.Lock()
+		g.requests, g.routes = append(g.requests, r), append(g.routes, passed)
+		g.mu.Unlock()
+		return g.gather(r, gone)
+	}}
 }
 
 func (g *fakeGatherer) served() int {
@@ -265,7 +274,7 @@
 	m, _, _ := g.serve(t)
 	c := newClient(t, m)
 	l := c.pick(route(), nil, time.Now())
-	message := passedRequestOf(request("r-1"), route().Fingerprint, time.Now())
+	message := passedRequestOf(request("r-1"), route(), time.Now())
 	message.BeginByUS = 1
 	outcomes, _, err := l.send(message)
 	require.NoError(t, err)
@@ -304,9 +313,9 @@
 	frozen chan struct{}
 }
 
-func (h *silentHandler) Accepts(*exchange.Request, uint64) bool {
+func (h *silentHandler) Accept(*exchange.Request, exchange.PassedRoute) exchange.Acceptance {
 	<-h.frozen
-	return false
+	return exchange.Acceptance{}
 }
 
 // TestSlowGathererIsLastChoice covers a gatherer on a slow host: its answers come late.
--- a/internal/hosts/gatherlink/handover.go
+++ b/internal/hosts/gatherlink/handover.go
@@ -1,7 +1,6 @@
 package gatherlink
 
 import (
-	"slices"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
@@ -29,24 +28,24 @@
 // took the request. gone is closed when the caller has disconnected.
 func (c *Client) HandOver(r *exchange.Request, route *catalog.Route, h exchange.Handover, gone <-chan struct{}) *exchange.Answer {
 	p := newPassage(c, r, route, h.Again, gone)
-	p.mayHaveRun = h.MayHaveRun
-	p.pick = func() *link { return c.pickAble(route, h.LostShare, p.tried, c.opts.Now()) }
+	p.mayHaveRun, p.version = h.MayHaveRun, h.ConfigVersion
+	p.pick = func() *link { return c.pickAble(route, h.LostShare, p.mayAsk, c.opts.Now()) }
 	c.awaitLink(gone)
 	return p.run()
 }
 
-// pickAble returns a usable link to a host that the route allows, that has lost far fewer
-// targets than this one and that is not in tried, or nil. The hosts take turns.
-func (c *Client) pickAble(route *catalog.Route, lostShare float64, tried []*link, now time.Time) *link {
+// pickAble returns a usable link to a host that the route and mayAsk allow and that has lost far
+// fewer targets than this one, or nil. The hosts take turns.
+func (c *Client) pickAble(route *catalog.Route, lostShare float64, mayAsk func(*link) bool, now time.Time) *link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var able []*link
 	for _, m := range c.preferred {
 		l := c.links[m.Addr]
-		if l == nil || slices.Contains(tried, l) || !c.opts.Regions.AllowsHost(route, m.FailureDomain) {
+		if l == nil || !c.opts.Regions.AllowsHost(route, m.FailureDomain) {
 			continue
 		}
-		if l.usable(now) && reach.Better(l.lost(), lostShare) {
+		if l.usable(now) && reach.Better(l.lost(), lostShare) && mayAsk(l) {
 			able = append(able, l)
 		}
 	}
--- a/internal/hosts/gatherlink/link.go
+++ b/internal/hosts/gatherlink/link.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/reach"
+	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/support/httpdial"
 )
 
@@ -26,6 +27,8 @@
 type outcome struct {
 	kind   frameKind
 	answer *answer
+	// otherRoute is set if a gatherer refused the request since its route for it differs.
+	otherRoute bool
 	// opinions answer a question about targets.
 	opinions []reach.Opinion
 	err      error
@@ -53,6 +56,8 @@
 	lostShare float64
 	// readsAnyText is set if the gatherer reads texts that are no UTF-8.
 	readsAnyText bool
+	// checksRoutes is set if the gatherer compares the routes of all requests with its own.
+	checksRoutes bool
 }
 
 // dialLink opens a link and starts the goroutine that reads it.
@@ -92,7 +97,7 @@
 			l.heard(f)
 			continue
 		}
-		l.pass(f.ID, outcome{kind: f.Kind, answer: f.Answer, opinions: f.Opinions})
+		l.pass(f.ID, outcome{kind: f.Kind, answer: f.Answer, otherRoute: f.OtherRoute, opinions: f.Opinions})
 	}
 }
 
@@ -103,6 +108,7 @@
 	l.clock.heard(time.Now(), f.ClockUS)
 	l.lostShare = float64(f.LostPerMille) / perMille
 	l.readsAnyText = f.ReadsAnyText
+	l.checksRoutes = f.ChecksRoutes
 }
 
 // reads reports whether the gatherer can decode the request.
@@ -112,6 +118,13 @@
 	return l.readsAnyText || r.isUTF8()
 }
 
+// checks reports whether the gatherer compares a request's route with its own.
+func (l *link) checks(route *catalog.Route) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.checksRoutes || route.Sweep()
+}
+
 // lost returns the share of its targets that the other host last reported as lost.
 func (l *link) lost() float64 {
 	l.mu.Lock()
--- a/internal/hosts/gatherlink/passage.go
+++ b/internal/hosts/gatherlink/passage.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -43,8 +44,17 @@
 	route   *catalog.Route
 	gone    <-chan struct{}
 	tried   []*link
-	// pick returns the next host to ask, nil if there is none.
+	// asked is the number of hosts that were asked in all.
+	asked int
+	// pick returns the next host to ask that is not in tried, nil if there is none.
 	pick func() *link
+	// version is that of the configuration that has the route.
+	version int64
+	// disagreed is set once a host refused the request since its route for it differs, or was
+	// passed over since it doesn't compare routes. statesRoute is then set for a second round, in
+	// which hosts may serve the request by this host's route.
+	disagreed   bool
+	statesRoute bool
 	// mayHaveRun is set once a gatherer may have begun the sweep.
 	mayHaveRun bool
 	// again reports whether a sweep that may have run may be passed on again.
@@ -80,25 +90,38 @@
 // told at once, and may send it again itself.
 func (p *passage) run() *exchange.Answer {
 	now := time.Now()
-	for l := p.pick(); l != nil; l = p.pick() {
-		if len(p.tried) == 0 {
+	for l := p.next(); l != nil; l = p.next() {
+		if p.asked == 0 {
 			p.client.budget.count(p.route, now)
 		}
 		if p.mayHaveRun && !p.mayRunAgain(now) {
 			break
 		}
 		p.tried = append(p.tried, l)
+		p.asked++
 		if a := p.ask(l, now); a != nil {
 			return a
 		}
 		now = time.Now()
 	}
-	if !p.mayHaveRun || len(p.tried) == 0 {
+	if !p.mayHaveRun || p.asked == 0 {
 		return nil
 	}
 	return &exchange.Answer{Status: http.StatusBadGateway, Reason: exchange.GathererLost}
 }
 
+// next returns the next host to ask, nil if there is none. Hosts whose route for the request is
+// the same come first. A host that hands a request over can't serve it itself, so the others are
+// asked after them.
+func (p *passage) next() *link {
+	l := p.pick()
+	if l != nil || !p.client.opts.HandsOver || !p.disagreed || p.statesRoute {
+		return l
+	}
+	p.statesRoute, p.tried = true, nil
+	return p.pick()
+}
+
 // mayRunAgain reports whether a request that may have run can be passed on again, and counts
 // it as extra load if so. again counts a request that is handed over.
 func (p *passage) mayRunAgain(now time.Time) bool {
@@ -125,7 +148,7 @@
 // ask passes the sweep on over one link and waits for the answer. It returns nil if the
 // gatherer did not take the sweep or lost it.
 func (p *passage) ask(l *link, now time.Time) *exchange.Answer {
-	message := passedRequestOf(p.request, p.route.Fingerprint, now)
+	message := p.message(now)
 	if !l.reads(message) {
 		p.unserved(l, notSent, errNoUTF8)
 		return nil
@@ -142,6 +165,30 @@
 	return a.wait(min(p.client.opts.AcceptTimeout, p.final.Sub(now)))
 }
 
+// mayAsk reports whether a host may be asked to which the request is handed over. One that doesn't
+// compare routes serves it by its own, which may be another one: it gets only requests that may be
+// repeated, in the second round.
+func (p *passage) mayAsk(l *link) bool {
+	if slices.Contains(p.tried, l) {
+		return false
+	}
+	if l.checks(p.route) {
+		return true
+	}
+	p.disagreed = true
+	return p.statesRoute && p.route.Idempotent
+}
+
+// message returns the request as it is passed on.
+func (p *passage) message(now time.Time) *passedRequest {
+	m := passedRequestOf(p.request, p.route, now)
+	m.ConfigVersion = p.version
+	if p.statesRoute {
+		m.Route = routeTermsOf(p.route)
+	}
+	return m
+}
+
 // wait waits for the gatherer, at first for the given time.
 func (a *attempt) wait(within time.Duration) *exchange.Answer {
 	timer := time.NewTimer(within)
@@ -215,12 +262,23 @@
 		// A gatherer that refuses a sweep has not run it, even if it had accepted it.
 		a.mayHaveRun = a.ranBefore
 		a.link.forget(a.id)
-		a.link.avoid(a.client.opts.Now(), avoidRefusing)
-		a.unserved(a.link, refused, nil)
+		a.refused(o.otherRoute)
 		return nil, true
 	}
 }
 
+// refused processes the refusal of a gatherer. One whose route for the request differs may still
+// take other requests that are handed over.
+func (a *attempt) refused(otherRoute bool) {
+	a.disagreed = a.disagreed || otherRoute
+	if otherRoute && a.client.opts.HandsOver {
+		a.unserved(a.link, differs, nil)
+		return
+	}
+	a.link.avoid(a.client.opts.Now(), avoidRefusing)
+	a.unserved(a.link, refused, nil)
+}
+
 // received returns the gatherer's answer, nil if a caller must not get what it holds. The
 // request may have run then.
 func (a *attempt) received(from *answer) *exchange.Answer {
@@ -260,6 +318,7 @@
 const (
 	notSent result = "not_sent"
 	refused result = "refused"
+	differs result = "other_route"
 	lost    result = "lost"
 	silent  result = "not_accepted"
 	expired result = "timed_out"
@@ -289,7 +348,7 @@
 		return
 	}
 	entry := p.client.opts.Log.WithFields(logrus.Fields{
-		logging.FieldRequestID: p.request.ID, "gatherer": l.addr, "result": why, "route": p.route.Name, "asked": len(p.tried),
+		logging.FieldRequestID: p.request.ID, "gatherer": l.addr, "result": why, "route": p.route.Name, "asked": p.asked,
 		"elapsed_ms": time.Since(p.request.Arrived).Milliseconds(), "lines_left_out": omitted,
 	})
 	if err != nil {
--- a/internal/hosts/gatherlink/server.go
+++ b/internal/hosts/gatherlink/server.go
@@ -17,11 +17,9 @@
 
 // Handler serves sweeps of other hosts.
 type Handler interface {
-	// Accepts reports whether this host serves the request as the host that passed it
-	// on would, by the fingerprint of that host's route.
-	Accepts(r *exchange.Request, fingerprint uint64) bool
-	// Gather returns the answer to a request; gone is closed when it is withdrawn.
-	Gather(r *exchange.Request, gone <-chan struct{}) *exchange.Answer
+	// Accept returns how this host serves a request, if it serves it as the host that
+	// passed it on would by its route. It must not block.
+	Accept(r *exchange.Request, route exchange.PassedRoute) exchange.Acceptance
 }
 
 // Server serves sweeps that other hosts pass on. It is safe for concurrent use.
@@ -66,7 +64,7 @@
 
 // heartbeat returns the next heartbeat.
 func (s *Server) heartbeat() *frame {
-	f := &frame{Kind: kindHeartbeat, ClockUS: s.clock(), ReadsAnyText: true}
+	f := &frame{Kind: kindHeartbeat, ClockUS: s.clock(), ReadsAnyText: true, ChecksRoutes: true}
 	if s.lostShare != nil {
 		f.LostPerMille = int(perMille * s.lostShare())
 	}
@@ -164,9 +162,13 @@
 	request := f.Request.request(time.Now())
 	// Counted before the check, so that Stop followed by Idle misses no sweep.
 	l.server.active.Add(1)
-	if l.tooLate(f.Request) || l.server.stopping.Load() || !l.server.handler.Accepts(request, f.Request.Fingerprint) {
+	var acceptance exchange.Acceptance
+	if !l.tooLate(f.Request) && !l.server.stopping.Load() {
+		acceptance = l.server.handler.Accept(request, f.Request.route())
+	}
+	if acceptance.Serve == nil {
 		l.server.active.Add(-1)
-		l.reply(&frame{Kind: kindRefused, ID: f.ID})
+		l.reply(&frame{Kind: kindRefused, ID: f.ID, OtherRoute: acceptance.OtherRoute})
 		return
 	}
 	gone := make(chan struct{})
@@ -183,7 +185,7 @@
 			}
 			return
 		}
-		a := l.server.handler.Gather(request, gone)
+		a := acceptance.Serve(gone)
 		if l.end(f.ID) {
 			l.answer(f.ID, a)
 		}
--- a/internal/hosts/gatherlink/text_test.go
+++ b/internal/hosts/gatherlink/text_test.go
@@ -167,11 +167,12 @@
 	conn, _, err := websocket.DefaultDialer.Dial("ws://"+member.Addr+Path, nil) //nolint:bodyclose // an upgrade's response has no body
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
-	broken := passedRequestOf(request("r"), 299, request("r").Arrived)
+	broken := passedRequestOf(request("r"), route(), request("r").Arrived)
+	broken.Fingerprint = 299
 	raw := marshalFrame(t, &frame{Kind: kindRequest, ID: 7, Request: broken})
 	require.NoError(t, conn.WriteMessage(websocket.BinaryMessage, replaceNumber(t, raw, 10, []byte{0x19, 1, 43})))
 	w := &frameWriter{conn: conn}
-	require.NoError(t, w.write(&frame{Kind: kindRequest, ID: 8, Request: passedRequestOf(request("s"), route().Fingerprint, request("s").Arrived)}))
+	require.NoError(t, w.write(&frame{Kind: kindRequest, ID: 8, Request: passedRequestOf(request("s"), route(), request("s").Arrived)}))
 	kinds := map[uint64][]frameKind{}
 	for len(kinds[8]) < 2 {
 		f, err := readFrame(conn)
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -162,43 +162,6 @@
 	return lo.Map(route.Split, func(part catalog.WeightedService, _ int) catalog.ServiceName { return part.Service })
 }
 
-// Accepts reports whether this host would serve a request of another host as that one
-// does, whose route has the fingerprint, and reaches the targets.
-func (e *Executor) Accepts(r *exchange.Request, fingerprint uint64) bool {
-	if links := e.opts.Links; links != nil && links.State().Cut {
-		return false
-	}
-	route := routeOf(e.opts.Snapshots.Snapshot(), r)
-	return route != nil && route.Fingerprint == fingerprint
-}
-
-// Gather returns the answer to a request of another host. callerGone is closed when that
-// host withdraws it.
-func (e *Executor) Gather(r *exchange.Request, callerGone <-chan struct{}) *exchange.Answer {
-	snapshot := e.opts.Snapshots.Snapshot()
-	route := routeOf(snapshot, r)
-	if route == nil {
-		return refuse(exchange.NoRoute, retryNoConfig)
-	}
-	if e.opts.Guard.Blocks(r, time.Now()) {
-		return refuse(exchange.CrashesTargets, retryCrashing)
-	}
-	stats := e.statsByRoute.of(route)
-	stats.patience.spent(r.CallerTimeout, r.Arrived)
-	if !route.Sweep() {
-		return e.serveSingle(snapshot, route, r, callerGone)
-	}
-	return e.serveSweep(snapshot, route, r, callerGone)
-}
-
-// routeOf returns the route of a request, nil if there is none.
-func routeOf(snapshot *targetpool.Snapshot, r *exchange.Request) *catalog.Route {
-	if snapshot.View.Config == nil {
-		return nil
-	}
-	return snapshot.View.Config.Match(r.Host, r.URI)
-}
-
 func (e *Executor) newRun(snapshot *targetpool.Snapshot, route *catalog.Route, r *exchange.Request, callerGone <-chan struct{}) *run {
 	stats := e.statsByRoute.of(route)
 	return &run{
--- a/internal/querypath/relay/gathering_test.go
+++ b/internal/querypath/relay/gathering_test.go
@@ -128,13 +128,13 @@
 	host  int
 }
 
-func (p passOn) Sweep(r *exchange.Request, _ *catalog.Route, _ func() bool, gone <-chan struct{}) *exchange.Answer {
+func (p passOn) Sweep(r *exchange.Request, route *catalog.Route, _ func() bool, gone <-chan struct{}) *exchange.Answer {
 	if p.host < playGatherers {
 		return nil
 	}
 	time.Sleep(playHop)
 	defer time.Sleep(playHop)
-	return p.fleet.executors[p.host%playGatherers].Gather(r, gone)
+	return p.fleet.executors[p.host%playGatherers].Accept(r, exchange.PassedRoute{Fingerprint: route.Fingerprint}).Serve(gone)
 }
 
 func newPlayFleet(gatherers int) *playFleet {
--- a/internal/querypath/relay/handover.go
+++ b/internal/querypath/relay/handover.go
@@ -95,7 +95,7 @@
 	again := func() bool { return attemptsCoverTargets(h.snapshot, h.route) && h.takeExtra(time.Now()) }
 	share := h.executor.opts.Links.State().Share()
 	return h.executor.opts.Helpers.HandOver(h.request, h.route, exchange.Handover{
-		LostShare: share, MayHaveRun: mayHaveRun, Again: again,
+		LostShare: share, ConfigVersion: h.snapshot.View.Config.Version, MayHaveRun: mayHaveRun, Again: again,
 	}, h.callerGone)
 }
 
--- a/internal/querypath/relay/split.go
+++ b/internal/querypath/relay/split.go
@@ -11,8 +11,8 @@
 // share, so the shares hold for any sequence of requests and not only on average.
 type splits struct {
 	mu sync.Mutex
-	// deficit holds, for each route, how far each service is below its share.
-	deficit map[*catalog.Route][]float64
+	// deficit holds, by the fingerprint of each route, how far each service is below its share.
+	deficit map[uint64][]float64
 }
 
 // pick returns the service for the next request of a route.
@@ -23,12 +23,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.deficit == nil || len(s.deficit) >= maxRoutes {
-		s.deficit = map[*catalog.Route][]float64{}
+		s.deficit = map[uint64][]float64{}
 	}
-	deficit, ok := s.deficit[route]
+	deficit, ok := s.deficit[route.Fingerprint]
 	if !ok {
 		deficit = make([]float64, len(route.Split))
-		s.deficit[route] = deficit
+		s.deficit[route.Fingerprint] = deficit
 	}
 	return route.Split[nextPart(deficit, route.Split)].Service
 }
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -20,6 +20,7 @@
 	"github.com/swiftvane/swiftvane/internal/decision/gathering"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/standin/deployment"
+	"github.com/swiftvane/swiftvane/internal/standin/faultproxy"
 	"github.com/swiftvane/swiftvane/internal/standin/searcher"
 	"github.com/swiftvane/swiftvane/internal/support/loopback"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
@@ -53,8 +54,9 @@
 	ready   string
 	metrics string
 	log     *syncBuffer
-	// dialer is nil unless the links to targets can be cut.
-	dialer *cutDialer
+	// dialer is nil unless the links to targets can be cut, toStore unless that to the store can.
+	dialer  *cutDialer
+	toStore *faultproxy.Proxy
 }
 
 // syncBuffer is a buffer that is safe for concurrent reads and writes.
@@ -98,6 +100,10 @@
 	doubtClock func() time.Time
 	// cuttable makes the hosts' links to targets such that can be cut.
 	cuttable bool
+	// storeCuttable makes the hosts reach the store by proxies.
+	storeCuttable bool
+	// workOf replaces work by the request's id; nil means work for all.
+	workOf func(requestID string) time.Duration
 	// readers is the number of hosts that read the store for the others, 1 if it is zero.
 	readers int
 	// singles is the number of searchers for single requests, 3 if it is zero.
@@ -119,7 +125,7 @@
 		o.objective = 5 * time.Second
 	}
 	d, err := deployment.Start(deployment.Options{
-		Shards: shards, Replicas: replicas, Singles: cmp.Or(o.singles, 3), Attempts: 2, Work: o.work, Records: records, TopK: topK, Fault: o.fault, Raw: o.raw, Domain: o.domain, Crash: o.crash, MaxConns: o.maxConns,
+		Shards: shards, Replicas: replicas, Singles: cmp.Or(o.singles, 3), Attempts: 2, Work: o.work, WorkOf: o.workOf, Records: records, TopK: topK, Fault: o.fault, Raw: o.raw, Domain: o.domain, Crash: o.crash, MaxConns: o.maxConns,
 		Timeout: 10 * time.Second, Objective: o.objective, LeastCoverage: 0.75,
 		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 500 * time.Millisecond, IdleTimeout: 5 * time.Second},
 	})
@@ -179,6 +185,11 @@
 		h.dialer = newCutDialer()
 		dialer = h.dialer
 	}
+	store := c.Store.Addr()
+	if c.opts.storeCuttable {
+		h.toStore = startProxy(c.t, store)
+		store = h.toStore.Addr()
+	}
 	h.edge = edge.New(edge.Options{
 		Dialer: dialer,
 		Host:   "host-" + strconv.Itoa(i), FailureDomain: "z-1",
@@ -192,7 +203,7 @@
 		DoubtClock:  c.opts.doubtClock,
 		Readers:     func() []string { return c.readers },
 		MetricsAddr: h.metrics,
-		Store:       platform.NewStore(c.Store.Addr()),
+		Store:       platform.NewStore(store),
 		Decode:      platform.Decode,
 		CallerCodec: platform.CallerCodec{},
 		TargetCodec: platform.TargetCodec{},
@@ -209,6 +220,14 @@
 	return h
 }
 
+func startProxy(t *testing.T, server string) *faultproxy.Proxy {
+	t.Helper()
+	p, err := faultproxy.Start(server)
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	return p
+}
+
 func (h *host) isReady() bool {
 	resp, err := http.Get("http://" + h.ready + platform.ReadyPath)
 	if err != nil {
