front: read the limits of requests when they are used

Cause: the read buffer of a connection was sized at accept, by the limit of that moment. The check read the limit in force, but a full buffer counted as a header over it. Ruled out: old limits in the check, by which bodies would fail too. Of the same class: the time limit of a request that is being read (408), and the default limits of a host without a configuration (431, 413).

Change: the buffer grows while a header is read, up to the limit in force, and is given back. A raised time limit holds for what is being read. A host without a configuration answers 503 to what is over its default limits.

--- a/internal/domain/exchange/answer.go
+++ b/internal/domain/exchange/answer.go
@@ -6,6 +6,9 @@
 // take the request at once.
 const RetryElsewhere = 10 * time.Millisecond
 
+// RetryNoConfiguration is the Retry-After of a host that has no configuration yet.
+const RetryNoConfiguration = 150 * time.Millisecond
+
 // Answer is the answer to a caller's request.
 type Answer struct {
 	Status int
--- a/internal/domain/exchange/callercodec.go
+++ b/internal/domain/exchange/callercodec.go
@@ -8,10 +8,12 @@
 
 // CallerCodec decodes requests and encodes answers in the callers' protocol.
 type CallerCodec interface {
-	// ReadRequest reads one request whose first byte is already buffered. It
+	// ReadRequest reads one request whose first byte is already buffered. limits returns
+	// the limits in force, which may change meanwhile. It
 	// calls onHeader between header and body. The error is a *Malformed if the
-	// request itself is invalid.
-	ReadRequest(from *bufio.Reader, limits catalog.Limits, onHeader func(needsContinue bool) error) (*Request, error)
+	// request itself is invalid, and bufio.ErrBufferFull, with nothing consumed, if from
+	// has too small a buffer for a header that is within the limit so far.
+	ReadRequest(from *bufio.Reader, limits func() catalog.Limits, onHeader func(needsContinue bool) error) (*Request, error)
 	// AppendFields appends the header lines, each ended by CRLF, by which the caller gets what
 	// the answer passes on of targets' replies.
 	AppendFields(dst []byte, a *Answer) []byte
--- a/internal/domain/exchange/malformed.go
+++ b/internal/domain/exchange/malformed.go
@@ -18,6 +18,9 @@
 // Error implements error.
 func (m *Malformed) Error() string { return fmt.Sprintf("%s: %s", m.Reason, m.Detail) }
 
+// TooLarge reports whether the request is over a limit on its size.
+func (m *Malformed) TooLarge() bool { return m.Reason == HeaderTooLarge || m.Reason == BodyTooLarge }
+
 // BadRequestf returns the error for a request that violates the protocol.
 func BadRequestf(format string, args ...any) *Malformed {
 	return &Malformed{Status: 400, Reason: BadRequest, Detail: fmt.Sprintf(format, args...)}
--- a/internal/face/front/close.go
+++ b/internal/face/front/close.go
@@ -4,6 +4,7 @@
 
 // abort closes the connection without writing what is left of an answer.
 func (c *conn) abort() {
+	c.input.aborted.Store(true)
 	if err := c.raw.SetDeadline(time.Unix(1, 0)); err != nil {
 		c.server.opts.Log.WithError(err).Debug("ending a caller's transfer failed")
 	}
--- a/internal/face/front/conn.go
+++ b/internal/face/front/conn.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// bufferSlack is the buffer space beyond the largest header, in bytes.
-	bufferSlack = 1 << 10
 	// writeTimeout bounds the writing of one answer to a slow caller.
 	writeTimeout = 10 * time.Second
 	// lingerTimeout is how long the host still reads from a connection that it
@@ -39,6 +37,8 @@
 type conn struct {
 	server *Server
 	raw    net.Conn
+	// input reads from raw, and reader from input. Only the reading goroutine replaces reader.
+	input  *input
 	reader *bufio.Reader
 	// opened is when the connection was accepted.
 	opened time.Time
@@ -49,6 +49,9 @@
 	ended chan struct{}
 	// requests counts the requests read. It is used by the reading goroutine.
 	requests int
+	// configured reports whether the limits that were read last are those of a configuration. It
+	// is used by the reading goroutine.
+	configured bool
 	// pipelined is set while the beginning of the next request has arrived.
 	pipelined atomic.Bool
 	// account counts the bytes of the request and the answer; nil without a memory limit.
@@ -64,9 +67,10 @@
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{
 		server: s, raw: raw, opened: time.Now(),
-		reader: bufio.NewReaderSize(raw, s.limits().MaxHeaderBytes+bufferSlack),
-		jobs:   make(chan *job), served: make(chan struct{}, 1), ended: make(chan struct{}),
+		jobs: make(chan *job), served: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
+	c.input = &input{raw: raw, timeout: func() time.Duration { return c.limits().HeaderTimeout }}
+	c.reader = bufio.NewReaderSize(c.input, usualBufferBytes)
 	c.account = s.opts.Memory.NewAccount(func() { go c.abort() })
 	return c
 }
@@ -78,11 +82,8 @@
 	defer close(c.jobs)
 	for c.awaitRequest() {
 		j := newJob()
-		limits := c.server.limits()
-		now := time.Now()
-		c.account.Begin(now, 0, false)
-		c.setReadDeadline(now.Add(limits.HeaderTimeout))
-		request, err := c.readRequest(limits)
+		c.account.Begin(time.Now(), 0, false)
+		request, err := c.readRequest()
 		if err == nil && !c.takeRequest(request) {
 			err = memoryFull()
 		}
@@ -105,18 +106,55 @@
 }
 
 // readRequest reads a request whose first byte has arrived.
-func (c *conn) readRequest(limits catalog.Limits) (request *exchange.Request, err error) {
+func (c *conn) readRequest() (request *exchange.Request, err error) {
 	defer panics.Catch(&err)
-	return c.server.opts.Codec.ReadRequest(c.reader, limits, c.afterHeader)
+	began := time.Now()
+	c.input.begin(began)
+	defer c.input.end()
+	for {
+		request, err = c.server.opts.Codec.ReadRequest(c.reader, c.limits, c.afterHeader)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			break
+		}
+		c.growBuffer()
+	}
+	if err != nil {
+		return nil, c.rejection(err)
+	}
+	request.Arrived = began
+	return request, nil
+}
+
+// rejection returns the error of a request. Before the host has a configuration it can't say that
+// a request is too large.
+func (c *conn) rejection(err error) error {
+	if malformed, ok := errors.AsType[*exchange.Malformed](err); ok && malformed.TooLarge() && !c.configured {
+		return &exchange.Malformed{
+			Status: http.StatusServiceUnavailable, Reason: exchange.NoConfiguration, Detail: malformed.Detail, RetryAfter: exchange.RetryNoConfiguration,
+		}
+	}
+	return err
+}
+
+// limits returns the limits in force.
+func (c *conn) limits() catalog.Limits {
+	limits, ok := c.server.opts.Handler.Limits()
+	c.configured = ok
+	if !ok {
+		return defaultLimits
+	}
+	return limits
 }
 
 // awaitRequest waits for the first byte of a request and reports whether it came
-// within the idle timeout, which may change during the wait.
+// within the idle timeout. A timeout that rises during the wait takes effect at once. A lower one
+// applies to the next wait: callers may still rely on the former.
 func (c *conn) awaitRequest() bool {
 	began := time.Now()
+	c.shrinkBuffer()
 	c.setIdle(true)
 	for {
-		until := began.Add(c.server.limits().IdleTimeout)
+		until := began.Add(c.limits().IdleTimeout)
 		if !time.Now().Before(until) {
 			c.setIdle(false)
 			return c.readPending()
@@ -159,7 +197,7 @@
 	if !pending(c.raw) {
 		return false
 	}
-	c.setReadDeadline(time.Now().Add(c.server.limits().HeaderTimeout))
+	c.setReadDeadline(time.Now().Add(c.limits().HeaderTimeout))
 	_, err := c.reader.Peek(1)
 	return err == nil
 }
@@ -167,7 +205,7 @@
 // afterHeader restarts the read deadline for the body and, if the caller waits for
 // it, sends 100 Continue.
 func (c *conn) afterHeader(needsContinue bool) error {
-	c.setReadDeadline(time.Now().Add(c.server.limits().HeaderTimeout))
+	c.input.begin(time.Now())
 	if !c.account.Take(requestBytes) {
 		return memoryFull()
 	}
--- a/internal/face/front/panic_test.go
+++ b/internal/face/front/panic_test.go
@@ -16,7 +16,7 @@
 // panickingCodec is lineCodec with a fault: it panics at the request "bad". Its answers hold a status.
 type panickingCodec struct{ lineCodec }
 
-func (c panickingCodec) ReadRequest(from *bufio.Reader, limits catalog.Limits, onHeader func(bool) error) (*exchange.Request, error) {
+func (c panickingCodec) ReadRequest(from *bufio.Reader, limits func() catalog.Limits, onHeader func(bool) error) (*exchange.Request, error) {
 	r, err := c.lineCodec.ReadRequest(from, limits, onHeader)
 	if r.ID == "bad\n" {
 		panic("index out of range")
--- a/internal/face/front/server.go
+++ b/internal/face/front/server.go
@@ -129,12 +129,3 @@
 	defer s.mu.Unlock()
 	delete(s.conns, c)
 }
-
-// limits returns the limits in force.
-func (s *Server) limits() catalog.Limits {
-	limits, ok := s.opts.Handler.Limits()
-	if !ok {
-		return defaultLimits
-	}
-	return limits
-}
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -16,9 +16,6 @@
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
 
-// retryNoConfig is the Retry-After of a host that has no configuration yet.
-const retryNoConfig = 150 * time.Millisecond
-
 // retryCrashing is the Retry-After for a request that crashes targets. By then the
 // affected targets have restarted.
 const retryCrashing = 30 * time.Second
@@ -94,7 +91,7 @@
 	snapshot := e.opts.Snapshots.Snapshot()
 	config := snapshot.View.Config
 	if config == nil {
-		return refuse(exchange.NoConfiguration, retryNoConfig)
+		return refuse(exchange.NoConfiguration, exchange.RetryNoConfiguration)
 	}
 	route := config.Match(r.Host, r.URI)
 	if route == nil {
--- a/internal/wiring/edge/interrupt_test.go
+++ b/internal/wiring/edge/interrupt_test.go
@@ -19,7 +19,7 @@
 // lineCodec reads a request from one line and answers with one.
 type lineCodec struct{}
 
-func (lineCodec) ReadRequest(from *bufio.Reader, _ catalog.Limits, _ func(bool) error) (*exchange.Request, error) {
+func (lineCodec) ReadRequest(from *bufio.Reader, _ func() catalog.Limits, _ func(bool) error) (*exchange.Request, error) {
 	line, err := from.ReadString('\n')
 	return &exchange.Request{ID: line, Arrived: time.Now()}, err
 }
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -46,6 +46,8 @@
 	// readers are the addresses for links of the hosts that read the store.
 	readers []string
 	regions map[string]string
+	// blockStore is set if hosts that start don't reach the store.
+	blockStore bool
 }
 
 type host struct {
@@ -108,6 +110,8 @@
 	readers int
 	// singles is the number of searchers for single requests, 3 if it is zero.
 	singles int
+	// headerTimeout is that of the first configuration, 500 ms if it is zero.
+	headerTimeout time.Duration
 	// crash configures requests that crash searchers, maxConns the connections of a searcher.
 	crash    *deployment.Crash
 	maxConns int
@@ -127,7 +131,7 @@
 	d, err := deployment.Start(deployment.Options{
 		Shards: shards, Replicas: replicas, Singles: cmp.Or(o.singles, 3), Attempts: 2, Work: o.work, WorkOf: o.workOf, Records: records, TopK: topK, Fault: o.fault, Raw: o.raw, Domain: o.domain, Crash: o.crash, MaxConns: o.maxConns,
 		Timeout: 10 * time.Second, Objective: o.objective, LeastCoverage: 0.75,
-		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: 500 * time.Millisecond, IdleTimeout: 5 * time.Second},
+		Limits: catalog.Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 65536, HeaderTimeout: cmp.Or(o.headerTimeout, 500*time.Millisecond), IdleTimeout: 5 * time.Second},
 	})
 	require.NoError(t, err)
 	t.Cleanup(d.Close)
@@ -188,6 +192,9 @@
 	store := c.Store.Addr()
 	if c.opts.storeCuttable {
 		h.toStore = startProxy(c.t, store)
+		if c.blockStore {
+			h.toStore.SetRule(faultproxy.Blackhole())
+		}
 		store = h.toStore.Addr()
 	}
 	h.edge = edge.New(edge.Options{
