crashguard: a host that may have forgotten crashes asks for less proof

Cause: the proof is two separate crashes, on a host that remembers nothing as on one that remembers all. Ruled out: a place that outlasts the loss; the store can't be written, hosts have no disk, and callers and targets bring nothing back.

Change: hosts tell each other for how long they know the fleet's crashes. Where that is shorter than suspects are kept, a request under which two targets of a service ended is refused at once, and one under which one ended for 30 s, unless targets have answered it since the start.

All of test/edge passes.

--- a/internal/decision/crashguard/guard.go
+++ b/internal/decision/crashguard/guard.go
@@ -75,9 +75,15 @@
 	onCleared func(Clearance)
 	// expiredAt is when expired suspects were last removed.
 	expiredAt time.Time
+	// knownSince is since when this host knows the crashes of the fleet; zero if it knows all.
+	knownSince time.Time
+	// served has requests that were answered while the memory was short. restarted is set until
+	// then.
+	served    servedSet
+	restarted atomic.Bool
 }
 
-// New returns a guard without suspects.
+// New returns a guard without suspects, for a fleet that starts for the first time.
 func New() *Guard { return &Guard{suspects: map[Fingerprint]*suspect{}} }
 
 // Add records a crash and returns what it changed. While the guard is full, a new request
@@ -89,12 +95,13 @@
 		g.expire(now)
 	}
 	s := g.suspect(report.Request)
-	proven := s.proven()
+	doubtful := g.unproven(report.Request, now)
+	proven := s.proven(doubtful)
 	at := now.Add(-time.Duration(report.AgeMS) * time.Millisecond)
 	if !s.add(targetStart{target: report.Target, born: report.Born, service: report.Service}, at) {
 		return Known
 	}
-	if !proven && s.proven() {
+	if !proven && s.proven(doubtful) {
 		return Blocked
 	}
 	return Recorded
@@ -121,7 +128,7 @@
 	var least Fingerprint
 	var found *suspect
 	for fp, s := range g.suspects {
-		if found == nil || s.proven() == found.proven() && s.last.Before(found.last) || !s.proven() && found.proven() {
+		if found == nil || s.repeated() == found.repeated() && s.last.Before(found.last) || !s.repeated() && found.repeated() {
 			least, found = fp, s
 		}
 	}
@@ -139,8 +146,8 @@
 	order := lo.Keys(g.suspects)
 	slices.SortFunc(order, func(a, b Fingerprint) int {
 		x, y := g.suspects[a], g.suspects[b]
-		if x.proven() != y.proven() {
-			return lo.Ternary(x.proven(), -1, 1)
+		if x.repeated() != y.repeated() {
+			return lo.Ternary(x.repeated(), -1, 1)
 		}
 		return y.last.Compare(x.last)
 	})
@@ -154,8 +161,8 @@
 	return reports
 }
 
-// Suspects returns the number of requests that are tracked.
-func (g *Guard) Suspects() int { return int(g.count.Load()) }
+// Count returns the number of requests that are tracked.
+func (g *Guard) Count() int { return int(g.count.Load()) }
 
 // Blocks reports whether a request must be refused because it has crashed
 // targets repeatedly.
@@ -165,8 +172,21 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	request := FingerprintOf(r)
+	s, known := g.suspects[request]
+	return known && s.blocks(now, g.unproven(request, now))
+}
+
+// Suspects reports whether a target crashed while it had a request: it must run on one target
+// alone until it is answered. A nil guard suspects none.
+func (g *Guard) Suspects(r *exchange.Request) bool {
+	if g == nil || g.count.Load() == 0 {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	s, known := g.suspects[FingerprintOf(r)]
-	return known && s.blocks(now)
+	return known && len(s.crashes) > 0
 }
 
 // expire removes suspects whose last crash is long ago. The caller holds the lock.
--- a/internal/decision/crashguard/suspect.go
+++ b/internal/decision/crashguard/suspect.go
@@ -20,6 +20,9 @@
 	// separate crash beyond crashesToBlock, at most maxDoublings times.
 	blockFor     = 2 * time.Minute
 	maxDoublings = 8
+	// holdFor is how long a request that is not proven is refused after its first crash, on a
+	// host that may have forgotten earlier ones.
+	holdFor = 30 * time.Second
 	// suspectTTL is how long a suspect is kept at least after its last crash.
 	suspectTTL = time.Hour
 	// maxCrashes bounds the separate crashes that are kept of a suspect, and maxTargets the
@@ -148,8 +151,27 @@
 	s.crashes = append(s.crashes[:oldest], s.crashes[oldest+1:]...)
 }
 
-// proven reports whether the crashes are enough to refuse the request.
-func (s *suspect) proven() bool { return len(s.crashes) >= crashesToBlock }
+// repeated reports whether there were several separate crashes.
+func (s *suspect) repeated() bool { return len(s.crashes) >= crashesToBlock }
+
+// proven reports whether the crashes are enough to refuse the request. Where earlier ones may have
+// been forgotten, it is enough that two targets of a service ended one after the other: a request
+// that only ran beside the one at fault is answered by the second.
+func (s *suspect) proven(forgetful bool) bool {
+	return s.repeated() || forgetful && slices.ContainsFunc(s.crashes, (*crash).endedTwo)
+}
+
+// endedTwo reports whether two targets of one service ended.
+func (c *crash) endedTwo() bool {
+	ended := map[string]string{}
+	for _, t := range c.targets {
+		if other, found := ended[t.service]; found && t.service != "" && other != t.target {
+			return true
+		}
+		ended[t.service] = t.target
+	}
+	return false
+}
 
 // blockedFor returns how long a proven request is refused after its last crash.
 func (s *suspect) blockedFor() time.Duration {
@@ -157,8 +179,11 @@
 }
 
 // blocks reports whether the request must be refused.
-func (s *suspect) blocks(now time.Time) bool {
-	return s.proven() && now.Sub(s.last) < s.blockedFor()
+func (s *suspect) blocks(now time.Time, forgetful bool) bool {
+	if s.proven(forgetful) {
+		return now.Sub(s.last) < s.blockedFor()
+	}
+	return forgetful && len(s.crashes) > 0 && now.Sub(s.last) < holdFor
 }
 
 // expired reports whether the suspect can be forgotten. A proven one outlasts the time for
--- a/internal/domain/exchange/answer.go
+++ b/internal/domain/exchange/answer.go
@@ -32,6 +32,9 @@
 	Trace *Trace
 }
 
+// Success reports whether the request was served.
+func (a *Answer) Success() bool { return a.Status >= 200 && a.Status < 300 }
+
 // Reason is the cause for which the tier itself refused or failed a request.
 type Reason string
 
--- a/internal/hosts/catalogshare/crashes.go
+++ b/internal/hosts/catalogshare/crashes.go
@@ -37,6 +37,13 @@
 	h.broadcast(m)
 }
 
+// learnCrashes adds what another host knows of crashes.
+func (h *Hub) learnCrashes(m *message) {
+	h.AddCrashReports(m.CrashReports)
+	h.addClearances(m.Cleared)
+	h.guard.Learn(time.Duration(m.CrashMemoryMS)*time.Millisecond, time.Now())
+}
+
 // addCrashReport adds a crash report to the guard and reports whether it is new.
 func (h *Hub) addCrashReport(report crashguard.CrashReport) bool {
 	added := h.guard.Add(report, time.Now())
--- a/internal/hosts/catalogshare/crashes_test.go
+++ b/internal/hosts/catalogshare/crashes_test.go
@@ -61,6 +61,32 @@
 	})
 }
 
+// TestHostThatJoinsLearnsThatNothingIsForgotten guards against hosts that take a restart of their own
+// for the loss of what all hosts knew of crashes.
+func TestHostThatJoinsLearnsThatNothingIsForgotten(t *testing.T) {
+	first := newBatch(7, "a")
+	first.Full = true
+	reader, addr, _ := serve(t)
+	reader.Publish(first)
+	follower, _ := newSource(addr)
+	remembers := func(h *Hub) func() bool {
+		return func() bool { return h.guard.Memory(time.Now()) == crashguard.New().Memory(time.Now()) }
+	}
+	t.Run("a follower from its reader", func(t *testing.T) {
+		follower.opts.Hub.guard.Restarted(time.Now())
+		_, err := follower.Read(catalog.Position{})
+		require.NoError(t, err)
+		require.True(t, remembers(follower.opts.Hub)())
+	})
+	t.Run("a reader from a follower", func(t *testing.T) {
+		reader.guard.Restarted(time.Now())
+		joining, _ := newSource(addr)
+		_, err := joining.Read(catalog.Position{})
+		require.NoError(t, err)
+		require.Eventually(t, remembers(reader), eventuallyTimeout, time.Millisecond)
+	})
+}
+
 // TestManyCrashReportsKeepLinks guards against a sweep that ends many targets at once, whose
 // reports fill the queues of the links, which are closed then.
 func TestManyCrashReportsKeepLinks(t *testing.T) {
--- a/internal/hosts/catalogshare/hub.go
+++ b/internal/hosts/catalogshare/hub.go
@@ -183,7 +183,8 @@
 func (h *Hub) newMessage() *message {
 	return &message{
 		Era: h.position.Era, Revision: h.position.Revision, AgeMS: time.Since(h.asOf).Milliseconds(), Settled: h.settled,
-		OwnHosts: h.ownHosts(), OwnDomains: h.ownDomains(), Hosts: h.hosts(), Domains: h.domains(),
+		CrashMemoryMS: h.guard.Memory(time.Now()).Milliseconds(),
+		OwnHosts:      h.ownHosts(), OwnDomains: h.ownDomains(), Hosts: h.hosts(), Domains: h.domains(),
 	}
 }
 
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -53,8 +53,8 @@
 }
 
 // message is sent in both directions of a link. A hub fills all fields but
-// Samples and PauseEnds; a follower sends only CrashReports, Leaving, Samples,
-// PauseEnds, Limits, LimitDemand and Stewards. An answer to Stewards has no counts.
+// Samples and PauseEnds; a follower sends only CrashReports, CrashMemoryMS, Leaving,
+// Samples, PauseEnds, Limits, LimitDemand and Stewards. An answer to Stewards has no counts.
 type message struct {
 	// Full messages hold all entries, others only changed ones.
 	Full bool `cbor:"1,keyasint,omitempty"`
@@ -119,6 +119,9 @@
 	LimitDemand []targetlimit.ServiceDemand `cbor:"28,keyasint,omitempty"`
 	// Cleared are answers by which requests are no longer suspected of crashing targets.
 	Cleared []crashguard.Clearance `cbor:"30,keyasint,omitempty"`
+	// CrashMemoryMS is for how long, in milliseconds, the sender knows the fleet's crashes, all of
+	// which it has told on the link. Hosts of earlier builds don't say.
+	CrashMemoryMS int64 `cbor:"31,keyasint,omitempty"`
 }
 
 // position returns the sender's position in the store's history.
--- a/internal/hosts/catalogshare/observe.go
+++ b/internal/hosts/catalogshare/observe.go
@@ -42,8 +42,7 @@
 	if l, err := dial(addr, s.opts.Hub.self, true, s.opts.Log); err == nil {
 		for m := range l.messages {
 			s.opts.Hub.recordReaderCounts(addr, m)
-			s.opts.Hub.AddCrashReports(m.CrashReports)
-			s.opts.Hub.addClearances(m.Cleared)
+			s.opts.Hub.learnCrashes(m)
 			s.opts.Hub.addLeaving(m)
 			s.opts.Hub.addReaderPauses(m.Pauses)
 			s.opts.Hub.addLimitNotices(m.Limits)
--- a/internal/hosts/catalogshare/servelink.go
+++ b/internal/hosts/catalogshare/servelink.go
@@ -85,8 +85,7 @@
 			h.log.WithError(err).Warn("message of a follower is unreadable")
 			return
 		}
-		h.AddCrashReports(m.CrashReports)
-		h.addClearances(m.Cleared)
+		h.learnCrashes(m)
 		h.addLeaving(m)
 		h.addSamples(m.Samples)
 		h.answerStewards(f, m.Stewards)
--- a/internal/hosts/catalogshare/sourcedial.go
+++ b/internal/hosts/catalogshare/sourcedial.go
@@ -34,9 +34,7 @@
 		return
 	}
 	// A reader that has restarted or been cut off knows none of these.
-	if m := s.opts.Hub.knownReports(); m != nil {
-		l.send(m)
-	}
+	l.send(s.opts.Hub.knownReports())
 }
 
 // delayDial sets the time of the next dial after a link was lost or could not be opened.
--- a/internal/querypath/relay/accept.go
+++ b/internal/querypath/relay/accept.go
@@ -62,7 +62,7 @@
 	stats := e.statsByRoute.of(route)
 	stats.patience.spent(r.CallerTimeout, r.Arrived)
 	if !route.Sweep() {
-		return e.serveSingle(snapshot, route, r, callerGone)
+		return e.noteServed(r, e.serveSingle(snapshot, route, r, callerGone))
 	}
-	return e.serveSweep(snapshot, route, r, callerGone)
+	return e.noteServed(r, e.serveSweep(snapshot, route, r, callerGone))
 }
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -6,6 +6,7 @@
 
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
 	"github.com/swiftvane/swiftvane/internal/decision/replica"
@@ -73,6 +74,9 @@
 
 // NewExecutor returns an Executor.
 func NewExecutor(opts Options) *Executor {
+	if opts.Scope == nil {
+		opts.Scope = tally.NoopScope
+	}
 	return &Executor{opts: opts, gate: newGate(opts.Log, opts.Scope)}
 }
 
@@ -88,6 +92,18 @@
 // Serve returns the answer to one request. callerGone is closed when the caller
 // disconnects; Serve then cancels all attempts, and nobody receives the answer.
 func (e *Executor) Serve(r *exchange.Request, callerGone <-chan struct{}) *exchange.Answer {
+	return e.noteServed(r, e.serve(r, callerGone))
+}
+
+// noteServed records the request if the answer is a success, and returns the answer.
+func (e *Executor) noteServed(r *exchange.Request, answer *exchange.Answer) *exchange.Answer {
+	if answer.Success() {
+		e.opts.Guard.Served(r, time.Now())
+	}
+	return answer
+}
+
+func (e *Executor) serve(r *exchange.Request, callerGone <-chan struct{}) *exchange.Answer {
 	snapshot := e.opts.Snapshots.Snapshot()
 	config := snapshot.View.Config
 	if config == nil {
@@ -112,7 +128,7 @@
 		})
 	}
 	if e.opts.Gatherers != nil {
-		again := func() bool { return attemptsCoverTargets(snapshot, route) }
+		again := func() bool { return !e.opts.Guard.Suspects(r) && attemptsCoverTargets(snapshot, route) }
 		pass := func(r *exchange.Request) *exchange.Answer {
 			return e.opts.Gatherers.Sweep(r, route, again, callerGone)
 		}
@@ -164,7 +180,17 @@
 	return &run{
 		executor: e, snapshot: snapshot, route: route, request: r, callerGone: callerGone,
 		routeStats: stats, expectedTimes: stats.expectedTimes(route, time.Now()), times: newSchedule(route, r),
+		alone: e.suspects(r),
+	}
+}
+
+// suspects reports whether a target crashed while it had the request, and counts it if so.
+func (e *Executor) suspects(r *exchange.Request) bool {
+	suspected := e.opts.Guard.Suspects(r)
+	if suspected {
+		e.opts.Scope.Counter("suspects_run").Inc(1)
 	}
+	return suspected
 }
 
 // candidate returns the state of a pool's target for the choice of a replica.
--- a/internal/querypath/relay/gate.go
+++ b/internal/querypath/relay/gate.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/swiftvane/swiftvane/internal/decision/overload"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
@@ -40,9 +39,6 @@
 	if log == nil {
 		log = discardLog()
 	}
-	if scope == nil {
-		scope = tally.NoopScope
-	}
 	return &gate{log: log, scope: scope, lines: logging.NewBudget(limitLinesPerSecond), groups: map[catalog.ServiceName]*gated{}}
 }
 
--- a/internal/querypath/relay/handover.go
+++ b/internal/querypath/relay/handover.go
@@ -92,7 +92,9 @@
 // pass returns another host's answer, or nil. mayHaveRun is set if this host has sent the
 // request to a target.
 func (h *handover) pass(mayHaveRun bool) *exchange.Answer {
-	again := func() bool { return attemptsCoverTargets(h.snapshot, h.route) && h.takeExtra(time.Now()) }
+	again := func() bool {
+		return !h.executor.opts.Guard.Suspects(h.request) && attemptsCoverTargets(h.snapshot, h.route) && h.takeExtra(time.Now())
+	}
 	share := h.executor.opts.Links.State().Share()
 	return h.executor.opts.Helpers.HandOver(h.request, h.route, exchange.Handover{
 		LostShare: share, ConfigVersion: h.snapshot.View.Config.Version, MayHaveRun: mayHaveRun, Again: again,
@@ -114,7 +116,7 @@
 // serves the request; nil if the request must not be sent again, on any target of its
 // services, or can't be passed on.
 func (r *run) linksLost() <-chan struct{} {
-	if r.executor.opts.Helpers == nil || !r.route.Idempotent || !attemptsCoverTargets(r.snapshot, r.route) {
+	if r.executor.opts.Helpers == nil || r.alone || !r.route.Idempotent || !attemptsCoverTargets(r.snapshot, r.route) {
 		return nil
 	}
 	state := r.executor.opts.Links.State()
--- a/internal/querypath/relay/overload.go
+++ b/internal/querypath/relay/overload.go
@@ -169,7 +169,7 @@
 // dropWaiting gives up calls of a limited group that still wait for a connection after the
 // objective, as far as enough shards can answer without them.
 func (s *sweep) dropWaiting() {
-	if !s.limited {
+	if !s.limited || s.alone {
 		return
 	}
 	for i := range s.legs {
--- a/internal/querypath/relay/retry.go
+++ b/internal/querypath/relay/retry.go
@@ -74,7 +74,7 @@
 func (r *run) retrySame(l *leg, ev event, now time.Time) choice {
 	pool := l.attempts[ev.attempt].pool
 	lost := ev.outcome.Reply == nil && !ev.outcome.Sent.IsZero()
-	if !lost || !r.route.Idempotent || l.retriedSame {
+	if !lost || r.alone || !r.route.Idempotent || l.retriedSame {
 		return choice{}
 	}
 	load := pool.Load(now)
@@ -90,8 +90,12 @@
 }
 
 // mayRepeat reports whether the request may be sent to one more target. A request
-// that may have run is repeated only if the route is idempotent.
+// that may have run is repeated only if the route is idempotent and the request is not suspected
+// of crashing targets.
 func (r *run) mayRepeat(l *leg) bool {
+	if r.alone {
+		return l.ran+l.pending == 0
+	}
 	if l.ran > 0 && !r.route.Idempotent {
 		return false
 	}
--- a/internal/querypath/relay/run.go
+++ b/internal/querypath/relay/run.go
@@ -44,6 +44,9 @@
 	events chan event
 	// ended is set once no more attempts are sent.
 	ended bool
+	// alone is set while the request may run on one target only, as another one crashed while
+	// it had the request.
+	alone bool
 	// heldBytes is the size of the replies that the run keeps.
 	heldBytes int
 	// limited is set if the gate limits the run's group, and result is how the run ended.
--- a/internal/querypath/relay/sweep.go
+++ b/internal/querypath/relay/sweep.go
@@ -24,7 +24,8 @@
 	legs []leg
 	// minShards is the number of shards that must answer for a reply with status 200.
 	minShards int
-	// parts is the number of shards that answered.
+	// sent is the number of legs that were sent, parts that of the shards that answered.
+	sent  int
 	parts int
 	// settled is the number of shards that answered or that get no more attempts.
 	settled int
@@ -32,6 +33,8 @@
 	ran bool
 	// overdue is set once the objective has passed without enough shards.
 	overdue bool
+	// held are the legs that are not sent before the first one has been answered.
+	held []int
 	// nextHedgeCheck is the earliest time of the next check for late shards.
 	nextHedgeCheck time.Time
 }
@@ -74,16 +77,25 @@
 		return refuse(exchange.NoRoom, s.retryDelay(chosen))
 	}
 	for i, c := range chosen {
-		if c.pool == nil {
+		switch {
+		case c.pool == nil:
 			s.settle(i)
-			continue
+		case s.alone && s.sent > 0:
+			s.hold(i)
+		default:
+			s.send(c, i, now)
 		}
-		s.legs[i].group.CountRequest(now)
-		s.sendTo(c, &s.legs[i], i, now)
 	}
 	return nil
 }
 
+// send sends a leg for the first time.
+func (s *sweep) send(to choice, i int, now time.Time) {
+	s.sent++
+	s.legs[i].group.CountRequest(now)
+	s.sendTo(to, &s.legs[i], i, now)
+}
+
 // retryDelay returns the time in which the queues for the chosen targets are
 // expected to clear. A random addition spreads the retries of refused callers.
 func (s *sweep) retryDelay(chosen []choice) time.Duration {
@@ -209,6 +221,7 @@
 	if s.recordOutcome(l, ev) {
 		s.parts++
 		s.settled++
+		s.sendHeld(now)
 		return
 	}
 	s.ran = s.ran || l.ran > 0
@@ -216,6 +229,7 @@
 		return
 	}
 	s.settle(ev.leg)
+	s.dropHeld(l)
 }
 
 // hedge sends a second attempt for each late shard once the quorum of shards is
--- a/internal/wiring/edge/edge.go
+++ b/internal/wiring/edge/edge.go
@@ -98,6 +98,9 @@
 // New builds a host without starting it.
 func New(opts Options) *Edge {
 	guard := crashguard.New()
+	if !opts.FirstStart {
+		guard.Restarted(time.Now())
+	}
 	if opts.Dialer == nil {
 		opts.Dialer = targetpool.TCPDialer{}
 	}
@@ -220,7 +223,7 @@
 		if e.memory != nil {
 			e.metrics.scope.Gauge("bytes_held").Update(float64(e.memory.Held()))
 		}
-		e.metrics.scope.Gauge("crash_suspects").Update(float64(e.guard.Suspects()))
+		e.metrics.scope.Gauge("crash_suspects").Update(float64(e.guard.Count()))
 		e.directory.CheckLinks(now)
 		e.updateHelpers()
 		e.reportHealth(hosts, now)
--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -48,6 +48,8 @@
 	regions map[string]string
 	// blockStore is set if hosts that start don't reach the store.
 	blockStore bool
+	// ran is set once the first hosts run: those that start later are no first start.
+	ran bool
 }
 
 type host struct {
@@ -145,6 +147,7 @@
 			c.hosts[i].awaitReady(t)
 		}
 	}
+	c.ran = true
 	for _, h := range c.hosts {
 		h.awaitReady(t)
 	}
@@ -199,7 +202,7 @@
 	}
 	h.edge = edge.New(edge.Options{
 		Dialer: dialer,
-		Host:   "host-" + strconv.Itoa(i), FailureDomain: "z-1",
+		Host:   "host-" + strconv.Itoa(i), FailureDomain: "z-1", FirstStart: !c.ran,
 		CallerAddr: addrs[0], ReadyAddr: addrs[1], ReadyPath: platform.ReadyPath,
 		StopWithin:  cmp.Or(c.opts.stopWithin, 3*time.Second),
 		MemoryBytes: c.opts.memory,
--- a/test/edge/crashing_test.go
+++ b/test/edge/crashing_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/standin/deployment"
+	"github.com/swiftvane/swiftvane/internal/support/loopback"
 )
 
 const (
@@ -51,6 +53,51 @@
 	require.LessOrEqual(c.t, reached, crashingReach, "searchers crashed by each request: %v", crashed)
 }
 
+// loseAllHosts stops all hosts and then starts as many, which know nothing of before.
+func (c *cluster) loseAllHosts() {
+	c.t.Helper()
+	var stopping sync.WaitGroup
+	lost := c.hosts
+	for _, h := range lost {
+		stopping.Go(func() { h.edge.Stop() })
+	}
+	stopping.Wait()
+	c.hosts, c.readers = nil, loopback.Addrs(len(c.readers))
+	for i := range lost {
+		c.startHost(i)
+	}
+	for _, h := range c.hosts {
+		h.awaitReady(c.t)
+	}
+}
+
+// TestCrashingRequestReachesSearchersOnceAfterEachLossOfAllHosts guards against a fleet that has
+// forgotten which requests crash searchers and learns it from two of them again.
+func TestCrashingRequestReachesSearchersOnceAfterEachLossOfAllHosts(t *testing.T) {
+	const losses, sent = 3, 4
+	crash := &deployment.Crash{Requests: isCrashing, DownFor: 3 * time.Second, EntryFor: 3600 * time.Millisecond}
+	c := start(t, options{work: 5 * time.Millisecond, hosts: 4, readers: 3, linked: true, singles: 10, stopWithin: crashingStop, crash: crash})
+	submit := func(round int) (reached []int) {
+		for n := range sent {
+			before := c.Crashes()
+			_, _ = c.hosts[n].caller().ask("GET", "/read/crashing", fmt.Sprintf("%s-%d-%d", crashingID, round, n), nil)
+			flood(c.hosts, "/read/y", fmt.Sprintf("load-%d-%d", round, n), crashingEvery, 100*time.Millisecond)
+			reached = append(reached, c.Crashes()-before)
+		}
+		return reached
+	}
+	submit(0)
+	for round := range losses {
+		c.loseAllHosts()
+		time.Sleep(time.Second)
+		reached := submit(round + 1)
+		require.Zero(t, reached[1]+reached[2]+reached[3], "searchers crashed by each request: %v", reached)
+		r, err := c.hosts[0].caller().ask("GET", "/read/y", fmt.Sprintf("other-%d", round), nil)
+		require.NoError(t, err)
+		require.Equal(t, 200, r.status)
+	}
+}
+
 // silenceOf returns a function that makes an address silent for all hosts of a cluster.
 func silenceOf(c **cluster) func(addr string) {
 	return func(addr string) {
