catalogshare: crash reports that a host still holds survive it

Cause: a host holds its crash reports for 0.3 to 1.1 s, until it knows whether its links are lost instead, and nobody else knows of them. Ruled out: crashes counted as one, and reports dropped; the logs have no line of these crashes, and the hosts were killed 0.05 and 0.7 s after them.

Change: hosts tell each other at once of crashes that are not settled, and of their settlement. If the link ends before, the other host reports them.

--- a/internal/hosts/catalogshare/crashes.go
+++ b/internal/hosts/catalogshare/crashes.go
@@ -37,8 +37,9 @@
 	h.broadcast(m)
 }
 
-// learnCrashes adds what another host knows of crashes.
-func (h *Hub) learnCrashes(m *message) {
+// learnCrashes adds what another host knows of crashes. pending has those of its link.
+func (h *Hub) learnCrashes(m *message, pending *pendingCrashes) {
+	pending.update(m, time.Now())
 	h.AddCrashReports(m.CrashReports)
 	h.addClearances(m.Cleared)
 	h.guard.Learn(time.Duration(m.CrashMemoryMS)*time.Millisecond, time.Now())
--- a/internal/hosts/catalogshare/link.go
+++ b/internal/hosts/catalogshare/link.go
@@ -36,6 +36,9 @@
 	// number tells the links of this process apart.
 	number uint64
 
+	// pending has crashes that the reader has not settled.
+	pending pendingCrashes
+
 	// writing is held while a message is written.
 	writing sync.Mutex
 }
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -53,8 +53,8 @@
 }
 
 // message is sent in both directions of a link. A hub fills all fields but
-// Samples and PauseEnds; a follower sends only CrashReports, CrashMemoryMS, Leaving,
-// Samples, PauseEnds, Limits, LimitDemand and Stewards. An answer to Stewards has no counts.
+// Samples and PauseEnds; a follower sends only CrashReports, CrashMemoryMS, PendingCrashes,
+// CrashesSettled, Leaving, Samples, PauseEnds, Limits, LimitDemand and Stewards. An answer to Stewards has no counts.
 type message struct {
 	// Full messages hold all entries, others only changed ones.
 	Full bool `cbor:"1,keyasint,omitempty"`
@@ -122,6 +122,10 @@
 	// CrashMemoryMS is for how long, in milliseconds, the sender knows the fleet's crashes, all of
 	// which it has told on the link. Hosts of earlier builds don't say.
 	CrashMemoryMS int64 `cbor:"31,keyasint,omitempty"`
+	// PendingCrashes are crashes that the sender itself has seen and not reported yet.
+	// CrashesSettled is set once it has reported what is true of those told before.
+	PendingCrashes []crashguard.CrashReport `cbor:"32,keyasint,omitempty"`
+	CrashesSettled bool                     `cbor:"33,keyasint,omitempty"`
 }
 
 // position returns the sender's position in the store's history.
--- a/internal/hosts/catalogshare/observe.go
+++ b/internal/hosts/catalogshare/observe.go
@@ -40,14 +40,16 @@
 // reader's address on ended after a pause.
 func (s *Source) observe(ctx context.Context, addr string, ended chan<- string) {
 	if l, err := dial(addr, s.opts.Hub.self, true, s.opts.Log); err == nil {
+		pending := &pendingCrashes{}
 		for m := range l.messages {
 			s.opts.Hub.recordReaderCounts(addr, m)
-			s.opts.Hub.learnCrashes(m)
+			s.opts.Hub.learnCrashes(m, pending)
 			s.opts.Hub.addLeaving(m)
 			s.opts.Hub.addReaderPauses(m.Pauses)
 			s.opts.Hub.addLimitNotices(m.Limits)
 			s.opts.Hub.setReaderLimitDemand(addr, m.LimitDemand)
 		}
+		s.opts.Hub.adoptPending(pending)
 	}
 	timer := time.NewTimer(observeInterval)
 	defer timer.Stop()
--- a/internal/hosts/catalogshare/servelink.go
+++ b/internal/hosts/catalogshare/servelink.go
@@ -75,6 +75,8 @@
 func (h *Hub) readFollower(conn *websocket.Conn, f *follower) {
 	defer closeLink(conn, h.log)
 	conn.SetReadLimit(maxMessageBytes)
+	pending := &pendingCrashes{}
+	defer h.adoptPending(pending)
 	for {
 		_, raw, err := conn.ReadMessage()
 		if err != nil {
@@ -85,7 +87,7 @@
 			h.log.WithError(err).Warn("message of a follower is unreadable")
 			return
 		}
-		h.learnCrashes(m)
+		h.learnCrashes(m, pending)
 		h.addLeaving(m)
 		h.addSamples(m.Samples)
 		h.answerStewards(f, m.Stewards)
--- a/internal/hosts/catalogshare/source.go
+++ b/internal/hosts/catalogshare/source.go
@@ -210,7 +210,7 @@
 	if m.Stewards == nil {
 		s.opts.Hub.recordUpstream(m)
 	}
-	s.opts.Hub.learnCrashes(m)
+	s.opts.Hub.learnCrashes(m, &s.link.pending)
 	s.opts.Hub.addLeaving(m)
 	s.opts.Hub.notifyUnhealthy(m.Unhealthy)
 	s.confirmStewards(s.link, m.Stewards)
--- a/internal/hosts/catalogshare/sourcedial.go
+++ b/internal/hosts/catalogshare/sourcedial.go
@@ -50,6 +50,7 @@
 func (s *Source) dropLink() {
 	if s.link != nil {
 		s.link.end()
+		s.opts.Hub.adoptPending(&s.link.pending)
 		s.setLink(nil)
 	}
 }
--- a/internal/wiring/edge/crashreports.go
+++ b/internal/wiring/edge/crashreports.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
@@ -20,6 +21,9 @@
 	crashSettleTime = 300 * time.Millisecond
 	crashLinkTime   = 400 * time.Millisecond
 	crashAskTime    = 400 * time.Millisecond
+	// crashNoticeTime is how long crashes are collected before other hosts are told of them: a
+	// sweep may end many targets at once.
+	crashNoticeTime = 10 * time.Millisecond
 	// maxPendingCrashes bounds the reports that wait.
 	maxPendingCrashes = 1024
 )
@@ -29,6 +33,10 @@
 type crashReports struct {
 	mu      sync.Mutex
 	pending []*targetpool.Crash
+	// noticed is the number of pending ones that other hosts were told of, and noticing is set
+	// while that is about to happen.
+	noticed  int
+	noticing bool
 }
 
 // add adds a crash and reports whether it is the first of those that wait.
@@ -41,20 +49,39 @@
 	return len(c.pending) == 1
 }
 
+// beginNotice reports whether no notice to other hosts is on its way yet.
+func (c *crashReports) beginNotice() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begins := !c.noticing
+	c.noticing = true
+	return begins
+}
+
+// takeNotice returns the crashes that other hosts were not told of.
+func (c *crashReports) takeNotice() []*targetpool.Crash {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noticing = false
+	fresh := c.pending[c.noticed:]
+	c.noticed = len(c.pending)
+	return unanswered(fresh)
+}
+
 // take removes and returns the crashes that wait, without those whose request has been answered.
 func (c *crashReports) take() []*targetpool.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var waiting []*targetpool.Crash
-	for _, crash := range c.pending {
-		if !crash.Answered() {
-			waiting = append(waiting, crash)
-		}
-	}
-	c.pending = nil
+	waiting := unanswered(c.pending)
+	c.pending, c.noticed = nil, 0
 	return waiting
 }
 
+// unanswered returns the crashes whose request no target has answered.
+func unanswered(crashes []*targetpool.Crash) []*targetpool.Crash {
+	return lo.Reject(crashes, func(c *targetpool.Crash, _ int) bool { return c.Answered() })
+}
+
 // holdCrash reports a crash unless it turns out that this host has lost its links, or that the
 // request is answered. A host that knows no others can't tell.
 func (e *Edge) holdCrash(crash *targetpool.Crash) {
@@ -62,6 +89,17 @@
 	if e.crashes.add(crash) {
 		time.AfterFunc(crashSettleTime, e.settleCrashReports)
 	}
+	if e.crashes.beginNotice() {
+		time.AfterFunc(crashNoticeTime, e.sendCrashNotice)
+	}
+}
+
+// sendCrashNotice tells other hosts of crashes that are not settled, in case this host is lost
+// before that.
+func (e *Edge) sendCrashNotice() {
+	if reports := crashReportsOf(e.crashes.takeNotice(), time.Now()); len(reports) > 0 {
+		e.source.SendPendingCrashes(reports)
+	}
 }
 
 // settleCrashReports sends the reports that wait, or lets them wait for what other hosts say
@@ -117,16 +155,18 @@
 	return e.directory.Opinion(catalog.TargetID(l.Target), l.Born, l.Sent(now), l.Lost(now))
 }
 
-// sendCrashReports tells all hosts of crashes.
+// sendCrashReports tells all hosts of crashes, and that this host has settled what it saw.
 func (e *Edge) sendCrashReports(crashes []*targetpool.Crash) {
-	now := time.Now()
-	reports := make([]crashguard.CrashReport, 0, len(crashes))
-	for _, c := range crashes {
-		reports = append(reports, crashguard.CrashReport{
-			Request: crashguard.FingerprintOf(c.Request), Target: string(c.Target.ID), Born: c.Target.Born, Service: string(c.Target.Service), AgeMS: now.Sub(c.Lost).Milliseconds(),
-		})
-	}
-	if len(reports) > 0 {
+	if reports := crashReportsOf(crashes, time.Now()); len(reports) > 0 {
 		e.source.SendCrashReports(reports)
 	}
+	e.source.SendCrashesSettled()
+}
+
+func crashReportsOf(crashes []*targetpool.Crash, now time.Time) []crashguard.CrashReport {
+	return lo.Map(crashes, func(c *targetpool.Crash, _ int) crashguard.CrashReport {
+		return crashguard.CrashReport{
+			Request: crashguard.FingerprintOf(c.Request), Target: string(c.Target.ID), Born: c.Target.Born, Service: string(c.Target.Service), AgeMS: now.Sub(c.Lost).Milliseconds(),
+		}
+	})
 }
--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -62,6 +62,35 @@
 	forFreshSeeds(t, func(t *testing.T, seed uint64) { runCrashing(t, seed, crashingLasts) })
 }
 
+// TestCrashingRequestIsRefusedThoughTheHostsThatPassItOnAreKilled guards against a request that goes on
+// crashing targets since each host that passes it on is lost before it has reported the crash.
+func TestCrashingRequestIsRefusedThoughTheHostsThatPassItOnAreKilled(t *testing.T) {
+	const sent, killAfter = 6, 100 * time.Millisecond
+	e := newEnvironment(t, 1)
+	e.startCrashingPlatform()
+	e.addHosts(crashingHosts)
+	harness.Eventually(t, "all hosts are ready", e.allReady)
+	stop := e.startCallers()
+	defer stop()
+	time.Sleep(contact)
+	reached := 0
+	for n := range sent {
+		h := e.hosts[n%len(e.hosts)]
+		before := e.platform.Crashes()
+		e.sendOneCrashing(h, n)
+		time.Sleep(killAfter)
+		h.kill()
+		time.Sleep(contact / 2)
+		h.start()
+		harness.Eventually(t, "the host is ready again", h.isReady)
+		if e.platform.Crashes() > before {
+			reached++
+		}
+	}
+	e.checkProcesses()
+	require.LessOrEqual(t, reached, 1+maxLate, "of %d", sent)
+}
+
 // runCrashing sends a request that crashes targets to one host after the other while hosts are killed
 // and stopped, and requires that it is refused.
 func runCrashing(t *testing.T, seed uint64, lasts time.Duration) {
