gatherlink: attempts and results of a passage are files of their own

The test of a handover to hosts with older configurations has a case in which all other hosts have one.

--- a/internal/hosts/gatherlink/passage.go
+++ b/internal/hosts/gatherlink/passage.go
@@ -6,11 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
-	"github.com/swiftvane/swiftvane/internal/support/logging"
 )
 
 const (
@@ -35,8 +32,6 @@
 
 var errNoUTF8 = errors.New("the gatherer's build can't read a request with texts that are no UTF-8")
 
-var errUnknownFrame = errors.New("the gatherer sent a frame of an unknown kind, or an answer without content")
-
 // passage is one request that is passed on.
 type passage struct {
 	client  *Client
@@ -131,20 +126,6 @@
 	return p.client.opts.HandsOver || p.client.budget.take(p.route, now)
 }
 
-// attempt is a sweep on its way to one gatherer.
-type attempt struct {
-	*passage
-	link     *link
-	id       uint64
-	outcomes <-chan outcome
-	// accepted is set once the gatherer has accepted the sweep, overdue once it has not
-	// done so in time.
-	accepted bool
-	overdue  bool
-	// ranBefore is set if the sweep may have run on another gatherer.
-	ranBefore bool
-}
-
 // ask passes the sweep on over one link and waits for the answer. It returns nil if the
 // gatherer did not take the sweep or lost it.
 func (p *passage) ask(l *link, now time.Time) *exchange.Answer {
@@ -188,184 +169,3 @@
 	}
 	return m
 }
-
-// wait waits for the gatherer, at first for the given time.
-func (a *attempt) wait(within time.Duration) *exchange.Answer {
-	timer := time.NewTimer(within)
-	defer timer.Stop()
-	for {
-		select {
-		case o := <-a.outcomes:
-			answer, ended := a.outcome(o)
-			if ended {
-				return answer
-			}
-			// A gatherer that has accepted a sweep answers in time or says why not; the end
-			// of its process or of the link is an outcome, too.
-			timer.Reset(time.Until(a.final))
-		case <-timer.C:
-			if !a.accepted && !a.overdue {
-				// This host may have been slow itself: what has arrived is read first.
-				a.overdue = true
-				timer.Reset(readGrace)
-				continue
-			}
-			if answer := a.readyAnswer(); answer != nil {
-				return answer
-			}
-			return a.timedOut()
-		case <-a.gone:
-			if answer := a.readyAnswer(); answer != nil {
-				return answer
-			}
-			a.link.withdraw(a.id)
-			return &exchange.Answer{Status: 499, Reason: exchange.CallerLeft, CloseConnection: true}
-		}
-	}
-}
-
-// readyAnswer returns the gatherer's answer if it has already arrived, otherwise nil.
-func (a *attempt) readyAnswer() *exchange.Answer {
-	for {
-		select {
-		case o := <-a.outcomes:
-			if o.kind == kindAnswer {
-				answer, _ := a.outcome(o)
-				return answer
-			}
-		default:
-			return nil
-		}
-	}
-}
-
-// outcome processes a frame of the gatherer and reports whether the attempt has ended,
-// with an answer or, if another gatherer has to be asked, with nil.
-func (a *attempt) outcome(o outcome) (*exchange.Answer, bool) {
-	switch {
-	case o.err != nil:
-		a.link.forget(a.id)
-		a.unserved(a.link, lost, o.err)
-		return nil, true
-	case o.kind == kindAccepted:
-		a.accepted = true
-		return nil, false
-	case o.kind == kindAnswer && o.answer != nil:
-		a.link.forget(a.id)
-		return a.received(o.answer), true
-	case o.kind != kindRefused:
-		// The frame of another build says nothing of whether the sweep ran.
-		a.link.forget(a.id)
-		a.unserved(a.link, lost, errUnknownFrame)
-		return nil, true
-	default:
-		// A gatherer that refuses a sweep has not run it, even if it had accepted it.
-		a.mayHaveRun = a.ranBefore
-		a.link.forget(a.id)
-		a.refused(o.otherRoute)
-		return nil, true
-	}
-}
-
-// refused processes the refusal of a gatherer. One whose route for the request differs may still
-// take other requests that are handed over.
-func (a *attempt) refused(otherRoute bool) {
-	a.disagreed = a.disagreed || otherRoute
-	if otherRoute && a.client.opts.HandsOver {
-		a.unserved(a.link, differs, nil)
-		return
-	}
-	a.link.avoid(a.client.opts.Now(), avoidRefusing)
-	a.unserved(a.link, refused, nil)
-}
-
-// received returns the gatherer's answer, nil if a caller must not get what it holds. The
-// request may have run then.
-func (a *attempt) received(from *answer) *exchange.Answer {
-	if err := from.check(); err != nil {
-		a.unserved(a.link, lost, err)
-		return nil
-	}
-	return a.truthful(a.answered(a.link, from))
-}
-
-// truthful returns the answer, or a failure in place of a refusal if the sweep may have
-// run on a gatherer that was asked before: a refusal states that it has not run.
-func (a *attempt) truthful(answer *exchange.Answer) *exchange.Answer {
-	if answer.Status != http.StatusServiceUnavailable || !a.ranBefore {
-		return answer
-	}
-	return &exchange.Answer{Status: http.StatusBadGateway, Reason: exchange.GathererLost, Trace: answer.Trace}
-}
-
-// timedOut ends an attempt whose gatherer did not accept the sweep or answer in time.
-func (a *attempt) timedOut() *exchange.Answer {
-	now := time.Now()
-	a.link.withdraw(a.id)
-	a.link.avoid(a.client.opts.Now(), avoidSilent)
-	if !now.Before(a.final) {
-		a.unserved(a.link, expired, nil)
-		return &exchange.Answer{Status: 504, Reason: exchange.TimedOut}
-	}
-	a.unserved(a.link, silent, nil)
-	return nil
-}
-
-// result is why a gatherer did not serve a sweep.
-type result string
-
-// The results of sweeps that a gatherer did not serve.
-const (
-	notSent result = "not_sent"
-	refused result = "refused"
-	differs result = "other_route"
-	lost    result = "lost"
-	silent  result = "not_accepted"
-	expired result = "timed_out"
-	served  result = "answered"
-)
-
-// answered returns the gatherer's answer with the trace as this host saw it.
-func (p *passage) answered(l *link, from *answer) *exchange.Answer {
-	p.count(served)
-	late := time.Now().After(p.objective)
-	a := from.answer()
-	if a.Trace != nil {
-		a.Trace.Gatherer = l.addr
-		a.Trace.Late = late
-	}
-	if late {
-		l.late(p.client.opts.Now(), avoidLate)
-	}
-	return a
-}
-
-// unserved counts and logs why a gatherer did not serve the sweep.
-func (p *passage) unserved(l *link, why result, err error) {
-	p.count(why)
-	ok, omitted := p.client.lines.Take(string(why), time.Now())
-	if !ok {
-		return
-	}
-	entry := p.client.opts.Log.WithFields(logrus.Fields{
-		logging.FieldRequestID: p.request.ID, "gatherer": l.addr, "result": why, "route": p.route.Name, "asked": p.asked,
-		"elapsed_ms": time.Since(p.request.Arrived).Milliseconds(), "lines_left_out": omitted,
-	})
-	if err != nil {
-		entry = entry.WithError(err)
-	}
-	if !p.route.Sweep() {
-		entry.Info("other host did not serve a request")
-		return
-	}
-	entry.Info("gatherer did not serve a sweep")
-}
-
-func (p *passage) count(r result) {
-	scope := p.client.opts.Scope.Tagged(map[string]string{"result": string(r)})
-	if p.client.opts.HandsOver {
-		scope.Counter("requests_passed_on").Inc(1)
-		return
-	}
-	scope.Counter("sweeps_passed_on").Inc(1)
-}
--- a/test/edge/otherconfig_test.go
+++ b/test/edge/otherconfig_test.go
@@ -24,9 +24,10 @@
 	moved = "moved"
 )
 
-// startWithOlderHost starts three hosts, of which the first gets a newer configuration and is then
-// cut off from the targets, while the last keeps the older one since it is cut off from the store.
-func startWithOlderHost(t *testing.T, change func(*catalog.Config)) *cluster {
+// startWithOlderHosts starts three hosts, of which the first gets a newer configuration and is then
+// cut off from the targets, while the last ones keep the older one since they are cut off from the
+// store.
+func startWithOlderHosts(t *testing.T, older int, change func(*catalog.Config)) *cluster {
 	c := start(t, options{
 		hosts: 3, readers: 3, linked: true, cuttable: true, storeCuttable: true,
 		workOf: func(id string) time.Duration {
@@ -38,7 +39,9 @@
 	})
 	require.NoError(t, c.AddService(moved, 3))
 	flood(c.hosts, "/read/x", "warm", 2*time.Second, 10*time.Millisecond)
-	c.hosts[2].toStore.SetRule(faultproxy.Blackhole())
+	for _, h := range c.hosts[len(c.hosts)-older:] {
+		h.toStore.SetRule(faultproxy.Blackhole())
+	}
 	next := c.Config()
 	next.Services[moved] = catalog.Service{Name: moved, MaxConns: 20}
 	change(next)
@@ -51,26 +54,41 @@
 // TestUnsafeRequestHandedToHostWithOlderConfigurationRunsOnce guards against a host that serves the
 // requests of another one by a route of its own, in which they may be repeated.
 func TestUnsafeRequestHandedToHostWithOlderConfigurationRunsOnce(t *testing.T) {
-	c := startWithOlderHost(t, func(config *catalog.Config) {
-		file := *config.Routes[2]
-		file.Name, file.Prefix = "file", "/read/file/"
-		config.Routes = append(config.Routes, &file)
-	})
-	statuses := c.askSlow("/read/file/x")
+	c := startWithOlderHosts(t, 1, addFileRoute)
+	c.requireServedOnce(c.askSlow("/read/file/x"))
+}
+
+// TestUnsafeRequestIsServedOnceWhileAllOtherHostsHaveAnOlderConfiguration guards against callers of a
+// host without links to targets who are refused while a configuration spreads.
+func TestUnsafeRequestIsServedOnceWhileAllOtherHostsHaveAnOlderConfiguration(t *testing.T) {
+	c := startWithOlderHosts(t, 2, addFileRoute)
+	c.requireServedOnce(c.askSlow("/read/file/x"))
+}
+
+// addFileRoute adds an unsafe route below the prefix of a safe one.
+func addFileRoute(config *catalog.Config) {
+	file := *config.Routes[2]
+	file.Name, file.Prefix = "file", "/read/file/"
+	config.Routes = append(config.Routes, &file)
+}
+
+// requireServedOnce requires that most of the orders were served, and that none ran twice.
+func (c *cluster) requireServedOnce(statuses map[string]int) {
+	c.t.Helper()
 	served := 0
 	for _, status := range statuses {
 		if status == http.StatusOK {
 			served++
 		}
 	}
-	require.GreaterOrEqual(t, 3*served, 2*handedOver, "%d of %d served", served, handedOver)
+	require.GreaterOrEqual(c.t, 3*served, 2*handedOver, "%d of %d served", served, handedOver)
 	c.requireOrders(statuses)
 }
 
 // TestRequestHandedToHostWithOlderConfigurationRunsByTheNewerOne guards against a request that runs
 // at the service of an older configuration, after its host has taken over a newer one.
 func TestRequestHandedToHostWithOlderConfigurationRunsByTheNewerOne(t *testing.T) {
-	c := startWithOlderHost(t, func(config *catalog.Config) {
+	c := startWithOlderHosts(t, 1, func(config *catalog.Config) {
 		config.Routes[1].Split = []catalog.WeightedService{{Service: moved, Weight: 1}}
 	})
 	statuses := c.askSlow("/read/x")
