crashguard: keep two ended targets of a service among many

Cause, by reading: of the targets that end under one request within half a second four are kept.

Change: a second target of a service replaces another one. TestTwoTargetsOfAServiceAreKeptOfManyThatEnded.

--- a/internal/decision/crashguard/memory_test.go
+++ b/internal/decision/crashguard/memory_test.go
@@ -34,6 +34,23 @@
 	require.True(t, g.Suspects(bad), "it runs on one target alone")
 }
 
+// TestTwoTargetsOfAServiceAreKeptOfManyThatEnded guards against a sweep whose many ended targets hide
+// that two of one service ended.
+func TestTwoTargetsOfAServiceAreKeptOfManyThatEnded(t *testing.T) {
+	now := time.Now()
+	sweep := &exchange.Request{Method: "GET", URI: "/sweep"}
+	g := New()
+	g.Restarted(now)
+	for _, replica := range []string{"1", "2"} {
+		for shard := range 3 * maxTargets {
+			service := fmt.Sprint("s-", shard)
+			g.Add(CrashReport{Request: FingerprintOf(sweep), Target: service + "-" + replica, Born: 1, Service: service}, now)
+		}
+	}
+	require.True(t, g.Blocks(sweep, now.Add(holdFor)))
+	require.LessOrEqual(t, len(g.Reports(now)), maxTargets)
+}
+
 // TestRequestThatRanBesideACrashIsNotRefusedForLong guards against the refusal of requests for what
 // another one did, or a target itself, on a host that may have forgotten earlier crashes.
 func TestRequestThatRanBesideACrashIsNotRefusedForLong(t *testing.T) {
--- a/internal/decision/crashguard/suspect.go
+++ b/internal/decision/crashguard/suspect.go
@@ -102,10 +102,24 @@
 		s.crashes = append(s.crashes, c)
 		s.dropOldest()
 	}
-	if len(c.targets) >= maxTargets {
+	return c.add(start)
+}
+
+// add records one more target that ended, and reports whether it is kept. Of many, a second one of
+// a service takes the place of another one, since two of a service are the stronger proof.
+func (c *crash) add(start targetStart) bool {
+	if len(c.targets) < maxTargets {
+		c.targets = append(c.targets, start)
+		return true
+	}
+	if c.endedTwo() {
+		return false
+	}
+	sameService := slices.IndexFunc(c.targets, func(t targetStart) bool { return t.service == start.service && t.target != start.target })
+	if sameService < 0 || start.service == "" {
 		return false
 	}
-	c.targets = append(c.targets, start)
+	c.targets[(sameService+1)%len(c.targets)] = start
 	return true
 }
 
