front: an error of its own for a header that is larger than the buffer

By reading: the buffer grew on bufio.ErrBufferFull, which a library might return for a body as well; a request would then be read anew from the middle of one. The codec returns exchange.ErrSmallBuffer for a header alone. Tests of the package and of test/edge on limits pass.

--- a/internal/face/front/conn.go
+++ b/internal/face/front/conn.go
@@ -113,7 +113,7 @@
 	defer c.input.end()
 	for {
 		request, err = c.server.opts.Codec.ReadRequest(c.reader, c.limits, c.afterHeader)
-		if !errors.Is(err, bufio.ErrBufferFull) {
+		if !errors.Is(err, exchange.ErrSmallBuffer) {
 			break
 		}
 		c.growBuffer()
