relay: log requests that run on one target alone, and split executor.go

Which request ran alone could be counted and not be named. The choice of a target and suspected requests are files of their own; no other change of behaviour.

--- a/internal/decision/crashguard/guard.go
+++ b/internal/decision/crashguard/guard.go
@@ -77,8 +77,8 @@
 	expiredAt time.Time
 	// knownSince is since when this host knows the crashes of the fleet; zero if it knows all.
 	knownSince time.Time
-	// served has requests that were answered while the memory was short. restarted is set until
-	// then.
+	// served has requests that were answered while this host may have forgotten crashes, and
+	// restarted is set for that time.
 	served    servedSet
 	restarted atomic.Bool
 }
--- a/internal/domain/exchange/callercodec.go
+++ b/internal/domain/exchange/callercodec.go
@@ -12,11 +12,11 @@
 
 // CallerCodec decodes requests and encodes answers in the callers' protocol.
 type CallerCodec interface {
-	// ReadRequest reads one request whose first byte is already buffered. limits returns
-	// the limits in force, which may change meanwhile. It
-	// calls onHeader between header and body. The error is a *Malformed if the
-	// request itself is invalid, and ErrSmallBuffer, with nothing consumed, if from has too
-	// small a buffer for a header that is within the limit so far.
+	// ReadRequest reads one request whose first byte is already buffered, and calls onHeader
+	// between header and body. limits returns the limits in force, which may change meanwhile.
+	// The error is a *Malformed if the request itself is invalid, and ErrSmallBuffer, with
+	// nothing consumed, if from has too small a buffer for a header that is within the limit
+	// so far.
 	ReadRequest(from *bufio.Reader, limits func() catalog.Limits, onHeader func(needsContinue bool) error) (*Request, error)
 	// AppendFields appends the header lines, each ended by CRLF, by which the caller gets what
 	// the answer passes on of targets' replies.
--- a/internal/hosts/catalogshare/message.go
+++ b/internal/hosts/catalogshare/message.go
@@ -54,7 +54,8 @@
 
 // message is sent in both directions of a link. A hub fills all fields but
 // Samples and PauseEnds; a follower sends only CrashReports, CrashMemoryMS, PendingCrashes,
-// CrashesSettled, Leaving, Samples, PauseEnds, Limits, LimitDemand and Stewards. An answer to Stewards has no counts.
+// CrashesSettled, Leaving, Samples, PauseEnds, Limits, LimitDemand and Stewards. An answer to
+// Stewards has no counts.
 type message struct {
 	// Full messages hold all entries, others only changed ones.
 	Full bool `cbor:"1,keyasint,omitempty"`
--- a/internal/querypath/relay/executor.go
+++ b/internal/querypath/relay/executor.go
@@ -9,10 +9,10 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/swiftvane/swiftvane/internal/decision/crashguard"
-	"github.com/swiftvane/swiftvane/internal/decision/replica"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/support/bytebudget"
+	"github.com/swiftvane/swiftvane/internal/support/logging"
 	"github.com/swiftvane/swiftvane/internal/support/metrics"
 	"github.com/swiftvane/swiftvane/internal/targets/targetpool"
 )
@@ -68,6 +68,8 @@
 	statsByRoute statsByRoute
 	splits       splits
 	gate         *gate
+	// suspectLines bounds the log lines of requests that run on one target alone.
+	suspectLines *logging.Budget
 	// end is the end of a stopping host's service, nil before StopBy.
 	end atomic.Pointer[time.Time]
 }
@@ -77,7 +79,10 @@
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
-	return &Executor{opts: opts, gate: newGate(opts.Log, opts.Scope)}
+	if opts.Log == nil {
+		opts.Log = discardLog()
+	}
+	return &Executor{opts: opts, gate: newGate(opts.Log, opts.Scope), suspectLines: logging.NewBudget(suspectLinesPerSecond)}
 }
 
 // Limits returns the limits in force, or false if there is no configuration yet.
@@ -183,63 +188,3 @@
 		alone: e.suspects(r),
 	}
 }
-
-// suspects reports whether a target crashed while it had the request, and counts it if so.
-func (e *Executor) suspects(r *exchange.Request) bool {
-	suspected := e.opts.Guard.Suspects(r)
-	if suspected {
-		e.opts.Scope.Counter("suspects_run").Inc(1)
-	}
-	return suspected
-}
-
-// candidate returns the state of a pool's target for the choice of a replica.
-func (e *Executor) candidate(p *targetpool.Pool, now time.Time) replica.Candidate {
-	t := p.Target()
-	return replica.Candidate{
-		Load:    p.Load(now),
-		Warming: p.Warming(now),
-		Remote:  t.FailureDomain != e.opts.FailureDomain,
-	}
-}
-
-// choice is a chosen target and its load at that time.
-type choice struct {
-	pool *targetpool.Pool
-	load replica.Load
-	// otherReady is set if another candidate has an idle connection.
-	otherReady bool
-}
-
-// choose returns the best target of a group that is not in tried, or a choice with
-// a nil pool if there is none. Targets that are unreachable, have moved or paused are
-// excluded, those outside the route's home regions, cold ones for which this host has no
-// permit, and leaving ones after the first attempt. Spare targets have a higher cost, so they
-// are used only while those of the host's own share are slow, failing or gone.
-func (e *Executor) choose(route *catalog.Route, g *targetpool.Group, tried []*targetpool.Pool, usual time.Duration, now time.Time) choice {
-	size := len(g.Pools) + len(g.Spare)
-	left := make([]*targetpool.Pool, 0, size)
-	candidates := make([]replica.Candidate, 0, size)
-	for i := range size {
-		p, spare := g.At(i)
-		if contains(tried, p) || !e.opts.Regions.Allows(route, p.Target().FailureDomain) {
-			continue
-		}
-		c := e.candidate(p, now)
-		if !c.Load.Usable() || c.Load.Leaving && len(tried) > 0 {
-			continue
-		}
-		c.Spare = spare
-		left = append(left, p)
-		candidates = append(candidates, c)
-	}
-	best := e.opts.Policy.pick(candidates, usual)
-	if best < 0 {
-		return choice{}
-	}
-	chosen := choice{pool: left[best], load: candidates[best].Load}
-	for i := range candidates {
-		chosen.otherReady = chosen.otherReady || i != best && candidates[i].Load.Idle > 0
-	}
-	return chosen
-}
--- a/internal/querypath/relay/gate.go
+++ b/internal/querypath/relay/gate.go
@@ -36,9 +36,6 @@
 }
 
 func newGate(log logrus.FieldLogger, scope metrics.Scope) *gate {
-	if log == nil {
-		log = discardLog()
-	}
 	return &gate{log: log, scope: scope, lines: logging.NewBudget(limitLinesPerSecond), groups: map[catalog.ServiceName]*gated{}}
 }
 
