--- a/internal/querypath/relay/alone_test.go
+++ b/internal/querypath/relay/alone_test.go
@@ -60,8 +60,28 @@
 	return near, nil
 }
 
-// suspectTest runs a test with a host that suspects all requests of crashing targets.
-func suspectTest(t *testing.T, test func(serve func(kind, id string) *exchange.Answer, dialer *endingDialer)) {
+// suspectHost is a host that suspects all requests of crashing targets.
+type suspectHost struct {
+	guard    *crashguard.Guard
+	executor *Executor
+	snapshot *targetpool.Snapshot
+	dialer   *endingDialer
+}
+
+// request returns a request of a route, of which a crash is known.
+func (h *suspectHost) request(kind, id string) *exchange.Request {
+	now := time.Now()
+	r := &exchange.Request{ID: id, Method: "GET", Host: "h", URI: "/" + kind + "/" + id, Arrived: now, CallerTimeout: time.Second}
+	h.guard.Add(crashguard.CrashReport{Request: crashguard.FingerprintOf(r), Target: "gone", Service: "a"}, now)
+	return r
+}
+
+func (h *suspectHost) serve(kind, id string) *exchange.Answer {
+	return h.executor.Serve(h.request(kind, id), nil)
+}
+
+// suspectTest runs a test with a suspectHost.
+func suspectTest(t *testing.T, test func(h *suspectHost)) {
 	synctest.Test(t, func(t *testing.T) {
 		sweep := &catalog.Route{
 			Name: "sweep", Prefix: "/sweep/", Host: "h", Timeout: time.Second, Objective: 100 * time.Millisecond, Idempotent: true, MaxAttempts: 2,
@@ -86,13 +106,9 @@
 		directory.Update(catalog.NewView(config, catalog.Position{Revision: 1}, targets))
 		time.Sleep(5 * time.Second)
 		guard := crashguard.New()
-		executor := NewExecutor(Options{Snapshots: directory, Guard: guard})
-		test(func(kind, id string) *exchange.Answer {
-			now := time.Now()
-			r := &exchange.Request{ID: id, Method: "GET", Host: "h", URI: "/" + kind + "/" + id, Arrived: now, CallerTimeout: time.Second}
-			guard.Add(crashguard.CrashReport{Request: crashguard.FingerprintOf(r), Target: "gone", Service: "a"}, now)
-			return executor.Serve(r, nil)
-		}, dialer)
+		test(&suspectHost{
+			guard: guard, executor: NewExecutor(Options{Snapshots: directory, Guard: guard}), snapshot: directory.Snapshot(), dialer: dialer,
+		})
 		directory.Update(catalog.NewView(config, catalog.Position{Revision: 2}, nil))
 		time.Sleep(time.Minute)
 	})
@@ -101,24 +117,42 @@
 // TestSuspectRunsOnOneTargetAlone guards against a request that has crashed a target and crashes
 // more of them by a hedge, a retry or its other shards.
 func TestSuspectRunsOnOneTargetAlone(t *testing.T) {
-	suspectTest(t, func(serve func(kind, id string) *exchange.Answer, dialer *endingDialer) {
+	suspectTest(t, func(h *suspectHost) {
 		for i, kind := range []string{"single", "sweep"} {
-			require.Equal(t, 502, serve(kind, "crashing").Status, kind)
-			require.Equal(t, i+1, dialer.count("crashing"), kind)
-			require.Equal(t, 504, serve(kind, "silencing").Status, kind)
-			require.Equal(t, i+1, dialer.count("silencing"), kind)
+			require.Equal(t, 502, h.serve(kind, "crashing").Status, kind)
+			require.Equal(t, i+1, h.dialer.count("crashing"), kind)
+			require.Equal(t, 504, h.serve(kind, "silencing").Status, kind)
+			require.Equal(t, i+1, h.dialer.count("silencing"), kind)
 		}
 	})
 }
 
+// TestHeldLegsAreNotSentOnceTheCallerHasLeft guards against work for nobody: the reply of the first
+// shard may arrive at the moment at which the caller leaves.
+func TestHeldLegsAreNotSentOnceTheCallerHasLeft(t *testing.T) {
+	suspectTest(t, func(h *suspectHost) {
+		r := h.request("sweep", "left")
+		s := &sweep{run: h.executor.newRun(h.snapshot, h.snapshot.View.Config.Match(r.Host, r.URI), r, nil), legs: make([]leg, 3), minShards: 1}
+		s.events = make(chan event, 1)
+		require.Nil(t, s.start(time.Now()))
+		synctest.Wait()
+		time.Sleep(10 * time.Millisecond)
+		s.ended = true
+		s.drain()
+		require.Equal(t, 1, s.parts)
+		require.Equal(t, 3, s.settled)
+		require.Equal(t, 1, h.dialer.count("left"))
+	})
+}
+
 // TestSuspectThatATargetAnswersIsServedWhole guards against callers who get less since their request
 // ran beside a crash.
 func TestSuspectThatATargetAnswersIsServedWhole(t *testing.T) {
-	suspectTest(t, func(serve func(kind, id string) *exchange.Answer, dialer *endingDialer) {
-		require.Equal(t, 200, serve("single", "sound").Status)
-		answer := serve("sweep", "sound")
+	suspectTest(t, func(h *suspectHost) {
+		require.Equal(t, 200, h.serve("single", "sound").Status)
+		answer := h.serve("sweep", "sound")
 		require.Equal(t, 200, answer.Status)
 		require.Zero(t, answer.Missing)
-		require.Equal(t, 4, dialer.count("sound"))
+		require.Equal(t, 4, h.dialer.count("sound"))
 	})
 }
--- a/internal/querypath/relay/sweepheld.go
+++ b/internal/querypath/relay/sweepheld.go
@@ -21,11 +21,12 @@
 	}
 }
 
-// sendHeldLeg sends one leg, or settles it if its shard has no target by now.
+// sendHeldLeg sends one leg, or settles it if its shard has no target by now or the caller has
+// left.
 func (s *sweep) sendHeldLeg(i int, now time.Time) {
 	s.legs[i].hedged = false
 	chosen := s.executor.choose(s.route, s.legs[i].group, nil, s.expectedTimes.usual, now)
-	if chosen.pool == nil {
+	if chosen.pool == nil || s.ended {
 		s.settle(i)
 		return
 	}
