--- a/test/edge/cluster_test.go
+++ b/test/edge/cluster_test.go
@@ -180,11 +180,11 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	addrs := loopback.Addrs(4)
 	h := &host{addr: addrs[0], ready: addrs[1], metrics: addrs[2], log: buffer}
-	peer := ""
-	if len(c.readers) > 0 {
+	peer, readers := "", c.readers
+	if len(readers) > 0 {
 		peer = addrs[3]
-		if i < len(c.readers) {
-			peer = c.readers[i]
+		if i < len(readers) {
+			peer = readers[i]
 		}
 	}
 	var dialer targetpool.Dialer
@@ -211,7 +211,7 @@
 		Cold:        edge.ColdBound{Over: 1.5, Slack: 5},
 		PeerAddr:    peer, LimitSmallFleets: c.opts.linked,
 		DoubtClock:  c.opts.doubtClock,
-		Readers:     func() []string { return c.readers },
+		Readers:     func() []string { return readers },
 		MetricsAddr: h.metrics,
 		Store:       platform.NewStore(store),
 		Decode:      platform.Decode,
