crashguard: what two requests lost together proves neither

Cause: two ended targets of a service counted as proof, also where another request lost two at that moment and it is not known which is at fault.

Change: they are proof only if no other request lost two targets of a service then. Otherwise both are refused for 30 s and run on one target alone after that, which proves one and clears the other.

--- a/internal/decision/crashguard/guard.go
+++ b/internal/decision/crashguard/guard.go
@@ -95,13 +95,12 @@
 		g.expire(now)
 	}
 	s := g.suspect(report.Request)
-	doubtful := g.unproven(report.Request, now)
-	proven := s.proven(doubtful)
+	proven := g.proven(report.Request, s, now)
 	at := now.Add(-time.Duration(report.AgeMS) * time.Millisecond)
 	if !s.add(targetStart{target: report.Target, born: report.Born, service: report.Service}, at) {
 		return Known
 	}
-	if !proven && s.proven(doubtful) {
+	if !proven && g.proven(report.Request, s, now) {
 		return Blocked
 	}
 	return Recorded
@@ -174,7 +173,7 @@
 	defer g.mu.Unlock()
 	request := FingerprintOf(r)
 	s, known := g.suspects[request]
-	return known && s.blocks(now, g.unproven(request, now))
+	return known && s.blocks(now, g.proven(request, s, now), g.mayBeForgotten(request, now))
 }
 
 // Suspects reports whether a target crashed while it had a request: it must run on one target
--- a/internal/decision/crashguard/memory.go
+++ b/internal/decision/crashguard/memory.go
@@ -1,6 +1,7 @@
 package crashguard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
@@ -9,7 +10,7 @@
 // Restarted records that the process starts in a fleet that ran before. Until another host tells
 // what it knows, requests may have crashed targets that this host knows nothing of: while its
 // memory does not go back as far as suspects are kept, the first crash under a request counts for
-// more, see suspect.proven and suspect.blocks.
+// more, see proven and suspect.blocks.
 func (g *Guard) Restarted(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -67,8 +68,29 @@
 	g.restarted.Store(false)
 }
 
-// unproven reports whether a request may be one that crashed targets before the memory begins. The
-// caller holds the lock.
-func (g *Guard) unproven(request Fingerprint, now time.Time) bool {
+// mayBeForgotten reports whether a request may be one that crashed targets before the memory begins.
+// The caller holds the lock.
+func (g *Guard) mayBeForgotten(request Fingerprint, now time.Time) bool {
 	return g.forgetful(now) && !g.served.has(request)
 }
+
+// proven reports whether the crashes are enough to refuse a request for long. Where earlier ones may
+// have been forgotten, it is enough that two targets of a service ended under this request alone. The
+// caller holds the lock.
+func (g *Guard) proven(request Fingerprint, s *suspect, now time.Time) bool {
+	if s.repeated() || !g.mayBeForgotten(request, now) {
+		return s.repeated()
+	}
+	return slices.ContainsFunc(s.crashes, func(c *crash) bool { return c.endedTwo() && !g.sharesCrash(s, c.at) })
+}
+
+// sharesCrash reports whether two targets of a service ended under another request too at about the
+// given time: it is not known then which request is at fault. The caller holds the lock.
+func (g *Guard) sharesCrash(s *suspect, at time.Time) bool {
+	for _, other := range g.suspects {
+		if other != s && other.endedTwoAt(at) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/decision/crashguard/memory_test.go
+++ b/internal/decision/crashguard/memory_test.go
@@ -73,6 +73,25 @@
 	require.True(t, g.Blocks(popular, now.Add(2*time.Second)), "two separate crashes are proof all the same")
 }
 
+// TestRequestsThatLostTheSameTargetsAreNotRefusedForLong guards against the refusal of requests whose
+// repeat was caught by the same request at fault as well, as that of a sweep.
+func TestRequestsThatLostTheSameTargetsAreNotRefusedForLong(t *testing.T) {
+	now := time.Now()
+	g := New()
+	g.Restarted(now)
+	bad, beside := &exchange.Request{Method: "GET", URI: "/bad"}, &exchange.Request{Method: "GET", URI: "/beside"}
+	crashUnder(g, bad, now, "a", "b")
+	crashUnder(g, beside, now.Add(sameCrashWindow/2), "a", "b")
+	for _, r := range []*exchange.Request{bad, beside} {
+		require.True(t, g.Blocks(r, now.Add(holdFor-time.Millisecond)))
+		require.False(t, g.Blocks(r, now.Add(holdFor+sameCrashWindow)))
+		require.True(t, g.Suspects(r), "it runs on one target alone")
+	}
+	crashUnder(g, bad, now.Add(holdFor+time.Second), "c")
+	require.True(t, g.Blocks(bad, now.Add(holdFor+2*time.Second)))
+	require.False(t, g.Blocks(beside, now.Add(holdFor+2*time.Second)))
+}
+
 // TestMemoryOfOneHostIsThatOfAllWhichItTells guards against hosts that stay strict although another
 // one has told them all, and against the word of one that has forgotten as much.
 func TestMemoryOfOneHostIsThatOfAllWhichItTells(t *testing.T) {
--- a/internal/decision/crashguard/suspect.go
+++ b/internal/decision/crashguard/suspect.go
@@ -168,11 +168,10 @@
 // repeated reports whether there were several separate crashes.
 func (s *suspect) repeated() bool { return len(s.crashes) >= crashesToBlock }
 
-// proven reports whether the crashes are enough to refuse the request. Where earlier ones may have
-// been forgotten, it is enough that two targets of a service ended one after the other: a request
-// that only ran beside the one at fault is answered by the second.
-func (s *suspect) proven(forgetful bool) bool {
-	return s.repeated() || forgetful && slices.ContainsFunc(s.crashes, (*crash).endedTwo)
+// endedTwoAt reports whether two targets of one service ended under the request at the given time.
+func (s *suspect) endedTwoAt(at time.Time) bool {
+	c := s.crashAt(at)
+	return c != nil && c.endedTwo()
 }
 
 // endedTwo reports whether two targets of one service ended.
@@ -192,12 +191,13 @@
 	return blockFor << min(max(len(s.crashes)-crashesToBlock, 0), maxDoublings)
 }
 
-// blocks reports whether the request must be refused.
-func (s *suspect) blocks(now time.Time, forgetful bool) bool {
-	if s.proven(forgetful) {
+// blocks reports whether the request must be refused: for long if it is proven to crash targets,
+// and otherwise for a short time if it may have been proven before.
+func (s *suspect) blocks(now time.Time, proven, mayHaveBeen bool) bool {
+	if proven {
 		return now.Sub(s.last) < s.blockedFor()
 	}
-	return forgetful && len(s.crashes) > 0 && now.Sub(s.last) < holdFor
+	return mayHaveBeen && len(s.crashes) > 0 && now.Sub(s.last) < holdFor
 }
 
 // expired reports whether the suspect can be forgotten. A proven one outlasts the time for
