httpreply: bound the length that a reply states where it is decoded

Cause: Head.Length took any length up to math.MaxInt. Such a body is refused, and OversizedReply.Bytes goes into the counter bytes_refused as stated. Two of them exceed an int64, the counter falls, and the library that reports metrics panics on its own goroutine: "counter cannot decrease in value". No decoder is involved, so panics.Catch doesn't help. TestLengthBeyondAllLimitsIsTooLarge even required math.MaxInt.

Change: a length beyond 1 GiB, which exceeds all limits of bodies, is taken for 1 GiB (MaxLength), as the size of a chunk was already. HTTP libraries that read through Conn get the length that was parsed.

That no counter can be lowered by a single number follows from the bound: 8e9 such replies would have to come between two reports, which are a second apart.

--- a/internal/domain/httpreply/chunk.go
+++ b/internal/domain/httpreply/chunk.go
@@ -11,10 +11,9 @@
 const (
 	// maxTrailerLines bounds the lines after the last chunk.
 	maxTrailerLines = 64
-	// maxChunkDigits is the largest number of significant digits of a chunk's size.
+	// maxChunkDigits is the largest number of significant digits of a chunk's size that is not taken
+	// for MaxLength.
 	maxChunkDigits = 7
-	// tooLargeChunk stands for the size of chunks with more digits. It exceeds all limits of bodies.
-	tooLargeChunk = 1 << 30
 )
 
 var errBrokenChunk = &InvalidError{Detail: "malformed chunk"}
@@ -49,7 +48,7 @@
 	}
 	digits = bytes.TrimLeft(digits, "0")
 	if len(digits) > maxChunkDigits {
-		return tooLargeChunk, nil
+		return MaxLength, nil
 	}
 	if len(digits) == 0 {
 		return 0, nil
--- a/internal/domain/httpreply/conn.go
+++ b/internal/domain/httpreply/conn.go
@@ -125,11 +125,21 @@
 	dst = append(append(append(dst, ' '), http.StatusText(h.Status)...), crlf...)
 	for i := range h.Fields {
 		f := &h.Fields[i]
-		dst = append(append(append(append(dst, f.Name...), ": "...), f.Value...), crlf...)
+		dst = append(append(dst, f.Name...), ": "...)
+		dst = append(f.appendValue(dst), crlf...)
 	}
 	return append(dst, crlf...)
 }
 
+// appendValue appends the field's value, or the length that was parsed from it.
+func (f *Field) appendValue(dst []byte) []byte {
+	if !f.Is(contentLength) {
+		return append(dst, f.Value...)
+	}
+	length, _ := parseLength(f.Value)
+	return strconv.AppendInt(dst, int64(length), 10)
+}
+
 // readChunk reads the size of a chunk, and the trailer after the last one.
 func (c *Conn) readChunk() error {
 	size, err := readChunkSize(c.from)
--- a/internal/domain/httpreply/framing.go
+++ b/internal/domain/httpreply/framing.go
@@ -1,15 +1,14 @@
 package httpreply
 
-import "math"
-
 // Fields that delimit the body.
 const (
 	contentLength    = "Content-Length"
 	transferEncoding = "Transfer-Encoding"
 )
 
-// maxLengthDigits bounds the digits of a length that is not taken for math.MaxInt.
-const maxLengthDigits = 18
+// MaxLength is the greatest length of a body or a chunk, in bytes. A greater one is taken for it: it
+// exceeds all limits of bodies, and sums of lengths that targets state stay within an int64.
+const MaxLength = 1 << 30
 
 // framing is what the fields of a head state of the body's length.
 type framing struct {
@@ -65,26 +64,17 @@
 	return f, nil
 }
 
-// parseLength returns the value of a Content-Length, and false if that is no decimal number. A
-// length beyond all limits is math.MaxInt.
+// parseLength returns the value of a Content-Length, at most MaxLength, and false if that is no
+// decimal number.
 func parseLength(digits []byte) (length int, ok bool) {
 	if len(digits) == 0 {
 		return 0, false
 	}
-	significant := 0
 	for _, d := range digits {
 		if !isDigit(d) {
 			return 0, false
 		}
-		if significant > 0 || d != '0' {
-			significant++
-		}
-		if significant <= maxLengthDigits {
-			length = 10*length + int(d-'0')
-		}
-	}
-	if significant > maxLengthDigits {
-		return math.MaxInt, true
+		length = min(10*length+int(d-'0'), MaxLength)
 	}
 	return length, true
 }
--- a/internal/domain/httpreply/head.go
+++ b/internal/domain/httpreply/head.go
@@ -53,7 +53,8 @@
 	Status int
 	// Fields are valid until the next read from the reader of the head.
 	Fields []Field
-	// Length is the length of the body that follows, unless the request was a HEAD.
+	// Length is the length of the body that follows, at most MaxLength, unless the request was a
+	// HEAD.
 	Length int
 	// Closes is set if the connection can't be used for a further request.
 	Closes bool
