swiftvaned: a log without a reader costs no request

What callers saw: where the reader of a host's output had gone, the first line that was logged, such as that on a refused request or a broken reply, ended the process by SIGPIPE and cut the requests that it served.

Cause: the Go runtime ends a process that writes to standard output or standard error after its reader has closed the pipe, unless the signal is ignored. BoundedWriter would have got the error, but gave up for good at the first one, also on a full disk. The host of the own mode wrote to standard error on the goroutines of requests, so that a reader that stalls would have stopped them.

Change: the daemon ignores SIGPIPE. BoundedWriter counts the lines of a batch that could not be written and goes on; a later line says how many are missing, its text names both causes. The own mode logs through it too.

TestLinesAreWrittenAgainAfterFailedWrites is the writer's.

--- a/cmd/swiftvaned/main.go
+++ b/cmd/swiftvaned/main.go
@@ -18,6 +18,9 @@
 )
 
 func main() {
+	// Otherwise a write to standard output or standard error whose reader has gone would
+	// terminate the process.
+	signal.Ignore(syscall.SIGPIPE)
 	if os.Getenv(platform.SettingsVariable) != "" {
 		// A reload requested before the settings are read needs no action, and its
 		// signal must not terminate the process.
--- a/cmd/swiftvaned/serve.go
+++ b/cmd/swiftvaned/serve.go
@@ -18,7 +18,9 @@
 // serve runs the daemon until a signal or an operator requests a stop.
 func serve(s *settings.Settings) error {
 	gctune.Apply()
-	log, err := logging.New(os.Stderr, s.Log.Level, s.Host.ID)
+	out := logging.NewBoundedWriter(os.Stderr)
+	defer out.Close(logFlushTimeout)
+	log, err := logging.New(out, s.Log.Level, s.Host.ID)
 	if err != nil {
 		return exitcode.With(exitcode.Usage, err)
 	}
--- a/internal/support/logging/bounded.go
+++ b/internal/support/logging/bounded.go
@@ -16,8 +16,8 @@
 )
 
 // BoundedWriter is a writer whose Write never blocks. It queues lines for a
-// goroutine that writes them in batches; if the queue is full, the line is dropped
-// and counted.
+// goroutine that writes them in batches. A line is dropped and counted if the queue is
+// full or its batch can't be written.
 type BoundedWriter struct {
 	out     io.Writer
 	lines   chan []byte
@@ -28,8 +28,7 @@
 	once    sync.Once
 }
 
-// NewBoundedWriter returns a writer to out. Its goroutine runs until Close or until
-// a write to out fails.
+// NewBoundedWriter returns a writer to out. Its goroutine runs until Close.
 func NewBoundedWriter(out io.Writer) *BoundedWriter {
 	b := &BoundedWriter{out: out, lines: make(chan []byte, boundedLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go b.run()
@@ -62,36 +61,40 @@
 	defer close(b.done)
 	batch := make([]byte, 0, batchBytes)
 	for {
+		lines := int64(0)
 		batch = batch[:0]
 		select {
 		case line := <-b.lines:
 			batch = append(batch, line...)
+			lines++
 		case <-b.closing:
 			// No line is queued any more once the queue is empty after Close.
 			if len(b.lines) == 0 {
 				return
 			}
 		}
-		batch = b.fill(batch)
+		batch, lines = b.fill(batch, lines)
 		if _, err := b.out.Write(batch); err != nil {
-			return
+			b.dropped.Add(lines)
 		}
 	}
 }
 
 // fill appends the queued lines to a batch as far as it has room, and how many were
-// dropped.
-func (b *BoundedWriter) fill(batch []byte) []byte {
+// dropped. It returns the batch and the number of lines that are lost if it is not written.
+func (b *BoundedWriter) fill(batch []byte, lines int64) ([]byte, int64) {
 	for more := true; more && len(batch) < batchBytes; {
 		select {
 		case line := <-b.lines:
 			batch = append(batch, line...)
+			lines++
 		default:
 			more = false
 		}
 	}
 	if n := b.dropped.Swap(0); n > 0 {
-		batch = fmt.Appendf(batch, "{\"level\":\"warning\",\"message\":\"log lines were dropped: the reader is too slow\",\"lines\":%d}\n", n)
+		batch = fmt.Appendf(batch, "{\"level\":\"warning\",\"message\":\"log lines were dropped: they could not be written, or the reader is too slow\",\"lines\":%d}\n", n)
+		lines += n
 	}
-	return batch
+	return batch, lines
 }
--- a/internal/support/logging/bounded_test.go
+++ b/internal/support/logging/bounded_test.go
@@ -68,6 +68,36 @@
 	}
 }
 
+// failingWriter fails the first writes.
+type failingWriter struct {
+	bytes.Buffer
+	failures int
+}
+
+func (w *failingWriter) Write(p []byte) (int, error) {
+	if w.failures > 0 {
+		w.failures--
+		return 0, io.ErrClosedPipe
+	}
+	return w.Buffer.Write(p)
+}
+
+// TestLinesAreWrittenAgainAfterFailedWrites guards against a log that ends for good when one write fails,
+// as on a full disk.
+func TestLinesAreWrittenAgainAfterFailedWrites(t *testing.T) {
+	out := &failingWriter{failures: 2}
+	b := NewBoundedWriter(out)
+	for lost := int64(1); lost <= 2; lost++ {
+		_, err := b.Write([]byte("lost\n"))
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return b.dropped.Load() == lost }, 10*time.Second, time.Millisecond)
+	}
+	_, err := b.Write([]byte("kept\n"))
+	require.NoError(t, err)
+	b.Close(10 * time.Second)
+	require.Regexp(t, `^kept\n\{.*"lines":2\}\n$`, out.String())
+}
+
 func TestEmptyLineDoesNotEndWriter(t *testing.T) {
 	var got bytes.Buffer
 	b := NewBoundedWriter(&got)
--- a/test/harness/daemon.go
+++ b/test/harness/daemon.go
@@ -2,11 +2,7 @@
 
 import (
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
-
-	"github.com/stretchr/testify/require"
 )
 
 // StartMeasuredDaemon is StartDaemon for tests that measure the daemon's memory: it never
@@ -25,17 +21,12 @@
 
 func startDaemon(tb testing.TB, program, name string, env ...string) *Process {
 	tb.Helper()
-	p := &Process{Name: name, log: filepath.Join(tb.TempDir(), "log"), exited: make(chan struct{})}
-	logFile, err := os.Create(p.log)
-	require.NoError(tb, err)
+	p, logFile := newProcess(tb, name, program)
 	defer func() { _ = logFile.Close() }()
-	p.cmd = exec.Command(programPath(tb, program))
 	p.cmd.Env = append(os.Environ(), env...)
-	p.cmd.SysProcAttr = killWithParent()
 	p.cmd.Stdout = logFile
 	p.cmd.Stderr = logFile
-	require.NoError(tb, spawn(p.cmd))
+	p.launch(tb)
 	p.reap()
-	tb.Cleanup(func() { p.cleanUp(tb) })
 	return p
 }
--- a/test/harness/host.go
+++ b/test/harness/host.go
@@ -96,6 +96,14 @@
 	h.reap()
 }
 
+// RestartPiped is Restart with a pipe as the process's output, see CloseLog.
+func (h *Host) RestartPiped(tb testing.TB) {
+	tb.Helper()
+	var logFile *os.File
+	h.Process, logFile = newProcess(tb, string(h.ID), h.program, "--settings", h.settings)
+	h.launchPiped(tb, logFile)
+}
+
 // Metrics returns the host's metrics as a scraper receives them.
 func (h *Host) Metrics(tb testing.TB) string {
 	tb.Helper()
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -28,6 +28,8 @@
 	Name string
 	cmd  *exec.Cmd
 	log  string
+	// logReader is the read end of the process's output if that is a pipe, otherwise nil.
+	logReader io.Closer
 	// exited is closed once the process has exited.
 	exited   chan struct{}
 	waitOnce sync.Once
@@ -36,19 +38,32 @@
 // start runs a built program until the test ends and returns a reader of its standard
 // output. Its standard error goes to a log whose end is printed if the test fails.
 func start(tb testing.TB, name, program string, args ...string) (*Process, io.Reader) {
+	tb.Helper()
+	p, logFile := newProcess(tb, name, program, args...)
+	defer func() { _ = logFile.Close() }()
+	p.cmd.Stderr = logFile
+	stdout, err := p.cmd.StdoutPipe()
+	require.NoError(tb, err)
+	p.launch(tb)
+	return p, stdout
+}
+
+// newProcess returns a process that is not started, and the file of its log.
+func newProcess(tb testing.TB, name, program string, args ...string) (*Process, *os.File) {
 	tb.Helper()
 	p := &Process{Name: name, log: filepath.Join(tb.TempDir(), "log"), exited: make(chan struct{})}
 	logFile, err := os.Create(p.log)
 	require.NoError(tb, err)
-	defer func() { _ = logFile.Close() }()
 	p.cmd = exec.Command(programPath(tb, program), args...)
 	p.cmd.SysProcAttr = killWithParent()
-	p.cmd.Stderr = logFile
-	stdout, err := p.cmd.StdoutPipe()
-	require.NoError(tb, err)
+	return p, logFile
+}
+
+// launch starts the process, which runs until the test ends.
+func (p *Process) launch(tb testing.TB) {
+	tb.Helper()
 	require.NoError(tb, spawn(p.cmd))
 	tb.Cleanup(func() { p.cleanUp(tb) })
-	return p, stdout
 }
 
 // readReadyLine decodes the line of JSON that a stand-in prints once it is ready.
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -44,6 +44,8 @@
 	grace time.Duration
 	// measured is set if the hosts' memory is measured.
 	measured bool
+	// piped is set if the hosts log to a pipe.
+	piped bool
 	// landed is set if the hosts start with the last landed build.
 	landed bool
 	// platform holds the store and the configuration; targets hold the searchers.
--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -116,6 +116,8 @@
 	switch {
 	case h.landed:
 		startDaemon = harness.StartLandedDaemon
+	case h.env.piped:
+		startDaemon = harness.StartPipedDaemon
 	case h.env.measured:
 		startDaemon = harness.StartMeasuredDaemon
 	}
