targets: bound the request rate that a target states

What callers saw: where a target changed its limit to a rate beyond 1.8e19 requests a second, the calls that waited for it were refused (targets_limited) or went to another replica, though it had allowed all.

Cause: a Server-Limit may have 32 digits. Bucket.Permits converts the permits of half a second to an int; beyond its range the result depends on the processor, and is negative on x86-64. No process ended.

Change: the decoder takes a rate above 1e9 for 1e9 (exchange.MaxLimit).

Evidence: TestHugeLimitRefusesNoWaitingCall, whose codec now uses the decoder of the product, failed before for several of its 13 calls ("this host has no permit"). TestExtremeNumberOfTargetCostsNoOtherRequest and TestExtremeNumberOfTargetThatAsksForLessEndsNoProcess send the extreme values of all numbers of a reply to daemons whose metrics are scraped; they pass without this change too.

--- a/internal/domain/exchange/reply.go
+++ b/internal/domain/exchange/reply.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// MaxLimit is the greatest rate, in requests a second, that a target can state. A greater one is
+// taken for it: no target serves as many, and the number of requests in any time fits an int.
+const MaxLimit = 1e9
+
 // Reply is a target's reply to a request.
 type Reply struct {
 	// ID is the request id that the target echoed; empty if it sent none.
@@ -36,8 +40,9 @@
 	// can't be read or can't be true.
 	Load        Load
 	InvalidLoad bool
-	// Limit is the rate that the target takes from all hosts together, in requests a second,
-	// if StatesLimit is set. InvalidLimit is set if the target stated it unreadably.
+	// Limit is the rate that the target takes from all hosts together, in requests a second
+	// and at most MaxLimit, if StatesLimit is set. InvalidLimit is set if the target stated it
+	// unreadably.
 	Limit        float64
 	StatesLimit  bool
 	InvalidLimit bool
--- a/internal/targets/targetpool/ratelimit_test.go
+++ b/internal/targets/targetpool/ratelimit_test.go
@@ -4,8 +4,8 @@
 	"bufio"
 	"fmt"
 	"net"
-	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +17,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/standin/echo"
+	"github.com/swiftvane/swiftvane/platform"
 )
 
 // limitCodec is the echo codec of a target whose replies state the limit behind "=" in the
@@ -28,10 +29,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, limit, ok := strings.Cut(reply.ID, "="); ok {
-		reply.Limit, err = strconv.ParseFloat(limit, 64)
-		reply.StatesLimit, reply.InvalidLimit = err == nil, err != nil
+	_, limit, ok := strings.Cut(reply.ID, "=")
+	if !ok {
+		return reply, nil
 	}
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n", platform.HeaderLimit, limit)
+	stated, err := platform.TargetCodec{}.ReadReply(bufio.NewReader(strings.NewReader(head)), true)
+	if err != nil {
+		return nil, err
+	}
+	reply.Limit, reply.StatesLimit, reply.InvalidLimit = stated.Limit, stated.StatesLimit, stated.InvalidLimit
 	return reply, nil
 }
 
@@ -120,6 +127,20 @@
 	})
 }
 
+// TestHugeLimitRefusesNoWaitingCall guards against limits whose permits exceed an int: the calls that
+// waited when they changed were refused.
+func TestHugeLimitRefusesNoWaitingCall(t *testing.T) {
+	limitTest(t, Fleet{Hosts: 1}, func(d *limitDirectory) {
+		d.submit("first=1000")
+		time.Sleep(time.Second)
+		var all sync.WaitGroup
+		for zeros := 19; zeros < 32; zeros++ {
+			all.Go(func() { require.NoError(t, d.submit("huge=1"+strings.Repeat("0", zeros)).Err) })
+		}
+		all.Wait()
+	})
+}
+
 // TestLimitOutlastsEntryButNotStartOfTarget guards against requests beyond a limit after the
 // target's entry vanished and came back, and against a limit of a process that has ended.
 func TestLimitOutlastsEntryButNotStartOfTarget(t *testing.T) {
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -46,6 +46,8 @@
 	measured bool
 	// piped is set if the hosts log to a pipe.
 	piped bool
+	// extremes is the number of replies with extreme numbers.
+	extremes int
 	// landed is set if the hosts start with the last landed build.
 	landed bool
 	// platform holds the store and the configuration; targets hold the searchers.
--- a/test/soak/extremenumber_test.go
+++ b/test/soak/extremenumber_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,28 +32,111 @@
 	scrapeInterval = 250 * time.Millisecond
 )
 
+// extremeReply is a reply to which the fields of a sound one are added.
+type extremeReply struct {
+	// head is the status line and fields, body what follows the head.
+	head, body string
+}
+
+// fields returns a reply with status 200 for each value of a field, without a body.
+func fields(name string, values ...string) []extremeReply {
+	replies := make([]extremeReply, len(values))
+	for i, value := range values {
+		replies[i].head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + name + ": " + value + "\r\n"
+	}
+	return replies
+}
+
+// lengths returns a reply for each length.
+func lengths(values ...string) []extremeReply {
+	replies := make([]extremeReply, len(values))
+	for i, value := range values {
+		replies[i].head = "HTTP/1.1 200 OK\r\nContent-Length: " + value + "\r\n"
+	}
+	return replies
+}
+
+// chunks returns a reply for each size of a chunk.
+func chunks(values ...string) []extremeReply {
+	replies := make([]extremeReply, len(values))
+	for i, value := range values {
+		replies[i] = extremeReply{head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", body: value + "\r\n"}
+	}
+	return replies
+}
+
+// refusals returns a refusal for each Retry-After.
+func refusals(values ...string) []extremeReply {
+	replies := make([]extremeReply, len(values))
+	for i, value := range values {
+		replies[i].head = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n%s: 1\r\n%s: %s\r\n", platform.HeaderNotRun, platform.HeaderRetryAfter, value)
+	}
+	return replies
+}
+
+// Numbers at the ends of the types that may hold them.
+const (
+	maxInt64  = "9223372036854775807"
+	minInt64  = "-9223372036854775808"
+	maxUint64 = "18446744073709551615"
+	// maxDigits is the longest decimal number that is read.
+	maxDigits = "99999999999999999999999999999999"
+	// leastDecimal is the least positive one.
+	leastDecimal = "0.000000000000000000000000000001"
+	maxFloat     = "1.7976931348623157e308"
+)
+
 // TestReplyThatStatesHugeLengthCostsNoOtherRequest guards against a length that a target states and
 // that ends the process where it is added to a counter.
 func TestReplyThatStatesHugeLengthCostsNoOtherRequest(t *testing.T) {
-	var heads []string
-	for _, length := range []string{"9223372036854775807", "4611686018427387904", "99999999999999999999"} {
-		heads = append(heads, "HTTP/1.1 200 OK\r\nContent-Length: "+length+"\r\n")
-	}
-	e := newExtremeEnvironment(t, heads)
-	e.runBeside(func(done <-chan struct{}) {
-		for n := 0; !isClosed(done); n++ {
-			e.askForExtreme(n%len(heads), n)
-			time.Sleep(extremePause)
-		}
-	})
+	e := newExtremeEnvironment(t, lengths(maxInt64, "4611686018427387904", "99999999999999999999"))
+	e.runBeside(e.askForExtremes)
 	require.Empty(t, e.failures())
 }
 
-// newExtremeEnvironment returns hosts whose requests with extremePrefix get replies with the given
-// heads, each a status line and fields. All else of the replies is sound.
-func newExtremeEnvironment(t *testing.T, heads []string) *environment {
+// TestExtremeNumberOfTargetCostsNoOtherRequest is the same for all numbers of a reply that don't ask for
+// fewer requests.
+func TestExtremeNumberOfTargetCostsNoOtherRequest(t *testing.T) {
+	e := newExtremeEnvironment(t, slices.Concat(
+		lengths(maxUint64, "18446744073709551616", "999999999999999999", "1073741824", "2147483648"),
+		chunks("7fffffffffffffff", "8000000000000000", "ffffffffffffffff", "10000000000000000", "7fffffff", "80000000"),
+		fields(platform.HeaderLoad, "0,0,100000,1", "0,0,1,1", maxInt64+","+maxInt64+","+maxInt64, "999999999,999999999,999999999,999999999", "-1,-1,-1"),
+		fields(platform.HeaderLimit, maxDigits, maxInt64, maxInt64+".9", maxFloat, "1e32", "Inf", "NaN", "-1"),
+		fields(platform.HeaderWarmup, "0", "-1", minInt64, "-"+maxFloat, "-Inf", "NaN"),
+		fields("Keep-Alive", "timeout=999999999, max=999999999", "timeout="+maxInt64+", max="+maxInt64, "timeout="+maxDigits, "timeout=-1"),
+		fields(platform.HeaderRetryAfter, maxDigits, maxFloat, "-1"),
+	))
+	e.runBeside(e.askForExtremes)
+	require.Empty(t, e.failures())
+}
+
+// TestExtremeNumberOfTargetThatAsksForLessEndsNoProcess is the same for numbers that ask for fewer
+// requests, or for none for long. Other requests to the target may be refused then.
+func TestExtremeNumberOfTargetThatAsksForLessEndsNoProcess(t *testing.T) {
+	e := newExtremeEnvironment(t, slices.Concat(
+		fields(platform.HeaderLoad, "1000000,1000000,1,100000", "1000000,1000000,100000,100000", "1000000,0,1"),
+		fields(platform.HeaderLimit, "0", leastDecimal, "1", maxDigits),
+		fields(platform.HeaderWarmup, maxInt64, maxUint64, maxFloat, "Inf", "3600000"),
+		refusals(maxDigits, maxInt64, leastDecimal, "0", "1e32", "Inf", "NaN", "-1"),
+	))
+	e.publishWarmup()
+	e.runBeside(e.askForExtremes)
+}
+
+// publishWarmup publishes a configuration by which the targets' warm-up counts.
+func (e *environment) publishWarmup() {
+	config := e.platform.Config()
+	for name, service := range config.Services {
+		service.Warmup, service.WarmupPerSecond = time.Second, 1000
+		config.Services[name] = service
+	}
+	require.NoError(e.t, e.platform.Publish(config))
+}
+
+// newExtremeEnvironment returns hosts whose requests with extremePrefix get the given replies.
+func newExtremeEnvironment(t *testing.T, replies []extremeReply) *environment {
 	e := newEnvironment(t, 1)
-	e.measured = true
+	e.measured, e.extremes = true, len(replies)
 	e.startPlatform(deployment.Options{
 		Attempts: 3, Work: work, Timeout: timeout,
 		Raw: func(_, requestID, signature string) ([]byte, bool) {
@@ -63,7 +147,9 @@
 			number, _, _ = strings.Cut(number, "-")
 			i, err := strconv.Atoi(number)
 			require.NoError(t, err)
-			return fmt.Appendf(nil, "%s%s: %s\r\n%s: %s\r\n\r\n", heads[i], platform.HeaderRequestID, requestID, platform.HeaderSignature, signature), false
+			reply := replies[i]
+			return fmt.Appendf(nil, "%s%s: %s\r\n%s: %s\r\nConnection: close\r\n\r\n%s",
+				reply.head, platform.HeaderRequestID, requestID, platform.HeaderSignature, signature, reply.body), true
 		},
 	}, singles)
 	e.addHosts(readers)
@@ -72,11 +158,19 @@
 	return e
 }
 
-// askForExtreme sends a request of each route whose replies have the head of the given index. Each must
+// askForExtremes sends requests that get the extreme replies in turn until done is closed.
+func (e *environment) askForExtremes(done <-chan struct{}) {
+	for n := 0; !isClosed(done); n++ {
+		e.askForExtreme(n%e.extremes, n)
+		time.Sleep(extremePause)
+	}
+}
+
+// askForExtreme sends a request of each route that gets the extreme reply of the given index. Each must
 // be answered on its connection.
-func (e *environment) askForExtreme(head, n int) {
+func (e *environment) askForExtreme(reply, n int) {
 	for _, route := range []string{"sweep", "read", "order"} {
-		id := fmt.Sprintf("%s%d-%s-%d", extremePrefix, head, route, n)
+		id := fmt.Sprintf("%s%d-%s-%d", extremePrefix, reply, route, n)
 		if _, err := e.sendRaw(e.anyHost(), "/"+route+"/x", id); err != nil {
 			e.t.Errorf("%s: %v", id, err)
 		}
