--- a/test/soak/extremecaller_test.go
+++ b/test/soak/extremecaller_test.go
@@ -37,7 +37,7 @@
 	add(platform.HeaderDeadline+": %s\r\n", "", malformed, "NaN", "Inf", "+Inf", "-Inf", "1e400", "-1", minInt64)
 	add("Content-Length: %s\r\n", "", tooLarge, maxInt64, "4611686018427387904", "1099511627776")
 	add("Content-Length: %s\r\n", "", malformed, maxUint64, "99999999999999999999")
-	add("Transfer-Encoding: chunked\r\n\r\n%s\r\n", "", append(tooLarge, malformed...), "fffffffffffffff", "7fffffff")
+	add("Transfer-Encoding: chunked\r\n\r\n%s\r\n", "", append(tooLarge, malformed...), "7fffffffffffffff", "ffffffffffffffff", "fffffffffffffff", "7fffffff")
 	add("Keep-Alive: timeout=%s, max=%[1]s\r\n", "", served, maxInt64, maxDigits)
 	return requests
 }
