catalog: bound the numbers of a configuration

Under max_header_bytes of 2^63-1 a header of 20 kB got no answer and kept a goroutine busy without end; under timeout_ms, header_timeout_ms or idle_timeout_ms of 2^63-1, or slo_ms of 1e308, requests failed.

Cause: a configuration's numbers went as stated into allocations, into products of a number and a unit, and into conversions of floats. The library that reads bodies allocates what a caller states and takes a limit of 0 for none.

A limit of bodies of 0 or less is 2^30.

Evidence: TestExtremeNumberOfStoreEndsNoProcess plays 7 such configurations, and entries of targets with extreme numbers, on daemons with scraped metrics beside sound requests. TestNegativeNumberOfStoreEndsNoProcess covers numbers below all that make sense.

--- a/internal/domain/bounds/bounds.go
+++ b/internal/domain/bounds/bounds.go
@@ -8,7 +8,7 @@
 	// LongestPeriod is the longest time that counts. Longer ones are taken for it, since nothing
 	// in the tier lasts as long.
 	LongestPeriod = 30 * 24 * time.Hour
-	// MaxCount is the greatest number of things, such as hosts or records, that counts.
+	// MaxCount is the greatest number of things, such as hosts, records or bytes, that counts.
 	MaxCount = 1 << 30
 )
 
--- a/internal/domain/catalog/config.go
+++ b/internal/domain/catalog/config.go
@@ -4,6 +4,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // Limits bound the size of callers' requests and the read and idle times of their
@@ -47,10 +49,11 @@
 	homeRegions     bool
 }
 
-// NewConfig returns a configuration with its routes indexed.
+// NewConfig returns a configuration with its routes indexed and all numbers in bounds.
 func NewConfig(version int64, routes []*Route, services map[ServiceName]Service, limits Limits) *Config {
-	c := &Config{Version: version, Routes: routes, Services: services, Limits: limits, byHostName: map[string][]*Route{}}
+	c := &Config{Version: version, Routes: routes, Services: lo.MapValues(services, boundedService), Limits: limits.bounded(), byHostName: map[string][]*Route{}}
 	for _, r := range routes {
+		r.bound()
 		r.Fingerprint = fingerprintOf(r)
 		hostName := strings.ToLower(r.Host)
 		c.byHostName[hostName] = append(c.byHostName[hostName], r)
--- a/internal/domain/catalog/route.go
+++ b/internal/domain/catalog/route.go
@@ -37,8 +37,10 @@
 	Fingerprint uint64
 }
 
-// NewRoute returns a copy of a route of another host's configuration, with its fingerprint.
+// NewRoute returns a copy of a route of another host's configuration, with its fingerprint and all
+// numbers in bounds.
 func NewRoute(of Route) *Route {
+	of.bound()
 	of.Fingerprint = fingerprintOf(&of)
 	return &of
 }
--- a/internal/querypath/relay/records.go
+++ b/internal/querypath/relay/records.go
@@ -21,7 +21,11 @@
 	if k <= 0 {
 		return nil
 	}
-	kept := make([]record, 0, k)
+	available := 0
+	for _, part := range parts {
+		available += len(part) / recordBytes
+	}
+	kept := make([]record, 0, min(k, available))
 	for _, part := range parts {
 		for ; len(part) >= recordBytes; part = part[recordBytes:] {
 			r := record{high: binary.BigEndian.Uint64(part), low: binary.BigEndian.Uint64(part[8:])}
--- a/test/soak/extremecaller_test.go
+++ b/test/soak/extremecaller_test.go
@@ -61,6 +61,8 @@
 		}
 	})
 	require.Empty(t, e.failures())
+	e.check()
+	e.stopAll()
 }
 
 // sendExtreme sends a request on its own connection and returns the status of the answer.
--- a/test/soak/extremenumber_test.go
+++ b/test/soak/extremenumber_test.go
@@ -92,6 +92,8 @@
 	e := newExtremeEnvironment(t, lengths(maxInt64, "4611686018427387904", "99999999999999999999"))
 	e.runBeside(e.askForExtremes)
 	require.Empty(t, e.failures())
+	e.check()
+	e.stopAll()
 }
 
 // TestExtremeNumberOfTargetCostsNoOtherRequest is the same for all numbers of a reply that don't ask for
@@ -108,6 +110,8 @@
 	))
 	e.runBeside(e.askForExtremes)
 	require.Empty(t, e.failures())
+	e.check()
+	e.stopAll()
 }
 
 // TestExtremeNumberOfTargetThatAsksForLessEndsNoProcess is the same for numbers that ask for fewer
@@ -121,6 +125,8 @@
 	))
 	e.publishWarmup()
 	e.runBeside(e.askForExtremes)
+	e.check()
+	e.stopAll()
 }
 
 // publishWarmup publishes a configuration by which the targets' warm-up counts.
@@ -178,7 +184,7 @@
 }
 
 // runBeside calls send beside callers with sound requests and scrapers of all hosts' metrics, for
-// extremeLasts and until it returns. After that each host must serve and stop in order.
+// extremeLasts and until it returns. No process may end.
 func (e *environment) runBeside(send func(done <-chan struct{})) {
 	done := make(chan struct{})
 	var beside sync.WaitGroup
@@ -191,7 +197,11 @@
 	close(done)
 	beside.Wait()
 	stop()
-	e.check()
+	e.checkProcesses()
+}
+
+// stopAll stops the hosts in order.
+func (e *environment) stopAll() {
 	for _, h := range e.hosts {
 		h.terminate()
 	}
