relay: refuse another host's route that has no services

What callers saw, by a test: the process ended while it served, "index out of range [0] with length 0", once another host passed on a request together with a route for it that names no service.

Cause: whether each service of such a route has targets is true if it has none. The split then picks from an empty list, on a goroutine of its own, so that the panic ends the process.

Change: a route without services is refused like one whose services have no targets here.

--- a/internal/querypath/relay/accept.go
+++ b/internal/querypath/relay/accept.go
@@ -45,9 +45,10 @@
 	}
 }
 
-// hasTargets reports whether each service of a route has targets.
+// hasTargets reports whether a route has services and each of them has targets.
 func hasTargets(snapshot *targetpool.Snapshot, route *catalog.Route) bool {
-	return lo.EveryBy(servicesOf(route), func(service catalog.ServiceName) bool {
+	services := servicesOf(route)
+	return len(services) > 0 && lo.EveryBy(services, func(service catalog.ServiceName) bool {
 		group := snapshot.Group(service)
 		return group != nil && len(group.Pools)+len(group.Spare) > 0
 	})
--- a/internal/querypath/relay/accept_test.go
+++ b/internal/querypath/relay/accept_test.go
@@ -68,6 +68,8 @@
 	require.Equal(t, exchange.NoTarget, accepted.Serve(nil).Reason, "and not that there is no route")
 	terms := passedOf(singleRoute("other", true), acceptingVersion+2, true)
 	require.Equal(t, exchange.Acceptance{OtherRoute: true}, e.Accept(r, terms), "the service has no targets here")
+	without := passedOf(catalog.Route{Name: "r", Host: "h", Prefix: "/"}, acceptingVersion+2, true)
+	require.Equal(t, exchange.Acceptance{OtherRoute: true}, e.Accept(r, without), "a route without services can't be served")
 }
 
 // TestFingerprintTellsRoutesApart guards against a part of a route that hosts don't compare.
