gatherlink: bound the numbers that another host states

An answer that lacks an impossible number of shards reached the caller with that number.

Cause: the trace of an answer is counted as it came. Times in microseconds are multiplied without a bound.

Change: counts of a trace are bounded, and the legs that are logged; times too, on requests, answers and questions about lost targets; readings of another host's clock to 50 years, so that hosts that run for long are read. An answer that lacks less than 0 or more than all shards is no answer, as one with an invalid status.

Evidence: TestExtremeNumberOfReaderEndsNoProcess runs daemons whose reader and gatherers are a host that states the extreme values of all numbers.

--- a/internal/hosts/gatherlink/ask.go
+++ b/internal/hosts/gatherlink/ask.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/swiftvane/swiftvane/internal/decision/reach"
+	"github.com/swiftvane/swiftvane/internal/domain/bounds"
 )
 
 // maxLosses bounds the targets in one question.
@@ -22,12 +23,12 @@
 
 // Sent returns when the request was sent.
 func (l *Loss) Sent(now time.Time) time.Time {
-	return now.Add(-time.Duration(l.SentAgoUS) * time.Microsecond)
+	return now.Add(-bounds.Period(l.SentAgoUS, time.Microsecond))
 }
 
 // Lost returns when the reply was given up.
 func (l *Loss) Lost(now time.Time) time.Time {
-	return now.Add(-time.Duration(l.LostAgoUS) * time.Microsecond)
+	return now.Add(-bounds.Period(l.LostAgoUS, time.Microsecond))
 }
 
 // OnAsk sets what this host says of targets that other hosts lost. It must be set before the
--- a/internal/hosts/gatherlink/attempt.go
+++ b/internal/hosts/gatherlink/attempt.go
@@ -117,7 +117,7 @@
 // received returns the gatherer's answer, nil if a caller must not get what it holds. The
 // request may have run then.
 func (a *attempt) received(from *answer) *exchange.Answer {
-	if err := from.check(); err != nil {
+	if err := from.check(len(a.route.Shards)); err != nil {
 		a.unserved(a.link, lost, err)
 		return nil
 	}
--- a/internal/hosts/gatherlink/clock.go
+++ b/internal/hosts/gatherlink/clock.go
@@ -12,14 +12,18 @@
 	base  time.Time
 }
 
+// maxReading bounds a reading. No process runs as long, and the differences of readings fit a duration.
+const maxReading = 50 * 365 * 24 * time.Hour
+
 // heard records a reading, in microseconds, that was received at now.
 func (c *remoteClock) heard(now time.Time, readingUS int64) {
+	reading := time.Duration(min(max(readingUS, 0), maxReading.Microseconds())) * time.Microsecond
 	if c.base.IsZero() {
 		c.base = now
-		c.least = -time.Duration(readingUS) * time.Microsecond
+		c.least = -reading
 		return
 	}
-	c.least = min(c.least, now.Sub(c.base)-time.Duration(readingUS)*time.Microsecond)
+	c.least = min(c.least, now.Sub(c.base)-reading)
 }
 
 // known reports whether there was a reading.
--- a/internal/hosts/gatherlink/frame.go
+++ b/internal/hosts/gatherlink/frame.go
@@ -9,6 +9,7 @@
 	"github.com/fasthttp/websocket"
 
 	"github.com/swiftvane/swiftvane/internal/decision/reach"
+	"github.com/swiftvane/swiftvane/internal/domain/bounds"
 	"github.com/swiftvane/swiftvane/internal/domain/catalog"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/domain/httpreply"
@@ -143,11 +144,11 @@
 
 // request returns the caller's request as the other host serves it.
 func (s *passedRequest) request(now time.Time) *exchange.Request {
-	elapsed := time.Duration(s.ElapsedUS) * time.Microsecond
+	elapsed := bounds.Period(s.ElapsedUS, time.Microsecond)
 	return &exchange.Request{
 		ID: s.RequestID, Method: s.Method, Host: s.Host, URI: s.URI, Forward: s.Forward, Body: s.Body, HasBody: s.HasBody,
-		CallerTimeout: time.Duration(s.CallerTimeoutUS) * time.Microsecond, Arrived: now.Add(-elapsed),
-		Reserved: time.Duration(s.ReservedUS) * time.Microsecond,
+		CallerTimeout: bounds.Period(s.CallerTimeoutUS, time.Microsecond), Arrived: now.Add(-elapsed),
+		Reserved: bounds.Period(s.ReservedUS, time.Microsecond),
 	}
 }
 
@@ -175,7 +176,7 @@
 func (a *answer) answer() *exchange.Answer {
 	to := &exchange.Answer{
 		Status: a.Status, Signatures: a.Signatures, Missing: a.Missing, Body: a.Body,
-		RetryAfter: time.Duration(a.RetryAfterUS) * time.Microsecond, Reason: a.Reason, Trace: a.Trace, CutOff: a.CutOff,
+		RetryAfter: bounds.Period(a.RetryAfterUS, time.Microsecond), Reason: a.Reason, Trace: boundedTrace(a.Trace), CutOff: a.CutOff,
 	}
 	if a.Relayed != nil {
 		to.Body = nil
@@ -184,12 +185,15 @@
 	return to
 }
 
-// check returns an error if the answer has a part that no reply may have. Hosts of earlier builds
-// pass on what they took from a target unchecked.
-func (a *answer) check() error {
+// check returns an error if the answer to a request of so many shards has a part that no reply may
+// have. Hosts of earlier builds pass on what they took from a target unchecked.
+func (a *answer) check(shards int) error {
 	if !httpreply.IsFinal(a.Status) {
 		return fmt.Errorf("the answer has the status %d", a.Status)
 	}
+	if a.Missing < 0 || a.Missing > shards {
+		return fmt.Errorf("the answer lacks %d of %d shards", a.Missing, shards)
+	}
 	for _, signature := range a.Signatures {
 		if !httpreply.ValidText(signature) {
 			return fmt.Errorf("the answer has the signature %q", signature)
--- a/internal/hosts/gatherlink/link.go
+++ b/internal/hosts/gatherlink/link.go
@@ -106,7 +106,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.clock.heard(time.Now(), f.ClockUS)
-	l.lostShare = float64(f.LostPerMille) / perMille
+	l.lostShare = float64(min(max(f.LostPerMille, 0), perMille)) / perMille
 	l.readsAnyText = f.ReadsAnyText
 	l.checksRoutes = f.ChecksRoutes
 }
--- a/internal/hosts/gatherlink/text_test.go
+++ b/internal/hosts/gatherlink/text_test.go
@@ -97,7 +97,7 @@
 		require.NoError(t, err)
 		var f frame
 		require.NoError(t, cbor.Unmarshal(raw, &f), id)
-		require.NoError(t, f.Answer.check())
+		require.NoError(t, f.Answer.check(1))
 		requireSameAnswer(t, odd, f.Answer.answer())
 	}
 }
--- a/test/soak/environment_test.go
+++ b/test/soak/environment_test.go
@@ -48,6 +48,8 @@
 	piped bool
 	// extremes is the number of replies with extreme numbers.
 	extremes int
+	// seeds replaces the hosts that the settings list as seeds, if there are some.
+	seeds []string
 	// landed is set if the hosts start with the last landed build.
 	landed bool
 	// platform holds the store and the configuration; targets hold the searchers.
--- a/test/soak/host_test.go
+++ b/test/soak/host_test.go
@@ -88,6 +88,9 @@
 	for _, other := range h.env.hosts[:min(readers, len(h.env.hosts))] {
 		seeds = append(seeds, other.peer.Addr())
 	}
+	if len(h.env.seeds) > 0 {
+		seeds = h.env.seeds
+	}
 	raw, err := json.Marshal(map[string]any{
 		"node_name": h.name, "ip": ip, "zone": deployment.FailureDomain, "seeds": seeds, "bootstrap": false,
 		"listen_addrs": map[string]string{"front": h.caller, "ready": h.ready, "control": control},
