catalogshare: bound the numbers that another host states

What was seen, by reading and by a test of the package alone: a count of hosts beyond 2^62 wraps around in sums and products, so that a fleet of that size had no gatherers and did not wait longer for the store; ages below 0 lie in the future; a rate of 1e308 requests a second got beyond the range of a count. No process ended: TestExtremeNumberOfReaderEndsNoProcess passes without this change, too.

Cause: numbers of a message went as stated into sums over hosts and into durations.

Change: a message's ages, counts and rates are bounded where it is decoded, and the rate of a limit where a notice is taken. Values that are checked where they are used already, as those of pauses, stay.

--- a/internal/decision/targetlimit/statement.go
+++ b/internal/decision/targetlimit/statement.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 )
 
 const (
@@ -63,7 +65,7 @@
 // Statement returns the statement of a notice that was received at now, or false if it can't
 // be true or is too old.
 func (n *Notice) Statement(now time.Time) (Statement, bool) {
-	s := Statement{Limited: n.Limited, PerSecond: n.PerSecond, At: now.Add(-time.Duration(n.AgeMS) * time.Millisecond)}
+	s := Statement{Limited: n.Limited, PerSecond: min(n.PerSecond, exchange.MaxLimit), At: now.Add(-time.Duration(n.AgeMS) * time.Millisecond)}
 	valid := n.AgeMS >= 0 && n.AgeMS <= keptFor.Milliseconds() && n.PerSecond >= 0 && !math.IsInf(n.PerSecond, 0)
 	return s, valid
 }
--- a/internal/hosts/catalogshare/encoding.go
+++ b/internal/hosts/catalogshare/encoding.go
@@ -53,7 +53,7 @@
 	return out.Bytes(), nil
 }
 
-// decode decodes a message.
+// decode decodes a message, whose numbers it keeps in bounds.
 func decode(raw []byte) (m *message, err error) {
 	defer panics.Catch(&err)
 	if len(raw) > 0 && raw[0] == compressedMark {
@@ -62,7 +62,11 @@
 		}
 	}
 	m = &message{}
-	return m, cbor.Unmarshal(raw, m)
+	if err := cbor.Unmarshal(raw, m); err != nil {
+		return nil, err
+	}
+	m.bound()
+	return m, nil
 }
 
 func decompress(packed []byte) ([]byte, error) {
