--- a/test/soak/extremehost_test.go
+++ b/test/soak/extremehost_test.go
@@ -98,9 +98,18 @@
 	e.stopAll()
 }
 
+// openLink opens a link to a host.
+func openLink(addr, path string) (*websocket.Conn, error) {
+	conn, answer, err := websocket.DefaultDialer.Dial("ws://"+addr+path, nil)
+	if answer != nil {
+		_ = answer.Body.Close()
+	}
+	return conn, err
+}
+
 // sendMessages sends messages on a new link to the host, and reads until none come.
 func (h *host) sendMessages(path string, messages []message) {
-	conn, _, err := websocket.DefaultDialer.Dial("ws://"+h.peer.Addr()+path, nil)
+	conn, err := openLink(h.peer.Addr(), path)
 	if err != nil {
 		h.env.t.Errorf("%s: %v", path, err)
 		return
--- a/test/soak/extremereader_test.go
+++ b/test/soak/extremereader_test.go
@@ -129,7 +129,7 @@
 
 // passOn serves a catalog link by the messages of the reader.
 func (x *extremeHost) passOn(to *websocket.Conn, uri string) {
-	from, _, err := websocket.DefaultDialer.Dial("ws://"+x.followed()+uri, nil)
+	from, err := openLink(x.followed(), uri)
 	if err != nil {
 		return
 	}
