--- a/internal/targets/dispatch/observe.go
+++ b/internal/targets/dispatch/observe.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/decision/withdrawal"
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
@@ -27,11 +28,12 @@
 }
 
 // pauseForShed refuses all sub-requests until the target's retry hint, or
-// defaultShedPause if there is none, has passed.
+// defaultShedPause if there is none, has passed; at most for withdrawal.MaxPause.
 func (p *pool) pauseForShed(hint time.Duration, now time.Time) {
 	if hint <= 0 {
 		hint = defaultShedPause
 	}
+	hint = min(hint, withdrawal.MaxPause)
 	p.mu.Lock()
 	until := now.Add(hint)
 	if until.After(p.shedUntil) {
--- a/internal/targets/dispatch/queue_test.go
+++ b/internal/targets/dispatch/queue_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/swiftvane/swiftvane/internal/decision/withdrawal"
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
@@ -195,6 +197,25 @@
 	})
 }
 
+// TestHugeShedHintEnds guards against a target that is out of use for good by one hint.
+func TestHugeShedHintEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := newFakeTargets()
+		shedding := true
+		targets.serve = func(_ context.Context, req *subquery.Request) *subquery.Answer {
+			if shedding {
+				return notRunAnswer(verdict.TargetShed, math.MaxInt64)
+			}
+			return echo(req)
+		}
+		l := startLocal(t, targets)
+		require.Equal(t, verdict.TargetShed, submitAndWait(l, subrequest("t0", "s", time.Minute)).Reason)
+		shedding = false
+		time.Sleep(withdrawal.MaxPause)
+		require.True(t, submitAndWait(l, subrequest("t0", "s", time.Minute)).OK())
+	})
+}
+
 func TestExpiredSubrequestsAreDroppedAfterProcessPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		targets := newFakeTargets()
