own mode: bound the numbers that a target states

What was seen, by a test of the package alone: the counts of requests that run and wait at a target are added up as stated; a sum beyond an int64 is negative, so that the target seems less loaded than an idle one and gets the requests of its shard. A retry hint beyond 2^63 ns, or below 0, became a negative time.

Cause: answers, load reports and the answers that other hosts pass on are used as decoded.

Change: their counts and times are bounded where they are decoded.

Evidence: TestNumbersOfAnswerStayInBounds failed.

--- a/internal/domain/subquery/subquery.go
+++ b/internal/domain/subquery/subquery.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/domain/bounds"
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
@@ -39,6 +40,13 @@
 	Newest model.SnapshotID `cbor:"5,keyasint,omitempty"`
 }
 
+// Bounded returns the load with counts whose sums and products fit an int64. What decodes a load
+// applies it.
+func (l Load) Bounded() Load {
+	l.Inflight, l.Queued = bounds.Count(l.Inflight), bounds.Count(l.Queued)
+	return l
+}
+
 // Answer is the outcome of one Request. It succeeded if and only if Reason is
 // empty; then Verdict is Ran and Body holds the whole result.
 type Answer struct {
@@ -55,6 +63,15 @@
 	Took time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
+// Bound keeps the numbers of another host's answer in ranges in which their sums and products don't
+// overflow.
+func (a *Answer) Bound() {
+	for _, d := range []*time.Duration{&a.RetryAfter, &a.Waited, &a.Took} {
+		*d = bounds.Period(int64(*d), time.Nanosecond)
+	}
+	a.Load = a.Load.Bounded()
+}
+
 // OK reports whether the sub-request succeeded.
 func (a *Answer) OK() bool { return a.Reason == "" }
 
--- a/internal/targets/dispatch/remote.go
+++ b/internal/targets/dispatch/remote.go
@@ -36,6 +36,7 @@
 	if err := cbor.Unmarshal(reply, a); err != nil || (a.OK() && a.Verdict != verdict.Ran) {
 		return unknownAnswer(verdict.ReplyTruncated)
 	}
+	a.Bound()
 	return a
 }
 
--- a/internal/targets/quarantine/permit.go
+++ b/internal/targets/quarantine/permit.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/swiftvane/swiftvane/internal/domain/bounds"
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/hosts/peer"
 )
@@ -59,7 +60,7 @@
 	if held, ok := c.permits[m.permitKey()]; ok && now.Before(held.until) {
 		return held.holder == holder && held.number == m.Permit
 	}
-	lease := min(time.Duration(m.LeaseMS)*time.Millisecond, maxPermitLease)
+	lease := min(bounds.Period(m.LeaseMS, time.Millisecond), maxPermitLease)
 	c.permits[m.permitKey()] = permit{holder: holder, number: m.Permit, until: now.Add(lease)}
 	return true
 }
--- a/internal/targets/target/conn.go
+++ b/internal/targets/target/conn.go
@@ -95,7 +95,7 @@
 		c.broken = true
 		return load, eris.Wrap(err, "target: decode load report")
 	}
-	return load, nil
+	return load.Bounded(), nil
 }
 
 // control sends one HTTP request that carries no sub-request and requires status
--- a/internal/targets/target/reply_test.go
+++ b/internal/targets/target/reply_test.go
@@ -1,10 +1,14 @@
 package target
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/swiftvane/swiftvane/internal/domain/bounds"
+	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
@@ -80,3 +84,19 @@
 	require.True(t, sound.OK())
 	require.Equal(t, "records", string(sound.Body))
 }
+
+// TestNumbersOfAnswerStayInBounds guards against a target that seems idle since the sum of its counts wraps
+// around, and against negative times.
+func TestNumbersOfAnswerStayInBounds(t *testing.T) {
+	for _, n := range []int64{math.MinInt64, -1, 1 << 62, math.MaxInt64} {
+		answer := toAnswer(&AnswerItem{RetryAfterMS: n, Load: subquery.Load{Inflight: int(n), Queued: int(n)}}, 0)
+		require.Equal(t, bounds.Period(n, time.Millisecond), answer.RetryAfter)
+		require.GreaterOrEqual(t, answer.Load.Inflight+answer.Load.Queued, 0)
+		answer = &subquery.Answer{RetryAfter: time.Duration(n), Waited: time.Duration(n), Took: time.Duration(n), Load: subquery.Load{Inflight: int(n), Queued: int(n)}}
+		answer.Bound()
+		for _, d := range []time.Duration{answer.RetryAfter, answer.Waited, answer.Took} {
+			require.Equal(t, bounds.Period(n, time.Nanosecond), d)
+		}
+		require.GreaterOrEqual(t, answer.Load.Inflight+answer.Load.Queued, 0)
+	}
+}
--- a/internal/targets/target/search.go
+++ b/internal/targets/target/search.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"github.com/swiftvane/swiftvane/internal/domain/bounds"
 	"github.com/swiftvane/swiftvane/internal/domain/exchange"
 	"github.com/swiftvane/swiftvane/internal/domain/httpreply"
 	"github.com/swiftvane/swiftvane/internal/domain/subquery"
@@ -191,16 +192,16 @@
 }
 
 // toAnswer converts an item that checkReply has accepted. Its message becomes UTF-8, which callers and
-// other hosts need.
+// other hosts need, and its numbers are kept in bounds.
 func toAnswer(item *AnswerItem, took time.Duration) *subquery.Answer {
 	return &subquery.Answer{
 		Verdict:    item.Status.verdict(),
 		Reason:     item.reason(),
 		Message:    strings.ToValidUTF8(item.Message, string(utf8.RuneError)),
-		RetryAfter: time.Duration(item.RetryAfterMS) * time.Millisecond,
+		RetryAfter: bounds.Period(item.RetryAfterMS, time.Millisecond),
 		Snapshot:   item.Snapshot,
 		Body:       item.Body,
-		Load:       item.Load,
+		Load:       item.Load.Bounded(),
 		Took:       took,
 	}
 }
--- a/test/integration/brokenhead_test.go
+++ b/test/integration/brokenhead_test.go
@@ -63,16 +63,29 @@
 // TestBrokenHeadsOfTargetsCostNoOtherShard replaces the targets of a shard by ones that send broken heads.
 // It guards against replies that end a host's process or the answers of other shards.
 func TestBrokenHeadsOfTargetsCostNoOtherShard(t *testing.T) {
-	const askers, lasts, replicas = 4, 2 * time.Second, 2
+	const lasts = 2 * time.Second
 	f := harness.Start(t, harness.Options{Shape: fixture.DiffReview(), Hosts: 2})
 	awaitCompleteAnswer(t, f, f.Hosts[0])
-	var broken []*rawserver.Server
+	broken := replaceTargets(t, f, func(replica int) *rawserver.Server { return startBrokenTarget(t, uint64(replica)) })
+	requireOtherShards(t, f, lasts)
+	t.Logf("requests at the broken targets: %d and %d", broken[0].Requests(), broken[1].Requests())
+	require.Positive(t, broken[0].Requests())
+	for _, host := range f.Hosts {
+		require.False(t, host.Exited(), host.ID)
+	}
+}
+
+// replaceTargets replaces the targets of the first shard.
+func replaceTargets(t *testing.T, f *harness.Fleet, start func(replica int) *rawserver.Server) []*rawserver.Server {
+	t.Helper()
+	const replicas = 2
+	var servers []*rawserver.Server
 	targets := map[string]any{}
 	for replica := range replicas {
 		id := f.Shape.Target(0, replica)
-		broken = append(broken, startBrokenTarget(t, uint64(replica)))
+		servers = append(servers, start(replica))
 		targets["targets/"+string(id)] = model.Target{
-			ID: id, Addr: broken[replica].Addr(), Region: fixture.Region,
+			ID: id, Addr: servers[replica].Addr(), Region: fixture.Region,
 			FailureDomain: fixture.Domain(slices.Index(f.Shape.TargetIDs(), id)), Slots: f.Shape.Slots, MaxConnections: f.Shape.MaxConnections,
 		}
 	}
@@ -81,33 +94,43 @@
 		_, err := host.Admin().WaitConfig(revision, time.Minute)
 		require.NoError(t, err)
 	}
+	return servers
+}
+
+// requireOtherShards sends queries for the given time. Each must be answered, and may lack the first shard
+// only.
+func requireOtherShards(t *testing.T, f *harness.Fleet, lasts time.Duration) {
+	t.Helper()
+	const askers = 4
 	end := time.Now().Add(lasts)
 	var all sync.WaitGroup
 	for k := range askers {
 		all.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				body := harness.Body(k*100_000 + n)
-				answer, err := f.Hosts[k%len(f.Hosts)].Ask(t, f.Shape.Workload, body)
-				if err == nil {
-					err = f.Verify(body, answer)
-				}
-				if err != nil {
+				if err := askOtherShards(t, f, k, n); err != nil {
 					t.Errorf("query %d: %v", n, err)
 					return
 				}
-				for _, missing := range answer.Coverage.Missing {
-					if missing.Shard != f.Shape.Shard(0) {
-						t.Errorf("query %d: shard %s is missing: %s", n, missing.Shard, missing.Reason)
-						return
-					}
-				}
 			}
 		})
 	}
 	all.Wait()
-	t.Logf("requests at the broken targets: %d and %d", broken[0].Requests(), broken[1].Requests())
-	require.Positive(t, broken[0].Requests())
-	for _, host := range f.Hosts {
-		require.False(t, host.Exited(), host.ID)
+}
+
+// askOtherShards sends the nth query of an asker.
+func askOtherShards(t *testing.T, f *harness.Fleet, asker, n int) error {
+	body := harness.Body(asker*100_000 + n)
+	answer, err := f.Hosts[asker%len(f.Hosts)].Ask(t, f.Shape.Workload, body)
+	if err == nil {
+		err = f.Verify(body, answer)
+	}
+	if err != nil {
+		return err
+	}
+	for _, missing := range answer.Coverage.Missing {
+		if missing.Shard != f.Shape.Shard(0) {
+			return fmt.Errorf("shard %s is missing: %s", missing.Shard, missing.Reason)
+		}
 	}
+	return nil
 }
