own mode: bound the times that a host states

What was seen, by reading: a confirmation of a host list that is 2^62 ms old counted as one of the future, since its age overflowed, and so does a negative age; the list could then be used for longer than its lease.

A confirmation with an age below 0 is none.

--- a/internal/hosts/fleet/confirm.go
+++ b/internal/hosts/fleet/confirm.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/swiftvane/swiftvane/internal/domain/bounds"
+)
 
 // ListConfirmedAt returns when the platform last returned the host list in force
 // as its newest, either to this host or to a peer that reported it to this host.
@@ -32,9 +36,9 @@
 
 // confirmListFrom records a peer's confirmation if it is for the same list.
 func (c *control) confirmListFrom(msg *digestMessage) {
-	if msg.ListConfirmedAgoMS == 0 || msg.Hosts != c.hosts.version {
+	if msg.ListConfirmedAgoMS <= 0 || msg.Hosts != c.hosts.version {
 		return
 	}
-	ago := time.Duration(msg.ListConfirmedAgoMS) * time.Millisecond
+	ago := bounds.Period(msg.ListConfirmedAgoMS, time.Millisecond)
 	c.fleet.confirmList(c.now().Add(-ago))
 }
--- a/internal/hosts/peer/accepted.go
+++ b/internal/hosts/peer/accepted.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/swiftvane/swiftvane/internal/domain/bounds"
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
@@ -39,7 +40,7 @@
 func (a *acceptedLink) receiveCall(e *envelope) {
 	ctx := &inboundContext{}
 	if e.LeftMicros > 0 {
-		ctx.deadline = time.Now().Add(time.Duration(e.LeftMicros) * time.Microsecond)
+		ctx.deadline = time.Now().Add(bounds.Period(e.LeftMicros, time.Microsecond))
 	}
 	if !a.add(e.ID, ctx) {
 		a.refuse(e.ID, verdict.HostOverloaded, "too many calls in flight on this link")
--- a/internal/hosts/peer/wireerror.go
+++ b/internal/hosts/peer/wireerror.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/swiftvane/swiftvane/internal/domain/bounds"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 )
 
@@ -26,7 +27,7 @@
 	if err := Decode(payload, &w); err != nil {
 		return &verdict.Error{Verdict: verdict.Unknown, Reason: verdict.Internal, Message: "the peer's error could not be decoded"}
 	}
-	return &verdict.Error{Verdict: w.Verdict, Reason: w.Reason, Field: w.Field, Message: w.Message, RetryAfter: w.RetryAfter}
+	return &verdict.Error{Verdict: w.Verdict, Reason: w.Reason, Field: w.Field, Message: w.Message, RetryAfter: bounds.Period(int64(w.RetryAfter), time.Nanosecond)}
 }
 
 // transportError returns the error of a call that the transport ends itself. The
