tools: bound the numbers of answers

By reading: the retry hint and the coverage in an answer go into a duration and into sums of the load tool's report, and the retry hint into the pause of the client. A hint beyond 2^63 ns was negative, so that the request was not sent again.

Change: both clients bound them where they decode an answer.

--- a/internal/face/callerclient/client.go
+++ b/internal/face/callerclient/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/swiftvane/swiftvane/internal/domain/bounds"
 	"github.com/swiftvane/swiftvane/internal/domain/model"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/support/httpjson"
@@ -102,7 +103,7 @@
 func (c *Client) sendOnce(url string, q *callerapi.Query, issuedAt time.Time) (*callerapi.Answer, *verdict.Error) {
 	timeout := exchangeDefault
 	if q.DeadlineMS != nil {
-		timeout = time.Duration(*q.DeadlineMS)*time.Millisecond + exchangeMargin
+		timeout = bounds.Period(*q.DeadlineMS, time.Millisecond) + exchangeMargin
 	}
 	header := map[string]string{callerapi.HeaderIssuedAt: issuedAt.UTC().Format(time.RFC3339Nano)}
 	if c.Caller != "" {
@@ -155,7 +156,7 @@
 	}
 	return &verdict.Error{
 		Verdict: f.Verdict, Reason: f.Reason, Field: f.Field, Message: f.Message,
-		RetryAfter: time.Duration(f.RetryAfterMS) * time.Millisecond,
+		RetryAfter: bounds.Period(f.RetryAfterMS, time.Millisecond),
 	}
 }
 
--- a/internal/tool/load/http.go
+++ b/internal/tool/load/http.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/swiftvane/swiftvane/internal/domain/bounds"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/face/callerapi"
 	"github.com/swiftvane/swiftvane/internal/support/httpdial"
@@ -118,7 +119,7 @@
 	}
 	outcome := Outcome{
 		Answered: true, Verdict: verdict.Ran,
-		Shards: answer.Coverage.Shards, Covered: answer.Coverage.Answered, Extra: answer.ExtraSubrequests,
+		Shards: bounds.Count(answer.Coverage.Shards), Covered: bounds.Count(answer.Coverage.Answered), Extra: bounds.Count(answer.ExtraSubrequests),
 	}
 	if len(answer.Coverage.Missing) > 0 {
 		outcome.Missing = make(map[verdict.Reason]int)
@@ -137,7 +138,7 @@
 	}
 	return Outcome{
 		Verdict: failure.Verdict, Reason: failure.Reason,
-		RetryAfter: time.Duration(failure.RetryAfterMS) * time.Millisecond,
+		RetryAfter: bounds.Period(failure.RetryAfterMS, time.Millisecond),
 	}
 }
 
