metrics: a report that would lower a counter ends no process

Change: a reporter between the scope and the library logs and drops a negative change.

Evidence: TestCounterThatWouldDecreaseDoesNotPanic. On the code before it does not end within the 10 minutes of go test: the panic leaves the scope's lock held.

--- a/internal/support/metrics/root.go
+++ b/internal/support/metrics/root.go
@@ -22,7 +22,7 @@
 // New returns the root scope, the handler that serves it and the Go runtime's
 // metrics to Prometheus scrapers, and a closer that stops reporting. Metrics that
 // can't be registered, such as two with one name and different tags, are logged
-// and dropped.
+// and dropped, as are reports that would lower a counter.
 func New(log logrus.FieldLogger) (Scope, http.Handler, io.Closer) {
 	registry := prom.NewRegistry()
 	registry.MustRegister(
@@ -38,7 +38,7 @@
 	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 Prefix,
-		CachedReporter:         reporter,
+		CachedReporter:         &monotonicReporter{CachedStatsReporter: reporter, log: log},
 		Separator:              tallyprom.DefaultSeparator,
 		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
--- a/internal/support/metrics/root_test.go
+++ b/internal/support/metrics/root_test.go
@@ -1,10 +1,12 @@
 package metrics
 
 import (
+	"math"
 	"net/http/httptest"
 	"testing"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
@@ -39,3 +41,20 @@
 	handler.ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
 	require.Equal(t, 200, recorder.Code)
 }
+
+// TestCounterThatWouldDecreaseDoesNotPanic guards against a sum beyond an int64, or a negative number, that
+// ends the process where it is reported.
+func TestCounterThatWouldDecreaseDoesNotPanic(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	log, hook := test.NewNullLogger()
+	scope, handler, closer := New(log)
+	scope.Counter("overflowing").Inc(math.MaxInt64)
+	scope.Counter("overflowing").Inc(1)
+	scope.Counter("negative").Inc(-1)
+	scope.Counter("sound").Inc(2)
+	require.NoError(t, closer.Close())
+	require.Len(t, hook.AllEntries(), 2)
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	require.Contains(t, recorder.Body.String(), "swiftvane_sound 2")
+}
