--- a/internal/domain/catalog/bound.go
+++ b/internal/domain/catalog/bound.go
@@ -6,7 +6,7 @@
 	"github.com/swiftvane/swiftvane/internal/domain/bounds"
 )
 
-// maxAttempts bounds Route.MaxAttempts: no service has as many targets that a request could run on.
+// maxAttempts bounds Route.MaxAttempts, by which the queues of a request's outcomes are sized.
 const maxAttempts = 64
 
 // bound keeps the numbers of a route, which operators and other hosts state, in ranges in which nothing
--- a/test/integration/brokenhead_test.go
+++ b/test/integration/brokenhead_test.go
@@ -12,7 +12,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/domain/model"
-	"github.com/swiftvane/swiftvane/internal/domain/subquery"
 	"github.com/swiftvane/swiftvane/internal/domain/verdict"
 	"github.com/swiftvane/swiftvane/internal/standin/fixture"
 	"github.com/swiftvane/swiftvane/internal/standin/rawserver"
@@ -30,7 +29,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		isLoad := r.URL.Path == target.PathLoad
-		reply := brokenTargetReply(isLoad, body)
+		reply := failedReply(isLoad, body, target.AnswerItem{Status: target.StatusFailed, Reason: verdict.TargetFailed, Message: "\xe9\xff"})
 		raw := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nX-Other: \xe9\xff\r\nContent-Length: %d\r\n\r\n%s", target.ContentType, len(reply), reply)
 		if isLoad && random.IntN(4) > 0 {
 			return raw, false
@@ -42,14 +41,15 @@
 	return server
 }
 
-// brokenTargetReply returns the body of a load report, or of the answers to a search, all of them failures.
-func brokenTargetReply(isLoad bool, search []byte) []byte {
+// failedReply returns the body of a load report, or of answers to a search that are all the given one.
+func failedReply(isLoad bool, search []byte, answer target.AnswerItem) []byte {
 	var items []target.SearchItem
-	var reply any = subquery.Load{}
+	var reply any = answer.Load
 	if !isLoad && target.Decode(search, &items) == nil {
 		answers := make([]target.AnswerItem, len(items))
 		for i := range items {
-			answers[i] = target.AnswerItem{ExchangeID: items[i].ExchangeID, Status: target.StatusFailed, Reason: verdict.TargetFailed, Message: "\xe9\xff"}
+			answers[i] = answer
+			answers[i].ExchangeID = items[i].ExchangeID
 		}
 		reply = answers
 	}
--- a/test/integration/extremenumber_test.go
+++ b/test/integration/extremenumber_test.go
@@ -34,7 +34,9 @@
 			return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nContent-Length: %s\r\n\r\n", target.ContentType, length), false
 		}
 		n := extremes[i%len(extremes)]
-		reply := extremeTargetReply(r.URL.Path == target.PathLoad, body, n)
+		reply := failedReply(r.URL.Path == target.PathLoad, body, target.AnswerItem{
+			Status: target.StatusRefused, Reason: verdict.TargetShed, RetryAfterMS: n, Load: subquery.Load{Inflight: int(n), Queued: int(n)},
+		})
 		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", target.ContentType, len(reply), reply), false
 	})
 	require.NoError(t, err)
@@ -42,25 +44,6 @@
 	return server
 }
 
-// extremeTargetReply returns the body of a load report or of the answers to a search, all of them failures.
-func extremeTargetReply(isLoad bool, search []byte, n int64) []byte {
-	load := subquery.Load{Inflight: int(n), Queued: int(n)}
-	var reply any = load
-	var items []target.SearchItem
-	if !isLoad && target.Decode(search, &items) == nil {
-		answers := make([]target.AnswerItem, len(items))
-		for i := range items {
-			answers[i] = target.AnswerItem{ExchangeID: items[i].ExchangeID, Status: target.StatusRefused, Reason: verdict.TargetShed, RetryAfterMS: n, Load: load}
-		}
-		reply = answers
-	}
-	encoded, err := target.Encode(reply)
-	if err != nil {
-		panic(err) // the types can be encoded
-	}
-	return encoded
-}
-
 // TestExtremeNumbersOfTargetsCostNoOtherShard replaces the targets of a shard by ones that state extreme
 // numbers. It guards against a number that ends a host's process, where it is read or reported.
 func TestExtremeNumbersOfTargetsCostNoOtherShard(t *testing.T) {
--- a/test/soak/extremenumber_test.go
+++ b/test/soak/extremenumber_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"github.com/swiftvane/swiftvane/internal/standin/deployment"
@@ -24,6 +25,8 @@
 	// extremePrefix begins the ids of requests whose replies state extreme numbers; the index of the
 	// reply follows.
 	extremePrefix = "extreme-"
+	// numberMark stands for the extreme number in a reply.
+	numberMark = "{n}"
 	// extremeLasts is how long extreme numbers are sent. Metrics are reported several times in it.
 	extremeLasts = 4 * time.Second
 	// extremePause is the pause after each request whose reply states one.
@@ -38,40 +41,32 @@
 	head, body string
 }
 
+// replies returns a reply for each value, which takes the place of numberMark.
+func replies(head, body string, values ...string) []extremeReply {
+	return lo.Map(values, func(value string, _ int) extremeReply {
+		return extremeReply{head: strings.ReplaceAll(head, numberMark, value), body: strings.ReplaceAll(body, numberMark, value)}
+	})
+}
+
 // fields returns a reply with status 200 for each value of a field, without a body.
 func fields(name string, values ...string) []extremeReply {
-	replies := make([]extremeReply, len(values))
-	for i, value := range values {
-		replies[i].head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + name + ": " + value + "\r\n"
-	}
-	return replies
+	return replies("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"+name+": "+numberMark+"\r\n", "", values...)
 }
 
 // lengths returns a reply for each length.
 func lengths(values ...string) []extremeReply {
-	replies := make([]extremeReply, len(values))
-	for i, value := range values {
-		replies[i].head = "HTTP/1.1 200 OK\r\nContent-Length: " + value + "\r\n"
-	}
-	return replies
+	return replies("HTTP/1.1 200 OK\r\nContent-Length: "+numberMark+"\r\n", "", values...)
 }
 
 // chunks returns a reply for each size of a chunk.
 func chunks(values ...string) []extremeReply {
-	replies := make([]extremeReply, len(values))
-	for i, value := range values {
-		replies[i] = extremeReply{head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", body: value + "\r\n"}
-	}
-	return replies
+	return replies("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", numberMark+"\r\n", values...)
 }
 
 // refusals returns a refusal for each Retry-After.
 func refusals(values ...string) []extremeReply {
-	replies := make([]extremeReply, len(values))
-	for i, value := range values {
-		replies[i].head = fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n%s: 1\r\n%s: %s\r\n", platform.HeaderNotRun, platform.HeaderRetryAfter, value)
-	}
-	return replies
+	head := "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n" + platform.HeaderNotRun + ": 1\r\n"
+	return replies(head+platform.HeaderRetryAfter+": "+numberMark+"\r\n", "", values...)
 }
 
 // Numbers at the ends of the types that may hold them.
@@ -140,9 +135,9 @@
 }
 
 // newExtremeEnvironment returns hosts whose requests with extremePrefix get the given replies.
-func newExtremeEnvironment(t *testing.T, replies []extremeReply) *environment {
+func newExtremeEnvironment(t *testing.T, forms []extremeReply) *environment {
 	e := newEnvironment(t, 1)
-	e.measured, e.extremes = true, len(replies)
+	e.measured, e.extremes = true, len(forms)
 	e.startPlatform(deployment.Options{
 		Attempts: 3, Work: work, Timeout: timeout,
 		Raw: func(_, requestID, signature string) ([]byte, bool) {
@@ -153,7 +148,7 @@
 			number, _, _ = strings.Cut(number, "-")
 			i, err := strconv.Atoi(number)
 			require.NoError(t, err)
-			reply := replies[i]
+			reply := forms[i]
 			return fmt.Appendf(nil, "%s%s: %s\r\n%s: %s\r\nConnection: close\r\n\r\n%s",
 				reply.head, platform.HeaderRequestID, requestID, platform.HeaderSignature, signature, reply.body), true
 		},
