--- a/internal/domain/catalog/config.go
+++ b/internal/domain/catalog/config.go
@@ -49,11 +49,11 @@
 	homeRegions     bool
 }
 
-// NewConfig returns a configuration with its routes indexed and all numbers in bounds.
+// NewConfig returns a configuration with its routes indexed and the numbers of services and limits in
+// bounds. What decodes a route bounds its numbers by NewRoute.
 func NewConfig(version int64, routes []*Route, services map[ServiceName]Service, limits Limits) *Config {
 	c := &Config{Version: version, Routes: routes, Services: lo.MapValues(services, boundedService), Limits: limits.bounded(), byHostName: map[string][]*Route{}}
 	for _, r := range routes {
-		r.bound()
 		r.Fingerprint = fingerprintOf(r)
 		hostName := strings.ToLower(r.Host)
 		c.byHostName[hostName] = append(c.byHostName[hostName], r)
--- a/internal/domain/catalog/route.go
+++ b/internal/domain/catalog/route.go
@@ -37,8 +37,8 @@
 	Fingerprint uint64
 }
 
-// NewRoute returns a copy of a route of another host's configuration, with its fingerprint and all
-// numbers in bounds.
+// NewRoute returns a copy of a route that an operator or another host has stated, with its fingerprint and
+// all numbers in bounds.
 func NewRoute(of Route) *Route {
 	of.bound()
 	of.Fingerprint = fingerprintOf(&of)
