--- a/internal/domain/bounds/bounds.go
+++ b/internal/domain/bounds/bounds.go
@@ -5,8 +5,8 @@
 import "time"
 
 const (
-	// LongestPeriod is the longest time that counts. Longer ones are taken for it, since nothing
-	// in the tier lasts as long.
+	// LongestPeriod is the longest time that counts. A longer one is taken for it: no timeout, age or
+	// pause by which the tier decides is as long.
 	LongestPeriod = 30 * 24 * time.Hour
 	// MaxCount is the greatest number of things, such as hosts, records or bytes, that counts.
 	MaxCount = 1 << 30
